--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+# Targets of peridotgw. `make test` is what CI runs.
+MODULES := . peridotd peridotctl standin demo bench faults
+BIN := $(CURDIR)/bin
+LINT := $(BIN)/golangci-lint
+
+.PHONY: all build test unit lint fmt demo up faults bench clean
+
+all: build
+
+build:
+	@mkdir -p $(BIN)
+	go build -o $(BIN)/ ./peridotd ./peridotctl ./standin ./demo ./bench ./faults
+
+$(LINT): tools/go.mod tools/go.sum
+	@mkdir -p $(BIN)
+	cd tools && GOWORK=off GOBIN=$(BIN) go install tool
+
+lint: $(LINT)
+	@bad=$$($(LINT) fmt --diff ./... 2>&1); if [ -n "$$bad" ]; then echo "$$bad"; exit 1; fi
+	@for m in $(MODULES); do echo "lint $$m"; (cd $$m && $(LINT) run ./...) || exit 1; done
+
+fmt: $(LINT)
+	$(LINT) fmt ./...
+
+unit:
+	go test $(addsuffix /...,$(patsubst %,./%,$(MODULES)))
+
+test: build lint unit
+
+demo: build
+	$(BIN)/demo -bin $(BIN)
+
+up: build
+	$(BIN)/demo -bin $(BIN) -keep
+
+faults: build
+	$(BIN)/faults
+
+bench: build
+	$(BIN)/bench
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/bench/main.go
@@ -0,0 +1,12 @@
+// Command bench is part of peridotgw; see README.md.
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+func main() {
+	fmt.Fprintln(os.Stderr, "bench: not built yet")
+	os.Exit(1)
+}
--- /dev/null
+++ b/demo/main.go
@@ -0,0 +1,12 @@
+// Command demo is part of peridotgw; see README.md.
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+func main() {
+	fmt.Fprintln(os.Stderr, "demo: not built yet")
+	os.Exit(1)
+}
--- /dev/null
+++ b/internal/kernel/kernel.go
@@ -0,0 +1,172 @@
+package kernel
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+)
+
+// Name names a service.
+type Name string
+
+// Service is one part of the daemon.
+type Service struct {
+	Name Name
+	// Needs names the services that start before this one and stop after it.
+	Needs []Name
+	// Value is what other services get by Find.
+	Value any
+	// Run works until ctx ends; an error stops the whole daemon. A nil Run is allowed.
+	Run func(ctx context.Context) error
+	// Stop finishes gracefully before ctx of Run is cancelled; it must return when its own ctx ends. A nil Stop is allowed.
+	Stop func(ctx context.Context) error
+}
+
+// Kernel holds the services of one process.
+type Kernel struct {
+	Log zerolog.Logger
+	// StopTimeout bounds the graceful stop of all services together.
+	StopTimeout time.Duration
+
+	services map[Name]Service
+	order    []Name
+}
+
+// UnknownServiceError reports a name that no service has, or a value of another type.
+type UnknownServiceError struct {
+	Name Name
+	Want string
+}
+
+// Error names the service and the wanted type.
+func (e *UnknownServiceError) Error() string {
+	return fmt.Sprintf("service %q with a value of type %s does not exist", e.Name, e.Want)
+}
+
+// DependencyError reports a dependency that is missing or closes a cycle.
+type DependencyError struct {
+	Name, Needs Name
+	Cycle       bool
+}
+
+// Error names the service and the dependency.
+func (e *DependencyError) Error() string {
+	if e.Cycle {
+		return fmt.Sprintf("service %q needs %q, which closes a cycle", e.Name, e.Needs)
+	}
+	return fmt.Sprintf("service %q needs %q, which does not exist", e.Name, e.Needs)
+}
+
+// New returns a kernel without services.
+func New(log zerolog.Logger, stopTimeout time.Duration) *Kernel {
+	return &Kernel{Log: log, StopTimeout: stopTimeout, services: map[Name]Service{}}
+}
+
+// Add registers a service; the last one of a name wins. It must not be called after Run.
+func (k *Kernel) Add(service Service) {
+	if _, found := k.services[service.Name]; !found {
+		k.order = append(k.order, service.Name)
+	}
+	k.services[service.Name] = service
+}
+
+// Find returns the value of a service; it returns an UnknownServiceError if it is missing or of another type.
+func Find[T any](k *Kernel, name Name) (T, error) {
+	value, ok := k.services[name].Value.(T)
+	if !ok {
+		return value, &UnknownServiceError{Name: name, Want: fmt.Sprintf("%T", value)}
+	}
+	return value, nil
+}
+
+// Run starts all services and blocks until ctx ends or a service returns an error; then it stops them in reverse order.
+func (k *Kernel) Run(ctx context.Context) error {
+	order, err := k.sorted()
+	if err != nil {
+		return err
+	}
+	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	group, groupCtx := errgroup.WithContext(runCtx)
+	for _, name := range order {
+		service := k.services[name]
+		if service.Run == nil {
+			continue
+		}
+		group.Go(func() error {
+			if err := service.Run(groupCtx); err != nil && !errors.Is(err, context.Canceled) {
+				return fmt.Errorf("running service %q: %w", service.Name, err)
+			}
+			return nil
+		})
+	}
+	k.Log.Info().Int("services", len(order)).Msg("kernel: services started")
+	select {
+	case <-ctx.Done():
+	case <-groupCtx.Done():
+	}
+	stopErr := k.stop(runCtx, order)
+	cancel()
+	return errors.Join(stopErr, group.Wait())
+}
+
+func (k *Kernel) stop(ctx context.Context, order []Name) error {
+	stopCtx, cancel := context.WithTimeout(ctx, k.StopTimeout)
+	defer cancel()
+	var errs []error
+	for i := len(order) - 1; i >= 0; i-- {
+		service := k.services[order[i]]
+		if service.Stop == nil {
+			continue
+		}
+		if err := service.Stop(stopCtx); err != nil {
+			errs = append(errs, fmt.Errorf("stopping service %q: %w", service.Name, err))
+		}
+		k.Log.Debug().Str("service", string(service.Name)).Msg("kernel: service stopped")
+	}
+	return errors.Join(errs...)
+}
+
+// sorted returns the services so that each comes after those it needs.
+func (k *Kernel) sorted() ([]Name, error) {
+	const (
+		visiting = 1
+		visited  = 2
+	)
+	marks := map[Name]int{}
+	var order []Name
+	var visit func(name Name) error
+	visit = func(name Name) error {
+		marks[name] = visiting
+		for _, needs := range k.services[name].Needs {
+			if _, found := k.services[needs]; !found {
+				return &DependencyError{Name: name, Needs: needs}
+			}
+			switch marks[needs] {
+			case visiting:
+				return &DependencyError{Name: name, Needs: needs, Cycle: true}
+			case visited:
+				continue
+			}
+			if err := visit(needs); err != nil {
+				return err
+			}
+		}
+		marks[name] = visited
+		order = append(order, name)
+		return nil
+	}
+	for _, name := range k.order {
+		if marks[name] == visited {
+			continue
+		}
+		if err := visit(name); err != nil {
+			return nil, err
+		}
+	}
+	return order, nil
+}
--- /dev/null
+++ b/internal/metric/doc.go
@@ -0,0 +1,2 @@
+// Package metric holds the Prometheus metrics of an instance, with one counter per refusal and retry reason.
+package metric
--- /dev/null
+++ b/internal/metric/metric.go
@@ -0,0 +1,66 @@
+package metric
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// Prefix starts the name of every metric.
+const Prefix = "peridot_"
+
+// Set holds the metrics that several parts share; parts register further ones of their own with Registry.
+type Set struct {
+	Registry *prometheus.Registry
+	// Refusals counts answers with outcome refused, by reason and class.
+	Refusals *prometheus.CounterVec
+	// Retries counts repeated sends and calls, by part and reason.
+	Retries *prometheus.CounterVec
+	// Outcomes counts finished requests, by class and outcome.
+	Outcomes *prometheus.CounterVec
+	// StoreCalls counts calls to the store, by role, operation and result.
+	StoreCalls *prometheus.CounterVec
+	// PeerBytes counts bytes between instances, by procedure and direction.
+	PeerBytes *prometheus.CounterVec
+}
+
+// New returns a set on a registry of its own.
+func New() *Set {
+	set := &Set{Registry: prometheus.NewRegistry()}
+	set.Refusals = set.Counter("refusals_total", "Answers with outcome refused.", "reason", "class")
+	set.Retries = set.Counter("retries_total", "Repeated sends and calls.", "part", "reason")
+	set.Outcomes = set.Counter("outcomes_total", "Finished requests.", "class", "outcome")
+	set.StoreCalls = set.Counter("store_calls_total", "Calls to the key-value service.", "role", "op", "result")
+	set.PeerBytes = set.Counter("peer_bytes_total", "Bytes of message bodies between instances.", "procedure", "direction")
+	set.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return set
+}
+
+// Counter registers a counter with labels; the name has no prefix.
+func (s *Set) Counter(name, help string, labels ...string) *prometheus.CounterVec {
+	vec := prometheus.NewCounterVec(prometheus.CounterOpts{Name: Prefix + name, Help: help}, labels)
+	s.Registry.MustRegister(vec)
+	return vec
+}
+
+// Gauge registers a gauge with labels; the name has no prefix.
+func (s *Set) Gauge(name, help string, labels ...string) *prometheus.GaugeVec {
+	vec := prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: Prefix + name, Help: help}, labels)
+	s.Registry.MustRegister(vec)
+	return vec
+}
+
+// Histogram registers a histogram of seconds with labels; the name has no prefix.
+func (s *Set) Histogram(name, help string, buckets []float64, labels ...string) *prometheus.HistogramVec {
+	opts := prometheus.HistogramOpts{Name: Prefix + name, Help: help, Buckets: buckets}
+	vec := prometheus.NewHistogramVec(opts, labels)
+	s.Registry.MustRegister(vec)
+	return vec
+}
+
+// Handler serves the metrics in the Prometheus text format.
+func (s *Set) Handler() http.Handler {
+	return promhttp.HandlerFor(s.Registry, promhttp.HandlerOpts{Registry: s.Registry})
+}
--- /dev/null
+++ b/internal/store/client.go
@@ -0,0 +1,268 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"peridotgw.example/peridotgw/internal/metric"
+)
+
+// Version counts the writes of one key; 0 means that the key does not exist.
+type Version uint64
+
+// Revision counts all changes of the service; every answer carries it.
+type Revision uint64
+
+// LeaseID identifies a lease; 0 means none.
+type LeaseID uint64
+
+// MaxValueBytes is the largest value that the service holds.
+const MaxValueBytes = 1 << 20
+
+// Entry is one key with its value.
+type Entry struct {
+	Key     string  `json:"key"`
+	Value   []byte  `json:"value"`
+	Version Version `json:"version"`
+	// Modified is the service revision of the last write of the key.
+	Modified Revision `json:"modified"`
+	Lease    LeaseID  `json:"lease,omitempty"`
+	// Revision is the service revision at the time of the answer.
+	Revision Revision `json:"revision"`
+}
+
+// Listing is the answer of List and Watch.
+type Listing struct {
+	Entries []Entry `json:"entries"`
+	// Deleted names the keys that vanished since the watched revision.
+	Deleted  []string `json:"deleted,omitempty"`
+	Revision Revision `json:"revision"`
+	// Compacted is true when a watch asked for changes that are no longer kept; the caller lists again.
+	Compacted bool `json:"compacted,omitempty"`
+}
+
+// Lease is the answer of Grant and KeepAlive.
+type Lease struct {
+	ID       LeaseID  `json:"id"`
+	TTLMs    int64    `json:"ttl-ms"`
+	Revision Revision `json:"revision"`
+}
+
+// Client calls the service; it may be used concurrently.
+type Client struct {
+	// BaseURL is the address of the service, such as "http://127.0.0.1:2379".
+	BaseURL string
+	// Role labels the calls in the metrics.
+	Role string
+	// Timeout bounds each call, watches excepted.
+	Timeout time.Duration
+	Metrics *metric.Set
+	// Do sends a request; tests replace it to reach a fake without a network.
+	Do func(*http.Request) (*http.Response, error)
+}
+
+// Defaults of the client.
+const (
+	DefaultTimeout = 2 * time.Second
+	// maxConns bounds the connections of one instance, so that a slow service does not collect thousands of them.
+	maxConns = 64
+)
+
+// New returns a client with connections of its own, and a function that closes them.
+func New(baseURL string, metrics *metric.Set) (*Client, func()) {
+	transport := &http.Transport{MaxIdleConnsPerHost: 16, MaxConnsPerHost: maxConns, IdleConnTimeout: 30 * time.Second}
+	client := &http.Client{Transport: transport}
+	return &Client{
+		BaseURL: strings.TrimRight(baseURL, "/"), Role: "other", Timeout: DefaultTimeout, Metrics: metrics, Do: client.Do,
+	}, transport.CloseIdleConnections
+}
+
+// WithRole returns a client that shares connections and counts its calls under role.
+func (c *Client) WithRole(role string) *Client {
+	clone := *c
+	clone.Role = role
+	return &clone
+}
+
+// Get reads a key; minRevision 0 accepts any age. It returns NotFoundError, StaleError or UnavailableError.
+func (c *Client) Get(ctx context.Context, key string, minRevision Revision) (Entry, error) {
+	query := url.Values{}
+	if minRevision > 0 {
+		query.Set("min-revision", strconv.FormatUint(uint64(minRevision), 10))
+	}
+	var entry Entry
+	err := c.call(ctx, request{op: "get", key: key, method: http.MethodGet, path: keyPath(key), query: query, timeout: c.Timeout}, &entry)
+	if err != nil {
+		return Entry{}, err
+	}
+	if entry.Revision < minRevision {
+		return Entry{}, &StaleError{Key: key, Got: entry.Revision, Want: minRevision}
+	}
+	return entry, nil
+}
+
+// List reads all keys with a prefix in key order.
+func (c *Client) List(ctx context.Context, prefix string) (Listing, error) {
+	var listing Listing
+	query := url.Values{"prefix": {prefix}}
+	err := c.call(ctx, request{op: "list", key: prefix, method: http.MethodGet, path: "/v1/kv", query: query, timeout: c.Timeout}, &listing)
+	return listing, err
+}
+
+// Put writes a key if its version is still version; 0 creates it. It returns ConflictError or UnavailableError.
+func (c *Client) Put(ctx context.Context, key string, value []byte, version Version, lease LeaseID) (Entry, error) {
+	query := url.Values{"version": {strconv.FormatUint(uint64(version), 10)}}
+	if lease != 0 {
+		query.Set("lease", strconv.FormatUint(uint64(lease), 10))
+	}
+	var entry Entry
+	err := c.call(ctx, request{
+		op: "put", key: key, method: http.MethodPut, path: keyPath(key), query: query, body: value, timeout: c.Timeout, version: version,
+	}, &entry)
+	return entry, err
+}
+
+// Delete removes a key if its version is still version. It returns ConflictError, NotFoundError or UnavailableError.
+func (c *Client) Delete(ctx context.Context, key string, version Version) error {
+	query := url.Values{"version": {strconv.FormatUint(uint64(version), 10)}}
+	return c.call(ctx, request{
+		op: "delete", key: key, method: http.MethodDelete, path: keyPath(key), query: query, timeout: c.Timeout, version: version,
+	}, nil)
+}
+
+// Grant creates a lease; all keys attached to it vanish when it expires.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (Lease, error) {
+	body, err := json.Marshal(Lease{TTLMs: ttl.Milliseconds()})
+	if err != nil {
+		return Lease{}, fmt.Errorf("encoding lease: %w", err)
+	}
+	var lease Lease
+	err = c.call(ctx, request{op: "grant", method: http.MethodPost, path: "/v1/leases", body: body, timeout: c.Timeout}, &lease)
+	return lease, err
+}
+
+// KeepAlive renews a lease for its whole time to live. It returns NotFoundError when the lease has expired.
+func (c *Client) KeepAlive(ctx context.Context, id LeaseID) (Lease, error) {
+	var lease Lease
+	err := c.call(ctx, request{op: "keep-alive", method: http.MethodPost, path: leasePath(id), timeout: c.Timeout}, &lease)
+	return lease, err
+}
+
+// Revoke ends a lease at once.
+func (c *Client) Revoke(ctx context.Context, id LeaseID) error {
+	return c.call(ctx, request{op: "revoke", method: http.MethodDelete, path: leasePath(id), timeout: c.Timeout}, nil)
+}
+
+// Watch waits up to wait for changes of keys with prefix after a revision; no change gives an empty listing.
+func (c *Client) Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) (Listing, error) {
+	query := url.Values{
+		"prefix":  {prefix},
+		"after":   {strconv.FormatUint(uint64(after), 10)},
+		"wait-ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
+	}
+	var listing Listing
+	err := c.call(ctx, request{
+		op: "watch", key: prefix, method: http.MethodGet, path: "/v1/watch", query: query, timeout: wait + c.Timeout,
+	}, &listing)
+	return listing, err
+}
+
+type request struct {
+	op, key, method, path string
+	query                 url.Values
+	body                  []byte
+	timeout               time.Duration
+	version               Version
+}
+
+func (c *Client) call(ctx context.Context, r request, into any) error {
+	err := c.send(ctx, r, into)
+	if c.Metrics != nil {
+		c.Metrics.StoreCalls.WithLabelValues(c.Role, r.op, result(err)).Inc()
+	}
+	return err
+}
+
+func (c *Client) send(ctx context.Context, r request, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, r.timeout)
+	defer cancel()
+	write := r.method != http.MethodGet
+	unavailable := func(maybe bool, cause error) error {
+		return &UnavailableError{Op: r.op, Key: r.key, MaybeApplied: maybe && write, Cause: cause}
+	}
+	target := c.BaseURL + r.path
+	if len(r.query) > 0 {
+		target += "?" + r.query.Encode()
+	}
+	req, err := http.NewRequestWithContext(ctx, r.method, target, bytes.NewReader(r.body))
+	if err != nil {
+		return unavailable(false, err)
+	}
+	res, err := c.Do(req)
+	if err != nil {
+		return unavailable(true, err)
+	}
+	body, readErr := io.ReadAll(res.Body)
+	if err := errors.Join(readErr, res.Body.Close()); err != nil {
+		return unavailable(true, err)
+	}
+	return decode(res.StatusCode, body, r, into, unavailable)
+}
+
+func decode(status int, body []byte, r request, into any, unavailable func(bool, error) error) error {
+	switch status {
+	case http.StatusOK:
+		if into == nil {
+			return nil
+		}
+		if err := json.Unmarshal(body, into); err != nil {
+			return unavailable(true, fmt.Errorf("decoding answer: %w", err))
+		}
+		return nil
+	case http.StatusNotFound:
+		var current Entry
+		if err := json.Unmarshal(body, &current); err != nil {
+			return unavailable(true, fmt.Errorf("decoding answer: %w", err))
+		}
+		return &NotFoundError{Key: r.key, Revision: current.Revision}
+	case http.StatusConflict:
+		var current Entry
+		if err := json.Unmarshal(body, &current); err != nil {
+			return unavailable(true, fmt.Errorf("decoding conflict: %w", err))
+		}
+		return &ConflictError{Key: r.key, Want: r.version, Current: current}
+	default:
+		// The service answers 503 before it applies anything; any other status proves nothing.
+		return unavailable(status != http.StatusServiceUnavailable, &StatusError{Status: status, Body: string(body)})
+	}
+}
+
+func result(err error) string {
+	var conflict *ConflictError
+	var notFound *NotFoundError
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.As(err, &conflict):
+		return "conflict"
+	case errors.As(err, &notFound):
+		return "not-found"
+	default:
+		return "unavailable"
+	}
+}
+
+func keyPath(key string) string {
+	return "/v1/kv/" + (&url.URL{Path: strings.TrimPrefix(key, "/")}).EscapedPath()
+}
+
+func leasePath(id LeaseID) string { return "/v1/leases/" + strconv.FormatUint(uint64(id), 10) }
--- /dev/null
+++ b/internal/wire/codec.go
@@ -0,0 +1,33 @@
+package wire
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// CodecName is the name of the codec in content types.
+const CodecName = "cbor"
+
+// Codec encodes any Go value as CBOR; struct fields use `cbor:"1,keyasint"` tags to keep messages small.
+type Codec struct{}
+
+// Name returns CodecName.
+func (Codec) Name() string { return CodecName }
+
+// Marshal encodes message.
+func (Codec) Marshal(message any) ([]byte, error) {
+	data, err := cbor.Marshal(message)
+	if err != nil {
+		return nil, fmt.Errorf("encoding %T: %w", message, err)
+	}
+	return data, nil
+}
+
+// Unmarshal decodes data into message.
+func (Codec) Unmarshal(data []byte, message any) error {
+	if err := cbor.Unmarshal(data, message); err != nil {
+		return fmt.Errorf("decoding %T: %w", message, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/wire/doc.go
@@ -0,0 +1,2 @@
+// Package wire carries messages between instances by connect-go, with one CBOR codec for all message types.
+package wire
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,55 @@
+package wire
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+)
+
+// Procedure is the path of a remote procedure, such as "/peer/exchange".
+type Procedure string
+
+// MaxMessageBytes bounds a message; a configuration snapshot is the largest.
+const MaxMessageBytes = 16 << 20
+
+// Handle registers fn for procedure on mux.
+func Handle[Req, Res any](mux *http.ServeMux, procedure Procedure, fn func(context.Context, *Req) (*Res, error)) {
+	handler := connect.NewUnaryHandler(string(procedure),
+		func(ctx context.Context, req *connect.Request[Req]) (*connect.Response[Res], error) {
+			res, err := fn(ctx, req.Msg)
+			if err != nil {
+				return nil, err
+			}
+			return connect.NewResponse(res), nil
+		},
+		connect.WithCodec(Codec{}),
+		connect.WithReadMaxBytes(MaxMessageBytes),
+	)
+	mux.Handle(string(procedure), handler)
+}
+
+// Caller calls procedures of other instances; it may be used concurrently.
+type Caller struct {
+	// HTTP carries the calls; tests replace it to reach handlers without a network.
+	HTTP connect.HTTPClient
+}
+
+// NewCaller returns a caller with connections of its own, and a function that closes them.
+func NewCaller(timeout time.Duration) (*Caller, func()) {
+	transport := &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 20 * time.Second, ResponseHeaderTimeout: timeout}
+	return &Caller{HTTP: &http.Client{Transport: transport, Timeout: timeout}}, transport.CloseIdleConnections
+}
+
+// Call sends req to procedure at address ("host:port") and returns its answer.
+func Call[Req, Res any](ctx context.Context, c *Caller, address string, procedure Procedure, req *Req) (*Res, error) {
+	client := connect.NewClient[Req, Res](c.HTTP, "http://"+address+string(procedure),
+		connect.WithCodec(Codec{}), connect.WithReadMaxBytes(MaxMessageBytes))
+	res, err := client.CallUnary(ctx, connect.NewRequest(req))
+	if err != nil {
+		return nil, fmt.Errorf("calling %s at %s: %w", procedure, address, err)
+	}
+	return res.Msg, nil
+}
--- /dev/null
+++ b/model/set.go
@@ -0,0 +1,183 @@
+package model
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Set is one complete configuration. A published Set is never changed.
+type Set struct {
+	Revision       Revision
+	ChangeID       ChangeID
+	DataCentres    map[DataCentreID]DataCentre
+	Customers      map[CustomerID]Customer
+	Shapes         map[ShapeID]Shape
+	Guarantees     map[GuaranteeID]Guarantee
+	JobClasses     map[JobClassID]JobClass
+	RequestClasses map[RequestClassID]RequestClass
+	// Modified holds the revision that last changed each object.
+	Modified map[Ref]Revision
+}
+
+// DecodeError reports an object that cannot be decoded.
+type DecodeError struct {
+	Ref   Ref
+	Cause error
+}
+
+// Error names the object and the cause.
+func (e *DecodeError) Error() string {
+	return fmt.Sprintf("%s %q: %v", e.Ref.Kind, e.Ref.Name, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *DecodeError) Unwrap() error { return e.Cause }
+
+// NewSet returns an empty set.
+func NewSet() *Set {
+	return &Set{
+		DataCentres:    map[DataCentreID]DataCentre{},
+		Customers:      map[CustomerID]Customer{},
+		Shapes:         map[ShapeID]Shape{},
+		Guarantees:     map[GuaranteeID]Guarantee{},
+		JobClasses:     map[JobClassID]JobClass{},
+		RequestClasses: map[RequestClassID]RequestClass{},
+		Modified:       map[Ref]Revision{},
+	}
+}
+
+// FromObjects builds a set; it returns a DecodeError for the first object that cannot be decoded.
+func FromObjects(objects []Object) (*Set, error) {
+	set := NewSet()
+	for _, object := range objects {
+		if err := set.Put(object); err != nil {
+			return nil, err
+		}
+	}
+	return set, nil
+}
+
+// Put decodes an object into the set; unknown fields and kinds are a DecodeError.
+func (s *Set) Put(object Object) error {
+	var err error
+	switch object.Kind {
+	case KindDataCentre:
+		err = put(s.DataCentres, object)
+	case KindCustomer:
+		err = put(s.Customers, object)
+	case KindShape:
+		err = put(s.Shapes, object)
+	case KindGuarantee:
+		err = put(s.Guarantees, object)
+	case KindJobClass:
+		err = put(s.JobClasses, object)
+	case KindRequestClass:
+		err = put(s.RequestClasses, object)
+	default:
+		err = fmt.Errorf("unknown kind %q", object.Kind)
+	}
+	if err != nil {
+		return &DecodeError{Ref: object.Ref(), Cause: err}
+	}
+	s.Modified[object.Ref()] = object.Revision
+	return nil
+}
+
+// Delete removes an object and reports whether it was there.
+func (s *Set) Delete(ref Ref) bool {
+	_, found := s.Modified[ref]
+	delete(s.Modified, ref)
+	switch ref.Kind {
+	case KindDataCentre:
+		delete(s.DataCentres, DataCentreID(ref.Name))
+	case KindCustomer:
+		delete(s.Customers, CustomerID(ref.Name))
+	case KindShape:
+		delete(s.Shapes, ShapeID(ref.Name))
+	case KindGuarantee:
+		delete(s.Guarantees, GuaranteeID(ref.Name))
+	case KindJobClass:
+		delete(s.JobClasses, JobClassID(ref.Name))
+	case KindRequestClass:
+		delete(s.RequestClasses, RequestClassID(ref.Name))
+	}
+	return found
+}
+
+// Objects returns all objects, ordered by kind and name.
+func (s *Set) Objects() ([]Object, error) {
+	var objects []Object
+	var err error
+	for _, kind := range Kinds() {
+		var part []Object
+		switch kind {
+		case KindDataCentre:
+			part, err = list(s, kind, s.DataCentres)
+		case KindCustomer:
+			part, err = list(s, kind, s.Customers)
+		case KindShape:
+			part, err = list(s, kind, s.Shapes)
+		case KindGuarantee:
+			part, err = list(s, kind, s.Guarantees)
+		case KindJobClass:
+			part, err = list(s, kind, s.JobClasses)
+		case KindRequestClass:
+			part, err = list(s, kind, s.RequestClasses)
+		}
+		if err != nil {
+			return nil, err
+		}
+		objects = append(objects, part...)
+	}
+	return objects, nil
+}
+
+// Clone returns a copy whose objects can be put and deleted without changing s.
+func (s *Set) Clone() *Set {
+	clone := *s
+	clone.DataCentres = cloneMap(s.DataCentres)
+	clone.Customers = cloneMap(s.Customers)
+	clone.Shapes = cloneMap(s.Shapes)
+	clone.Guarantees = cloneMap(s.Guarantees)
+	clone.JobClasses = cloneMap(s.JobClasses)
+	clone.RequestClasses = cloneMap(s.RequestClasses)
+	clone.Modified = cloneMap(s.Modified)
+	return &clone
+}
+
+func cloneMap[K comparable, V any](from map[K]V) map[K]V {
+	to := make(map[K]V, len(from))
+	for key, value := range from {
+		to[key] = value
+	}
+	return to
+}
+
+func put[K ~string, V any](into map[K]V, object Object) error {
+	var value V
+	decoder := json.NewDecoder(bytes.NewReader(object.Spec))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&value); err != nil {
+		return fmt.Errorf("decoding spec: %w", err)
+	}
+	into[K(object.Name)] = value
+	return nil
+}
+
+func list[K ~string, V any](s *Set, kind Kind, from map[K]V) ([]Object, error) {
+	objects := make([]Object, 0, len(from))
+	for name, value := range from {
+		spec, err := json.Marshal(value)
+		if err != nil {
+			return nil, &DecodeError{Ref: Ref{Kind: kind, Name: string(name)}, Cause: err}
+		}
+		object := Object{Kind: kind, Name: string(name), Spec: spec}
+		object.Revision = s.Modified[object.Ref()]
+		objects = append(objects, object)
+	}
+	slices.SortFunc(objects, func(a, b Object) int { return strings.Compare(a.Name, b.Name) })
+	return objects, nil
+}
--- /dev/null
+++ b/peridotd/main.go
@@ -0,0 +1,12 @@
+// Command peridotd is part of peridotgw; see README.md.
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+func main() {
+	fmt.Fprintln(os.Stderr, "peridotd: not built yet")
+	os.Exit(1)
+}
