memnet: HTTP between handlers of one process

Cause: failure specs need several instances and the stand-ins under virtual time, which sockets do not allow.

--- /dev/null
+++ b/internal/memnet/memnet.go
@@ -0,0 +1,191 @@
+package memnet
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"time"
+)
+
+// Host names one side of a path; a server's host is the address in its URL.
+type Host string
+
+// AnyHost stands for all hosts in a fault.
+const AnyHost Host = "*"
+
+// Fault is what happens to calls on a path; the zero value is a healthy path.
+type Fault struct {
+	// Cut refuses calls at once, before they reach the server.
+	Cut bool
+	// Silent drops calls: nothing answers until the caller gives up.
+	Silent bool
+	// Delay is the time that a call takes to reach the server.
+	Delay time.Duration
+	// LoseAnswers delivers this many calls and breaks the connection in place of the answer.
+	LoseAnswers int
+}
+
+// CutError reports a call that did not reach its server.
+type CutError struct{ From, To Host }
+
+// Error names the path.
+func (e *CutError) Error() string {
+	return fmt.Sprintf("connection from %s to %s refused", e.From, e.To)
+}
+
+// LostError reports a call that reached its server and whose answer was lost.
+type LostError struct{ From, To Host }
+
+// Error names the path.
+func (e *LostError) Error() string {
+	return fmt.Sprintf("connection from %s to %s reset", e.From, e.To)
+}
+
+type path struct{ from, to Host }
+
+// Net connects hosts; it may be used concurrently.
+type Net struct {
+	mu       sync.Mutex
+	handlers map[Host]http.Handler
+	faults   map[path]*Fault
+}
+
+// New returns a network without hosts.
+func New() *Net {
+	return &Net{handlers: map[Host]http.Handler{}, faults: map[path]*Fault{}}
+}
+
+// Serve makes handler answer at host; nil removes the host, as when its process dies.
+func (n *Net) Serve(host Host, handler http.Handler) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if handler == nil {
+		delete(n.handlers, host)
+		return
+	}
+	n.handlers[host] = handler
+}
+
+// SetFault sets the fault of calls from one host to another; either may be AnyHost.
+func (n *Net) SetFault(from, to Host, fault Fault) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.faults[path{from, to}] = &fault
+}
+
+// Transport returns the http.RoundTripper of a host.
+func (n *Net) Transport(from Host) http.RoundTripper {
+	return roundTripper(func(req *http.Request) (*http.Response, error) { return n.roundTrip(from, req) })
+}
+
+// Client returns an HTTP client of a host.
+func (n *Net) Client(from Host) *http.Client {
+	return &http.Client{Transport: n.Transport(from)}
+}
+
+type roundTripper func(*http.Request) (*http.Response, error)
+
+// RoundTrip sends the request.
+func (f roundTripper) RoundTrip(req *http.Request) (*http.Response, error) { return f(req) }
+
+func (n *Net) roundTrip(from Host, req *http.Request) (*http.Response, error) {
+	to := Host(req.URL.Host)
+	ctx := req.Context()
+	body, err := readBody(req)
+	if err != nil {
+		return nil, err
+	}
+	handler, fault, lose := n.find(from, to)
+	if fault.Silent {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	if fault.Cut || handler == nil {
+		return nil, &CutError{From: from, To: to}
+	}
+	if err := sleep(ctx, fault.Delay); err != nil {
+		return nil, err
+	}
+	answers := make(chan *http.Response, 1)
+	go func() { answers <- serve(handler, req, body) }()
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case res := <-answers:
+		if res == nil || lose {
+			return nil, &LostError{From: from, To: to}
+		}
+		return res, nil
+	}
+}
+
+// find returns the handler of a host and the first fault set for the path, exact hosts before AnyHost.
+func (n *Net) find(from, to Host) (handler http.Handler, fault Fault, lose bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	handler = n.handlers[to]
+	for _, p := range []path{{from, to}, {from, AnyHost}, {AnyHost, to}} {
+		set, found := n.faults[p]
+		if !found {
+			continue
+		}
+		fault = *set
+		if set.LoseAnswers > 0 {
+			set.LoseAnswers--
+			lose = true
+		}
+		return handler, fault, lose
+	}
+	return handler, Fault{}, false
+}
+
+// serve runs the handler and returns nil when it breaks the connection.
+func serve(handler http.Handler, req *http.Request, body []byte) (res *http.Response) {
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		if err, ok := cause.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+			res = nil
+			return
+		}
+		panic(cause)
+	}()
+	served := req.Clone(req.Context())
+	served.Body = io.NopCloser(bytes.NewReader(body))
+	served.RequestURI = req.URL.RequestURI()
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, served)
+	return recorder.Result()
+}
+
+func readBody(req *http.Request) ([]byte, error) {
+	if req.Body == nil {
+		return nil, nil
+	}
+	body, err := io.ReadAll(req.Body)
+	if err := errors.Join(err, req.Body.Close()); err != nil {
+		return nil, fmt.Errorf("reading request body: %w", err)
+	}
+	return body, nil
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,53 @@
+package wire_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"peridotgw.example/peridotgw/internal/wire"
+)
+
+type ping struct {
+	Text  string `cbor:"1,keyasint"`
+	Count int    `cbor:"2,keyasint,omitempty"`
+}
+
+var _ = Describe("Call", func() {
+	var address string
+
+	BeforeEach(func() {
+		mux := http.NewServeMux()
+		wire.Handle(mux, "/test/ping", func(_ context.Context, req *ping) (*ping, error) {
+			return &ping{Text: req.Text, Count: req.Count + 1}, nil
+		})
+		wire.Handle(mux, "/test/hang", func(ctx context.Context, _ *ping) (*ping, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		})
+		server := httptest.NewServer(mux)
+		DeferCleanup(server.Close)
+		address = strings.TrimPrefix(server.URL, "http://")
+	})
+
+	It("carries a message and its answer", func() {
+		caller, closeIdle := wire.NewCaller(time.Second)
+		defer closeIdle()
+		res, err := wire.Call[ping, ping](context.Background(), caller, address, "/test/ping", &ping{Text: "a", Count: 1})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(*res).To(Equal(ping{Text: "a", Count: 2}))
+	})
+
+	// A peer that hangs must not hold its caller longer than the timeout.
+	It("ends a call to a peer that does not answer", func() {
+		caller, closeIdle := wire.NewCaller(50 * time.Millisecond)
+		defer closeIdle()
+		_, err := wire.Call[ping, ping](context.Background(), caller, address, "/test/hang", &ping{})
+		Expect(err).To(HaveOccurred())
+	})
+})
