--- a/Makefile
+++ b/Makefile
@@ -33,8 +33,8 @@
 up: build
 	$(BIN)/demo -bin $(BIN) -keep
 
-faults: build
-	$(BIN)/faults
+faults: build $(LINT)
+	$(BIN)/faults -ginkgo $(BIN)/ginkgo -docs docs/faults.md
 
 bench: build
 	$(BIN)/bench
--- /dev/null
+++ b/faults/table.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/rotisserie/eris"
+)
+
+// Counts sums up the verdicts.
+type Counts struct{ Held, Violated, NotRun, KnownRed int }
+
+// Count returns the sums; violated rows of KNOWN-RED.txt are counted as both.
+func Count(results []Result) Counts {
+	var counts Counts
+	for _, result := range results {
+		switch result.Verdict {
+		case VerdictHeld:
+			counts.Held++
+		case VerdictViolated:
+			counts.Violated++
+			if result.Known {
+				counts.KnownRed++
+			}
+		case VerdictNotRun:
+			counts.NotRun++
+		}
+	}
+	return counts
+}
+
+// Print writes the table for a terminal.
+func Print(w io.Writer, results []Result, seed int64) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	lines := []string{"PROMISE\tFAULT\tSTEP\tVERDICT\tCHECK SEEN TO FAIL\tNOTE"}
+	for _, r := range results {
+		lines = append(lines, strings.Join([]string{
+			r.Promise, r.Fault, r.Step, string(r.Verdict), yesNo(r.SeenToFail), note(r),
+		}, "\t"))
+	}
+	for _, line := range lines {
+		if _, err := fmt.Fprintln(table, line); err != nil {
+			return eris.Wrap(err, "writing the table")
+		}
+	}
+	if err := table.Flush(); err != nil {
+		return eris.Wrap(err, "writing the table")
+	}
+	counts := Count(results)
+	_, err := fmt.Fprintf(w, "seed %d\n%d held, %d violated, %d not run\n", seed, counts.Held, counts.Violated, counts.NotRun)
+	return eris.Wrap(err, "writing the counts")
+}
+
+// Markdown writes the table of docs/faults.md.
+func Markdown(w io.Writer, results []Result) error {
+	lines := []string{
+		"| promise | fault | step | verdict | check seen to fail | mechanism | spec |",
+		"|---|---|---|---|---|---|---|",
+	}
+	for _, r := range results {
+		if r.Verdict == VerdictNotRun {
+			continue
+		}
+		lines = append(lines, row(r.Promise, r.Fault, r.Step, string(r.Verdict), yesNo(r.SeenToFail), r.Mechanism,
+			strings.Join(append(r.Specs, r.Failures...), "; ")))
+	}
+	lines = append(lines, "", "Not proved yet:", "", "| promise | fault | step | reason |", "|---|---|---|---|")
+	for _, r := range results {
+		if r.Verdict == VerdictNotRun {
+			lines = append(lines, row(r.Promise, r.Fault, r.Step, r.Reason))
+		}
+	}
+	_, err := fmt.Fprintln(w, strings.Join(lines, "\n"))
+	return eris.Wrap(err, "writing the page")
+}
+
+func row(cells ...string) string { return "| " + strings.Join(cells, " | ") + " |" }
+
+func note(r Result) string {
+	switch {
+	case r.Verdict == VerdictViolated && r.Known:
+		return "known red: " + strings.Join(r.Failures, "; ")
+	case r.Verdict == VerdictViolated:
+		return strings.Join(r.Failures, "; ")
+	default:
+		return r.Reason
+	}
+}
+
+func yesNo(yes bool) string {
+	if yes {
+		return "yes"
+	}
+	return "no"
+}
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -112,7 +112,7 @@
 		return nil, err
 	}
 	answers := make(chan *http.Response, 1)
-	go func() { answers <- serve(handler, req, body) }()
+	go func() { answers <- serve(handler, req, body) }() //nolint:bodyclose // The caller of RoundTrip closes it.
 	select {
 	case <-ctx.Done():
 		return nil, ctx.Err()
