--- /dev/null
+++ b/internal/params/doc.go
@@ -0,0 +1,3 @@
+// Package params reads the settings of an instance: one file of JSON with comments that is checked as a whole before
+// anything starts.
+package params
