client: call the caller and operator interfaces

Addresses are tried in order. A call is repeated at another address when nothing was sent, or when its request, job or change id makes a second send safe. After a lost answer a refusal by another instance is reported as unknown, because it proves nothing about the first send.

--- /dev/null
+++ b/client/target.go
@@ -0,0 +1,290 @@
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"peridotgw.example/peridotgw/model"
+	"peridotgw.example/peridotgw/reply"
+)
+
+// Target is a set of instances that serve the same interface.
+type Target struct {
+	// Addresses are base URLs such as "http://10.0.0.7:7100", tried in this order.
+	Addresses []string
+	// Timeout bounds each attempt of a call other than Caller.Do; zero means DefaultTimeout.
+	Timeout time.Duration
+	// Do sends one HTTP request; nil opens a connection for each call.
+	Do func(*http.Request) (*http.Response, error)
+}
+
+// Bounds of calls and answers.
+const (
+	// DefaultTimeout covers two calls to a slow store (2 s each) and the work in between.
+	DefaultTimeout = 10 * time.Second
+	dialTimeout    = 2 * time.Second
+	maxAnswerBytes = 64 << 20
+)
+
+// UnreachableError reports that no address answered and that nothing was changed by the call.
+type UnreachableError struct {
+	Addresses []string
+	// Cause is the error of the last address.
+	Cause error
+}
+
+// Error names the addresses and the last cause.
+func (e *UnreachableError) Error() string {
+	if len(e.Addresses) == 0 {
+		return "no address of an instance is given"
+	}
+	return fmt.Sprintf("no instance answered at %s: %v", strings.Join(e.Addresses, ", "), e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnreachableError) Unwrap() error { return e.Cause }
+
+func newHTTP() *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	transport := &http.Transport{
+		DialContext: dialer.DialContext, TLSHandshakeTimeout: dialTimeout,
+		MaxIdleConnsPerHost: 16, IdleConnTimeout: 20 * time.Second,
+	}
+	return &http.Client{
+		Transport: transport,
+		// A redirect could repeat a request or send a bearer token elsewhere.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// call is one HTTP call that may be sent to several addresses.
+type call struct {
+	method, path string
+	query        url.Values
+	header       http.Header
+	body         []byte
+	// reads is true when the call changes nothing, so that a lost answer leaves no doubt.
+	reads bool
+	// repeatable is true when an id in the call makes a second send safe.
+	repeatable bool
+	timeout    time.Duration
+	// check refuses an answer that belongs to another call; it returns a *reply.Error.
+	check func(http.Header) *reply.Error
+}
+
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// send tries the addresses in order. Once an answer was lost, a refusal by another instance cannot prove any more that
+// nothing ran, and the result is unknown.
+func (t *Target) send(ctx context.Context, c call) (answer, error) {
+	var doubt, refusal *reply.Error
+	var cause error
+	for _, address := range t.Addresses {
+		got, err := t.attempt(ctx, address, c)
+		if err == nil {
+			return got, nil
+		}
+		var lost *lostError
+		var replied *reply.Error
+		switch {
+		case errors.As(err, &lost) && c.reads:
+			cause = err
+		case errors.As(err, &lost):
+			doubt = &lost.Unknown
+			if !c.repeatable || ctx.Err() != nil {
+				return answer{}, doubt
+			}
+		case errors.As(err, &replied) && replied.Outcome == reply.OutcomeRefused:
+			if doubt != nil {
+				return answer{}, inDoubt(doubt, replied)
+			}
+			if !elsewhere(replied.Reason) {
+				return answer{}, replied
+			}
+			refusal = replied
+		case errors.As(err, &replied):
+			return answer{}, replied
+		default:
+			cause = err
+		}
+	}
+	switch {
+	case doubt != nil:
+		return answer{}, doubt
+	case refusal != nil:
+		return answer{}, refusal
+	default:
+		return answer{}, &UnreachableError{Addresses: t.Addresses, Cause: cause}
+	}
+}
+
+// elsewhere reports whether another instance may accept what this one refused. Overload is not among the reasons,
+// because a second send would add to it.
+func elsewhere(reason reply.Reason) bool {
+	return reason == reply.ReasonDraining || reason == reply.ReasonConfigStale
+}
+
+func inDoubt(doubt, refusal *reply.Error) *reply.Error {
+	result := *refusal
+	result.Outcome, result.Reason = reply.OutcomeUnknown, doubt.Reason
+	result.Message = fmt.Sprintf("%s; the repeat at another instance was refused (%s): %s", doubt.Message, refusal.Reason, refusal.Message)
+	return &result
+}
+
+// lostError reports a call that may have been written and has no complete answer.
+type lostError struct{ Unknown reply.Error }
+
+func (e *lostError) Error() string { return e.Unknown.Error() }
+
+func lost(reason reply.Reason, format string, args ...any) error {
+	return &lostError{Unknown: *reply.Unknown(reason, format, args...)}
+}
+
+// attempt sends the call to one address and reads the whole answer.
+func (t *Target) attempt(ctx context.Context, address string, c call) (answer, error) {
+	timeout := c.timeout
+	if timeout == 0 {
+		timeout = t.Timeout
+	}
+	if timeout == 0 {
+		timeout = DefaultTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if err := ctx.Err(); err != nil {
+		return answer{}, fmt.Errorf("sending to %s: %w", address, err)
+	}
+	target := strings.TrimRight(address, "/") + c.path
+	if len(c.query) > 0 {
+		target += "?" + c.query.Encode()
+	}
+	request, err := http.NewRequestWithContext(ctx, c.method, target, bytes.NewReader(c.body))
+	if err != nil {
+		return answer{}, fmt.Errorf("building call: %w", err)
+	}
+	for name, values := range c.header {
+		request.Header[name] = values
+	}
+	response, err := t.do(request)
+	if err != nil {
+		return answer{}, classify(address, err)
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	if closeErr := response.Body.Close(); err == nil {
+		err = closeErr
+	}
+	switch {
+	case err != nil:
+		return answer{}, lost(reply.ReasonAnswerIncomplete, "the answer of %s was cut off after %d bytes: %v", address, len(body), err)
+	case len(body) > maxAnswerBytes:
+		return answer{}, lost(reply.ReasonAnswerIncomplete, "the answer of %s is larger than %d bytes", address, maxAnswerBytes)
+	}
+	got := answer{status: response.StatusCode, header: response.Header, body: body}
+	if got.status/100 != 2 {
+		return answer{}, decodeError(address, got)
+	}
+	if c.check != nil {
+		if wrong := c.check(got.header); wrong != nil {
+			return answer{}, &lostError{Unknown: *wrong}
+		}
+	}
+	return got, nil
+}
+
+func (t *Target) do(request *http.Request) (*http.Response, error) {
+	if t.Do == nil {
+		request.Close = true
+		return newHTTP().Do(request)
+	}
+	return t.Do(request)
+}
+
+// classify tells an error before anything was written, which only a dial proves, from one after it.
+func classify(address string, err error) error {
+	var network *net.OpError
+	if errors.As(err, &network) && network.Op == "dial" {
+		return fmt.Errorf("connecting to %s: %w", address, err)
+	}
+	return lost(reply.ReasonAnswerLost, "no answer came from %s: %v", address, err)
+}
+
+// decodeError turns an error answer into a *reply.Error. An answer that is not in our form came from something in
+// between, which proves nothing about the call.
+func decodeError(address string, got answer) error {
+	var decoded reply.Error
+	err := json.Unmarshal(got.body, &decoded)
+	switch decoded.Outcome {
+	case reply.OutcomeRefused, reply.OutcomeFailed, reply.OutcomeUnknown:
+		if err == nil && decoded.Reason != "" {
+			return &decoded
+		}
+	}
+	return lost(reply.ReasonAnswerLost, "%s answered status %d without an outcome", address, got.status)
+}
+
+// fetch sends a call and decodes its JSON answer.
+func fetch[T any](ctx context.Context, t *Target, c call) (T, error) {
+	var value T
+	got, err := t.send(ctx, c)
+	if err != nil {
+		return value, err
+	}
+	if err := json.Unmarshal(got.body, &value); err != nil {
+		if c.reads {
+			return value, fmt.Errorf("decoding answer of %s %s: %w", c.method, c.path, err)
+		}
+		return value, reply.Unknown(reply.ReasonAnswerIncomplete, "the answer cannot be decoded: %v", err)
+	}
+	return value, nil
+}
+
+// encode marshals a body; our own types always marshal, except for raw JSON that the user supplied.
+func encode(value any) ([]byte, error) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		return nil, reply.Refused(reply.ReasonMalformed, "encoding body: %v", err)
+	}
+	return body, nil
+}
+
+func path(parts ...string) string {
+	var text strings.Builder
+	for _, part := range parts {
+		text.WriteString("/" + url.PathEscape(part))
+	}
+	return text.String()
+}
+
+func required(name, value string) error {
+	switch value {
+	case "":
+		return reply.Refused(reply.ReasonMalformed, "%s is required", name)
+	case ".", "..":
+		// Servers remove these from a path, so that the call would reach another one.
+		return reply.Refused(reply.ReasonMalformed, "%s cannot be %q", name, value)
+	}
+	return nil
+}
+
+func jsonHeader() http.Header {
+	return http.Header{"Content-Type": {"application/json"}}
+}
+
+// NewChangeID returns a random id for a change.
+func NewChangeID() model.ChangeID { return model.ChangeID("change-" + newID()) }
+
+// NewRequestID returns a random id for a request.
+func NewRequestID() model.RequestID { return model.RequestID(newID()) }
