--- a/client/operator.go
+++ b/client/operator.go
@@ -23,8 +23,8 @@
 type Change struct {
 	// ID makes a repeat after a lost answer safe. See NewChangeID.
 	ID model.ChangeID `json:"change-id"`
-	// Base is the revision that the change was made from; zero means the newest, without a check for conflicts.
-	Base   model.Revision `json:"base-revision,omitempty"`
+	// Base is the revision that the change was made from; 0 is the empty configuration.
+	Base   model.Revision `json:"base-revision"`
 	Put    []model.Object `json:"put,omitempty"`
 	Delete []model.Ref    `json:"delete,omitempty"`
 	// DryRun checks the change and changes nothing.
@@ -152,6 +152,11 @@
 	return found, nil
 }
 
+// serviceCall is the body of out and in.
+type serviceCall struct {
+	ID model.ChangeID `json:"change-id"`
+}
+
 // Out takes a data centre out of service; the change id makes a repeat safe.
 func (o *Operator) Out(ctx context.Context, dc model.DataCentreID, id model.ChangeID) (Result, error) {
 	return o.service(ctx, dc, "out", id)
@@ -169,7 +174,7 @@
 	if err := required("change id", string(id)); err != nil {
 		return Result{}, err
 	}
-	body, err := encode(Change{ID: id})
+	body, err := encode(serviceCall{ID: id})
 	if err != nil {
 		return Result{}, err
 	}
