lease, claim, audit: add ownership, durable claims and the record of decisions

Ownership and claim keys are released by overwriting them, because versions restart at 1 when a key is created again and a late delete could remove the entry of the next holder.

--- /dev/null
+++ b/internal/audit/batch.go
@@ -0,0 +1,140 @@
+package audit
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"peridotgw.example/peridotgw/internal/store"
+)
+
+const (
+	// flushBytes bounds the events of a write of Flush, so that a full buffer is written in a few seconds at a stop.
+	flushBytes = 700 << 10
+	// keyTries bounds the changes of a batch's key when another batch has it.
+	keyTries = 10
+)
+
+// batch is one write; it keeps its key and value while its result is unknown, so that it is never written twice.
+type batch struct {
+	key   string
+	value []byte
+}
+
+// content is the value of a batch's key.
+type content struct {
+	Events []json.RawMessage `json:"events"`
+	// Dropped counts events that are in no batch, by kind.
+	Dropped map[string]int `json:"dropped,omitempty"`
+	// Refused counts refusals with and without a sample.
+	Refused []refusalCount `json:"refused,omitempty"`
+}
+
+type refusalCount struct {
+	Class  string `json:"class"`
+	Reason string `json:"reason"`
+	Count  int    `json:"count"`
+}
+
+// write writes one batch if there is anything to write, and not before WriteEvery has passed since the last write.
+func (l *Log) write(ctx context.Context, limit int) error {
+	select {
+	case l.turn <- struct{}{}:
+		defer func() { <-l.turn }()
+	case <-ctx.Done():
+		return fmt.Errorf("waiting for another write: %w", ctx.Err())
+	}
+	if l.unsent == nil {
+		next, err := l.compose(limit)
+		if err != nil || next == nil {
+			return err
+		}
+		l.unsent = next
+	}
+	if err := sleep(ctx, time.Until(l.lastWrite.Add(WriteEvery))); err != nil {
+		return err
+	}
+	l.lastWrite = time.Now()
+	return l.send(ctx)
+}
+
+func (l *Log) compose(limit int) (*batch, error) {
+	l.mu.Lock()
+	if l.buffer.empty() {
+		l.mu.Unlock()
+		return nil, nil
+	}
+	taken := l.buffer.take(limit)
+	written := content{Events: make([]json.RawMessage, len(taken)), Dropped: maps.Clone(l.buffer.lost)}
+	for key, count := range l.buffer.refused {
+		written.Refused = append(written.Refused, refusalCount{Class: key.class, Reason: key.reason, Count: count})
+	}
+	clear(l.buffer.lost)
+	clear(l.buffer.refused)
+	l.mu.Unlock()
+	for i, event := range taken {
+		written.Events[i] = event.data
+	}
+	slices.SortFunc(written.Refused, func(a, b refusalCount) int {
+		return strings.Compare(a.Class+"\x00"+a.Reason, b.Class+"\x00"+b.Reason)
+	})
+	value, err := json.Marshal(written)
+	if err != nil {
+		return nil, fmt.Errorf("encoding a batch of events: %w", err)
+	}
+	return &batch{key: l.nextKey(time.Now()), value: value}, nil
+}
+
+// send writes the unsent batch. A batch whose answer was lost is found by its key and value when it is written again.
+func (l *Log) send(ctx context.Context) error {
+	for range keyTries {
+		lease, err := l.lease(ctx)
+		if err != nil {
+			return err
+		}
+		_, err = l.Store.Put(ctx, l.unsent.key, l.unsent.value, 0, lease)
+		var conflict *store.ConflictError
+		var gone *store.NotFoundError
+		switch {
+		case err == nil:
+			l.unsent = nil
+			return nil
+		case errors.As(err, &conflict) && bytes.Equal(conflict.Current.Value, l.unsent.value):
+			l.unsent = nil
+			return nil
+		case errors.As(err, &conflict):
+			l.unsent.key = l.nextKey(time.Now())
+		case errors.As(err, &gone):
+			l.bucket.id = 0
+		default:
+			return fmt.Errorf("writing a batch of events: %w", err)
+		}
+	}
+	return fmt.Errorf("writing a batch of events: no free key in %d tries", keyTries)
+}
+
+// nextKey returns a key that sorts by time; its first digits are what Explain lists by.
+func (l *Log) nextKey(now time.Time) string {
+	l.sequence++
+	return store.Key("audit", string(l.Instance), fmt.Sprintf("%013d-%06d", now.UnixMilli(), l.sequence))
+}
+
+func sleep(ctx context.Context, wait time.Duration) error {
+	if wait <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("waiting for the next write: %w", ctx.Err())
+	}
+}
--- /dev/null
+++ b/internal/audit/bucket.go
@@ -0,0 +1,70 @@
+package audit
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"peridotgw.example/peridotgw/internal/store"
+	"peridotgw.example/peridotgw/model"
+)
+
+// bucketTime is the time for which batches share one lease. The lease is never renewed, so that the batches go without deletes.
+const bucketTime = time.Hour
+
+// bucket is the lease that batches are attached to now, and the mark by which Explain finds the instances of an hour.
+type bucket struct {
+	id      store.LeaseID
+	granted time.Time
+	marked  int64
+}
+
+// lease returns the lease of the present hour; with a new one it marks that this instance writes batches.
+func (l *Log) lease(ctx context.Context) (store.LeaseID, error) {
+	now := time.Now()
+	if l.bucket.id == 0 || now.Sub(l.bucket.granted) >= bucketTime {
+		granted, err := l.Store.Grant(ctx, KeepFor+bucketTime)
+		if err != nil {
+			return 0, fmt.Errorf("granting the lease of events: %w", err)
+		}
+		l.bucket.id, l.bucket.granted, l.bucket.marked = granted.ID, now, 0
+	}
+	if hour := hourOf(now); l.bucket.marked != hour {
+		if err := l.mark(ctx, hour); err != nil {
+			return 0, err
+		}
+		l.bucket.marked = hour
+	}
+	return l.bucket.id, nil
+}
+
+func (l *Log) mark(ctx context.Context, hour int64) error {
+	_, err := l.Store.Put(ctx, markPrefix(hour)+store.Key(string(l.Instance))[1:], []byte("{}"), 0, l.bucket.id)
+	var conflict *store.ConflictError
+	if err != nil && !errors.As(err, &conflict) {
+		var gone *store.NotFoundError
+		if errors.As(err, &gone) {
+			l.bucket.id = 0
+		}
+		return fmt.Errorf("marking the writer of events: %w", err)
+	}
+	return nil
+}
+
+// hourOf counts the hours since 1970.
+func hourOf(t time.Time) int64 { return t.Unix() / int64(time.Hour/time.Second) }
+
+func markPrefix(hour int64) string {
+	return store.Prefix("audit-writer", strconv.FormatInt(hour, 10))
+}
+
+// writer returns the instance that a mark's key names.
+func writer(key string) (model.InstanceID, error) {
+	parts, err := store.Parts(key)
+	if err != nil {
+		return "", err
+	}
+	return model.InstanceID(parts[len(parts)-1]), nil
+}
--- /dev/null
+++ b/internal/claim/record.go
@@ -0,0 +1,63 @@
+package claim
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+
+	"peridotgw.example/peridotgw/internal/store"
+	"peridotgw.example/peridotgw/model"
+	"peridotgw.example/peridotgw/reply"
+)
+
+// state tells what a claim's entry stands for.
+type state string
+
+const (
+	// stateClaimed means that the request may have been sent.
+	stateClaimed state = "claimed"
+	// stateDone means that the outcome is known.
+	stateDone state = "done"
+	// stateReleased means that nothing was sent and that the id may be used again. The entry is overwritten and not deleted:
+	// versions restart at 1 when a key is created again, so that a late delete could remove the claim of the next holder.
+	stateReleased state = "released"
+)
+
+// record is the value of a claim's key.
+type record struct {
+	State       state                `json:"state"`
+	Class       model.RequestClassID `json:"class,omitempty"`
+	Instance    model.InstanceID     `json:"instance,omitempty"`
+	Incarnation model.Incarnation    `json:"incarnation,omitempty"`
+	// Nonce tells one holder's entry from all others, also from those of the same process.
+	Nonce string `json:"nonce,omitempty"`
+	// Digest is the xxhash64 of the request's body in hex.
+	Digest      string        `json:"digest,omitempty"`
+	Outcome     reply.Outcome `json:"outcome,omitempty"`
+	Reason      reply.Reason  `json:"reason,omitempty"`
+	Status      int           `json:"status,omitempty"`
+	ContentType string        `json:"content-type,omitempty"`
+	Body        []byte        `json:"body,omitempty"`
+	BodyKept    bool          `json:"body-kept,omitempty"`
+}
+
+func (r record) encode() ([]byte, error) {
+	value, err := json.Marshal(r)
+	if err != nil {
+		return nil, fmt.Errorf("encoding claim: %w", err)
+	}
+	return value, nil
+}
+
+func decode(entry store.Entry) (record, error) {
+	var r record
+	if entry.Version == 0 {
+		return record{State: stateReleased}, nil
+	}
+	if err := json.Unmarshal(entry.Value, &r); err != nil {
+		return r, fmt.Errorf("decoding claim %q: %w", entry.Key, err)
+	}
+	return r, nil
+}
+
+func digestText(digest uint64) string { return strconv.FormatUint(digest, 16) }
