config, member, opsapi: publish, follow, exchange and operate

First working version of the publication of configurations, the follower with its levels of freshness, the membership table with the exchange between instances, and the operators' API.

--- /dev/null
+++ b/internal/config/doc.go
@@ -0,0 +1,6 @@
+// Package config publishes configurations and follows them.
+//
+// One head key in the store names the revision in effect and the segments that hold its objects, one per kind, by content
+// hash. A Publisher replaces the head by compare-and-swap. A Follower brings each revision into effect on its instance and
+// knows for how long it has been proved that no newer one exists.
+package config
--- /dev/null
+++ b/internal/config/head.go
@@ -0,0 +1,160 @@
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"peridotgw.example/peridotgw/model"
+)
+
+// Keys in the store.
+const (
+	headKey       = "/config/head"
+	segmentPrefix = "/config/segment/"
+	changePrefix  = "/config/change/"
+	historyPrefix = "/config/history/"
+	oldestKey     = "/config/oldest"
+)
+
+// head is the value of the head key and of each history key.
+type head struct {
+	Revision model.Revision `json:"revision"`
+	ChangeID model.ChangeID `json:"change-id"`
+	// Digest identifies the content of the change, so that a reused id is told from a repeated one.
+	Digest   string                `json:"digest"`
+	By       string                `json:"by,omitempty"`
+	At       time.Time             `json:"at"`
+	Segments map[model.Kind]string `json:"segments"`
+	Changed  []model.Ref           `json:"changed,omitempty"`
+}
+
+// segment holds all objects of one kind. The revision and the change make its hash unique, so that a segment that was
+// replaced is never used again and can be removed with the last revision that uses it.
+type segment struct {
+	Revision model.Revision `json:"revision"`
+	ChangeID model.ChangeID `json:"change-id"`
+	Objects  []model.Object `json:"objects"`
+}
+
+// record is the durable intent of a change: it takes effect at Target or, once it was written again, at a later revision.
+type record struct {
+	ChangeID model.ChangeID `json:"change-id"`
+	Target   model.Revision `json:"target"`
+	Digest   string         `json:"digest"`
+	By       string         `json:"by,omitempty"`
+	At       time.Time      `json:"at"`
+	// Segments names the segments written for this change at any target.
+	Segments []string `json:"segments,omitempty"`
+}
+
+// HashError reports a segment whose content does not match its name.
+type HashError struct {
+	Want, Got string
+}
+
+// Error names both hashes.
+func (e *HashError) Error() string {
+	return fmt.Sprintf("segment %s has content with hash %s", e.Want, e.Got)
+}
+
+// MissingSegmentError reports a segment that a head names and that is not there.
+type MissingSegmentError struct {
+	Revision model.Revision
+	Hash     string
+}
+
+// Error names the revision and the segment.
+func (e *MissingSegmentError) Error() string {
+	return fmt.Sprintf("segment %s of revision %d is missing", e.Hash, e.Revision)
+}
+
+var errNoRevision = errors.New("head has revision 0")
+
+func historyKey(revision model.Revision) string {
+	return historyPrefix + strconv.FormatUint(uint64(revision), 10)
+}
+
+func changeKey(id model.ChangeID) string { return changePrefix + string(id) }
+
+func hashOf(data []byte) string {
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
+}
+
+func decodeHead(data []byte) (head, error) {
+	var h head
+	if err := json.Unmarshal(data, &h); err != nil {
+		return head{}, fmt.Errorf("decoding head: %w", err)
+	}
+	if h.Revision == 0 {
+		return head{}, errNoRevision
+	}
+	return h, nil
+}
+
+// hashes returns the segment hashes of a head in the order of kinds.
+func (h head) hashes() []string {
+	var hashes []string
+	for _, kind := range model.Kinds() {
+		if hash, found := h.Segments[kind]; found {
+			hashes = append(hashes, hash)
+		}
+	}
+	return hashes
+}
+
+// assemble builds the set of a head from its segments.
+func assemble(h head, segments map[string][]byte) (*model.Set, error) {
+	var objects []model.Object
+	for _, hash := range h.hashes() {
+		data, found := segments[hash]
+		if !found {
+			return nil, &MissingSegmentError{Revision: h.Revision, Hash: hash}
+		}
+		if got := hashOf(data); got != hash {
+			return nil, &HashError{Want: hash, Got: got}
+		}
+		var s segment
+		if err := json.Unmarshal(data, &s); err != nil {
+			return nil, fmt.Errorf("decoding segment %s: %w", hash, err)
+		}
+		objects = append(objects, s.Objects...)
+	}
+	set, err := model.FromObjects(objects)
+	if err != nil {
+		return nil, fmt.Errorf("assembling revision %d: %w", h.Revision, err)
+	}
+	set.Revision, set.ChangeID = h.Revision, h.ChangeID
+	return set, nil
+}
+
+// split encodes the objects of a set into segments. A kind without changes keeps the segment of the previous head.
+func split(set *model.Set, previous head, changed map[model.Kind]bool) (map[model.Kind]string, map[string][]byte, error) {
+	objects, err := set.Objects()
+	if err != nil {
+		return nil, nil, fmt.Errorf("encoding objects: %w", err)
+	}
+	byKind := map[model.Kind][]model.Object{}
+	for _, object := range objects {
+		byKind[object.Kind] = append(byKind[object.Kind], object)
+	}
+	hashes, fresh := map[model.Kind]string{}, map[string][]byte{}
+	for kind, part := range byKind {
+		if hash, found := previous.Segments[kind]; found && !changed[kind] {
+			hashes[kind] = hash
+			continue
+		}
+		data, err := json.Marshal(segment{Revision: set.Revision, ChangeID: set.ChangeID, Objects: part})
+		if err != nil {
+			return nil, nil, fmt.Errorf("encoding segment of kind %s: %w", kind, err)
+		}
+		hash := hashOf(data)
+		hashes[kind], fresh[hash] = hash, data
+	}
+	return hashes, fresh, nil
+}
--- /dev/null
+++ b/internal/member/count.go
@@ -0,0 +1,95 @@
+package member
+
+import (
+	"io"
+	"net/http"
+
+	"connectrpc.com/connect"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"peridotgw.example/peridotgw/internal/metric"
+	"peridotgw.example/peridotgw/internal/wire"
+)
+
+// Directions of counted bytes.
+const (
+	directionSent     = "sent"
+	directionReceived = "received"
+)
+
+// CountCaller returns a caller that shares connections and counts the bytes of bodies under procedure.
+func CountCaller(c *wire.Caller, metrics *metric.Set, procedure wire.Procedure) *wire.Caller {
+	if metrics == nil {
+		return c
+	}
+	return &wire.Caller{HTTP: &countingClient{
+		next:     c.HTTP,
+		sent:     metrics.PeerBytes.WithLabelValues(string(procedure), directionSent),
+		received: metrics.PeerBytes.WithLabelValues(string(procedure), directionReceived),
+	}}
+}
+
+// CountHandler counts the bytes of the bodies that pass a handler under procedure.
+func CountHandler(next http.Handler, metrics *metric.Set, procedure wire.Procedure) http.Handler {
+	if metrics == nil {
+		return next
+	}
+	sent := metrics.PeerBytes.WithLabelValues(string(procedure), directionSent)
+	received := metrics.PeerBytes.WithLabelValues(string(procedure), directionReceived)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Body = &countingBody{ReadCloser: r.Body, count: received}
+		next.ServeHTTP(&countingWriter{ResponseWriter: w, count: sent}, r)
+	})
+}
+
+type countingClient struct {
+	next           connect.HTTPClient
+	sent, received prometheus.Counter
+}
+
+// Do sends a request and counts its body and the answer's body as they are read.
+func (c *countingClient) Do(req *http.Request) (*http.Response, error) {
+	if req.Body != nil && req.Body != http.NoBody {
+		req.Body = &countingBody{ReadCloser: req.Body, count: c.sent}
+	}
+	res, err := c.next.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	res.Body = &countingBody{ReadCloser: res.Body, count: c.received}
+	return res, nil
+}
+
+// CloseIdleConnections closes the idle connections of the shared client.
+func (c *countingClient) CloseIdleConnections() {
+	if closer, ok := c.next.(interface{ CloseIdleConnections() }); ok {
+		closer.CloseIdleConnections()
+	}
+}
+
+type countingBody struct {
+	io.ReadCloser
+	count prometheus.Counter
+}
+
+// Read counts the bytes that were read.
+func (b *countingBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.count.Add(float64(n))
+	return n, err
+}
+
+type countingWriter struct {
+	http.ResponseWriter
+	count prometheus.Counter
+}
+
+// Write counts the bytes that were written.
+func (w *countingWriter) Write(p []byte) (int, error) {
+	n, err := w.ResponseWriter.Write(p)
+	w.count.Add(float64(n))
+	return n, err
+}
+
+// Unwrap lets http.ResponseController reach the writer below.
+func (w *countingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
--- /dev/null
+++ b/internal/member/types.go
@@ -0,0 +1,70 @@
+package member
+
+import (
+	"time"
+
+	"peridotgw.example/peridotgw/internal/wire"
+	"peridotgw.example/peridotgw/model"
+)
+
+// Prefix starts the membership keys in the store.
+const Prefix = "/member/"
+
+// ProcedureExchange carries reports between instances.
+const ProcedureExchange wire.Procedure = "/peer/exchange"
+
+// Defaults of a Table.
+const (
+	// DefaultExchangeEvery is the interval between two calls to one peer.
+	DefaultExchangeEvery = 500 * time.Millisecond
+	// DefaultPeerTimeout bounds one call; two lost calls still leave a third one within LiveWithin.
+	DefaultPeerTimeout = time.Second
+	// DefaultListEvery repeats the listing of members in case a watch missed a change.
+	DefaultListEvery = 5 * time.Second
+	// LiveWithin is how recently a live member was heard.
+	LiveWithin = 3 * time.Second
+)
+
+// Member is one registered instance.
+type Member struct {
+	Instance      model.InstanceID   `json:"instance"`
+	Incarnation   model.Incarnation  `json:"incarnation"`
+	DataCentre    model.DataCentreID `json:"data-centre"`
+	PeerAddress   string             `json:"peer-address"`
+	CallerAddress string             `json:"caller-address,omitempty"`
+	Draining      bool               `json:"draining,omitempty"`
+}
+
+// Summary is the load of one data centre as its owner sees it.
+type Summary struct {
+	DataCentre      model.DataCentreID `cbor:"1,keyasint" json:"data-centre"`
+	Owner           model.InstanceID   `cbor:"2,keyasint" json:"owner"`
+	Free            model.Accelerators `cbor:"3,keyasint,omitempty" json:"free"`
+	LargestRackFree model.Accelerators `cbor:"4,keyasint,omitempty" json:"largest-rack-free"`
+	Queued          int                `cbor:"5,keyasint,omitempty" json:"queued"`
+	Running         int                `cbor:"6,keyasint,omitempty" json:"running"`
+	// At is the age of the summary.
+	At time.Duration `cbor:"7,keyasint,omitempty" json:"-"`
+}
+
+// Report is what an instance tells its peers.
+type Report struct {
+	Instance model.InstanceID `cbor:"1,keyasint"`
+	// Revision is the configuration revision in effect; 0 means none.
+	Revision model.Revision `cbor:"2,keyasint,omitempty"`
+	// Confirmed is true when Revision was proved to be the head ConfirmedAge ago.
+	Confirmed    bool               `cbor:"3,keyasint,omitempty"`
+	ConfirmedAge time.Duration      `cbor:"4,keyasint,omitempty"`
+	Leaving      []model.EndpointID `cbor:"5,keyasint,omitempty"`
+	Draining     bool               `cbor:"6,keyasint,omitempty"`
+	Summaries    []Summary          `cbor:"7,keyasint,omitempty"`
+	// AsOf is the local time at which the ages held; it is set on arrival, so that a pause of the process between arrival
+	// and use makes them older.
+	AsOf time.Time `cbor:"-"`
+}
+
+// message is the body of both directions of an exchange.
+type message struct {
+	Incarnation model.Incarnation `cbor:"1,keyasint"`
+	Report      Report            `cbor:"2,keyasint"`
+}
--- /dev/null
+++ b/internal/opsapi/server.go
@@ -0,0 +1,175 @@
+package opsapi
+
+import (
+	"cmp"
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"peridotgw.example/peridotgw/internal/config"
+	"peridotgw.example/peridotgw/internal/member"
+	"peridotgw.example/peridotgw/internal/metric"
+	"peridotgw.example/peridotgw/model"
+	"peridotgw.example/peridotgw/reply"
+)
+
+// Limits of the API.
+const (
+	// MaxBodyBytes bounds a body; a change may replace several kinds, each of them below 1 MB in the store.
+	MaxBodyBytes = 4 << 20
+	// DefaultTimeout bounds the reading of a body and the work of a call, waiting for members excepted.
+	DefaultTimeout = 15 * time.Second
+	// DefaultMembersWait bounds the wait for members after a data centre was taken out or in. A member that is cut off
+	// from the store and from its peers has left by then, because its membership expires within 5 s.
+	DefaultMembersWait = 10 * time.Second
+	// MaxMembersWait is the longest wait that an operator may ask for.
+	MaxMembersWait = time.Minute
+)
+
+// Server answers operators; it may be used concurrently.
+type Server struct {
+	Log     zerolog.Logger
+	Metrics *metric.Set
+	// Tokens maps bearer tokens to operators.
+	Tokens    map[string]string
+	Publisher *config.Publisher
+	Follower  *config.Follower
+	Members   *member.Table
+	// ListJobs, GetJob, SubmitJob and CancelJob answer what is encoded as JSON; nil answers not-found.
+	ListJobs  func(context.Context) (any, error)
+	GetJob    func(context.Context, model.JobID) (any, *reply.Error)
+	SubmitJob func(context.Context, json.RawMessage) (any, *reply.Error)
+	CancelJob func(context.Context, model.JobID) (any, *reply.Error)
+	// Explain returns the recorded events of a subject, such as kind "request" and id "<customer>/<id>".
+	Explain func(ctx context.Context, kind, id string) (any, error)
+	// SetLeaving marks endpoints as leaving.
+	SetLeaving func([]model.EndpointID)
+	Instance   model.InstanceID
+	// Timeout and MembersWait default to the constants DefaultTimeout and DefaultMembersWait.
+	Timeout, MembersWait time.Duration
+}
+
+// call is one authorized request.
+type call struct {
+	*http.Request
+	operator string
+}
+
+// answer is a successful answer; Status 0 means 200.
+type answer struct {
+	Status int
+	Body   any
+}
+
+type handler func(context.Context, call) (answer, *reply.Error)
+
+// Handler returns the API.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	for pattern, handle := range map[string]handler{
+		"POST /v1/changes":                        s.publish,
+		"GET /v1/changes/{id}":                    s.lookup,
+		"GET /v1/objects":                         s.objects,
+		"POST /v1/data-centres/{name}/out":        s.service(model.ServiceOut),
+		"POST /v1/data-centres/{name}/in":         s.service(model.ServiceIn),
+		"GET /v1/jobs":                            s.listJobs,
+		"POST /v1/jobs":                           s.submitJob,
+		"GET /v1/jobs/{id}":                       s.getJob,
+		"DELETE /v1/jobs/{id}":                    s.cancelJob,
+		"GET /v1/status":                          s.status,
+		"GET /v1/explain/request/{customer}/{id}": s.explainRequest,
+		"GET /v1/explain/{kind}/{id}":             s.explain,
+		"POST /v1/endpoints/{name}/leaving":       s.leaving,
+		"/":                                       notFound,
+	} {
+		mux.Handle(pattern, s.wrap(handle))
+	}
+	return mux
+}
+
+// wrap authorizes a request, bounds it and writes its answer.
+func (s *Server) wrap(handle handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		operator, authorized := s.operator(r)
+		if !authorized {
+			w.Header().Set("WWW-Authenticate", "Bearer")
+			s.refuse(w, reply.Refused(reply.ReasonUnauthorized, "the bearer token is missing or unknown"))
+			return
+		}
+		timeout := cmp.Or(s.Timeout, DefaultTimeout)
+		// Servers that do not support a deadline, such as recorders in tests, have their own bounds.
+		if err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(timeout)); err != nil {
+			s.Log.Debug().Err(err).Msg("opsapi: read deadline not set")
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, MaxBodyBytes)
+		ctx, cancel := context.WithTimeout(r.Context(), timeout+MaxMembersWait)
+		defer cancel()
+		result, refused := handle(ctx, call{Request: r, operator: operator})
+		if refused != nil {
+			s.refuse(w, refused)
+			return
+		}
+		s.write(w, result)
+	})
+}
+
+// operator compares the bearer token with all known ones in constant time. Their hashes are compared, so that the time
+// does not depend on lengths either.
+func (s *Server) operator(r *http.Request) (string, bool) {
+	scheme, token, found := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !found || !strings.EqualFold(scheme, "Bearer") || token == "" {
+		return "", false
+	}
+	presented := sha256.Sum256([]byte(token))
+	operator, known := "", 0
+	for candidate, name := range s.Tokens {
+		hash := sha256.Sum256([]byte(candidate))
+		equal := subtle.ConstantTimeCompare(presented[:], hash[:])
+		if equal == 1 && candidate != "" {
+			operator, known = name, 1
+		}
+	}
+	return operator, known == 1
+}
+
+func (s *Server) refuse(w http.ResponseWriter, refused *reply.Error) {
+	if s.Metrics != nil && refused.Outcome == reply.OutcomeRefused {
+		s.Metrics.Refusals.WithLabelValues(string(refused.Reason), "operator").Inc()
+	}
+	if s.Metrics != nil {
+		s.Metrics.Outcomes.WithLabelValues("operator", string(refused.Outcome)).Inc()
+	}
+	w.Header().Set(reply.HeaderInstance, string(s.Instance))
+	if err := refused.Write(w); err != nil {
+		s.Log.Debug().Err(err).Msg("opsapi: answer not written")
+	}
+}
+
+func (s *Server) write(w http.ResponseWriter, result answer) {
+	body, err := json.Marshal(result.Body)
+	if err != nil {
+		s.Log.Error().Err(err).Msg("opsapi: answer cannot be encoded")
+		s.refuse(w, reply.Unknown(reply.ReasonAnswerIncomplete, "the answer cannot be encoded: %v", err))
+		return
+	}
+	if s.Metrics != nil {
+		s.Metrics.Outcomes.WithLabelValues("operator", string(reply.OutcomeDone)).Inc()
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(reply.HeaderOutcome, string(reply.OutcomeDone))
+	w.Header().Set(reply.HeaderInstance, string(s.Instance))
+	w.WriteHeader(cmp.Or(result.Status, http.StatusOK))
+	if _, err := w.Write(append(body, '\n')); err != nil {
+		s.Log.Debug().Err(err).Msg("opsapi: answer not written")
+	}
+}
+
+func notFound(_ context.Context, c call) (answer, *reply.Error) {
+	return answer{}, reply.Refused(reply.ReasonNotFound, "%s %s does not exist", c.Method, c.URL.Path)
+}
--- /dev/null
+++ b/internal/opsapi/status.go
@@ -0,0 +1,112 @@
+package opsapi
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"peridotgw.example/peridotgw/internal/config"
+	"peridotgw.example/peridotgw/internal/member"
+	"peridotgw.example/peridotgw/model"
+	"peridotgw.example/peridotgw/reply"
+)
+
+// statusBody is the answer of GET /v1/status.
+type statusBody struct {
+	Instance model.InstanceID `json:"instance"`
+	Revision model.Revision   `json:"revision"`
+	Level    config.Level     `json:"level"`
+	// ConfirmedAge is the time since the revision was proved to be the newest; it is left out before the first proof.
+	ConfirmedAge model.Duration     `json:"confirmed-age,omitempty"`
+	Members      []memberStatus     `json:"members"`
+	DataCentres  []dataCentreStatus `json:"data-centres"`
+}
+
+type memberStatus struct {
+	member.Member
+	Live bool `json:"live"`
+	// Revision is the last one that the member reported; 0 means that it was not heard.
+	Revision  model.Revision `json:"revision"`
+	Confirmed bool           `json:"confirmed"`
+	// ConfirmedAge includes the time since the report.
+	ConfirmedAge model.Duration `json:"confirmed-age,omitempty"`
+}
+
+type dataCentreStatus struct {
+	Name    model.DataCentreID `json:"name"`
+	Service model.ServiceState `json:"service"`
+	// Owner is empty when no instance reports that it owns the data centre.
+	Owner  model.InstanceID `json:"owner"`
+	Load   *member.Summary  `json:"load,omitempty"`
+	AsOf   model.Duration   `json:"load-age,omitempty"`
+	Region string           `json:"region,omitempty"`
+}
+
+func (s *Server) status(_ context.Context, c call) (answer, *reply.Error) {
+	if refused := parameters(c); refused != nil {
+		return answer{}, refused
+	}
+	revision, age, _ := s.Follower.Confirmation()
+	body := statusBody{
+		Instance: s.Instance, Revision: revision, Level: s.Follower.Level(), ConfirmedAge: rounded(age),
+		Members: []memberStatus{}, DataCentres: []dataCentreStatus{},
+	}
+	summaries := map[model.DataCentreID]member.Summary{}
+	if s.Members != nil {
+		body.Members = s.members(summaries)
+	}
+	set := s.Follower.Current()
+	if set == nil {
+		return answer{Body: body}, nil
+	}
+	for _, name := range slices.Sorted(maps.Keys(set.DataCentres)) {
+		dataCentre := set.DataCentres[name]
+		status := dataCentreStatus{Name: name, Service: dataCentre.Service, Region: dataCentre.Region}
+		if summary, found := summaries[name]; found {
+			status.Owner, status.Load, status.AsOf = summary.Owner, &summary, rounded(summary.At)
+		}
+		body.DataCentres = append(body.DataCentres, status)
+	}
+	return answer{Body: body}, nil
+}
+
+// members returns the status of each member and collects the newest summary of each data centre.
+func (s *Server) members(summaries map[model.DataCentreID]member.Summary) []memberStatus {
+	reports := map[model.InstanceID]member.Report{}
+	for _, report := range append(s.Members.Reports(time.Hour), s.own()) {
+		reports[report.Instance] = report
+		for _, summary := range report.Summaries {
+			if known, found := summaries[summary.DataCentre]; !found || summary.At < known.At {
+				summaries[summary.DataCentre] = summary
+			}
+		}
+	}
+	live := map[model.InstanceID]bool{}
+	for _, m := range s.Members.Live() {
+		live[m.Instance] = true
+	}
+	statuses := []memberStatus{}
+	for _, m := range s.Members.Known() {
+		report := reports[m.Instance]
+		m.Draining = m.Draining || report.Draining
+		statuses = append(statuses, memberStatus{
+			Member: m, Live: live[m.Instance], Revision: report.Revision,
+			Confirmed: report.Confirmed, ConfirmedAge: rounded(report.ConfirmedAge),
+		})
+	}
+	return statuses
+}
+
+// own returns the report of this instance.
+func (s *Server) own() member.Report {
+	var report member.Report
+	if s.Members.Local != nil {
+		report = s.Members.Local()
+	}
+	report.Instance = s.Instance
+	report.Revision, report.ConfirmedAge, report.Confirmed = s.Follower.Confirmation()
+	return report
+}
+
+func rounded(d time.Duration) model.Duration { return model.Duration(d.Round(time.Millisecond)) }
