--- /dev/null
+++ b/internal/fakeep/doc.go
@@ -0,0 +1,2 @@
+// Package fakeep is a stand-in for one endpoint, with fault switches.
+package fakeep
--- /dev/null
+++ b/internal/front/doc.go
@@ -0,0 +1,2 @@
+// Package front serves the callers' HTTP API: requests and jobs.
+package front
--- /dev/null
+++ b/internal/front/drain.go
@@ -0,0 +1,107 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+)
+
+// DefaultLinger is how long connections that are idle when accepting stops stay open: a caller that sends on one of them
+// meanwhile still gets its answer, and is told to close it.
+const DefaultLinger = 2 * time.Second
+
+// acceptRest is how long connections that callers have already opened are accepted after Drain.
+const acceptRest = 100 * time.Millisecond
+
+// SetDraining makes each answer close its connection. Requests are still served, on old and on new connections, until Drain.
+func (s *Server) SetDraining() { s.draining.Store(true) }
+
+// Drain stops accepting connections, finishes what is in flight, and returns when that is done or ctx ends. Connections
+// that are idle are closed after Linger.
+func (s *Server) Drain(ctx context.Context) error {
+	s.SetDraining()
+	s.mu.Lock()
+	server, accepting := s.server, s.listener
+	s.mu.Unlock()
+	if server != nil {
+		if err := s.drainServer(ctx, server, accepting); err != nil {
+			return err
+		}
+	}
+	return s.finishInFlight(ctx)
+}
+
+func (s *Server) drainServer(ctx context.Context, server *http.Server, accepting *listener) error {
+	accepting.stop()
+	linger := s.Linger
+	if linger <= 0 {
+		linger = DefaultLinger
+	}
+	timer := time.NewTimer(linger)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	if err := server.Shutdown(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		return fmt.Errorf("draining callers: %w", err)
+	}
+	return nil
+}
+
+// finishInFlight waits for handlers, and for outcomes of claims that are still being written.
+func (s *Server) finishInFlight(ctx context.Context) error {
+	if err := s.inFlight.wait(ctx); err != nil {
+		return fmt.Errorf("draining callers: %w", err)
+	}
+	return nil
+}
+
+// listener can stop without losing connections that the kernel has already accepted.
+type listener struct {
+	net.Listener
+	stopping atomic.Bool
+	closed   atomic.Bool
+}
+
+// stop accepts the connections that are waiting and closes the listener then.
+func (l *listener) stop() {
+	if l.stopping.Swap(true) {
+		return
+	}
+	if limited, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
+		if err := limited.SetDeadline(time.Now().Add(acceptRest)); err == nil {
+			return
+		}
+	}
+	l.shut()
+}
+
+// Accept returns the next connection.
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil && l.stopping.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
+		l.shut()
+		return nil, net.ErrClosed
+	}
+	return c, err
+}
+
+// Close closes the listener once.
+func (l *listener) Close() error {
+	if l.closed.Swap(true) {
+		return nil
+	}
+	return l.Listener.Close()
+}
+
+func (l *listener) shut() {
+	if err := l.Close(); err != nil {
+		return // It was closed already.
+	}
+}
--- /dev/null
+++ b/internal/relay/attempt.go
@@ -0,0 +1,268 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"peridotgw.example/peridotgw/internal/route"
+	"peridotgw.example/peridotgw/reply"
+)
+
+// kind classifies the end of one attempt.
+type kind int
+
+const (
+	// kindDone is a complete and matching answer.
+	kindDone kind = iota
+	// kindNotSent means that no byte left.
+	kindNotSent
+	// kindNotRun is an answer that proves that the request did not run.
+	kindNotRun
+	// kindFailed is a complete and matching answer that reports an error.
+	kindFailed
+	// kindUnknown means that the request may have run.
+	kindUnknown
+)
+
+// outcome is the end of one attempt.
+type outcome struct {
+	attempt *attempt
+	kind    kind
+	answer  *Answer
+	status  int
+	reason  reply.Reason
+	message string
+}
+
+// repeatable reports whether the request may be sent again after this outcome.
+func (o *outcome) repeatable(idempotent bool) bool {
+	switch o.kind {
+	case kindNotSent, kindNotRun:
+		return true
+	case kindFailed:
+		return idempotent && o.status >= http.StatusInternalServerError
+	case kindUnknown:
+		return idempotent
+	default:
+		return false
+	}
+}
+
+func (o *outcome) retryReason() string {
+	switch o.kind {
+	case kindNotSent:
+		return retryNotSent
+	case kindNotRun:
+		return retryNotRun
+	default:
+		return string(o.reason)
+	}
+}
+
+func (o *outcome) err() *reply.Error {
+	switch o.kind {
+	case kindFailed:
+		return reply.Failed(o.reason, "%s", o.message)
+	case kindUnknown:
+		return reply.Unknown(o.reason, "%s", o.message)
+	default:
+		return reply.Refused(o.reason, "%s", o.message)
+	}
+}
+
+// attempt is one send to one endpoint.
+type attempt struct {
+	relay     *Relay
+	request   *Request
+	number    int
+	pick      *route.Pick
+	cancel    context.CancelFunc
+	startedAt time.Time
+	// ended is set by the call when it has taken the outcome.
+	ended bool
+	sent  sent
+	// reused is whether the connection had carried other requests before.
+	reused atomic.Bool
+}
+
+// MismatchError reports an answer that does not belong to its request or is not whole.
+type MismatchError struct {
+	Reason reply.Reason
+	Detail string
+}
+
+// Error states the detail.
+func (e *MismatchError) Error() string { return e.Detail }
+
+func (a *attempt) send(ctx context.Context) outcome {
+	out := a.exchange(ctx)
+	out.attempt = a
+	return out
+}
+
+func (a *attempt) exchange(ctx context.Context) outcome {
+	httpRequest, err := a.build(ctx)
+	if err != nil {
+		a.pick.Done(route.VerdictUnused, route.Report{})
+		return outcome{kind: kindNotSent, reason: reply.ReasonNoEndpoint, message: err.Error()}
+	}
+	answer, err := a.relay.do(a, httpRequest)
+	if err != nil {
+		return a.broken(ctx, err)
+	}
+	return a.read(ctx, answer)
+}
+
+func (a *attempt) build(ctx context.Context) (*http.Request, error) {
+	if a.relay.Do == nil {
+		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: a.gotConn})
+	}
+	url := "http://" + a.pick.Address + "/v1/run/" + string(a.request.Class)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, newBody(a.request.Body))
+	if err != nil {
+		return nil, fmt.Errorf("building the send to %s: %w", a.pick.Endpoint, err)
+	}
+	header := request.Header
+	header[reply.HeaderRequestID] = []string{string(a.request.ID)}
+	header[reply.HeaderAttempt] = []string{strconv.Itoa(a.number)}
+	left := max(1, time.Until(a.request.Deadline).Milliseconds())
+	header[reply.HeaderTimeout] = []string{strconv.FormatInt(left, 10)}
+	if a.request.Customer != "" {
+		header[reply.HeaderCustomer] = []string{string(a.request.Customer)}
+	}
+	if a.request.ContentType != "" {
+		header["Content-Type"] = []string{a.request.ContentType}
+	}
+	return request, nil
+}
+
+// broken classifies an attempt that ended without an answer.
+func (a *attempt) broken(ctx context.Context, err error) outcome {
+	verdict := route.VerdictBroken
+	if ctx.Err() != nil {
+		verdict = route.VerdictAbandoned
+	}
+	if !a.left(err) {
+		if verdict == route.VerdictAbandoned {
+			verdict = route.VerdictUnused
+		}
+		a.pick.Done(verdict, route.Report{})
+		return outcome{kind: kindNotSent, reason: reply.ReasonNoEndpoint, message: fmt.Sprintf("endpoint %s: nothing was sent: %v", a.pick.Endpoint, err)}
+	}
+	a.pick.Done(verdict, route.Report{})
+	return outcome{kind: kindUnknown, reason: lossReason(ctx), message: fmt.Sprintf("endpoint %s: %v", a.pick.Endpoint, err)}
+}
+
+// left reports whether bytes of the request may have left this process.
+func (a *attempt) left(err error) bool {
+	if a.relay.Left != nil {
+		return a.relay.Left(err)
+	}
+	if a.relay.Do != nil {
+		var op *net.OpError
+		return !errors.As(err, &op) || op.Op != "dial"
+	}
+	return a.sent.left()
+}
+
+func lossReason(ctx context.Context) reply.Reason {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return reply.ReasonAnswerLate
+	}
+	return reply.ReasonAnswerLost
+}
+
+// read takes in the whole answer before anything of it is used.
+func (a *attempt) read(ctx context.Context, answer *http.Response) outcome {
+	report := route.ParseReport(answer.Header)
+	buffer, err := a.readBody(answer)
+	if closeErr := answer.Body.Close(); err == nil && closeErr != nil {
+		err = closeErr
+	}
+	if errors.Is(err, errTooLarge) && answer.Header.Get(reply.HeaderRequestID) == string(a.request.ID) {
+		a.pick.Done(route.VerdictErrored, report)
+		return outcome{kind: kindFailed, reason: reply.ReasonEndpointError, message: fmt.Sprintf("endpoint %s: %v", a.pick.Endpoint, err)}
+	}
+	if err != nil {
+		a.pick.Done(a.verdict(ctx), report)
+		reason := reply.ReasonAnswerIncomplete
+		if ctx.Err() != nil {
+			reason = lossReason(ctx)
+		}
+		return outcome{kind: kindUnknown, reason: reason, message: fmt.Sprintf("endpoint %s: %v", a.pick.Endpoint, err)}
+	}
+	return a.judge(answer, report, buffer)
+}
+
+func (a *attempt) verdict(ctx context.Context) route.Verdict {
+	if ctx.Err() != nil {
+		return route.VerdictAbandoned
+	}
+	return route.VerdictBroken
+}
+
+func (a *attempt) judge(answer *http.Response, report route.Report, buffer *[]byte) outcome {
+	verify := a.relay.Verify
+	if verify == nil {
+		verify = VerifyAnswer
+	}
+	if err := verify(a.request, a.number, answer.Header, *buffer); err != nil {
+		buffers.Put(buffer)
+		a.pick.Done(route.VerdictBroken, report)
+		reason := reply.ReasonAnswerCrossed
+		var mismatch *MismatchError
+		if errors.As(err, &mismatch) {
+			reason = mismatch.Reason
+		}
+		return outcome{kind: kindUnknown, reason: reason, message: fmt.Sprintf("endpoint %s: %v", a.pick.Endpoint, err)}
+	}
+	switch {
+	case answer.StatusCode == http.StatusServiceUnavailable && answer.Header.Get(reply.HeaderNotRun) == "true":
+		buffers.Put(buffer)
+		a.pick.Done(route.VerdictRefused, report)
+		return outcome{kind: kindNotRun, reason: reply.ReasonOverload, message: fmt.Sprintf("endpoint %s refused before running", a.pick.Endpoint)}
+	case answer.StatusCode >= http.StatusOK && answer.StatusCode < http.StatusMultipleChoices:
+		a.pick.Done(route.VerdictAnswered, report)
+		return outcome{kind: kindDone, answer: &Answer{
+			Status: answer.StatusCode, ContentType: answer.Header.Get("Content-Type"), Body: *buffer,
+			Digest: answer.Header.Get(reply.HeaderDigest), Endpoint: a.pick.Endpoint, buffer: buffer,
+		}}
+	default:
+		buffers.Put(buffer)
+		verdict := route.VerdictErrored
+		if answer.StatusCode < http.StatusInternalServerError {
+			verdict = route.VerdictAnswered
+		}
+		a.pick.Done(verdict, report)
+		return outcome{
+			kind: kindFailed, status: answer.StatusCode, reason: reply.ReasonEndpointError,
+			message: fmt.Sprintf("endpoint %s answered status %d", a.pick.Endpoint, answer.StatusCode),
+		}
+	}
+}
+
+var errTooLarge = errors.New("the answer is larger than the limit")
+
+func (a *attempt) readBody(answer *http.Response) (*[]byte, error) {
+	size := answer.ContentLength
+	if size < 0 {
+		return nil, errors.New("the answer has no Content-Length")
+	}
+	if size > a.relay.MaxAnswer {
+		return nil, errTooLarge
+	}
+	buffer := takeBuffer(int(size))
+	if _, err := io.ReadFull(answer.Body, *buffer); err != nil {
+		buffers.Put(buffer)
+		return nil, fmt.Errorf("reading the answer: %w", err)
+	}
+	return buffer, nil
+}
--- /dev/null
+++ b/internal/relay/doc.go
@@ -0,0 +1,3 @@
+// Package relay sends requests to endpoints, checks that each answer is complete and belongs to its request, and retries
+// where that is allowed. Its outcomes are always true: "refused" only when it is proved that no send ran.
+package relay
--- /dev/null
+++ b/internal/route/doc.go
@@ -0,0 +1,6 @@
+// Package route keeps the table of endpoints and chooses the endpoint of each send.
+//
+// The slots of each endpoint are dealt to the live instances by rendezvous hashing, so that together they stay within an
+// endpoint's slots without coordination per request. An instance whose own slots are all busy borrows from endpoints
+// that lately reported a free slot.
+package route
--- /dev/null
+++ b/internal/route/rules.go
@@ -0,0 +1,75 @@
+package route
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"peridotgw.example/peridotgw/model"
+)
+
+// Candidate is a usable endpoint as a selection rule sees it.
+type Candidate struct {
+	Endpoint model.EndpointID
+	InFlight int
+	Slots    model.SlotCount
+	Latency  time.Duration
+}
+
+func (t *Table) acquireByRule(ask Ask, now time.Time) *Pick {
+	var candidates []Candidate
+	var endpoints []*endpoint
+	for _, z := range t.zones {
+		if !permitted(ask.DataCentres, z.id) {
+			continue
+		}
+		for _, e := range z.all {
+			if !t.usable(e) || e.inFlight >= min(int(e.slots), t.connLimit) || slices.Contains(ask.Avoid, e.id) {
+				continue
+			}
+			candidates = append(candidates, Candidate{Endpoint: e.id, InFlight: e.inFlight, Slots: e.slots, Latency: e.latency})
+			endpoints = append(endpoints, e)
+		}
+	}
+	if len(candidates) == 0 {
+		return nil
+	}
+	return t.take(endpoints[t.Choose(candidates)], true, now)
+}
+
+// Random chooses any candidate.
+func Random(candidates []Candidate) int { return random(len(candidates)) }
+
+// LeastOutstanding chooses the candidate with the fewest own requests in flight.
+func LeastOutstanding(candidates []Candidate) int {
+	start := random(len(candidates))
+	best, fewest := 0, math.MaxInt
+	for i := range candidates {
+		j := (start + i) % len(candidates)
+		if candidates[j].InFlight < fewest {
+			best, fewest = j, candidates[j].InFlight
+		}
+	}
+	return best
+}
+
+// WeightedRoundRobin returns a rule that takes candidates in turn, in proportion to their slots.
+func WeightedRoundRobin() func([]Candidate) int {
+	var mu sync.Mutex
+	credit := map[model.EndpointID]int{}
+	return func(candidates []Candidate) int {
+		mu.Lock()
+		defer mu.Unlock()
+		best, total := 0, 0
+		for i, c := range candidates {
+			credit[c.Endpoint] += int(c.Slots)
+			total += int(c.Slots)
+			if credit[c.Endpoint] > credit[candidates[best].Endpoint] {
+				best = i
+			}
+		}
+		credit[candidates[best].Endpoint] -= total
+		return best
+	}
+}
--- /dev/null
+++ b/internal/vmlist/doc.go
@@ -0,0 +1,2 @@
+// Package vmlist polls the platform's list of VMs.
+package vmlist
--- /dev/null
+++ b/internal/vmlist/vm.go
@@ -0,0 +1,37 @@
+package vmlist
+
+import "peridotgw.example/peridotgw/model"
+
+// Kind tells what a VM is used for.
+type Kind string
+
+// Kinds of VMs.
+const (
+	KindWorker   Kind = "worker"
+	KindEndpoint Kind = "endpoint"
+	KindEntry    Kind = "entry"
+)
+
+// State tells whether a VM is about to go away.
+type State string
+
+// States of VMs.
+const (
+	StateLive    State = "live"
+	StateLeaving State = "leaving"
+)
+
+// VM is one entry of the list.
+type VM struct {
+	Name         string             `json:"name"`
+	Kind         Kind               `json:"kind"`
+	Address      string             `json:"address"`
+	DataCentre   model.DataCentreID `json:"data-centre"`
+	Rack         model.RackID       `json:"rack,omitempty"`
+	Accelerators model.Accelerators `json:"accelerators,omitempty"`
+	Cores        int                `json:"cores,omitempty"`
+	MemoryMB     int                `json:"memory-mb,omitempty"`
+	Slots        model.SlotCount    `json:"slots,omitempty"`
+	State        State              `json:"state"`
+	Incarnation  model.Incarnation  `json:"incarnation,omitempty"`
+}
