peridotctl: commands for configuration, operation and jobs

Exit codes tell scripts whether a repeat is needed. The checks of a whole set are a function field that accepts every set until model has them.

--- /dev/null
+++ b/peridotctl/exit.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+
+	"peridotgw.example/peridotgw/client"
+	"peridotgw.example/peridotgw/internal/jsonc"
+	"peridotgw.example/peridotgw/reply"
+)
+
+// exitCode tells scripts what happened.
+type exitCode int
+
+const (
+	exitDone exitCode = 0
+	// exitUsage means that flags, arguments or files are wrong; nothing was sent.
+	exitUsage exitCode = 1
+	// exitRefused means that the system refused and nothing was changed or run.
+	exitRefused exitCode = 2
+	// exitConflict means that an object changed since the base revision; nothing was changed.
+	exitConflict exitCode = 3
+	// exitFailed means that it was run and failed.
+	exitFailed exitCode = 4
+	// exitUnknown means that it may have taken effect; a repeat with the same id is safe.
+	exitUnknown exitCode = 5
+	// exitUnreachable means that no instance answered and nothing was changed.
+	exitUnreachable exitCode = 6
+)
+
+// usageError reports wrong flags, arguments or files.
+type usageError struct{ message string }
+
+func (e *usageError) Error() string { return e.message }
+
+// usageWrap makes an error of reading input a usageError.
+func usageWrap(err error) error { return &usageError{message: err.Error()} }
+
+func usage(format string, args ...any) error {
+	return &usageError{message: fmt.Sprintf(format, args...)}
+}
+
+func codeOf(err error) exitCode {
+	var (
+		wrongUse    *usageError
+		wrongFile   *jsonc.Error
+		noFile      *os.PathError
+		replied     *reply.Error
+		unreachable *client.UnreachableError
+	)
+	switch {
+	case err == nil:
+		return exitDone
+	case errors.As(err, &wrongUse), errors.As(err, &wrongFile), errors.As(err, &noFile):
+		return exitUsage
+	case errors.As(err, &unreachable):
+		return exitUnreachable
+	case !errors.As(err, &replied):
+		return exitFailed
+	case replied.Outcome == reply.OutcomeUnknown:
+		return exitUnknown
+	case replied.Outcome == reply.OutcomeRefused && replied.Reason == reply.ReasonConflict:
+		return exitConflict
+	case replied.Outcome == reply.OutcomeRefused:
+		return exitRefused
+	default:
+		return exitFailed
+	}
+}
+
+// printError writes an error to standard error: as text with one line per problem, or as one JSON object.
+func (a *app) printError(format string, err error) {
+	var replied *reply.Error
+	isReply := errors.As(err, &replied)
+	if format == "json" {
+		body := any(map[string]string{"message": err.Error()})
+		if isReply {
+			body = replied
+		}
+		if json.NewEncoder(a.err).Encode(body) == nil {
+			return
+		}
+	}
+	a.note("peridotctl: %v", err)
+	if !isReply {
+		return
+	}
+	for _, problem := range replied.Problems {
+		a.note("  problem: %s", problem)
+	}
+	for _, ref := range replied.Conflicts {
+		a.note("  changed since the base revision: %s %q", ref.Kind, ref.Name)
+	}
+	if replied.RetryAfter > 0 {
+		a.note("  repeat after %s", replied.RetryAfter)
+	}
+}
--- a/peridotctl/main.go
+++ b/peridotctl/main.go
@@ -1,12 +1,73 @@
-// Command peridotctl is part of peridotgw; see README.md.
+// Command peridotctl publishes the configuration of peridotgw, asks for its state and handles jobs as an operator.
+//
+// Exit codes: 0 done, 1 usage or input, 2 refused (nothing was changed), 3 conflict, 4 failed, 5 unknown, 6 unreachable.
 package main
 
 import (
-	"fmt"
+	"context"
+	"flag"
+	"io"
 	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+
+	"peridotgw.example/peridotgw/model"
 )
 
 func main() {
-	fmt.Fprintln(os.Stderr, "peridotctl: not built yet")
-	os.Exit(1)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	a := &app{
+		out: os.Stdout, err: os.Stderr, getenv: os.Getenv,
+		// The checks of a whole set are those of the system.
+		validate: func(*model.Set) []model.Problem { return nil },
+	}
+	code := a.run(ctx, os.Args[1:])
+	stop()
+	os.Exit(int(code))
+}
+
+// app holds what all commands share.
+type app struct {
+	out, err io.Writer
+	getenv   func(string) string
+	validate func(*model.Set) []model.Problem
+	// code is the result of the command; it stays exitUsage when none was run.
+	code exitCode
+	// lostOutput is true when a line to standard error could not be written.
+	lostOutput bool
+}
+
+func (a *app) run(ctx context.Context, args []string) exitCode {
+	top := flag.NewFlagSet("peridotctl", flag.ContinueOnError)
+	top.SetOutput(a.err)
+	commander := subcommands.NewCommander(top, "peridotctl")
+	commander.Output, commander.Error = a.out, a.err
+	commander.Register(commander.HelpCommand(), "help")
+	for group, commands := range a.commands() {
+		for _, c := range commands {
+			commander.Register(c, group)
+		}
+	}
+	if err := top.Parse(args); err != nil {
+		return exitUsage
+	}
+	a.code = exitUsage
+	// The library's own statuses have other meanings; help is the only command of it that succeeds.
+	if status := commander.Execute(ctx); status == subcommands.ExitSuccess && top.Arg(0) == "help" {
+		return exitDone
+	}
+	if a.code == exitDone && a.lostOutput {
+		return exitFailed
+	}
+	return a.code
+}
+
+func (a *app) commands() map[string][]subcommands.Command {
+	return map[string][]subcommands.Command{
+		"configuration": {a.validateCommand(), a.publishCommand(), a.withdrawCommand(), a.getCommand(), a.diffCommand()},
+		"operation":     {a.serviceCommand("out"), a.serviceCommand("in"), a.statusCommand(), a.leavingCommand(), a.explainCommand()},
+		"jobs":          {a.submitCommand(), a.cancelCommand(), a.jobsCommand()},
+	}
 }
--- /dev/null
+++ b/peridotctl/print.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"peridotgw.example/peridotgw/client"
+)
+
+// print writes value as JSON, or the rows as a table; the first row is the heading.
+func (s *session) print(value any, rows [][]string) error {
+	if s.format == "json" {
+		encoder := json.NewEncoder(s.out)
+		encoder.SetIndent("", "  ")
+		if err := encoder.Encode(value); err != nil {
+			return fmt.Errorf("writing output: %w", err)
+		}
+		return nil
+	}
+	table := tabwriter.NewWriter(s.out, 0, 4, 2, ' ', 0)
+	for _, row := range rows {
+		if _, err := fmt.Fprintln(table, strings.Join(row, "\t")); err != nil {
+			return fmt.Errorf("writing output: %w", err)
+		}
+	}
+	if err := table.Flush(); err != nil {
+		return fmt.Errorf("writing output: %w", err)
+	}
+	return nil
+}
+
+// note writes a line for people to standard error, so that standard output stays clean for scripts. A line that cannot
+// be written makes a successful command fail, because it may hold the id that makes a repeat safe.
+func (a *app) note(format string, args ...any) {
+	if _, err := fmt.Fprintf(a.err, format+"\n", args...); err != nil {
+		a.lostOutput = true
+	}
+}
+
+func (s *session) printResult(result client.Result) error {
+	rows := [][]string{{"REVISION", "CHANGE", "KIND", "NAME"}}
+	for _, ref := range result.Changed {
+		rows = append(rows, []string{number(result.Revision), string(result.ChangeID), string(ref.Kind), ref.Name})
+	}
+	if len(result.Changed) == 0 {
+		rows = append(rows, []string{number(result.Revision), string(result.ChangeID), "-", "-"})
+	}
+	if result.Already {
+		s.note("the change had taken effect already")
+	}
+	for _, warning := range result.Warnings {
+		s.note("warning: %s", warning)
+	}
+	return s.print(result, rows)
+}
+
+func (s *session) printJobs(records []client.JobRecord) error {
+	rows := [][]string{{"JOB", "CUSTOMER", "CLASS", "SHAPE", "STATE", "DATA-CENTRE", "SUBMITTED", "STARTED", "ENDED", "REASON"}}
+	raw := make([]json.RawMessage, 0, len(records))
+	for _, r := range records {
+		rows = append(rows, []string{
+			string(r.Spec.ID), string(r.Spec.Customer), string(r.Spec.Class), string(r.Spec.Shape), r.State, string(r.DataCentre),
+			clock(r.SubmittedAt), clock(r.StartedAt), clock(r.EndedAt), dash(string(r.Reason)),
+		})
+		raw = append(raw, r.Raw)
+	}
+	return s.print(raw, rows)
+}
+
+func number[N ~uint64 | ~int](n N) string { return fmt.Sprint(n) }
+
+func clock(t time.Time) string {
+	if t.IsZero() {
+		return "-"
+	}
+	return t.UTC().Format(time.RFC3339)
+}
+
+func dash(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return text
+}
