jobs: durable job records with compare-and-swap, moves and a janitor

Cause: the scheduler needs one durable record per job that any owner can take over. Change: records under /job/<data-centre>/<job> with escaped ids, writes that resolve lost answers by sending the same compare-and-swap again, moves in the crash-safe order, a claim per job id so that two simultaneous submissions cannot create the job in two data centres, and a rate-limited janitor. Conclusion: every write either succeeds, conflicts, or says that it is in doubt.

--- /dev/null
+++ b/internal/jobs/identity.go
@@ -0,0 +1,46 @@
+package jobs
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"peridotgw.example/peridotgw/internal/store"
+	"peridotgw.example/peridotgw/model"
+)
+
+// Claim makes a job id unique in the deployment: the first claim decides the data centre of the first record, and every
+// later claim returns that data centre and false. Without it, two instances that get the same submission at the same time
+// could create the job in two data centres and run it twice.
+func (b *Book) Claim(ctx context.Context, id model.JobID, dc model.DataCentreID) (model.DataCentreID, bool, error) {
+	for attempt := 1; ; attempt++ {
+		_, err := b.Store.Put(ctx, IDKey(id), []byte(dc), 0, 0)
+		if err == nil {
+			return dc, true, nil
+		}
+		var conflict *store.ConflictError
+		if errors.As(err, &conflict) {
+			return model.DataCentreID(conflict.Current.Value), false, nil
+		}
+		var unavailable *store.UnavailableError
+		if !errors.As(err, &unavailable) || !unavailable.MaybeApplied || attempt == writeAttempts || ctx.Err() != nil {
+			return "", false, fmt.Errorf("claiming job id: %w", err)
+		}
+	}
+}
+
+// Forget removes the claim of a job id; a claim that is gone already is no error.
+func (b *Book) Forget(ctx context.Context, id model.JobID) error {
+	var gone *store.NotFoundError
+	entry, err := b.Store.Get(ctx, IDKey(id), 0)
+	if errors.As(err, &gone) {
+		return nil
+	}
+	if err == nil {
+		err = b.Store.Delete(ctx, IDKey(id), entry.Version)
+	}
+	if err != nil && !errors.As(err, &gone) {
+		return fmt.Errorf("removing claim of job id: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/jobs/move.go
@@ -0,0 +1,69 @@
+package jobs
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"peridotgw.example/peridotgw/model"
+)
+
+// Move marks the record as moved to another data centre and completes the move. A crash between the steps leaves a
+// record in state moved, from which any owner completes it.
+func (b *Book) Move(ctx context.Context, record Record, to model.DataCentreID, note Note) (Record, error) {
+	record.State, record.MovedTo, record.Placement, record.Lent = StateMoved, to, nil, false
+	record.Note(note)
+	moved, err := b.Update(ctx, record)
+	if err != nil {
+		return Record{}, err
+	}
+	return b.CompleteMove(ctx, moved)
+}
+
+// CompleteMove creates the record in the new data centre if it is absent and then removes the moved one.
+func (b *Book) CompleteMove(ctx context.Context, moved Record) (Record, error) {
+	next := moved
+	next.State, next.DataCentre, next.MovedTo = StateQueued, moved.MovedTo, ""
+	next.Owner, next.Token, next.Version = "", 0, 0
+	created, err := b.Create(ctx, next)
+	var changed *ChangedError
+	if errors.As(err, &changed) {
+		created, err = changed.Current, nil
+	}
+	if err != nil {
+		return Record{}, err
+	}
+	return created, b.Remove(ctx, moved)
+}
+
+// KeepEnded is how long records of ended jobs are kept.
+const KeepEnded = 7 * 24 * time.Hour
+
+// Janitor removes records that ended more than KeepEnded ago and returns their number. Wait is called before each
+// delete and limits their rate; its error ends the pass.
+func (b *Book) Janitor(ctx context.Context, dc model.DataCentreID, now time.Time, wait func(context.Context) error) (int, error) {
+	records, err := b.List(ctx, dc)
+	if err != nil {
+		return 0, err
+	}
+	removed := 0
+	for _, record := range records {
+		if !record.State.Ended() || now.Sub(record.EndedAt) < KeepEnded {
+			continue
+		}
+		if err := wait(ctx); err != nil {
+			return removed, err
+		}
+		if err := b.Remove(ctx, record); err != nil {
+			return removed, err
+		}
+		if err := wait(ctx); err != nil {
+			return removed, err
+		}
+		if err := b.Forget(ctx, record.Spec.ID); err != nil {
+			return removed, err
+		}
+		removed++
+	}
+	return removed, nil
+}
