worker: client of the workers' interface, with a stand-in

Cause: owners reserve, start, renew and stop tasks on workers. Change: a client that tells definite refusals from unanswered calls, and fakewk, a worker with expiring reservations, task leases, fencing tokens, checkpoints and fault switches, built on timers only.

--- /dev/null
+++ b/internal/fakewk/server.go
@@ -0,0 +1,237 @@
+package fakewk
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"peridotgw.example/peridotgw/internal/worker"
+	"peridotgw.example/peridotgw/model"
+)
+
+// Server is one worker; it may be used concurrently. All its waiting is done by timers.
+type Server struct {
+	// ID and Accelerators describe the worker; they are set before the first call.
+	ID           model.WorkerID
+	Accelerators model.Accelerators
+	// Checkpoint is how long a checkpoint takes.
+	Checkpoint time.Duration
+	// UsageLag is the age of usage reports.
+	UsageLag time.Duration
+
+	mu           sync.Mutex
+	incarnation  int
+	tokens       map[model.DataCentreID]model.Token
+	reservations map[model.ReservationID]*reservation
+	tasks        map[model.TaskID]*task
+	usage        []sample
+	faults       Faults
+	calls        map[string]int
+}
+
+type reservation struct {
+	worker.Reservation
+	expires time.Time
+	timer   *time.Timer
+}
+
+type task struct {
+	worker.Task
+	started, ended time.Time
+	runs           time.Duration
+	lease          *time.Timer
+	finish         *time.Timer
+	done           chan struct{}
+}
+
+type sample struct {
+	at   time.Time
+	busy model.Accelerators
+}
+
+// keepEnded is how long ended tasks can still be read.
+const keepEnded = 10 * time.Minute
+
+// New returns a worker without tasks.
+func New(id model.WorkerID, accelerators model.Accelerators) *Server {
+	return &Server{
+		ID: id, Accelerators: accelerators, Checkpoint: time.Second, UsageLag: 5 * time.Second, incarnation: 1,
+		tokens:       map[model.DataCentreID]model.Token{},
+		reservations: map[model.ReservationID]*reservation{},
+		tasks:        map[model.TaskID]*task{},
+		calls:        map[string]int{},
+	}
+}
+
+// ServeHTTP answers the interface of a worker and, under /faults, the switches.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/faults" {
+		s.serveFaults(w, r)
+		return
+	}
+	if s.inject(w, r, strings.TrimPrefix(r.URL.Path, "/v1/")) {
+		s.apply(w, r)
+	}
+}
+
+func (s *Server) apply(w http.ResponseWriter, r *http.Request) {
+	switch strings.TrimPrefix(r.URL.Path, "/v1/") {
+	case "reserve":
+		handle(w, r, s.reserve)
+	case "start":
+		handle(w, r, s.start)
+	case "renew":
+		handle(w, r, s.renew)
+	case "stop":
+		s.stop(w, r)
+	case "release":
+		handle(w, r, s.release)
+	case "state":
+		s.mu.Lock()
+		status := s.status(func(*task) bool { return true })
+		s.mu.Unlock()
+		answer(w, http.StatusOK, status)
+	default:
+		http.Error(w, "path does not exist", http.StatusNotFound)
+	}
+}
+
+// Calls returns the number of calls by operation.
+func (s *Server) Calls() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	calls := make(map[string]int, len(s.calls))
+	for op, count := range s.calls {
+		calls[op] = count
+	}
+	return calls
+}
+
+// Run is the time that one task held accelerators.
+type Run struct {
+	worker.Task
+	Started time.Time
+	// Ended is zero while the task runs.
+	Ended time.Time
+}
+
+// Runs returns every task that was started and is still known, ordered by its start.
+func (s *Server) Runs() []Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	runs := make([]Run, 0, len(s.tasks))
+	for _, held := range s.tasks {
+		runs = append(runs, Run{Task: held.Task, Started: held.started, Ended: held.ended})
+	}
+	slices.SortFunc(runs, func(a, b Run) int {
+		if order := a.Started.Compare(b.Started); order != 0 {
+			return order
+		}
+		return strings.Compare(string(a.Task.Task), string(b.Task.Task))
+	})
+	return runs
+}
+
+// handle decodes a message, runs fn and answers its result or refusal.
+func handle[Req, Res any](w http.ResponseWriter, r *http.Request, fn func(Req) (Res, *worker.RefusedError)) {
+	var message Req
+	if err := json.NewDecoder(r.Body).Decode(&message); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	result, refused := fn(message)
+	if refused != nil {
+		answer(w, http.StatusConflict, refused)
+		return
+	}
+	answer(w, http.StatusOK, result)
+}
+
+func answer(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	if err := json.NewEncoder(w).Encode(body); err != nil {
+		return // The client has gone.
+	}
+}
+
+func refuse(reason worker.RefusalReason, format string, args ...any) *worker.RefusedError {
+	return &worker.RefusedError{Reason: reason, Message: fmt.Sprintf(format, args...)}
+}
+
+// fence refuses a token below the highest one seen for the data centre; the caller holds the lock.
+func (s *Server) fence(dc model.DataCentreID, token model.Token) *worker.RefusedError {
+	if highest := s.tokens[dc]; token < highest {
+		return refuse(worker.RefusedStaleToken, "token %d is below %d", token, highest)
+	}
+	s.tokens[dc] = token
+	return nil
+}
+
+// free counts accelerators that are neither reserved nor used; the caller holds the lock.
+func (s *Server) free() model.Accelerators {
+	free := s.Accelerators
+	for _, held := range s.reservations {
+		free -= held.Accelerators
+	}
+	return free - s.busy()
+}
+
+func (s *Server) busy() model.Accelerators {
+	busy := model.Accelerators(0)
+	for _, held := range s.tasks {
+		if !held.State.Ended() {
+			busy += held.Accelerators
+		}
+	}
+	return busy
+}
+
+// status lists the tasks that match; the caller holds the lock.
+func (s *Server) status(match func(*task) bool) worker.Status {
+	status := worker.Status{
+		Worker: s.ID, Incarnation: model.Incarnation(fmt.Sprint(s.incarnation)), Accelerators: s.Accelerators,
+		Tasks: []worker.Task{}, Usage: s.reportedUsage(),
+	}
+	for _, held := range s.tasks {
+		if !match(held) {
+			continue
+		}
+		seen := held.Task
+		if seen.State == worker.TaskRunning {
+			seen.ProgressMs = time.Since(held.started).Milliseconds()
+		}
+		status.Tasks = append(status.Tasks, seen)
+	}
+	for _, held := range s.reservations {
+		seen := held.Reservation
+		seen.LeftMs = time.Until(held.expires).Milliseconds()
+		status.Reservations = append(status.Reservations, seen)
+	}
+	slices.SortFunc(status.Tasks, func(a, b worker.Task) int { return strings.Compare(string(a.Task), string(b.Task)) })
+	return status
+}
+
+// recordUsage remembers the load; the caller holds the lock.
+func (s *Server) recordUsage() {
+	now := time.Now()
+	s.usage = append(s.usage, sample{at: now, busy: s.busy()})
+	for len(s.usage) > 1 && now.Sub(s.usage[1].at) > s.UsageLag {
+		s.usage = s.usage[1:]
+	}
+}
+
+// reportedUsage is the load as it was UsageLag ago.
+func (s *Server) reportedUsage() worker.Usage {
+	report := worker.Usage{AgeMs: s.UsageLag.Milliseconds()}
+	for _, seen := range s.usage {
+		if time.Since(seen.at) >= s.UsageLag {
+			report.Busy = seen.busy
+		}
+	}
+	return report
+}
--- /dev/null
+++ b/internal/worker/client.go
@@ -0,0 +1,175 @@
+package worker
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"peridotgw.example/peridotgw/internal/metric"
+)
+
+// Client calls workers by their address; it may be used concurrently.
+type Client struct {
+	// Timeout bounds each call; a checkpoint may take its own time on top.
+	Timeout time.Duration
+	Log     zerolog.Logger
+	Metrics *metric.Set
+	// Do sends a request; tests replace it to reach a fake without a network.
+	Do func(*http.Request) (*http.Response, error)
+}
+
+// Limits of the client.
+const (
+	DefaultTimeout = 2 * time.Second
+	maxAnswerBytes = 4 << 20
+)
+
+// RefusalReason tells why a worker refused a call.
+type RefusalReason string
+
+// Reasons of refusals.
+const (
+	RefusedStaleToken    RefusalReason = "stale-token"
+	RefusedFull          RefusalReason = "full"
+	RefusedNoReservation RefusalReason = "no-reservation"
+	RefusedOther         RefusalReason = "refused"
+)
+
+// RefusedError is a definite refusal: the call had no effect.
+type RefusedError struct {
+	Address string        `json:"-"`
+	Op      string        `json:"-"`
+	Reason  RefusalReason `json:"reason"`
+	Message string        `json:"message"`
+}
+
+// Error names the worker, the call and the reason.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("worker %s refused %s (%s): %s", e.Address, e.Op, e.Reason, e.Message)
+}
+
+// UnknownError is a call without a usable answer; it may have had its effect.
+type UnknownError struct {
+	Address, Op string
+	Cause       error
+}
+
+// Error names the worker, the call and the cause.
+func (e *UnknownError) Error() string {
+	return fmt.Sprintf("worker %s did not answer %s: %v", e.Address, e.Op, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnknownError) Unwrap() error { return e.Cause }
+
+// Refused reports whether err is a definite refusal, and its reason.
+func Refused(err error) (RefusalReason, bool) {
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		return refused.Reason, true
+	}
+	return "", false
+}
+
+// New returns a client with connections of its own, and a function that closes them.
+func New(metrics *metric.Set) (*Client, func()) {
+	transport := &http.Transport{MaxIdleConnsPerHost: 2, MaxConnsPerHost: 4, IdleConnTimeout: 20 * time.Second}
+	client := &http.Client{Transport: transport}
+	return &Client{Timeout: DefaultTimeout, Metrics: metrics, Do: client.Do}, transport.CloseIdleConnections
+}
+
+// Reserve reserves accelerators; all calls return RefusedError or UnknownError.
+func (c *Client) Reserve(ctx context.Context, address string, message Reserve) (Reserved, error) {
+	return call[Reserved](ctx, c, address, "reserve", message, 0)
+}
+
+// Start starts a task.
+func (c *Client) Start(ctx context.Context, address string, message Start) (Status, error) {
+	return call[Status](ctx, c, address, "start", message, 0)
+}
+
+// Renew renews the leases of jobs and returns their tasks.
+func (c *Client) Renew(ctx context.Context, address string, message Renew) (Status, error) {
+	return call[Status](ctx, c, address, "renew", message, 0)
+}
+
+// Stop stops the tasks of a job and returns them.
+func (c *Client) Stop(ctx context.Context, address string, message Stop) (Status, error) {
+	extra := time.Duration(0)
+	if message.Mode == ModeCheckpoint {
+		extra = time.Duration(message.WithinMs) * time.Millisecond
+	}
+	return call[Status](ctx, c, address, "stop", message, extra)
+}
+
+// Release ends a reservation.
+func (c *Client) Release(ctx context.Context, address string, message Release) error {
+	_, err := call[Status](ctx, c, address, "release", message, 0)
+	return err
+}
+
+// State returns all tasks and reservations of the worker.
+func (c *Client) State(ctx context.Context, address string) (Status, error) {
+	return call[Status](ctx, c, address, "state", nil, 0)
+}
+
+func call[Res any](ctx context.Context, c *Client, address, op string, message any, extra time.Duration) (Res, error) {
+	var answer Res
+	timeout := c.Timeout
+	if timeout == 0 {
+		timeout = DefaultTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout+extra)
+	defer cancel()
+	unknown := func(cause error) error { return &UnknownError{Address: address, Op: op, Cause: cause} }
+	req, err := newRequest(ctx, address, op, message)
+	if err != nil {
+		return answer, unknown(err)
+	}
+	res, err := c.Do(req)
+	if err != nil {
+		return answer, unknown(err)
+	}
+	body, readErr := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
+	if err := errors.Join(readErr, res.Body.Close()); err != nil {
+		return answer, unknown(err)
+	}
+	switch res.StatusCode {
+	case http.StatusOK:
+		if err := json.Unmarshal(body, &answer); err != nil {
+			return answer, unknown(fmt.Errorf("decoding answer: %w", err))
+		}
+		return answer, nil
+	case http.StatusConflict, http.StatusServiceUnavailable:
+		refused := &RefusedError{Address: address, Op: op, Reason: RefusedOther}
+		if err := json.Unmarshal(body, refused); err != nil {
+			return answer, unknown(fmt.Errorf("decoding refusal: %w", err))
+		}
+		return answer, refused
+	default:
+		return answer, unknown(fmt.Errorf("status %d: %.200s", res.StatusCode, body))
+	}
+}
+
+func newRequest(ctx context.Context, address, op string, message any) (*http.Request, error) {
+	if message == nil {
+		return http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/"+op, http.NoBody)
+	}
+	body, err := json.Marshal(message)
+	if err != nil {
+		return nil, fmt.Errorf("encoding %s: %w", op, err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/"+op, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	return req, nil
+}
--- /dev/null
+++ b/internal/worker/messages.go
@@ -0,0 +1,126 @@
+package worker
+
+import (
+	"encoding/json"
+
+	"peridotgw.example/peridotgw/model"
+)
+
+// Reserve asks for accelerators until a time to live passes; the same reservation id again renews it.
+type Reserve struct {
+	Reservation  model.ReservationID `json:"reservation"`
+	Job          model.JobID         `json:"job"`
+	DataCentre   model.DataCentreID  `json:"data-centre"`
+	Token        model.Token         `json:"token"`
+	Accelerators model.Accelerators  `json:"accelerators"`
+	TTLMs        int64               `json:"ttl-ms"`
+}
+
+// Reserved answers Reserve.
+type Reserved struct {
+	Reservation model.ReservationID `json:"reservation"`
+	LeftMs      int64               `json:"left-ms"`
+}
+
+// Start turns a reservation into a running task under a lease.
+type Start struct {
+	Reservation model.ReservationID `json:"reservation"`
+	Task        model.TaskID        `json:"task"`
+	Job         model.JobID         `json:"job"`
+	DataCentre  model.DataCentreID  `json:"data-centre"`
+	Token       model.Token         `json:"token"`
+	LeaseMs     int64               `json:"lease-ms"`
+	Class       model.JobClassID    `json:"class"`
+	// RunMs is the declared run time that is left.
+	RunMs int64 `json:"run-ms"`
+	// Accelerators is set only where no reservation was made before.
+	Accelerators model.Accelerators `json:"accelerators,omitempty"`
+	Payload      json.RawMessage    `json:"payload,omitempty"`
+}
+
+// Renew renews all leases of the jobs on one worker; it also raises the worker's fencing token.
+type Renew struct {
+	DataCentre model.DataCentreID `json:"data-centre"`
+	Token      model.Token        `json:"token"`
+	Jobs       []model.JobID      `json:"jobs"`
+	LeaseMs    int64              `json:"lease-ms"`
+}
+
+// Mode tells how tasks are stopped.
+type Mode string
+
+// Modes of Stop.
+const (
+	ModeCheckpoint Mode = "checkpoint"
+	ModeKill       Mode = "kill"
+)
+
+// Stop ends the tasks of a job on one worker. A checkpoint is answered when the tasks have ended or WithinMs has passed.
+type Stop struct {
+	Job        model.JobID        `json:"job"`
+	DataCentre model.DataCentreID `json:"data-centre"`
+	Token      model.Token        `json:"token"`
+	Mode       Mode               `json:"mode"`
+	WithinMs   int64              `json:"within-ms"`
+}
+
+// Release ends a reservation that was not started.
+type Release struct {
+	Reservation model.ReservationID `json:"reservation"`
+	DataCentre  model.DataCentreID  `json:"data-centre"`
+	Token       model.Token         `json:"token"`
+}
+
+// TaskState is the state of a task on its worker.
+type TaskState string
+
+// States of a task; all but running and stopping are final.
+const (
+	TaskRunning      TaskState = "running"
+	TaskStopping     TaskState = "stopping"
+	TaskDone         TaskState = "done"
+	TaskFailed       TaskState = "failed"
+	TaskCheckpointed TaskState = "checkpointed"
+	TaskKilled       TaskState = "killed"
+	// TaskExpired means that the lease ended without a renewal.
+	TaskExpired TaskState = "expired"
+)
+
+// Ended reports whether the state is final.
+func (s TaskState) Ended() bool { return s != TaskRunning && s != TaskStopping }
+
+// Task is one task as its worker sees it.
+type Task struct {
+	Task         model.TaskID       `json:"task"`
+	Job          model.JobID        `json:"job"`
+	DataCentre   model.DataCentreID `json:"data-centre"`
+	State        TaskState          `json:"state"`
+	Accelerators model.Accelerators `json:"accelerators"`
+	// ProgressMs is the run time of this task that a checkpoint kept, or for a running task the time it has run.
+	ProgressMs int64  `json:"progress-ms"`
+	Message    string `json:"message,omitempty"`
+}
+
+// Reservation is a reservation that is held.
+type Reservation struct {
+	Reservation  model.ReservationID `json:"reservation"`
+	Job          model.JobID         `json:"job"`
+	Accelerators model.Accelerators  `json:"accelerators"`
+	LeftMs       int64               `json:"left-ms"`
+}
+
+// Usage is the load as measured some time ago; it serves throttling only, never placement.
+type Usage struct {
+	Busy  model.Accelerators `json:"busy"`
+	AgeMs int64              `json:"age-ms"`
+}
+
+// Status answers every call but Reserve: the tasks concerned, with those that ended lately.
+type Status struct {
+	Worker       model.WorkerID     `json:"worker"`
+	Incarnation  model.Incarnation  `json:"incarnation"`
+	Accelerators model.Accelerators `json:"accelerators"`
+	Tasks        []Task             `json:"tasks"`
+	Reservations []Reservation      `json:"reservations,omitempty"`
+	Usage        Usage              `json:"usage"`
+}
