gang: reserve, record, start and stop of whole gangs

Cause: no gang may run partially. StartAndUndo leaves out the reserve step for comparison. Conclusion: every start ends as running, not started, stopped, or unresolved with nothing started.

--- /dev/null
+++ b/internal/gang/driver.go
@@ -0,0 +1,314 @@
+package gang
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"peridotgw.example/peridotgw/internal/jobs"
+	"peridotgw.example/peridotgw/internal/metric"
+	"peridotgw.example/peridotgw/internal/store"
+	"peridotgw.example/peridotgw/internal/worker"
+	"peridotgw.example/peridotgw/model"
+	"peridotgw.example/peridotgw/reply"
+)
+
+// Driver starts and stops gangs of one data centre; it may be used concurrently for different jobs.
+type Driver struct {
+	Worker *worker.Client
+	// Record stores a record by compare-and-swap and returns it with its new version.
+	Record func(context.Context, jobs.Record) (jobs.Record, error)
+	// Address returns the address of a worker.
+	Address func(model.WorkerID) (string, bool)
+	// MayStart is the last check before each start; it fails when the data centre is out of service, the configuration is
+	// not fresh or the ownership is not valid.
+	MayStart func() *reply.Error
+	Times    Times
+	// StartAndUndo leaves out the reserve step and undoes partial starts; it exists to measure what reserving saves.
+	StartAndUndo bool
+	Log          zerolog.Logger
+	Metrics      *metric.Set
+}
+
+// Times are the intervals of the driver.
+type Times struct {
+	// ReserveTTL is how long workers hold a reservation.
+	ReserveTTL time.Duration
+	// MinLeft is the time that every reservation must still have when the decision is recorded.
+	MinLeft time.Duration
+	// Lease is the first lease of a task.
+	Lease time.Duration
+	// Reserve bounds the reserve step, retries included.
+	Reserve time.Duration
+	// Kill bounds the sends of one kill; tasks on workers that do not answer end with their lease.
+	Kill time.Duration
+	// Retry is the pause before a call without an answer is sent again.
+	Retry time.Duration
+}
+
+// DefaultTimes are the bounds of the design.
+func DefaultTimes() Times {
+	return Times{
+		ReserveTTL: 15 * time.Second, MinLeft: 8 * time.Second, Lease: 15 * time.Second, Reserve: 6 * time.Second,
+		Kill: 2 * time.Second, Retry: 250 * time.Millisecond,
+	}
+}
+
+// parallel bounds the calls in flight for one gang.
+const parallel = 64
+
+// NotStartedError reports a gang that was not started; no task of it runs.
+type NotStartedError struct {
+	Job model.JobID
+	// Worker refused or did not answer; empty where the cause is elsewhere.
+	Worker model.WorkerID
+	Phase  string
+	Cause  error
+	// Unreachable is true when the worker did not answer.
+	Unreachable bool
+}
+
+// Error names the job, the phase, the worker and the cause.
+func (e *NotStartedError) Error() string {
+	if e.Worker == "" {
+		return fmt.Sprintf("gang of job %q was not started (%s): %v", e.Job, e.Phase, e.Cause)
+	}
+	return fmt.Sprintf("gang of job %q was not started (%s, worker %q): %v", e.Job, e.Phase, e.Worker, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *NotStartedError) Unwrap() error { return e.Cause }
+
+// PartialError reports a gang of which some task was started or may have been started, and which was then stopped.
+type PartialError struct {
+	Job    model.JobID
+	Worker model.WorkerID
+	Cause  error
+	// Record is the stored record in state starting.
+	Record jobs.Record
+	// Stopped is true when every worker confirmed that no task of the job runs.
+	Stopped bool
+	// Ran is true when some task of the gang is known to have run.
+	Ran         bool
+	Unreachable bool
+}
+
+// Error names the job, the worker and the cause.
+func (e *PartialError) Error() string {
+	return fmt.Sprintf("gang of job %q was started in part and stopped (worker %q): %v", e.Job, e.Worker, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *PartialError) Unwrap() error { return e.Cause }
+
+// UnresolvedError reports that the decision may have been recorded; nothing was started and the reservations expire.
+type UnresolvedError struct {
+	Job   model.JobID
+	Cause error
+}
+
+// Error names the job and the cause.
+func (e *UnresolvedError) Error() string {
+	return fmt.Sprintf("decision on job %q may have been recorded: %v", e.Job, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnresolvedError) Unwrap() error { return e.Cause }
+
+type callError struct {
+	worker model.WorkerID
+	err    error
+}
+
+func (e *callError) Error() string { return e.err.Error() }
+func (e *callError) Unwrap() error { return e.err }
+
+// Start reserves, records and starts the gang of a record that has a placement and state queued. It returns the record in
+// state running, or NotStartedError, PartialError or UnresolvedError.
+func (d *Driver) Start(ctx context.Context, record jobs.Record) (jobs.Record, error) {
+	if refused := d.MayStart(); refused != nil {
+		return record, &NotStartedError{Job: record.Spec.ID, Phase: "check", Cause: refused}
+	}
+	oldest, err := d.reserveAll(ctx, record)
+	if err != nil {
+		return record, err
+	}
+	deadline := oldest.Add(d.Times.ReserveTTL)
+	starting := record
+	starting.State = jobs.StateStarting
+	if !d.StartAndUndo && time.Until(deadline) < d.Times.MinLeft {
+		d.ReleaseAll(ctx, record)
+		cause := fmt.Errorf("%v left of the reservations, %v needed", time.Until(deadline), d.Times.MinLeft)
+		return record, &NotStartedError{Job: record.Spec.ID, Phase: "time-left", Cause: cause}
+	}
+	stored, err := d.Record(ctx, starting)
+	var changed *jobs.ChangedError
+	if errors.As(err, &changed) {
+		d.ReleaseAll(ctx, record)
+		return changed.Current, &NotStartedError{Job: record.Spec.ID, Phase: "record", Cause: err}
+	}
+	var unavailable *store.UnavailableError
+	if errors.As(err, &unavailable) && !unavailable.MaybeApplied {
+		d.ReleaseAll(ctx, record)
+		return record, &NotStartedError{Job: record.Spec.ID, Phase: "record", Cause: err}
+	}
+	if err != nil {
+		return record, &UnresolvedError{Job: record.Spec.ID, Cause: err}
+	}
+	return d.startAll(ctx, stored, deadline)
+}
+
+// reserveAll returns when the oldest reservation was sent; it renews them once when too little time would be left.
+func (d *Driver) reserveAll(ctx context.Context, record jobs.Record) (time.Time, error) {
+	if d.StartAndUndo {
+		return time.Now(), nil
+	}
+	deadline := time.Now().Add(d.Times.Reserve)
+	for {
+		oldest := time.Now()
+		err := d.each(ctx, record, func(ctx context.Context, address string, p jobs.Placement) error {
+			return d.retry(ctx, deadline, func() error {
+				_, err := d.Worker.Reserve(ctx, address, worker.Reserve{
+					Reservation: p.Reservation, Job: record.Spec.ID, DataCentre: record.DataCentre, Token: record.Token,
+					Accelerators: p.Accelerators, TTLMs: d.Times.ReserveTTL.Milliseconds(),
+				})
+				return err
+			})
+		})
+		if err != nil {
+			d.ReleaseAll(ctx, record)
+			return oldest, d.notStarted(record, "reserve", err)
+		}
+		if time.Until(oldest.Add(d.Times.ReserveTTL)) >= d.Times.MinLeft || !time.Now().Before(deadline) {
+			return oldest, nil
+		}
+	}
+}
+
+// startAll starts every task; the record is in state starting.
+func (d *Driver) startAll(ctx context.Context, record jobs.Record, deadline time.Time) (jobs.Record, error) {
+	err := d.each(ctx, record, func(ctx context.Context, address string, p jobs.Placement) error {
+		return d.retry(ctx, deadline, func() error {
+			if refused := d.MayStart(); refused != nil {
+				return refused
+			}
+			_, err := d.Worker.Start(ctx, address, d.startMessage(record, p))
+			return err
+		})
+	})
+	if err != nil {
+		return record, d.undo(ctx, record, err)
+	}
+	running := record
+	running.State, running.StartedAt = jobs.StateRunning, time.Now()
+	stored, err := d.Record(ctx, running)
+	var changed *jobs.ChangedError
+	if errors.As(err, &changed) {
+		return changed.Current, &UnresolvedError{Job: record.Spec.ID, Cause: err}
+	}
+	if err != nil {
+		// All tasks run; the record stays at starting until the store answers again.
+		d.Log.Warn().Err(err).Str("job", string(record.Spec.ID)).Msg("gang: running state is not recorded")
+		running.Version = record.Version
+		return running, nil
+	}
+	return stored, nil
+}
+
+func (d *Driver) startMessage(record jobs.Record, p jobs.Placement) worker.Start {
+	message := worker.Start{
+		Reservation: p.Reservation, Task: p.Task, Job: record.Spec.ID, DataCentre: record.DataCentre, Token: record.Token,
+		LeaseMs: d.Times.Lease.Milliseconds(), Class: record.Spec.Class, Payload: record.Spec.Payload,
+		RunMs: max(0, (record.Spec.RunTime - record.Progress).Std().Milliseconds()),
+	}
+	if d.StartAndUndo {
+		message.Reservation, message.Accelerators = "", p.Accelerators
+	}
+	return message
+}
+
+// undo stops the whole gang after a start was refused or not answered in time.
+func (d *Driver) undo(ctx context.Context, record jobs.Record, cause error) error {
+	partial := &PartialError{Job: record.Spec.ID, Cause: cause, Record: record}
+	var failed *callError
+	if errors.As(cause, &failed) {
+		partial.Worker = failed.worker
+	}
+	var unknown *worker.UnknownError
+	partial.Unreachable = errors.As(cause, &unknown)
+	outcome := d.Stop(context.WithoutCancel(ctx), record, worker.ModeKill, 0)
+	partial.Stopped, partial.Ran = outcome.Stopped, outcome.Ran
+	return partial
+}
+
+func (d *Driver) notStarted(record jobs.Record, phase string, err error) error {
+	notStarted := &NotStartedError{Job: record.Spec.ID, Phase: phase, Cause: err}
+	var failed *callError
+	if errors.As(err, &failed) {
+		notStarted.Worker = failed.worker
+	}
+	var unknown *worker.UnknownError
+	notStarted.Unreachable = errors.As(err, &unknown)
+	return notStarted
+}
+
+// ReleaseAll ends the reservations of a gang that was not started; reservations that cannot be reached expire.
+func (d *Driver) ReleaseAll(ctx context.Context, record jobs.Record) {
+	ctx = context.WithoutCancel(ctx)
+	err := d.each(ctx, record, func(ctx context.Context, address string, p jobs.Placement) error {
+		err := d.Worker.Release(ctx, address, worker.Release{
+			Reservation: p.Reservation, DataCentre: record.DataCentre, Token: record.Token,
+		})
+		if err != nil {
+			d.Log.Debug().Err(err).Str("job", string(record.Spec.ID)).Msg("gang: reservation is left to expire")
+		}
+		return nil
+	})
+	if err != nil {
+		d.Log.Debug().Err(err).Str("job", string(record.Spec.ID)).Msg("gang: reservations are left to expire")
+	}
+}
+
+// each calls fn for every placement in parallel and returns the first error with its worker.
+func (d *Driver) each(ctx context.Context, record jobs.Record, fn func(context.Context, string, jobs.Placement) error) error {
+	group, groupCtx := errgroup.WithContext(ctx)
+	group.SetLimit(parallel)
+	for _, placement := range record.Placement {
+		group.Go(func() error {
+			address, found := d.Address(placement.Worker)
+			if !found {
+				return &callError{worker: placement.Worker, err: &worker.UnknownError{Op: "any", Cause: errNoAddress}}
+			}
+			if err := fn(groupCtx, address, placement); err != nil {
+				return &callError{worker: placement.Worker, err: err}
+			}
+			return nil
+		})
+	}
+	return group.Wait()
+}
+
+// retry repeats a call that was not answered until the deadline; a definite refusal ends it at once.
+func (d *Driver) retry(ctx context.Context, deadline time.Time, call func() error) error {
+	for {
+		err := call()
+		var unknown *worker.UnknownError
+		if err == nil || !errors.As(err, &unknown) || ctx.Err() != nil || !time.Now().Add(d.Times.Retry).Before(deadline) {
+			return err
+		}
+		if d.Metrics != nil {
+			d.Metrics.Retries.WithLabelValues("gang", "no-answer").Inc()
+		}
+		timer := time.NewTimer(d.Times.Retry)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return err
+		}
+	}
+}
