place: placement with bound guarantees, lending and preemption

Cause: guaranteed shapes must stay reclaimable while others use them. Conclusion: pure code; variants are switched by Options.

--- /dev/null
+++ b/internal/place/bind.go
@@ -0,0 +1,233 @@
+package place
+
+import (
+	"cmp"
+	"slices"
+
+	"peridotgw.example/peridotgw/model"
+)
+
+// copiesOf lists every copy of the data centre's guarantees in a fixed order.
+func copiesOf(set *model.Set, dc model.DataCentreID) []*bound {
+	var copies []*bound
+	for id, guarantee := range set.Guarantees {
+		if guarantee.DataCentre != dc || set.Shapes[guarantee.Shape].Accelerators() <= 0 {
+			continue
+		}
+		for number := range guarantee.Count {
+			copies = append(copies, &bound{
+				guarantee: id, customer: guarantee.Customer, shape: guarantee.Shape, number: number,
+			})
+		}
+	}
+	slices.SortFunc(copies, func(a, b *bound) int {
+		return cmp.Or(cmp.Compare(a.guarantee, b.guarantee), cmp.Compare(a.number, b.number))
+	})
+	return copies
+}
+
+// Bind binds every copy that has no binding, best fit decreasing, around the work that cannot be stopped.
+func (c *Cluster) Bind() {
+	var open []*bound
+	for _, b := range c.copies {
+		if len(b.slots) == 0 {
+			open = append(open, b)
+		}
+	}
+	if len(open) == 0 {
+		return
+	}
+	// Best fit decreasing is a heuristic: when one order leaves a copy out, the next is tried, and the best result stays.
+	var best [][]Slot
+	bestCount := -1
+	for _, order := range bindOrders() {
+		slices.SortStableFunc(open, func(a, b *bound) int {
+			return order(c.set.Shapes[a.shape], c.set.Shapes[b.shape])
+		})
+		count := c.bindAll(open)
+		if count > bestCount {
+			bestCount, best = count, nil
+			for _, b := range c.copies {
+				best = append(best, b.slots)
+			}
+		}
+		if count == len(open) {
+			return
+		}
+		for _, b := range open {
+			c.unbind(b)
+		}
+	}
+	for i, b := range c.copies {
+		if len(b.slots) == 0 && len(best[i]) > 0 {
+			c.bindAt(b, best[i])
+		}
+	}
+}
+
+func (c *Cluster) bindAll(open []*bound) int {
+	count := 0
+	for _, b := range open {
+		if slots := c.bindingFor(c.set.Shapes[b.shape]); slots != nil {
+			c.bindAt(b, slots)
+			count++
+		}
+	}
+	return count
+}
+
+// bindOrders are the orders in which copies are tried; wide adjacencies come last because they fit anywhere.
+func bindOrders() []func(a, b model.Shape) int {
+	wide := func(s model.Shape) int {
+		if s.Adjacency == model.AdjacencyAny {
+			return 1
+		}
+		return 0
+	}
+	size := func(a, b model.Shape) int { return cmp.Compare(b.Accelerators(), a.Accelerators()) }
+	task := func(a, b model.Shape) int { return cmp.Compare(unit(b), unit(a)) }
+	return []func(a, b model.Shape) int{
+		func(a, b model.Shape) int { return cmp.Or(cmp.Compare(wide(a), wide(b)), size(a, b), task(a, b)) },
+		func(a, b model.Shape) int { return cmp.Or(cmp.Compare(wide(a), wide(b)), task(a, b), size(a, b)) },
+		func(a, b model.Shape) int { return cmp.Or(task(a, b), size(a, b)) },
+	}
+}
+
+// unit is the number of accelerators that must be on one worker.
+func unit(s model.Shape) model.Accelerators {
+	if s.Adjacency == model.AdjacencyWorker {
+		return s.Accelerators()
+	}
+	return s.AcceleratorsPerTask
+}
+
+// bindingFor finds places for a copy: the rack with the least room left that takes it, and in it the fullest workers.
+func (c *Cluster) bindingFor(shape model.Shape) []Slot {
+	room := func(n *node) int {
+		if n.State != WorkerUsable {
+			return 0
+		}
+		// Work that cannot be stopped stays where it is; with a strict partition that is all work.
+		left := n.total - n.bound - n.firm
+		if c.options.NoLending {
+			left -= n.soft
+		}
+		return max(0, left)
+	}
+	var bestRack *cell
+	bestRoom := 0
+	if shape.Adjacency != model.AdjacencyAny {
+		for _, r := range c.racks {
+			sum, tasks := 0, 0
+			for _, n := range r.nodes {
+				left := room(n)
+				sum += left
+				tasks = taskSum(shape, tasks, left)
+			}
+			if tasks >= int(shape.Tasks) && (bestRack == nil || sum < bestRoom) {
+				bestRack, bestRoom = r, sum
+			}
+		}
+		if bestRack == nil {
+			return nil
+		}
+		return fill(bestRack.nodes, shape, room, nil)
+	}
+	var all []*node
+	for _, r := range c.racks {
+		all = append(all, r.nodes...)
+	}
+	return fill(all, shape, room, nil)
+}
+
+// taskSum adds the tasks that fit into left accelerators; a worker shape must fit into one worker.
+func taskSum(shape model.Shape, tasks, left int) int {
+	fits := left / int(max(1, shape.AcceleratorsPerTask))
+	if shape.Adjacency == model.AdjacencyWorker {
+		return max(tasks, fits)
+	}
+	return tasks + fits
+}
+
+// bindAt binds a copy to places; they must have room.
+func (c *Cluster) bindAt(b *bound, slots []Slot) {
+	b.slots = slots
+	b.uses = c.usesOf(slots)
+	c.applyBound(b, 1)
+}
+
+// unbind removes a binding. A job that was counted inside the copy stays where it is and counts as work of its class until it ends.
+func (c *Cluster) unbind(b *bound) {
+	c.applyBound(b, -1)
+	b.slots, b.uses = nil, nil
+	l := b.job
+	// A job that is being added has no uses yet and keeps its copy.
+	if l == nil || l.uses == nil {
+		return
+	}
+	c.apply(l, -1)
+	l.kind, l.copy, b.job = kindFirm, nil, nil
+	if stoppable(c.set.JobClasses[l.job.Class]) {
+		l.kind = kindSoft
+	}
+	c.apply(l, 1)
+}
+
+// Unbound lists the copies that cannot be bound now.
+func (c *Cluster) Unbound() []Unbound {
+	var open []Unbound
+	for _, b := range c.copies {
+		if len(b.slots) == 0 {
+			open = append(open, Unbound{Guarantee: b.guarantee, Copy: b.number})
+		}
+	}
+	return open
+}
+
+// Running is a job that runs already, as found by a new owner.
+type Running struct {
+	Job   Job
+	Slots []Slot
+	Lent  bool
+}
+
+// Restore replaces workers and jobs: copies of guarantees are first bound where their customers' jobs run, and the rest
+// around the work that cannot be stopped.
+func (c *Cluster) Restore(workers []Worker, running []Running) {
+	c.loads, c.used = map[model.JobID]*load{}, map[model.CustomerID]model.Accelerators{}
+	c.ReleaseHold()
+	// Copies are bound after the jobs are known; binding them before would take the jobs' places.
+	c.copies = nil
+	c.SetWorkers(workers)
+	c.copies = copiesOf(c.set, c.dc)
+	sorted := slices.Clone(running)
+	slices.SortFunc(sorted, func(a, b Running) int {
+		return cmp.Or(cmp.Compare(a.Job.Order, b.Job.Order), cmp.Compare(a.Job.ID, b.Job.ID))
+	})
+	for _, r := range sorted {
+		plan := Plan{Slots: r.Slots, Lent: r.Lent}
+		if b := c.openCopy(r); b != nil {
+			plan.Guarantee, plan.Copy = b.guarantee, b.number
+		}
+		c.Add(r.Job, plan)
+	}
+	c.Bind()
+}
+
+// openCopy returns a copy that is not bound yet and has the customer and shape of a job that is not on lent capacity.
+func (c *Cluster) openCopy(r Running) *bound {
+	if r.Lent {
+		return nil
+	}
+	for _, slot := range r.Slots {
+		if n, found := c.nodes[slot.Worker]; !found || n.State != WorkerUsable {
+			return nil
+		}
+	}
+	for _, b := range c.copies {
+		if len(b.slots) == 0 && b.job == nil && b.customer == r.Job.Customer && b.shape == r.Job.Shape {
+			return b
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/place/check.go
@@ -0,0 +1,90 @@
+package place
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"peridotgw.example/peridotgw/model"
+)
+
+// Check reports every guarantee that cannot be bound together with all others on the declared racks, and customers whose
+// guarantees exceed their quota.
+func Check(set *model.Set) []model.Problem {
+	var problems []model.Problem
+	promised := map[model.CustomerID]model.Accelerators{}
+	for id, guarantee := range set.Guarantees {
+		shape := set.Shapes[guarantee.Shape]
+		promised[guarantee.Customer] += shape.Accelerators() * model.Accelerators(guarantee.Count)
+		if shape.Accelerators() <= 0 {
+			problems = append(problems, problem(id, "shape", "shape %q takes no accelerators", guarantee.Shape))
+		}
+	}
+	for id := range set.DataCentres {
+		c := NewCluster(set, id)
+		c.SetWorkers(Declared(set, id))
+		open := map[model.GuaranteeID]int{}
+		for _, u := range c.Unbound() {
+			open[u.Guarantee]++
+		}
+		for guarantee, count := range open {
+			problems = append(problems, problem(guarantee, "count", "%d of %d copies cannot be bound in data centre %q",
+				count, set.Guarantees[guarantee].Count, id))
+		}
+	}
+	for id, total := range promised {
+		if quota := set.Customers[id].QuotaAccelerators; quota > 0 && total > quota {
+			problems = append(problems, model.Problem{
+				Kind: model.KindCustomer, Name: string(id), Field: "quota-accelerators",
+				Message: fmt.Sprintf("guarantees of %d accelerators exceed the quota of %d", total, quota),
+			})
+		}
+	}
+	slices.SortFunc(problems, func(a, b model.Problem) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name), cmp.Compare(a.Message, b.Message))
+	})
+	return problems
+}
+
+func problem(id model.GuaranteeID, field, format string, args ...any) model.Problem {
+	return model.Problem{Kind: model.KindGuarantee, Name: string(id), Field: field, Message: fmt.Sprintf(format, args...)}
+}
+
+// Declared returns the workers that a data centre declares, under generated names.
+func Declared(set *model.Set, dc model.DataCentreID) []Worker {
+	var workers []Worker
+	for _, rack := range set.DataCentres[dc].Racks {
+		for i := range rack.Workers {
+			workers = append(workers, Worker{
+				ID: model.WorkerID(fmt.Sprintf("%s/%04d", rack.Name, i)), Rack: rack.Name,
+				Accelerators: rack.AcceleratorsPerWorker, Cores: rack.CoresPerWorker, State: WorkerUsable,
+			})
+		}
+	}
+	return workers
+}
+
+// Fits reports whether a shape fits into the empty racks that a data centre declares.
+func Fits(set *model.Set, dc model.DataCentreID, id model.ShapeID) bool {
+	shape := set.Shapes[id]
+	tasks := 0
+	for _, rack := range set.DataCentres[dc].Racks {
+		if rack.Workers <= 0 {
+			continue
+		}
+		perWorker := int(rack.AcceleratorsPerWorker)
+		if shape.AcceleratorsPerTask == 0 {
+			perWorker = cmp.Or(rack.CoresPerWorker, DefaultCores)
+		}
+		perWorker /= int(max(1, shape.AcceleratorsPerTask))
+		switch shape.Adjacency {
+		case model.AdjacencyWorker:
+			tasks = max(tasks, perWorker)
+		case model.AdjacencyRack:
+			tasks = max(tasks, perWorker*rack.Workers)
+		default:
+			tasks += perWorker * rack.Workers
+		}
+	}
+	return shape.Tasks > 0 && tasks >= int(shape.Tasks)
+}
