--- /dev/null
+++ b/internal/sched/owner.go
@@ -0,0 +1,403 @@
+package sched
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"peridotgw.example/peridotgw/internal/gang"
+	"peridotgw.example/peridotgw/internal/jobs"
+	"peridotgw.example/peridotgw/internal/metric"
+	"peridotgw.example/peridotgw/internal/place"
+	"peridotgw.example/peridotgw/internal/store"
+	"peridotgw.example/peridotgw/internal/worker"
+	"peridotgw.example/peridotgw/model"
+	"peridotgw.example/peridotgw/reply"
+)
+
+// Owner runs the loop of one data centre for as long as one fencing token is held.
+type Owner struct {
+	DataCentre model.DataCentreID
+	Instance   model.InstanceID
+	Token      model.Token
+	// Valid reports whether the ownership with this token is held now.
+	Valid func() bool
+	// MayStart is the configuration's last check before each start.
+	MayStart func() *reply.Error
+	Config   func() *model.Set
+	Workers  func() []WorkerVM
+	// Loads returns the summaries of all data centres.
+	Loads   func() []Summary
+	Jobs    *jobs.Book
+	Worker  *worker.Client
+	Record  func(Event)
+	Tuning  Tuning
+	Options place.Options
+	Times   gang.Times
+	// StartAndUndo is the gang driver's variant without reservations.
+	StartAndUndo bool
+	Log          zerolog.Logger
+	Metrics      *metric.Set
+
+	core   *Core
+	gang   *gang.Driver
+	events chan func(now time.Time)
+	wake   chan struct{}
+	work   sync.WaitGroup
+	mu     sync.Mutex
+	addr   map[model.WorkerID]string
+	sum    Summary
+	frag   float64
+	queued map[queueKey]int
+}
+
+type queueKey struct {
+	customer model.CustomerID
+	class    model.JobClassID
+}
+
+// LostError reports that another instance has taken the data centre over.
+type LostError struct {
+	DataCentre model.DataCentreID
+	Cause      string
+}
+
+// Error names the data centre and the cause.
+func (e *LostError) Error() string {
+	return fmt.Sprintf("ownership of data centre %q is lost: %s", e.DataCentre, e.Cause)
+}
+
+// watchWait is how long one watch waits for changed records.
+const watchWait = 30 * time.Second
+
+// Run takes the data centre over and makes its decisions until ctx ends or the ownership is lost (LostError). Gangs that
+// are being started are finished first, so that a hand-over leaves none half started.
+func (o *Owner) Run(ctx context.Context) error {
+	o.events = make(chan func(time.Time), 256)
+	o.wake = make(chan struct{}, 1)
+	o.core = NewCore(o.DataCentre, o.Instance, o.Token, o.Config(), o.Tuning, o.Options)
+	o.gang = &gang.Driver{
+		Worker: o.Worker, Record: o.store, Address: o.address, MayStart: o.mayStart, Times: o.Times,
+		StartAndUndo: o.StartAndUndo, Log: o.Log, Metrics: o.Metrics,
+	}
+	runCtx, cancel := context.WithCancel(ctx)
+	defer o.work.Wait()
+	defer cancel()
+	revision, err := o.takeOver(runCtx)
+	if err != nil {
+		return err
+	}
+	o.work.Add(1)
+	go o.follow(runCtx, revision)
+	return o.loop(runCtx)
+}
+
+// Wake makes the next pass due now.
+func (o *Owner) Wake() {
+	select {
+	case o.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Summary returns the load as of the last pass.
+func (o *Owner) Summary() Summary {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.sum
+}
+
+// Fragmentation returns the share of unusable free accelerators as of the last pass.
+func (o *Owner) Fragmentation() float64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.frag
+}
+
+// Queued returns the number of queued jobs of a customer in a class as of the last pass.
+func (o *Owner) Queued(customer model.CustomerID, class model.JobClassID) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.queued[queueKey{customer: customer, class: class}]
+}
+
+func (o *Owner) mayStart() *reply.Error {
+	if !o.Valid() {
+		return reply.Refused(reply.ReasonConfigStale, "ownership of data centre %q is not valid", o.DataCentre)
+	}
+	return o.MayStart()
+}
+
+// takeOver raises the fencing token on every worker, so that late messages of an earlier owner are refused, and then
+// rebuilds the state from the records and the workers' answers.
+func (o *Owner) takeOver(ctx context.Context) (store.Revision, error) {
+	o.core.SetWorkers(o.Workers())
+	o.core.loads = o.Loads()
+	o.shareAddresses()
+	now := time.Now()
+	o.core.refreshWorkers(now)
+	o.fence(ctx)
+	page, err := o.Jobs.ListAt(ctx, o.DataCentre)
+	if err != nil {
+		return 0, fmt.Errorf("taking over data centre %q: %w", o.DataCentre, err)
+	}
+	for _, record := range page.Records {
+		o.core.Seen(record, time.Now())
+	}
+	o.core.restore()
+	o.Log.Info().Str("data-centre", string(o.DataCentre)).Uint64("token", uint64(o.Token)).Int("jobs", len(o.core.entries)).
+		Msg("sched: data centre taken over")
+	return page.Revision, nil
+}
+
+func (o *Owner) fence(ctx context.Context) {
+	var group sync.WaitGroup
+	limit := make(chan struct{}, 128)
+	sentAt := time.Now()
+	answers := make([]error, len(o.core.Workers()))
+	for i, id := range o.core.Workers() {
+		address, _ := o.core.Address(id)
+		group.Add(1)
+		limit <- struct{}{}
+		go func() {
+			defer group.Done()
+			defer func() { <-limit }()
+			_, answers[i] = o.Worker.Renew(ctx, address, worker.Renew{
+				DataCentre: o.DataCentre, Token: o.Token, Jobs: []model.JobID{}, LeaseMs: o.Tuning.Lease.Milliseconds(),
+			})
+		}()
+	}
+	group.Wait()
+	for i, id := range o.core.Workers() {
+		if answers[i] != nil {
+			o.core.Renewed(Renewal{Worker: id}, worker.Status{}, answers[i], sentAt, time.Now())
+		}
+	}
+}
+
+// loop runs events and passes. Passes follow events at once, and otherwise come every Tuning.Pass.
+func (o *Owner) loop(ctx context.Context) error {
+	pass := time.NewTicker(o.Tuning.Pass)
+	defer pass.Stop()
+	renew := time.NewTicker(endCheckMin)
+	defer renew.Stop()
+	o.pass(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case event := <-o.events:
+			o.apply(event)
+			o.pass(ctx)
+		case <-o.wake:
+			o.pass(ctx)
+		case <-pass.C:
+			o.pass(ctx)
+		case <-renew.C:
+			for _, due := range o.core.Renewals(time.Now()) {
+				o.renew(ctx, due)
+			}
+		}
+		if cause := o.core.Lost(); cause != "" {
+			return &LostError{DataCentre: o.DataCentre, Cause: cause}
+		}
+	}
+}
+
+// apply runs an event and those that wait behind it, so that many results cost one pass.
+func (o *Owner) apply(event func(time.Time)) {
+	event(time.Now())
+	for range len(o.events) {
+		(<-o.events)(time.Now())
+	}
+}
+
+func (o *Owner) pass(ctx context.Context) {
+	if set := o.Config(); set != nil {
+		o.core.SetConfig(set)
+	}
+	o.core.SetWorkers(o.Workers())
+	o.core.loads = o.Loads()
+	o.shareAddresses()
+	o.core.Pass(time.Now(), o.Valid())
+	for _, action := range o.core.Take() {
+		o.execute(ctx, action)
+	}
+	o.mu.Lock()
+	o.sum, o.frag, o.queued = o.core.Summary(), o.core.Fragmentation(), o.core.queueLengths()
+	o.mu.Unlock()
+}
+
+// shareAddresses copies the workers' addresses for the goroutines that call them.
+func (o *Owner) shareAddresses() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.addr == nil {
+		o.addr = map[model.WorkerID]string{}
+	}
+	for id, h := range o.core.workers {
+		o.addr[id] = h.vm.Address
+	}
+}
+
+func (o *Owner) address(id model.WorkerID) (string, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	address, found := o.addr[id]
+	return address, found
+}
+
+// spawn runs fn outside the loop and hands its result to the loop.
+func (o *Owner) spawn(ctx context.Context, fn func(context.Context) func(now time.Time)) {
+	o.work.Add(1)
+	go func() {
+		defer o.work.Done()
+		event := fn(ctx)
+		if event == nil {
+			return
+		}
+		select {
+		case o.events <- event:
+		case <-ctx.Done():
+		}
+	}()
+}
+
+func (o *Owner) renew(ctx context.Context, due Renewal) {
+	sentAt := time.Now()
+	o.spawn(ctx, func(ctx context.Context) func(time.Time) {
+		status, err := o.Worker.Renew(ctx, due.Address, due.Message)
+		return func(now time.Time) { o.core.Renewed(due, status, err, sentAt, now) }
+	})
+}
+
+// follow watches the data centre's records, and lists them now and then because a watch can miss changes.
+func (o *Owner) follow(ctx context.Context, revision store.Revision) {
+	defer o.work.Done()
+	listed := time.Now()
+	for ctx.Err() == nil {
+		page, err := jobs.Page{Partial: true}, error(nil)
+		if time.Since(listed) < o.Tuning.List {
+			page, err = o.Jobs.Watch(ctx, o.DataCentre, revision, min(watchWait, o.Tuning.List))
+		}
+		if err == nil && page.Partial {
+			page, err = o.Jobs.ListAt(ctx, o.DataCentre)
+			listed = time.Now()
+		}
+		if err != nil {
+			pause(ctx, time.Second)
+			continue
+		}
+		revision = page.Revision
+		if len(page.Records)+len(page.Removed) == 0 {
+			continue
+		}
+		o.post(ctx, func(now time.Time) {
+			for _, record := range page.Records {
+				o.core.Seen(record, now)
+			}
+			for _, id := range page.Removed {
+				o.core.Gone(id)
+			}
+		})
+	}
+}
+
+func (o *Owner) post(ctx context.Context, event func(time.Time)) {
+	select {
+	case o.events <- event:
+	case <-ctx.Done():
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// execute carries an action out. Starts and stops are finished even when ctx ends.
+func (o *Owner) execute(ctx context.Context, action Action) {
+	id, record := action.Job, action.Record
+	switch action.Kind {
+	case ActionStart:
+		o.spawn(ctx, func(ctx context.Context) func(time.Time) {
+			stored, err := o.gang.Start(context.WithoutCancel(ctx), record)
+			return func(now time.Time) { o.core.Started(id, stored, err, now) }
+		})
+	case ActionRecover:
+		o.spawn(ctx, func(ctx context.Context) func(time.Time) {
+			stored, err := o.gang.Recover(context.WithoutCancel(ctx), record)
+			return func(now time.Time) { o.core.Started(id, stored, err, now) }
+		})
+	case ActionStop:
+		o.spawn(ctx, func(ctx context.Context) func(time.Time) {
+			outcome := o.gang.Stop(context.WithoutCancel(ctx), record, action.Mode, action.Within)
+			return func(now time.Time) { o.core.Stopped(id, outcome, now) }
+		})
+	case ActionWrite:
+		o.spawn(ctx, func(ctx context.Context) func(time.Time) {
+			stored, err := o.store(ctx, record)
+			return func(now time.Time) { o.core.Written(id, stored, err, now) }
+		})
+	case ActionMove, ActionCompleteMove, ActionRead:
+		o.spawn(ctx, func(ctx context.Context) func(time.Time) { return o.transfer(ctx, action) })
+	case ActionEvent:
+		o.Record(action.Event)
+	}
+}
+
+// transfer executes moves and reads.
+func (o *Owner) transfer(ctx context.Context, action Action) func(time.Time) {
+	switch action.Kind {
+	case ActionMove:
+		note := jobs.Note{At: time.Now().UTC(), Instance: o.Instance, Action: "moved", Reason: string(CauseDrain), Inputs: map[string]string{
+			"from": string(o.DataCentre), "to": string(action.To),
+		}}
+		if !o.Valid() {
+			return func(now time.Time) { o.core.Moved(action.Job, errNotValid, now) }
+		}
+		_, err := o.Jobs.Move(ctx, action.Record, action.To, note)
+		return func(now time.Time) { o.core.Moved(action.Job, err, now) }
+	case ActionCompleteMove:
+		_, err := o.Jobs.CompleteMove(ctx, action.Record)
+		return func(now time.Time) { o.core.Moved(action.Job, err, now) }
+	default:
+		record, err := o.Jobs.Get(ctx, o.DataCentre, action.Job)
+		var gone *store.NotFoundError
+		if err != nil && !errors.As(err, &gone) {
+			return nil
+		}
+		return func(now time.Time) { o.core.Read(action.Job, record, err == nil, now) }
+	}
+}
+
+var errNotValid = errors.New("ownership is not valid")
+
+// store writes a record with the owner's token. The only other writer of a record marks it cancelled; such a mark is
+// taken over and the write repeated, except for the decision to start, which a mark must stop.
+func (o *Owner) store(ctx context.Context, record jobs.Record) (jobs.Record, error) {
+	for attempt := 1; ; attempt++ {
+		if !o.Valid() {
+			return jobs.Record{}, errNotValid
+		}
+		stored, err := o.Jobs.Update(ctx, record)
+		var changed *jobs.ChangedError
+		if !errors.As(err, &changed) {
+			return stored, err
+		}
+		current := changed.Current
+		if current.Token > o.Token || current.Version == 0 || current.State.Ended() || attempt == 3 || record.State == jobs.StateStarting {
+			return jobs.Record{}, err
+		}
+		record.Version = current.Version
+		record.CancelRequested = record.CancelRequested || current.CancelRequested
+	}
+}
--- /dev/null
+++ b/internal/sched/submit.go
@@ -0,0 +1,256 @@
+package sched
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"peridotgw.example/peridotgw/internal/jobs"
+	"peridotgw.example/peridotgw/internal/place"
+	"peridotgw.example/peridotgw/internal/store"
+	"peridotgw.example/peridotgw/model"
+	"peridotgw.example/peridotgw/reply"
+)
+
+// Limits of a submission.
+const (
+	maxIDBytes      = 200
+	maxPayloadBytes = 256 << 10
+)
+
+// Submit stores a new job, or returns the record of the same job when it was submitted before.
+func (m *Manager) Submit(ctx context.Context, spec jobs.Spec) (jobs.Record, *reply.Error) {
+	record, refused := m.submit(ctx, spec)
+	if refused != nil && m.Metrics != nil {
+		m.Metrics.Refusals.WithLabelValues(string(refused.Reason), string(spec.Class)).Inc()
+	}
+	return record, refused
+}
+
+func (m *Manager) submit(ctx context.Context, spec jobs.Spec) (jobs.Record, *reply.Error) {
+	set := m.Current()
+	if set == nil {
+		return jobs.Record{}, reply.Refused(reply.ReasonConfigStale, "no configuration is known yet")
+	}
+	if m.MaySubmit != nil {
+		if refused := m.MaySubmit(); refused != nil {
+			return jobs.Record{}, refused
+		}
+	}
+	if refused := validate(set, spec); refused != nil {
+		refused.Revision = set.Revision
+		return jobs.Record{}, refused
+	}
+	existing, found, err := m.find(ctx, set, spec.ID)
+	if err != nil {
+		return jobs.Record{}, notStored(err)
+	}
+	if found {
+		return same(existing, spec)
+	}
+	chosen, inService := Choose(set, spec, m.allSummaries(), "")
+	if !inService {
+		return jobs.Record{}, reply.Refused(reply.ReasonDraining, "no data centre that may run the job is in service")
+	}
+	if refused := m.queueLimit(set, spec, chosen); refused != nil {
+		return jobs.Record{}, refused
+	}
+	return m.create(ctx, set, spec, chosen)
+}
+
+// create claims the id and stores the record. The claim decides the data centre when the same job is submitted twice at
+// the same time.
+func (m *Manager) create(ctx context.Context, set *model.Set, spec jobs.Spec, chosen model.DataCentreID) (jobs.Record, *reply.Error) {
+	claimed, first, err := m.Jobs.Claim(ctx, spec.ID, chosen)
+	if err != nil {
+		return jobs.Record{}, notStored(err)
+	}
+	if !first {
+		// The record may have moved between the data centres while they were read.
+		existing, found, err := m.find(ctx, set, spec.ID)
+		if err != nil {
+			return jobs.Record{}, notStored(err)
+		}
+		if found {
+			return same(existing, spec)
+		}
+	}
+	now := time.Now().UTC()
+	record := jobs.Record{
+		Spec: spec, State: jobs.StateQueued, DataCentre: claimed, ConfigRevision: set.Revision, SubmittedAt: now,
+	}
+	record.Note(jobs.Note{At: now, Instance: m.Self.Instance, Action: "submitted", Revision: set.Revision, Inputs: map[string]string{
+		"data-centre": string(claimed),
+	}})
+	stored, err := m.Jobs.Create(ctx, record)
+	var changed *jobs.ChangedError
+	if errors.As(err, &changed) {
+		return same(changed.Current, spec)
+	}
+	if err != nil {
+		return jobs.Record{}, notStored(err)
+	}
+	m.nudge(ctx, claimed)
+	return stored, nil
+}
+
+func same(existing jobs.Record, spec jobs.Spec) (jobs.Record, *reply.Error) {
+	if !existing.Spec.Equal(spec) {
+		return jobs.Record{}, reply.Refused(reply.ReasonIDReused, "job id %q was used for another job", spec.ID)
+	}
+	return existing, nil
+}
+
+// notStored tells a refusal, which proves that the job does not exist, from a submission that may have been stored.
+func notStored(err error) *reply.Error {
+	var unavailable *store.UnavailableError
+	if errors.As(err, &unavailable) && unavailable.MaybeApplied {
+		return reply.Unknown(reply.ReasonInDoubt, "the job may have been stored; submit it again with the same id: %v", err)
+	}
+	return reply.Refused(reply.ReasonStoreUnavailable, "job records are not available: %v", err)
+}
+
+func validate(set *model.Set, spec jobs.Spec) *reply.Error {
+	class, classKnown := set.JobClasses[spec.Class]
+	_, customerKnown := set.Customers[spec.Customer]
+	shape, shapeKnown := set.Shapes[spec.Shape]
+	switch {
+	case spec.ID == "" || len(spec.ID) > maxIDBytes:
+		return reply.Refused(reply.ReasonMalformed, "id must have 1 to %d bytes", maxIDBytes)
+	case len(spec.Payload) > maxPayloadBytes:
+		return reply.Refused(reply.ReasonTooLarge, "payload must not exceed %d bytes", maxPayloadBytes)
+	case spec.RunTime < 0:
+		return reply.Refused(reply.ReasonMalformed, "run-time must not be negative")
+	case !classKnown:
+		return reply.Refused(reply.ReasonUnknownClass, "job class %q does not exist", spec.Class)
+	case !customerKnown:
+		return reply.Refused(reply.ReasonUnknownCustomer, "customer %q does not exist", spec.Customer)
+	case !shapeKnown:
+		return reply.Refused(reply.ReasonInvalid, "shape %q does not exist", spec.Shape)
+	case len(class.Customers) > 0 && !slices.Contains(class.Customers, spec.Customer):
+		return reply.Refused(reply.ReasonNotAllowed, "customer %q may not use job class %q", spec.Customer, spec.Class)
+	}
+	allowed := Allowed(set, spec)
+	if spec.DataCentre != "" && !slices.Contains(allowed, spec.DataCentre) {
+		return reply.Refused(reply.ReasonNotAllowed, "job class %q may not run in data centre %q", spec.Class, spec.DataCentre)
+	}
+	if !slices.ContainsFunc(allowed, func(dc model.DataCentreID) bool { return place.Fits(set, dc, spec.Shape) }) {
+		return reply.Refused(reply.ReasonNeverFits, "shape %q (%d tasks of %d accelerators, adjacency %s) fits no data centre that may run class %q",
+			spec.Shape, shape.Tasks, shape.AcceleratorsPerTask, shape.Adjacency, spec.Class)
+	}
+	if quota := set.Customers[spec.Customer].QuotaAccelerators; quota > 0 && shape.Accelerators() > quota {
+		return reply.Refused(reply.ReasonNeverFits, "shape %q takes %d accelerators and the quota of customer %q is %d",
+			spec.Shape, shape.Accelerators(), spec.Customer, quota)
+	}
+	return nil
+}
+
+// queueLimit refuses a job when its customer has too many queued jobs of the class, as far as this instance knows the
+// queue: only the owner of the data centre does.
+func (m *Manager) queueLimit(set *model.Set, spec jobs.Spec, dc model.DataCentreID) *reply.Error {
+	owner, found := m.Owned(dc)
+	if !found {
+		return nil
+	}
+	limit := set.JobClasses[spec.Class].QueueLimit
+	if limit == 0 {
+		limit = model.DefaultJobQueueLimit
+	}
+	if queued := owner.Queued(spec.Customer, spec.Class); queued >= limit {
+		return reply.Refused(reply.ReasonQueueFull, "customer %q has %d queued jobs of class %q", spec.Customer, queued, spec.Class)
+	}
+	return nil
+}
+
+// find reads the job's key in each data centre. A record in state moved counts only when no other is found.
+func (m *Manager) find(ctx context.Context, set *model.Set, id model.JobID) (jobs.Record, bool, error) {
+	var moved jobs.Record
+	found := false
+	for _, dc := range dataCentres(set) {
+		record, err := m.Jobs.Get(ctx, dc, id)
+		var missing *store.NotFoundError
+		switch {
+		case errors.As(err, &missing):
+		case err != nil:
+			return jobs.Record{}, false, err
+		case record.State == jobs.StateMoved:
+			moved, found = record, true
+		default:
+			return record, true, nil
+		}
+	}
+	return moved, found, nil
+}
+
+func dataCentres(set *model.Set) []model.DataCentreID {
+	var ids []model.DataCentreID
+	for dc := range set.DataCentres {
+		ids = append(ids, dc)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Get returns the record of a job.
+func (m *Manager) Get(ctx context.Context, id model.JobID) (jobs.Record, *reply.Error) {
+	set := m.Current()
+	if set == nil {
+		return jobs.Record{}, reply.Refused(reply.ReasonConfigStale, "no configuration is known yet")
+	}
+	record, found, err := m.find(ctx, set, id)
+	if err == nil && !found {
+		// A second reading finds a record that moved during the first.
+		record, found, err = m.find(ctx, set, id)
+	}
+	if err != nil {
+		return jobs.Record{}, reply.Refused(reply.ReasonStoreUnavailable, "job records are not available: %v", err)
+	}
+	if !found {
+		return jobs.Record{}, reply.Refused(reply.ReasonNotFound, "job %q does not exist", id)
+	}
+	return record, nil
+}
+
+// cancelAttempts bounds the writes of a cancel mark against other writers.
+const cancelAttempts = 8
+
+// Cancel marks a job as to be cancelled and returns its record; a job that has ended is returned as it is.
+func (m *Manager) Cancel(ctx context.Context, id model.JobID) (jobs.Record, *reply.Error) {
+	for range cancelAttempts {
+		record, refused := m.Get(ctx, id)
+		if refused != nil || record.State.Ended() || record.CancelRequested {
+			return record, refused
+		}
+		record.CancelRequested = true
+		record.Note(jobs.Note{At: time.Now().UTC(), Instance: m.Self.Instance, Action: "cancel-requested"})
+		stored, err := m.Jobs.Update(ctx, record)
+		var changed *jobs.ChangedError
+		if errors.As(err, &changed) {
+			continue
+		}
+		if err != nil {
+			return jobs.Record{}, notStored(err)
+		}
+		m.nudge(ctx, stored.DataCentre)
+		return stored, nil
+	}
+	return jobs.Record{}, reply.Refused(reply.ReasonConflict, "job %q changes too often to be cancelled now", id)
+}
+
+// List returns the records of all data centres, ordered by data centre and id.
+func (m *Manager) List(ctx context.Context) ([]jobs.Record, error) {
+	set := m.Current()
+	if set == nil {
+		return nil, reply.Refused(reply.ReasonConfigStale, "no configuration is known yet")
+	}
+	var all []jobs.Record
+	for _, dc := range dataCentres(set) {
+		records, err := m.Jobs.List(ctx, dc)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, records...)
+	}
+	return all, nil
+}
