client: state the time left when a request is repeated

A repeat at another address carried the whole deadline again, so that the second instance could work after the caller had given up. Files with deep nesting are refused before the parser recurses, and log levels are limited to the documented ones.

--- a/client/caller.go
+++ b/client/caller.go
@@ -60,24 +60,22 @@
 	if err != nil {
 		return Answer{}, err
 	}
-	limit := longestRequest
+	limit, deadline := longestRequest, time.Time{}
 	if r.Timeout > 0 {
-		limit = r.Timeout
+		limit, deadline = r.Timeout, time.Now().Add(r.Timeout)
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit+answerGrace)
 	defer cancel()
 	header := http.Header{}
 	header.Set(reply.HeaderCustomer, string(c.Customer))
 	header.Set(reply.HeaderRequestID, string(r.ID))
-	if r.Timeout > 0 {
-		header.Set(reply.HeaderTimeout, strconv.FormatInt(max(r.Timeout.Milliseconds(), 1), 10))
-	}
 	if r.ContentType != "" {
 		header.Set("Content-Type", r.ContentType)
 	}
 	got, err := c.Target.send(ctx, call{
 		method: http.MethodPost, path: path("v1", "requests", string(r.Class)), header: header, body: r.Body,
-		repeatable: true, timeout: limit + answerGrace, check: func(h http.Header) *reply.Error { return checkAnswer(h, r.ID) },
+		repeatable: true, timeout: limit + answerGrace, deadline: deadline,
+		check: func(h http.Header) *reply.Error { return checkAnswer(h, r.ID) },
 	})
 	if err != nil {
 		return Answer{}, err
--- a/client/target.go
+++ b/client/target.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
 	"time"
 
@@ -77,6 +78,8 @@
 	// repeatable is true when an id in the call makes a second send safe.
 	repeatable bool
 	timeout    time.Duration
+	// deadline is that of a request; each attempt states the time left. Zero leaves it to the class.
+	deadline time.Time
 	// check refuses an answer that belongs to another call; it returns a *reply.Error.
 	check func(http.Header) *reply.Error
 }
@@ -178,6 +181,13 @@
 	for name, values := range c.header {
 		request.Header[name] = values
 	}
+	if !c.deadline.IsZero() {
+		left := time.Until(c.deadline).Milliseconds()
+		if left < 1 {
+			return answer{}, fmt.Errorf("sending to %s: %w", address, context.DeadlineExceeded)
+		}
+		request.Header.Set(reply.HeaderTimeout, strconv.FormatInt(left, 10))
+	}
 	response, err := t.do(request)
 	if err != nil {
 		return answer{}, classify(address, err)
--- a/internal/jsonc/document.go
+++ b/internal/jsonc/document.go
@@ -54,8 +54,31 @@
 	return Parse(path, source)
 }
 
+// maxDepth bounds nesting, because the parser recurses and a deep file would end the process.
+const maxDepth = 1000
+
+// tooDeep counts brackets wherever they are; text with so many of them unbalanced in strings or comments is refused too.
+func tooDeep(source []byte) bool {
+	depth := 0
+	for _, c := range source {
+		switch c {
+		case '[', '{':
+			depth++
+		case ']', '}':
+			depth--
+		}
+		if depth > maxDepth {
+			return true
+		}
+	}
+	return false
+}
+
 // Parse parses text; path is used in errors only.
 func Parse(path string, source []byte) (*Document, error) {
+	if tooDeep(source) {
+		return nil, &Error{Path: path, Problems: []Problem{{Message: fmt.Sprintf("more than %d brackets are open at once", maxDepth)}}}
+	}
 	root, err := hujson.Parse(source)
 	if err != nil {
 		return nil, &Error{Path: path, Problems: []Problem{syntaxProblem(err)}}
--- a/internal/params/check.go
+++ b/internal/params/check.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"net/url"
 	"regexp"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -167,7 +168,8 @@
 }
 
 func (c *checker) log() {
-	if _, err := zerolog.ParseLevel(c.settings.Log.Level); err != nil || c.settings.Log.Level == "" {
+	levels := []zerolog.Level{zerolog.DebugLevel, zerolog.InfoLevel, zerolog.WarnLevel, zerolog.ErrorLevel}
+	if !slices.ContainsFunc(levels, func(level zerolog.Level) bool { return level.String() == c.settings.Log.Level }) {
 		c.document.Report("log.level", "%q is not a level; use debug, info, warn or error", c.settings.Log.Level)
 	}
 	switch c.settings.Log.Format {
--- a/peridotctl/config.go
+++ b/peridotctl/config.go
@@ -70,7 +70,7 @@
 		change.ID = client.NewChangeID()
 	}
 	if change.Base == 0 {
-		current, err := s.operator.Objects(ctx, client.Selection{})
+		current, err := s.operator.Status(ctx)
 		if err != nil {
 			return fmt.Errorf("reading the current revision: %w", err)
 		}
--- a/peridotctl/peridotctl_test.go
+++ b/peridotctl/peridotctl_test.go
@@ -38,6 +38,7 @@
 	s.handlers["GET /v1/objects"] = sends(client.Objects{Revision: 7, Objects: []model.Object{
 		{Kind: model.KindCustomer, Name: "parks", Revision: 3, Spec: json.RawMessage(`{"quota-accelerators":16}`)},
 	}})
+	s.handlers["GET /v1/status"] = sends(client.Status{Revision: 7})
 	s.handlers["POST /v1/changes"] = func(w http.ResponseWriter, r *http.Request) {
 		var change client.Change
 		Expect(json.NewDecoder(r.Body).Decode(&change)).To(Succeed())
--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -68,6 +68,12 @@
 		Expect(text).To(ContainSubstring("names are store"))
 	})
 
+	It("serves the layouts of the examples", func() {
+		for _, deployment := range []string{"hollow-creek", "casco-limpio"} {
+			Expect(ready(start("-first-port", "0", "-layout", "../examples/"+deployment+"/standin.jsonc"))).To(HaveKey("store"))
+		}
+	})
+
 	It("ends in time when told to, even while a watch waits", func() {
 		session := start()
 		at := ready(session)
