relay: promises hold under random faults in virtual time

Whole exchanges run over in-memory pipes. A stand-in handler that went silent before it had read the body was never told that its caller had gone, which left goroutines behind; it reads the body first now.

--- a/internal/fakeep/server.go
+++ b/internal/fakeep/server.go
@@ -90,7 +90,10 @@
 		return
 	}
 	if s.isSilent(r.RemoteAddr) {
-		<-r.Context().Done()
+		// The server notices that the caller has gone only after the body was read.
+		if _, err := io.Copy(io.Discard, r.Body); err == nil {
+			<-r.Context().Done()
+		}
 		panic(http.ErrAbortHandler)
 	}
 	switch {
--- /dev/null
+++ b/internal/front/bench_test.go
@@ -0,0 +1,51 @@
+package front_test
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"peridotgw.example/peridotgw/reply"
+)
+
+// BenchmarkHop compares a call through front, queue, route and relay with the same call straight to the endpoint.
+func BenchmarkHop(b *testing.B) {
+	p := newPath(b, 4)
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}, Timeout: 5 * time.Second}
+	endpoint := "http://" + p.addresses[0]
+	b.Run("direct", func(b *testing.B) { measure(b, client, endpoint+"/v1/run/check") })
+	b.Run("relayed", func(b *testing.B) { measure(b, client, p.url+"/v1/requests/check") })
+}
+
+func measure(b *testing.B, client *http.Client, url string) {
+	body := bytes.Repeat([]byte("x"), 1024)
+	times := make([]time.Duration, 0, b.N)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		request, err := http.NewRequest(http.MethodPost, url, bytes.NewReader(body))
+		if err != nil {
+			b.Fatal(err)
+		}
+		request.Header.Set(reply.HeaderCustomer, "hollow-creek")
+		request.Header.Set(reply.HeaderRequestID, "r-"+strconv.Itoa(i))
+		started := time.Now()
+		answer, err := client.Do(request)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := io.Copy(io.Discard, answer.Body); err != nil || answer.StatusCode != http.StatusOK {
+			b.Fatal(answer.Status, err)
+		}
+		if err := answer.Body.Close(); err != nil {
+			b.Fatal(err)
+		}
+		times = append(times, time.Since(started))
+	}
+	slices.Sort(times)
+	b.ReportMetric(float64(times[len(times)/2].Microseconds()), "p50-µs")
+	b.ReportMetric(float64(times[len(times)*99/100].Microseconds()), "p99-µs")
+}
--- a/internal/front/suite_test.go
+++ b/internal/front/suite_test.go
@@ -34,6 +34,7 @@
 	server    *front.Server
 	table     *route.Table
 	endpoints []*fakeep.Server
+	addresses []string
 	url       string
 	stop      func()
 }
@@ -57,6 +58,7 @@
 		listener := httptest.NewServer(endpoint)
 		tb.Cleanup(listener.Close)
 		p.endpoints = append(p.endpoints, endpoint)
+		p.addresses = append(p.addresses, listener.Listener.Addr().String())
 		vms = append(vms, vmlist.VM{
 			Name: fmt.Sprintf("ep-%d", i), Kind: vmlist.KindEndpoint, Address: listener.Listener.Addr().String(),
 			DataCentre: "library", Slots: 8, State: vmlist.StateLive, Incarnation: "1",
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -59,12 +59,13 @@
 	before int64
 }
 
-func newPool(conns int) *pool {
+func (r *Relay) newPool(conns int) *pool {
 	p := &pool{}
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: idleTimeout}
 	p.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			c, err := dialer.DialContext(ctx, network, address)
+			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+			defer cancel()
+			c, err := r.Dial(ctx, network, address)
 			if err != nil {
 				return nil, fmt.Errorf("opening a connection: %w", err)
 			}
@@ -169,7 +170,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if p = r.pools[address]; p == nil {
-		p = newPool(max(1, conns))
+		p = r.newPool(max(1, conns))
 		r.pools[address] = p
 	}
 	return p
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -82,6 +83,8 @@
 	MaySend func(dc model.DataCentreID, idempotent bool) *reply.Error
 	// Do sends one attempt; nil means own transports with one connection pool per endpoint.
 	Do func(*http.Request) (*http.Response, error)
+	// Dial opens the connections of the own transports; nil means TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// MaxAnswer bounds the answer's body in bytes; zero means DefaultMaxAnswer.
 	MaxAnswer int64
 	// Verify checks an answer against its request; nil means VerifyAnswer. Tests switch it off.
@@ -134,6 +137,9 @@
 func (r *Relay) prepare() {
 	r.classes = map[model.RequestClassID]*class{}
 	r.pools = map[string]*pool{}
+	if r.Dial == nil {
+		r.Dial = (&net.Dialer{Timeout: dialTimeout, KeepAlive: idleTimeout}).DialContext
+	}
 	if r.MaxAnswer <= 0 {
 		r.MaxAnswer = DefaultMaxAnswer
 	}
--- /dev/null
+++ b/internal/relay/suite_test.go
@@ -0,0 +1,140 @@
+package relay_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"peridotgw.example/peridotgw/internal/fakeep"
+	"peridotgw.example/peridotgw/internal/relay"
+	"peridotgw.example/peridotgw/internal/route"
+	"peridotgw.example/peridotgw/internal/vmlist"
+	"peridotgw.example/peridotgw/model"
+	"peridotgw.example/peridotgw/reply"
+)
+
+var suite *testing.T
+
+func TestRelay(t *testing.T) {
+	suite = t
+	RegisterFailHandler(Fail)
+	// The random schedules are the same in each run.
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "15"} {
+		if err := flag.Set(name, value); err != nil {
+			t.Fatal(err)
+		}
+	}
+	RunSpecs(t, "relay")
+}
+
+// virtual runs a spec in virtual time.
+func virtual(spec func()) {
+	synctest.Test(suite, func(*testing.T) {
+		defer GinkgoRecover()
+		spec()
+	})
+}
+
+// rig is a relay with endpoints on an in-memory network.
+type rig struct {
+	relay     *relay.Relay
+	table     *route.Table
+	endpoints []*fakeep.Server
+	network   *fakeep.Network
+	stops     []func()
+	mu        sync.Mutex
+}
+
+func newRig(endpoints int) *rig {
+	r := &rig{network: fakeep.NewNetwork()}
+	probes := &http.Transport{DialContext: r.network.Dial, DisableKeepAlives: true}
+	r.table = &route.Table{Self: "a", DataCentre: "library", Trust: true, Do: probes.RoundTrip}
+	r.relay = &relay.Relay{Table: r.table, Dial: r.network.Dial}
+	var vms []vmlist.VM
+	for i := range endpoints {
+		name := fmt.Sprintf("ep-%d", i)
+		endpoint := fakeep.New(8)
+		r.endpoints = append(r.endpoints, endpoint)
+		r.stops = append(r.stops, r.network.Serve(name+":80", endpoint))
+		vms = append(vms, vmlist.VM{Name: name, Kind: vmlist.KindEndpoint, Address: name + ":80", DataCentre: "library", Slots: 8, Incarnation: "1"})
+	}
+	r.table.Update(vms)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 2)
+	go func() { ended <- r.relay.Run(ctx) }()
+	go func() { ended <- r.table.Run(ctx) }()
+	r.stops = append(r.stops, func() { cancel(); <-ended; <-ended })
+	return r
+}
+
+func (r *rig) close() {
+	for i := len(r.stops) - 1; i >= 0; i-- {
+		r.stops[i]()
+	}
+}
+
+func check(id string) *relay.Request {
+	return &relay.Request{ID: model.RequestID(id), Class: "check", Idempotent: true, Body: []byte("score " + id), Deadline: time.Now().Add(5 * time.Second)}
+}
+
+func tally(id string) *relay.Request {
+	request := check(id)
+	request.Class, request.Idempotent = "tally", false
+	return request
+}
+
+// send returns the result with a copy of the answer's body.
+func (r *rig) send(request *relay.Request) (relay.Result, string) {
+	pick := r.table.AcquireWait(context.Background(), route.Ask{})
+	result := r.relay.Send(context.Background(), request, pick)
+	body := ""
+	if result.Answer != nil {
+		body = string(result.Answer.Body)
+		result.Answer.Free()
+	}
+	return result, body
+}
+
+// sendAll sends n requests, at most 8 at a time, and hands each result to each.
+func (r *rig) sendAll(n int, build func(string) *relay.Request, each func(id model.RequestID, result relay.Result, body string)) {
+	var group sync.WaitGroup
+	gate := make(chan struct{}, 8)
+	for i := range n {
+		gate <- struct{}{}
+		group.Go(func() {
+			defer func() { <-gate }()
+			request := build(fmt.Sprintf("r-%d", i))
+			result, body := r.send(request)
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			each(request.ID, result, body)
+		})
+	}
+	group.Wait()
+}
+
+// runs returns how often each request ran on any endpoint.
+func (r *rig) runs() map[model.RequestID]int {
+	total := map[model.RequestID]int{}
+	for _, endpoint := range r.endpoints {
+		for id, n := range endpoint.Runs() {
+			total[id] += n
+		}
+	}
+	return total
+}
+
+func outcomeOf(result relay.Result) reply.Outcome {
+	if result.Err != nil {
+		return result.Err.Outcome
+	}
+	return reply.OutcomeDone
+}
