queue, route: specs for order, admission, overload, shares, selection and leaving

A specification of admission showed that the estimated wait divided by own slots plus the two borrowable connections, three for one slot; it divides by own slots now.

--- /dev/null
+++ b/internal/route/suite_test.go
@@ -0,0 +1,67 @@
+package route_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"peridotgw.example/peridotgw/internal/route"
+	"peridotgw.example/peridotgw/internal/vmlist"
+	"peridotgw.example/peridotgw/model"
+)
+
+var suite *testing.T
+
+func TestRoute(t *testing.T) {
+	suite = t
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "route")
+}
+
+func virtual(spec func()) {
+	synctest.Test(suite, func(*testing.T) {
+		defer GinkgoRecover()
+		spec()
+	})
+}
+
+func endpoints(n int, dc model.DataCentreID) []vmlist.VM {
+	vms := make([]vmlist.VM, 0, n)
+	for i := range n {
+		name := fmt.Sprintf("%s-%d", dc, i)
+		vms = append(vms, vmlist.VM{
+			Name: name, Kind: vmlist.KindEndpoint, Address: name + ":80", DataCentre: dc, Slots: 8,
+			State: vmlist.StateLive, Incarnation: "1",
+		})
+	}
+	return vms
+}
+
+func members(n int) []model.InstanceID {
+	ids := make([]model.InstanceID, 0, n)
+	for i := range n {
+		ids = append(ids, model.InstanceID(fmt.Sprintf("i-%d", i)))
+	}
+	return ids
+}
+
+func newTable(self model.InstanceID, live func() []model.InstanceID) *route.Table {
+	return &route.Table{Self: self, DataCentre: "library", Trust: true, Members: live}
+}
+
+// drainSlots takes slots until none is free and counts them by endpoint.
+func drainSlots(t *route.Table) map[model.EndpointID]int {
+	taken := map[model.EndpointID]int{}
+	for pick := t.Acquire(route.Ask{}); pick != nil; pick = t.Acquire(route.Ask{}) {
+		taken[pick.Endpoint]++
+	}
+	return taken
+}
+
+func acquire(t *route.Table) *route.Pick {
+	return t.AcquireWait(context.Background(), route.Ask{})
+}
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -197,8 +197,7 @@
 	return ids
 }
 
-// Slots returns the sends that this instance may have in flight on usable endpoints of the data centres; none named means
-// all.
+// Slots returns the own slots on usable endpoints of the data centres; none named means all.
 func (t *Table) Slots(allowed []model.DataCentreID) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -330,7 +329,7 @@
 func (t *Table) sum(e *endpoint, usable bool) {
 	counted := -1
 	if usable {
-		counted = e.limit(t.connLimit)
+		counted = min(e.own, t.connLimit)
 	}
 	if counted == e.counted {
 		return
