daemon, peridotd, demo: serve requests and gangs end to end

Cause: the packages had not run together. Change: internal/daemon ties the services to the micro-kernel; peridotd runs it; standin serves workers, endpoints and the VM list; demo starts a deployment, plays its main job and checks what callers were told against what ran. The operators' status and lists take the JSON form that the client reads; member.Summary carries the sums that choose a job's data centre.

--- a/client/operator.go
+++ b/client/operator.go
@@ -74,8 +74,8 @@
 	// Confirmed is true when the member has proved within the last 3 s that its revision is current.
 	Confirmed bool `json:"confirmed"`
 	Draining  bool `json:"draining,omitempty"`
-	// HeardAge is the age of the member's last message.
-	HeardAge model.Duration `json:"heard-age"`
+	// ConfirmedAge is the time since the member proved its revision to be the newest.
+	ConfirmedAge model.Duration `json:"confirmed-age"`
 }
 
 // DataCentreStatus sums up one data centre; its owner reported it Age ago.
--- /dev/null
+++ b/demo/checks.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"fmt"
+
+	"peridotgw.example/peridotgw/model"
+	"peridotgw.example/peridotgw/reply"
+)
+
+// checkRequests compares what callers were told with what the endpoints ran, and returns one line per broken promise.
+func checkRequests(results []sent, runs map[model.RequestID]int) []string {
+	var broken []string
+	report := func(promise string, r sent, text string) {
+		broken = append(broken, fmt.Sprintf("%s: request %s (%s) %s", promise, r.id, r.phase, text))
+	}
+	for _, r := range results {
+		n := runs[r.id]
+		if r.wrong {
+			report("P4", r, "got another answer than its own")
+		}
+		if !r.idempotent && n > 1 {
+			report("P6", r, fmt.Sprintf("ran %d times", n))
+		}
+		switch r.outcome {
+		case reply.OutcomeRefused, outcomeUnreachable:
+			if n > 0 {
+				report("P5", r, fmt.Sprintf("was %s (%s) and ran %d times", r.outcome, r.reason, n))
+			}
+		case reply.OutcomeDone, reply.OutcomeFailed:
+			if n == 0 {
+				report("P5", r, fmt.Sprintf("was %s (%s) and did not run", r.outcome, r.reason))
+			}
+		}
+	}
+	return broken
+}
+
+// cutOff returns the requests of a phase that a graceful stop must not have cut off: those that no instance took, or whose
+// answer was lost.
+func cutOff(results []sent, phase string) []string {
+	var broken []string
+	for _, r := range results {
+		if r.phase != phase || r.outcome == reply.OutcomeDone {
+			continue
+		}
+		broken = append(broken, fmt.Sprintf("P8: request %s (%s) was %s (%s): %s", r.id, r.phase, r.outcome, r.reason, r.message))
+	}
+	return broken
+}
--- /dev/null
+++ b/demo/choice.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"maps"
+	"slices"
+
+	"peridotgw.example/peridotgw/model"
+)
+
+// largestGuarantee returns the guarantee whose shape takes the most accelerators, rack-adjacent ones first.
+func (s *story) largestGuarantee() (model.Guarantee, model.Shape) {
+	set := s.deployment.set
+	var best model.Guarantee
+	var size model.Accelerators
+	for _, name := range slices.Sorted(maps.Keys(set.Guarantees)) {
+		guarantee := set.Guarantees[name]
+		shape := set.Shapes[guarantee.Shape]
+		if shape.Adjacency == model.AdjacencyRack && shape.Accelerators() > size {
+			best, size = guarantee, shape.Accelerators()
+		}
+	}
+	return best, set.Shapes[best.Shape]
+}
+
+func (s *story) smallestShape() (model.ShapeID, model.Accelerators) {
+	set := s.deployment.set
+	var best model.ShapeID
+	var size model.Accelerators
+	for _, name := range slices.Sorted(maps.Keys(set.Shapes)) {
+		if n := set.Shapes[name].Accelerators(); size == 0 || n < size {
+			best, size = name, n
+		}
+	}
+	return best, size
+}
+
+func (s *story) anyJobClass() model.JobClassID {
+	return slices.Sorted(maps.Keys(s.deployment.set.JobClasses))[0]
+}
+
+// stoppableClass returns a class that may run on lent capacity, the least urgent first.
+func (s *story) stoppableClass() (model.JobClassID, bool) {
+	set := s.deployment.set
+	var best model.JobClassID
+	rank := -1
+	for _, name := range slices.Sorted(maps.Keys(set.JobClasses)) {
+		if class := set.JobClasses[name]; class.Stoppable() && class.Priority.Rank() > rank {
+			best, rank = name, class.Priority.Rank()
+		}
+	}
+	return best, rank >= 0
+}
+
+// otherCustomer returns the customer with the largest quota that is not the given one.
+func (s *story) otherCustomer(not model.CustomerID) model.CustomerID {
+	set := s.deployment.set
+	var best model.CustomerID
+	var quota model.Accelerators
+	for _, name := range slices.Sorted(maps.Keys(set.Customers)) {
+		if customer := set.Customers[name]; name != not && customer.QuotaAccelerators > quota {
+			best, quota = name, customer.QuotaAccelerators
+		}
+	}
+	return best
+}
+
+func (d *deployment) countMachines(kind string) int {
+	n := 0
+	for _, m := range d.machines {
+		if m.Kind == kind {
+			n++
+		}
+	}
+	return n
+}
+
+// accelerators returns all accelerators of a data centre.
+func (d *deployment) accelerators(dc model.DataCentreID) model.Accelerators {
+	var total model.Accelerators
+	for _, rack := range d.set.DataCentres[dc].Racks {
+		total += model.Accelerators(rack.Workers) * rack.AcceleratorsPerWorker
+	}
+	return total
+}
--- /dev/null
+++ b/demo/summary.go
@@ -0,0 +1,160 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"peridotgw.example/peridotgw/client"
+	"peridotgw.example/peridotgw/model"
+	"peridotgw.example/peridotgw/reply"
+)
+
+// summary prints the counts per outcome, the retries and refusals by reason, one explained job, and the broken promises.
+func (s *story) summary(ctx context.Context) {
+	fmt.Println("\n  outcomes per class (from the callers):")
+	for _, line := range outcomeLines(s.results) {
+		fmt.Println("    " + line)
+	}
+	fmt.Println("  refusals and retries by reason (from the instances):")
+	for _, line := range s.counters.lines() {
+		fmt.Println("    " + line)
+	}
+	s.explainJob(ctx, "moving-1")
+	s.explainRequest(ctx)
+	if len(s.broken) == 0 {
+		fmt.Printf("  %s: no promise was seen broken\n", s.deployment.name)
+		return
+	}
+	fmt.Printf("  %s: %d promises were seen broken:\n", s.deployment.name, len(s.broken))
+	for _, text := range s.broken[:min(len(s.broken), 20)] {
+		fmt.Println("    " + text)
+	}
+}
+
+func outcomeLines(results []sent) []string {
+	type group struct {
+		class   model.RequestClassID
+		outcome reply.Outcome
+		reason  reply.Reason
+	}
+	counts := map[group]int{}
+	latency := map[model.RequestClassID][]time.Duration{}
+	for _, r := range results {
+		counts[group{r.class, r.outcome, r.reason}]++
+		if r.outcome == reply.OutcomeDone {
+			latency[r.class] = append(latency[r.class], r.took)
+		}
+	}
+	var lines []string
+	for g, n := range counts {
+		lines = append(lines, fmt.Sprintf("%-14s %-12s %-22s %6d", g.class, g.outcome, g.reason, n))
+	}
+	for class, took := range latency {
+		slices.Sort(took)
+		lines = append(lines, fmt.Sprintf("%-14s latency      median %s, 99th percentile %s", class,
+			took[len(took)/2].Round(100*time.Microsecond), took[len(took)*99/100].Round(100*time.Microsecond)))
+	}
+	slices.Sort(lines)
+	return lines
+}
+
+func (s *story) explainJob(ctx context.Context, id model.JobID) {
+	events, err := s.operator.ExplainJob(ctx, id)
+	if err != nil {
+		s.breach("record", "job %s cannot be explained: %v", id, err)
+		return
+	}
+	fmt.Printf("  explain job %s:\n", id)
+	printEvents(events)
+}
+
+// explainRequest prints the record of the first request that did not end well.
+func (s *story) explainRequest(ctx context.Context) {
+	for _, r := range s.results {
+		if r.outcome != reply.OutcomeRefused && r.outcome != reply.OutcomeUnknown && r.outcome != reply.OutcomeFailed {
+			continue
+		}
+		for customer := range s.deployment.set.Customers {
+			events, err := s.operator.ExplainRequest(ctx, customer, r.id)
+			if err == nil && len(events) > 0 {
+				fmt.Printf("  explain request %s of %s:\n", r.id, customer)
+				printEvents(events)
+				return
+			}
+		}
+	}
+	fmt.Println("  explain request: every request was done, so none has a recorded decision")
+}
+
+func printEvents(events []client.Event) {
+	for _, e := range events {
+		var inputs []string
+		for _, name := range slices.Sorted(maps.Keys(e.Inputs)) {
+			inputs = append(inputs, name+"="+e.Inputs[name])
+		}
+		fmt.Printf("    %s %s revision %d: %s %s %s\n", e.At.Format("15:04:05.000"), e.Instance, e.Revision, e.Action, e.Reason, strings.Join(inputs, " "))
+	}
+}
+
+// counters sums up the instances' counters, across restarts.
+type counters struct {
+	values map[string]float64
+	line   *regexp.Regexp
+}
+
+func newCounters() *counters {
+	return &counters{
+		values: map[string]float64{},
+		line:   regexp.MustCompile(`^(peridot_(?:refusals|retries)_total\{[^}]*\}) (\S+)$`),
+	}
+}
+
+// add reads the counters of a running instance; one that is killed later loses what it counted after this call.
+func (c *counters) add(ctx context.Context, d *deployment, one *instance) {
+	if !one.process.running() {
+		return
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+one.process.ready["metrics"]+"/metrics", nil)
+	if err != nil {
+		return
+	}
+	res, err := d.http.Do(req)
+	if err != nil {
+		return
+	}
+	body, err := io.ReadAll(res.Body)
+	if errors.Join(err, res.Body.Close()) != nil {
+		return
+	}
+	for _, line := range strings.Split(string(body), "\n") {
+		match := c.line.FindStringSubmatch(line)
+		if match == nil {
+			continue
+		}
+		if value, err := strconv.ParseFloat(match[2], 64); err == nil {
+			c.values[match[1]] += value
+		}
+	}
+}
+
+func (c *counters) lines() []string {
+	var lines []string
+	for _, name := range slices.Sorted(maps.Keys(c.values)) {
+		if c.values[name] > 0 {
+			lines = append(lines, fmt.Sprintf("%s %.0f", strings.TrimPrefix(name, "peridot_"), c.values[name]))
+		}
+	}
+	if len(lines) == 0 {
+		lines = append(lines, "none")
+	}
+	return lines
+}
--- /dev/null
+++ b/internal/daemon/platform.go
@@ -0,0 +1,74 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"peridotgw.example/peridotgw/internal/audit"
+	"peridotgw.example/peridotgw/internal/kernel"
+	"peridotgw.example/peridotgw/internal/lease"
+	"peridotgw.example/peridotgw/internal/store"
+	"peridotgw.example/peridotgw/internal/vmlist"
+	"peridotgw.example/peridotgw/internal/wire"
+)
+
+// Roles under which calls to the store are counted.
+const (
+	roleLease  = "lease"
+	roleMember = "member"
+	roleConfig = "config"
+	roleAudit  = "audit"
+	roleClaim  = "claim"
+	roleJob    = "job"
+)
+
+// peerTimeout bounds one call to another instance.
+const peerTimeout = 3 * time.Second
+
+// addPlatform adds the parts that speak with the platform.
+func (d *Daemon) addPlatform() {
+	settings := d.Settings
+	client, closeStore := store.New(settings.Store.URL, d.Metrics)
+	d.cleanups = append(d.cleanups, closeStore)
+	client.Timeout = settings.Store.Timeout.Std()
+	client.Do = d.do(client.Do)
+	d.Store = client
+	d.Kernel.Add(kernel.Service{Name: ServiceStore, Value: client})
+
+	d.Lease = &lease.Holder{
+		Store: client.WithRole(roleLease), Instance: settings.Instance, Incarnation: settings.Incarnation,
+		TTL: settings.Bounds.Lease.Std(), RenewEvery: settings.Bounds.LeaseRenew.Std(), Log: d.Log, Metrics: d.Metrics,
+	}
+	d.Kernel.Add(kernel.Service{
+		Name: ServiceLease, Needs: []kernel.Name{ServiceStore}, Value: d.Lease, Run: d.Lease.Run, Stop: d.Lease.Close,
+	})
+
+	d.Audit = &audit.Log{
+		Store: client.WithRole(roleAudit), Instance: settings.Instance, Log: d.Log, Metrics: d.Metrics,
+	}
+	d.Kernel.Add(kernel.Service{
+		Name: ServiceAudit, Needs: []kernel.Name{ServiceStore}, Value: d.Audit, Run: d.Audit.Run, Stop: d.flushAudit,
+	})
+
+	d.VMs = &vmlist.Poller{URL: settings.VMList.URL, Every: settings.VMList.Every.Std(), Log: d.Log, Do: d.do(nil)}
+	d.Kernel.Add(kernel.Service{Name: ServiceVMs, Value: d.VMs, Run: d.VMs.Run})
+
+	caller, closeCaller := wire.NewCaller(peerTimeout)
+	d.cleanups = append(d.cleanups, closeCaller)
+	if d.transport != nil {
+		caller = &wire.Caller{HTTP: timeoutClient(d.transport, peerTimeout)}
+	}
+	d.caller = caller
+}
+
+// flushAudit writes the last events; an unavailable store must not make a planned stop fail.
+func (d *Daemon) flushAudit(ctx context.Context) error {
+	err := d.Audit.Flush(ctx)
+	var unavailable *store.UnavailableError
+	if errors.As(err, &unavailable) {
+		d.Log.Warn().Err(err).Msg("audit: last events are lost because the store is unavailable")
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/daemon/requests.go
@@ -0,0 +1,82 @@
+package daemon
+
+import (
+	"context"
+
+	"peridotgw.example/peridotgw/internal/claim"
+	"peridotgw.example/peridotgw/internal/front"
+	"peridotgw.example/peridotgw/internal/kernel"
+	"peridotgw.example/peridotgw/internal/queue"
+	"peridotgw.example/peridotgw/internal/relay"
+	"peridotgw.example/peridotgw/internal/route"
+	"peridotgw.example/peridotgw/model"
+	"peridotgw.example/peridotgw/reply"
+)
+
+// addRequests adds the path of a request from the caller to an endpoint.
+func (d *Daemon) addRequests() {
+	settings := d.Settings
+	d.Route = &route.Table{
+		Log: d.Log, Metrics: d.Metrics, Current: d.Follower.Current, Members: d.liveInstances,
+		Self: settings.Instance, DataCentre: settings.DataCentre, Do: d.do(nil),
+	}
+	d.VMs.Subscribe(d.Route.Update)
+	d.Kernel.Add(kernel.Service{
+		Name: ServiceRoute, Needs: []kernel.Name{ServiceConfig, ServiceVMs}, Value: d.Route, Run: d.Route.Run,
+	})
+	d.Queue = &queue.Queue{Metrics: d.Metrics, Acquire: d.Route.Acquire, Slots: d.Route.Slots, Usable: d.Route.Usable}
+	d.Route.OnFree = d.Queue.Kick
+	d.Kernel.Add(kernel.Service{Name: ServiceQueue, Needs: []kernel.Name{ServiceRoute}, Value: d.Queue})
+	d.Relay = &relay.Relay{
+		Log: d.Log, Metrics: d.Metrics, Table: d.Route, MaySend: d.Follower.MaySend, Do: d.do(nil),
+	}
+	d.Kernel.Add(kernel.Service{Name: ServiceRelay, Needs: []kernel.Name{ServiceRoute}, Value: d.Relay, Run: d.Relay.Run})
+	d.Claims = &claim.Book{
+		Store: d.Store.WithRole(roleClaim), Instance: settings.Instance, Incarnation: settings.Incarnation,
+		Log: d.Log, Metrics: d.Metrics,
+	}
+	d.Kernel.Add(kernel.Service{Name: ServiceClaims, Needs: []kernel.Name{ServiceStore}, Value: d.Claims, Run: d.Claims.Run})
+	d.Front = &front.Server{
+		Log: d.Log, Metrics: d.Metrics, Instance: settings.Instance, Current: d.Follower.Current,
+		MaySend: d.Follower.MaySend, Queue: d.Queue, Relay: d.Relay, Claim: d.claim, Record: d.record,
+		Submit: d.Tasks.submitJSON, Get: d.Tasks.getJSON, Cancel: d.Tasks.cancelJSON,
+		Listener: d.listeners.callers,
+	}
+	service := kernel.Service{
+		Name:  ServiceFront,
+		Needs: []kernel.Name{ServiceQueue, ServiceRelay, ServiceClaims, ServiceSched, ServiceAudit, ServiceConfig},
+		Value: d.Front, Stop: d.Front.Drain,
+	}
+	if d.listeners.callers != nil {
+		service.Run = d.Front.Run
+	}
+	d.Kernel.Add(service)
+}
+
+func (d *Daemon) liveInstances() []model.InstanceID {
+	live := d.Members.Live()
+	ids := make([]model.InstanceID, 0, len(live))
+	for _, m := range live {
+		ids = append(ids, m.Instance)
+	}
+	return ids
+}
+
+// claim ties the callers' API to the claims.
+func (d *Daemon) claim(
+	ctx context.Context, request front.ClaimRequest,
+) (*front.Claim, *front.StoredAnswer, *reply.Error) {
+	key := claim.Key{Customer: request.Customer, Request: request.Request}
+	held, outcome, refused := d.Claims.Begin(ctx, key, request.Class, request.Digest)
+	if refused != nil {
+		return nil, nil, refused
+	}
+	if outcome != nil {
+		stored := front.StoredAnswer(*outcome)
+		return nil, &stored, nil
+	}
+	finish := func(ctx context.Context, answer front.StoredAnswer) error {
+		return held.Finish(ctx, claim.Outcome(answer))
+	}
+	return &front.Claim{Finish: finish, Release: held.Release}, nil, nil
+}
--- /dev/null
+++ b/internal/daemon/servers.go
@@ -0,0 +1,61 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"peridotgw.example/peridotgw/internal/audit"
+	"peridotgw.example/peridotgw/internal/kernel"
+	"peridotgw.example/peridotgw/internal/opsapi"
+	"peridotgw.example/peridotgw/internal/route"
+	"peridotgw.example/peridotgw/model"
+)
+
+// addServers adds the operators' API, the peers' and the metrics' listeners, and the drain.
+func (d *Daemon) addServers() {
+	d.Ops = &opsapi.Server{
+		Log: d.Log, Metrics: d.Metrics, Tokens: d.Settings.Tokens(), Publisher: d.Publisher, Follower: d.Follower,
+		Members: d.Members, Instance: d.Settings.Instance,
+		ListJobs: d.Tasks.list, GetJob: d.Tasks.get, SubmitJob: d.Tasks.submit, CancelJob: d.Tasks.cancel,
+		Explain:    d.explain,
+		SetLeaving: func(ids []model.EndpointID) { d.Route.SetLeaving(ids, route.SourceOperator) },
+	}
+	d.Kernel.Add(d.httpService(ServiceOps, d.listeners.operators, d.Ops.Handler(), ServiceConfig, ServiceSched, ServiceAudit))
+	d.Kernel.Add(d.httpService(ServicePeers, d.listeners.peers, d.listeners.peerMux, ServiceLease))
+
+	d.Health = &Health{Ready: d.ready}
+	d.Kernel.Add(d.httpService(ServiceHealth, d.listeners.metrics, d.healthMux()))
+	d.Kernel.Add(kernel.Service{
+		Name: ServiceDrain, Needs: []kernel.Name{ServiceFront, ServiceOps, ServiceHealth}, Stop: d.drain,
+	})
+}
+
+func (d *Daemon) healthMux() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", d.Metrics.Handler())
+	mux.HandleFunc("/livez", d.Health.Live)
+	mux.HandleFunc("/readyz", d.Health.ReadyHandler)
+	return mux
+}
+
+// PeerHandler serves the calls of other instances.
+func (d *Daemon) PeerHandler() http.Handler { return d.listeners.peerMux }
+
+// explain returns the recorded decisions on a subject; those on a job are in its record.
+func (d *Daemon) explain(ctx context.Context, kind, id string) (any, error) {
+	events, err := d.Audit.Explain(ctx, audit.Subject{Kind: kind, ID: id})
+	if kind == audit.KindJob {
+		notes, noteErr := d.Tasks.history(ctx, model.JobID(id))
+		events, err = append(notes, events...), errors.Join(err, noteErr)
+	}
+	if len(events) > 0 {
+		err = nil
+	}
+	return eventList{Events: events}, err
+}
+
+// eventList is the answer of GET /v1/explain.
+type eventList struct {
+	Events []audit.Event `json:"events"`
+}
--- /dev/null
+++ b/internal/daemon/tasks.go
@@ -0,0 +1,225 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"peridotgw.example/peridotgw/internal/audit"
+	"peridotgw.example/peridotgw/internal/jobs"
+	"peridotgw.example/peridotgw/internal/kernel"
+	"peridotgw.example/peridotgw/internal/member"
+	"peridotgw.example/peridotgw/internal/sched"
+	"peridotgw.example/peridotgw/internal/vmlist"
+	"peridotgw.example/peridotgw/internal/worker"
+	"peridotgw.example/peridotgw/model"
+	"peridotgw.example/peridotgw/reply"
+)
+
+// nudgeTimeout bounds a nudge; a lost one delays the owner until it sees the record by its watch.
+const nudgeTimeout = time.Second
+
+// Tasks ties the scheduler to membership, configuration and the HTTP interfaces.
+type Tasks struct {
+	Manager *sched.Manager
+
+	daemon *Daemon
+}
+
+// addTasks adds the scheduler.
+func (d *Daemon) addTasks() {
+	settings := d.Settings
+	workers, closeWorkers := worker.New(d.Metrics)
+	d.cleanups = append(d.cleanups, closeWorkers)
+	workers.Log = d.Log
+	workers.Do = d.do(workers.Do)
+	d.Tasks = &Tasks{daemon: d}
+	d.Tasks.Manager = &sched.Manager{
+		Self:    sched.Peer{Instance: settings.Instance, DataCentre: settings.DataCentre},
+		Current: d.Follower.Current, MayStartTask: d.Follower.MayStartTask, MaySubmit: d.maySubmit,
+		Live: d.Tasks.live, Workers: d.Tasks.workers, PeerSummaries: d.Tasks.peerSummaries,
+		Acquire: d.Lease.Acquire, Token: d.Lease.Token, Release: d.Lease.Release,
+		Record: d.record, Nudge: d.Tasks.nudge,
+		Jobs: &jobs.Book{Store: d.Store.WithRole(roleJob)}, Worker: workers, Log: d.Log, Metrics: d.Metrics,
+	}
+	d.Tasks.Manager.Register(d.listeners.peerMux)
+	d.Kernel.Add(kernel.Service{
+		Name: ServiceSched, Needs: []kernel.Name{ServiceConfig, ServiceVMs, ServiceAudit, ServiceLease},
+		Value: d.Tasks.Manager, Run: d.Tasks.Manager.Run, Stop: d.Tasks.Manager.Stop,
+	})
+}
+
+// maySubmit refuses jobs while the configuration is not proved to be current, because its limits are checked with it.
+func (d *Daemon) maySubmit() *reply.Error {
+	if _, _, confirmed := d.Follower.Confirmation(); !confirmed {
+		return reply.Refused(reply.ReasonConfigStale, "the configuration is not proved to be current")
+	}
+	return nil
+}
+
+func (t *Tasks) live() []sched.Peer {
+	members := t.daemon.Members.Live()
+	peers := make([]sched.Peer, 0, len(members))
+	for _, m := range members {
+		peers = append(peers, sched.Peer{Instance: m.Instance, DataCentre: m.DataCentre})
+	}
+	return peers
+}
+
+func (t *Tasks) workers() []sched.WorkerVM {
+	vms := t.daemon.VMs.VMs(vmlist.KindWorker)
+	workers := make([]sched.WorkerVM, 0, len(vms))
+	for _, vm := range vms {
+		workers = append(workers, sched.WorkerVM{
+			ID: model.WorkerID(vm.Name), Address: vm.Address, DataCentre: vm.DataCentre, Rack: vm.Rack,
+			Accelerators: vm.Accelerators, Cores: vm.Cores, Leaving: vm.State == vmlist.StateLeaving, Incarnation: vm.Incarnation,
+		})
+	}
+	return workers
+}
+
+func (t *Tasks) peerSummaries() []sched.Summary {
+	var summaries []sched.Summary
+	for _, report := range t.daemon.Members.Reports(member.LiveWithin) {
+		for _, s := range report.Summaries {
+			summaries = append(summaries, fromMember(s))
+		}
+	}
+	return summaries
+}
+
+// Summaries returns the loads of the data centres that this instance owns.
+func (t *Tasks) Summaries() []member.Summary {
+	own := t.Manager.Summaries()
+	summaries := make([]member.Summary, 0, len(own))
+	for _, s := range own {
+		summaries = append(summaries, toMember(s))
+	}
+	return summaries
+}
+
+// nudge tells the owner of a data centre that a record changed.
+func (t *Tasks) nudge(ctx context.Context, dc model.DataCentreID) {
+	owner, found := t.ownerAddress(dc)
+	if !found {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, nudgeTimeout)
+	defer cancel()
+	if err := sched.SendNudge(ctx, t.daemon.caller, owner, dc); err != nil {
+		t.daemon.Log.Debug().Err(err).Str("data-centre", string(dc)).Msg("sched: nudge was lost")
+	}
+}
+
+func (t *Tasks) ownerAddress(dc model.DataCentreID) (string, bool) {
+	for _, s := range t.peerSummaries() {
+		if s.DataCentre == dc {
+			return t.daemon.Members.Address(s.Owner)
+		}
+	}
+	return "", false
+}
+
+// submitJSON, getJSON and cancelJSON serve the callers' API.
+func (t *Tasks) submitJSON(ctx context.Context, body json.RawMessage) (json.RawMessage, *reply.Error) {
+	spec, refused := decodeSpec(body)
+	if refused != nil {
+		return nil, refused
+	}
+	return encodeRecord(t.Manager.Submit(ctx, spec))
+}
+
+func (t *Tasks) getJSON(ctx context.Context, id model.JobID) (json.RawMessage, *reply.Error) {
+	return encodeRecord(t.Manager.Get(ctx, id))
+}
+
+func (t *Tasks) cancelJSON(ctx context.Context, id model.JobID) (json.RawMessage, *reply.Error) {
+	return encodeRecord(t.Manager.Cancel(ctx, id))
+}
+
+// submit, get, cancel and list serve the operators' API.
+func (t *Tasks) submit(ctx context.Context, body json.RawMessage) (any, *reply.Error) {
+	return asAny(t.submitJSON(ctx, body))
+}
+
+func (t *Tasks) get(ctx context.Context, id model.JobID) (any, *reply.Error) {
+	return asAny(t.getJSON(ctx, id))
+}
+
+func (t *Tasks) cancel(ctx context.Context, id model.JobID) (any, *reply.Error) {
+	return asAny(t.cancelJSON(ctx, id))
+}
+
+func (t *Tasks) list(ctx context.Context) (any, error) {
+	records, err := t.Manager.List(ctx)
+	return jobList{Jobs: records}, err
+}
+
+// jobList is the answer of GET /v1/jobs.
+type jobList struct {
+	Jobs []jobs.Record `json:"jobs"`
+}
+
+// history returns the decisions that a job's record holds.
+func (t *Tasks) history(ctx context.Context, id model.JobID) ([]audit.Event, error) {
+	record, refused := t.Manager.Get(ctx, id)
+	if refused != nil {
+		return nil, eris.Wrap(refused, "reading the job's record")
+	}
+	events := make([]audit.Event, 0, len(record.History))
+	for _, note := range record.History {
+		events = append(events, audit.Event{
+			At: note.At, Instance: note.Instance, Subject: audit.Subject{Kind: audit.KindJob, ID: string(id)},
+			Action: note.Action, Reason: note.Reason, Revision: note.Revision, Inputs: note.Inputs,
+		})
+	}
+	return events, nil
+}
+
+func decodeSpec(body json.RawMessage) (jobs.Spec, *reply.Error) {
+	var spec jobs.Spec
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&spec); err != nil {
+		return spec, reply.Refused(reply.ReasonMalformed, "the job is not valid JSON: %v", err)
+	}
+	return spec, nil
+}
+
+func encodeRecord(record jobs.Record, refused *reply.Error) (json.RawMessage, *reply.Error) {
+	if refused != nil {
+		return nil, refused
+	}
+	data, err := json.Marshal(record)
+	if err != nil {
+		return nil, reply.Unknown(reply.ReasonAnswerLost, "encoding the job's record: %v", err)
+	}
+	return data, nil
+}
+
+// asAny keeps a missing record from becoming a non-nil value.
+func asAny(record json.RawMessage, refused *reply.Error) (any, *reply.Error) {
+	if refused != nil {
+		return nil, refused
+	}
+	return record, nil
+}
+
+func toMember(s sched.Summary) member.Summary {
+	return member.Summary{
+		DataCentre: s.DataCentre, Owner: s.Owner, Free: s.Free, LargestRackFree: s.LargestRackFree,
+		Queued: s.Queued, Running: s.Running, At: s.At,
+		Total: s.Total, QueuedAccelerators: s.QueuedAccelerators, RunningAccelerators: s.RunningAccelerators,
+	}
+}
+
+func fromMember(s member.Summary) sched.Summary {
+	return sched.Summary{
+		DataCentre: s.DataCentre, Owner: s.Owner, Free: s.Free, LargestRackFree: s.LargestRackFree,
+		Queued: s.Queued, Running: s.Running, At: s.At,
+		Total: s.Total, QueuedAccelerators: s.QueuedAccelerators, RunningAccelerators: s.RunningAccelerators,
+	}
+}
--- a/internal/member/types.go
+++ b/internal/member/types.go
@@ -45,6 +45,10 @@
 	Running         int                `cbor:"6,keyasint,omitempty" json:"running"`
 	// At is the age of the summary.
 	At time.Duration `cbor:"7,keyasint,omitempty" json:"-"`
+	// Total, QueuedAccelerators and RunningAccelerators decide to which data centre a new job goes.
+	Total               model.Accelerators `cbor:"8,keyasint,omitempty" json:"total"`
+	QueuedAccelerators  model.Accelerators `cbor:"9,keyasint,omitempty" json:"queued-accelerators"`
+	RunningAccelerators model.Accelerators `cbor:"10,keyasint,omitempty" json:"running-accelerators"`
 }
 
 // Report is what an instance tells its peers.
--- a/internal/opsapi/status.go
+++ b/internal/opsapi/status.go
@@ -34,13 +34,18 @@
 }
 
 type dataCentreStatus struct {
-	Name    model.DataCentreID `json:"name"`
+	Name    model.DataCentreID `json:"data-centre"`
 	Service model.ServiceState `json:"service"`
-	// Owner is empty when no instance reports that it owns the data centre.
-	Owner  model.InstanceID `json:"owner"`
-	Load   *member.Summary  `json:"load,omitempty"`
-	AsOf   model.Duration   `json:"load-age,omitempty"`
-	Region string           `json:"region,omitempty"`
+	Region  string             `json:"region,omitempty"`
+	// Owner is empty when no instance reports that it owns the data centre; the load is zero then.
+	Owner           model.InstanceID   `json:"owner,omitempty"`
+	Total           model.Accelerators `json:"total"`
+	Free            model.Accelerators `json:"free"`
+	LargestRackFree model.Accelerators `json:"largest-rack-free"`
+	Queued          int                `json:"queued"`
+	Running         int                `json:"running"`
+	// Age is the time since the owner summed up the load.
+	Age model.Duration `json:"age,omitempty"`
 }
 
 func (s *Server) status(_ context.Context, c call) (answer, *reply.Error) {
@@ -64,7 +69,9 @@
 		dataCentre := set.DataCentres[name]
 		status := dataCentreStatus{Name: name, Service: dataCentre.Service, Region: dataCentre.Region}
 		if summary, found := summaries[name]; found {
-			status.Owner, status.Load, status.AsOf = summary.Owner, &summary, rounded(summary.At)
+			status.Owner, status.Age = summary.Owner, rounded(summary.At)
+			status.Total, status.Free, status.LargestRackFree = summary.Total, summary.Free, summary.LargestRackFree
+			status.Queued, status.Running = summary.Queued, summary.Running
 		}
 		body.DataCentres = append(body.DataCentres, status)
 	}
--- a/peridotctl/operate.go
+++ b/peridotctl/operate.go
@@ -115,10 +115,10 @@
 }
 
 func memberRows(members []client.MemberStatus) [][]string {
-	rows := [][]string{{"INSTANCE", "DATA-CENTRE", "REVISION", "CONFIRMED", "DRAINING", "HEARD"}}
+	rows := [][]string{{"INSTANCE", "DATA-CENTRE", "REVISION", "CONFIRMED", "DRAINING", "CONFIRMED-AGE"}}
 	for _, m := range members {
 		rows = append(rows, []string{
-			string(m.Instance), string(m.DataCentre), number(m.Revision), fmt.Sprint(m.Confirmed), fmt.Sprint(m.Draining), m.HeardAge.String(),
+			string(m.Instance), string(m.DataCentre), number(m.Revision), fmt.Sprint(m.Confirmed), fmt.Sprint(m.Draining), m.ConfirmedAge.String(),
 		})
 	}
 	return rows
--- /dev/null
+++ b/standin/builders.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"peridotgw.example/peridotgw/internal/fakeep"
+	"peridotgw.example/peridotgw/internal/fakekv"
+	"peridotgw.example/peridotgw/internal/fakevm"
+	"peridotgw.example/peridotgw/internal/fakewk"
+	"peridotgw.example/peridotgw/internal/vmlist"
+	"peridotgw.example/peridotgw/model"
+)
+
+// Behaviour of the fakes without faults.
+const (
+	// serviceTime is how long an endpoint works on a request.
+	serviceTime = 20 * time.Millisecond
+	// checkpointTime is how long a worker takes to checkpoint a task.
+	checkpointTime = 500 * time.Millisecond
+)
+
+// builders returns the fakes that this program can serve.
+func builders() fakes {
+	return fakes{
+		store:    func() http.Handler { return fakekv.New() },
+		worker:   newWorker,
+		endpoint: newEndpoint,
+		vmList:   newVMList,
+	}
+}
+
+func newWorker(m machine) http.Handler {
+	worker := fakewk.New(model.WorkerID(m.Name), m.Accelerators)
+	worker.Checkpoint = checkpointTime
+	return worker
+}
+
+func newEndpoint(m machine) http.Handler {
+	endpoint := fakeep.New(m.Slots)
+	endpoint.Incarnation = incarnation()
+	endpoint.Service = func(model.RequestClassID) time.Duration { return serviceTime }
+	return endpoint
+}
+
+func newVMList(machines []machine) http.Handler {
+	vms := make([]vmlist.VM, 0, len(machines))
+	for _, m := range machines {
+		vms = append(vms, vmlist.VM{
+			Name: m.Name, Kind: vmlist.Kind(m.Kind), Address: m.Address, DataCentre: m.DataCentre, Rack: m.Rack,
+			Accelerators: m.Accelerators, Cores: m.Cores, MemoryMB: m.MemoryMB, Slots: m.Slots,
+			State: vmlist.StateLive, Incarnation: incarnation(),
+		})
+	}
+	return fakevm.New(vms...)
+}
+
+// incarnation is the same for everything that this process serves, because it all starts and ends with it.
+func incarnation() model.Incarnation { return model.Incarnation(fmt.Sprint(os.Getpid())) }
--- a/standin/main.go
+++ b/standin/main.go
@@ -6,14 +6,11 @@
 	"context"
 	"flag"
 	"fmt"
-	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/rs/zerolog"
-
-	"peridotgw.example/peridotgw/internal/fakekv"
 )
 
 func main() {
@@ -57,13 +54,6 @@
 	}
 }
 
-// builders returns the fakes that this program can serve. A part whose function is nil is not served.
-func builders() fakes {
-	return fakes{
-		store: func() http.Handler { return fakekv.New() },
-	}
-}
-
 func run(ctx context.Context, log zerolog.Logger, layout *Layout) error {
 	fleet, err := listen(ctx, layout, builders())
 	if err != nil {
