--- a/client/client_test.go
+++ b/client/client_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -54,6 +55,15 @@
 	panic(http.ErrAbortHandler)
 }
 
+// reset breaks the connection in a way that shows as a network error and not as its end.
+func reset(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	connection, _, err := w.(http.Hijacker).Hijack()
+	Expect(err).NotTo(HaveOccurred())
+	Expect(connection.(*net.TCPConn).SetLinger(0)).To(Succeed())
+	Expect(connection.Close()).To(Succeed())
+}
+
 func cutBody(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Content-Length", "100")
 	done(w, r)
@@ -134,6 +144,7 @@
 		Expect(outcome(do(serve(handler).URL))).To(Equal(want))
 	},
 		Entry("cut before the answer", http.HandlerFunc(cut), "unknown: answer-lost"),
+		Entry("reset before the answer", http.HandlerFunc(reset), "unknown: answer-lost"),
 		Entry("cut inside the answer", http.HandlerFunc(cutBody), "unknown: answer-incomplete"),
 		Entry("answer to another request", http.HandlerFunc(crossed), "unknown: answer-crossed"),
 		Entry("error page of a balancer", plain(http.StatusBadGateway), "unknown: answer-lost"),
@@ -152,6 +163,8 @@
 		Entry("a lost answer is asked for again with the same id", http.HandlerFunc(cut), http.HandlerFunc(done), "done", 1),
 		Entry("a refused repeat does not prove that the first send did not run",
 			http.HandlerFunc(cut), refuse(reply.ReasonConfigStale), "unknown: answer-lost", 1),
+		Entry("nor does a repeat that the instance has no room for",
+			http.HandlerFunc(cut), refuse(reply.ReasonQueueFull), "unknown: answer-lost", 1),
 		Entry("a draining instance is left for the next", refuse(reply.ReasonDraining), http.HandlerFunc(done), "done", 1),
 		Entry("overload is not spread to the next instance", refuse(reply.ReasonOverload), http.HandlerFunc(done), "refused: overload", 0),
 		Entry("an outcome unknown to the instance is final",
--- a/peridotctl/command.go
+++ b/peridotctl/command.go
@@ -116,6 +116,9 @@
 	if err != nil {
 		return nil, usage("reading token: %v", err)
 	}
+	if strings.TrimSpace(string(token)) == "" {
+		return nil, usage("token file %s is empty", s.tokenFile)
+	}
 	var addresses []string
 	for address := range strings.SplitSeq(s.addresses, ",") {
 		address = strings.TrimSpace(address)
--- a/peridotctl/peridotctl_test.go
+++ b/peridotctl/peridotctl_test.go
@@ -137,6 +137,7 @@
 		Entry("missing file", "no such file", "publish", "none.json"),
 		Entry("unknown kind", "not a kind", "withdraw", "team/a"),
 		Entry("address without scheme", "does not start with http://", "status", "-address", "10.0.0.1:1"),
+		Entry("empty token", "token file /dev/null is empty", "status", "-token-file", "/dev/null"),
 		Entry("missing token", "reading token", "status", "-token-file", "none"),
 		Entry("job without class", "-class", "submit", "-customer", "parks"),
 	)
