--- /dev/null
+++ b/internal/config/publish_test.go
@@ -0,0 +1,194 @@
+package config_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"peridotgw.example/peridotgw/internal/config"
+	"peridotgw.example/peridotgw/internal/fakekv"
+	"peridotgw.example/peridotgw/model"
+	"peridotgw.example/peridotgw/reply"
+)
+
+var _ = Describe("Publisher", func() {
+	It("applies a repeated change once and refuses its id for another content, so that a retry cannot publish twice", func() {
+		virtual(func(ctx context.Context) {
+			c := newCluster(ctx)
+			p := &config.Publisher{Store: c.client("op")}
+			Expect(c.must(p, "first", 0, dataCentre(model.ServiceIn), customer("clerks", 1)).Revision).To(BeEquivalentTo(1))
+			c.must(p, "second", 1, customer("judges", 1))
+
+			again := c.must(p, "first", 0, customer("clerks", 1), dataCentre(model.ServiceIn))
+			Expect(again.Already).To(BeTrue())
+			Expect(again.Revision).To(BeEquivalentTo(1))
+
+			_, refused := p.Publish(ctx, config.Change{ID: "first", Base: 2, Put: []model.Object{customer("clerks", 2)}})
+			Expect(refused.Reason).To(Equal(reply.ReasonIDReused))
+			Expect(c.history()).To(HaveLen(2))
+		})
+	})
+
+	It("names the objects that changed since the base, so that no operator overwrites another's work unseen", func() {
+		virtual(func(ctx context.Context) {
+			c := newCluster(ctx)
+			p := &config.Publisher{Store: c.client("op")}
+			shape := object(model.KindShape, "one", model.Shape{Tasks: 1, AcceleratorsPerTask: 8, Adjacency: model.AdjacencyWorker})
+			c.must(p, "first", 0, dataCentre(model.ServiceIn), customer("clerks", 1), customer("judges", 1), shape)
+			c.must(p, "second", 1, customer("clerks", 2))
+			_, refused := p.Publish(ctx, config.Change{ID: "remove", Base: 2, Delete: []model.Ref{{Kind: model.KindCustomer, Name: "judges"}}})
+			Expect(refused).To(BeNil())
+
+			guarantee := func(customer model.CustomerID) model.Object {
+				return object(model.KindGuarantee, "g", model.Guarantee{Customer: customer, Shape: "one", DataCentre: dcName, Count: 1})
+			}
+			for name, try := range map[string]struct {
+				put  model.Object
+				want model.Ref
+			}{
+				"touched":          {customer("clerks", 3), model.Ref{Kind: model.KindCustomer, Name: "clerks"}},
+				"referred-to":      {guarantee("clerks"), model.Ref{Kind: model.KindCustomer, Name: "clerks"}},
+				"deleted":          {customer("judges", 3), model.Ref{Kind: model.KindCustomer, Name: "judges"}},
+				"deleted-referred": {guarantee("judges"), model.Ref{Kind: model.KindCustomer, Name: "judges"}},
+			} {
+				_, refused := p.Publish(ctx, config.Change{ID: model.ChangeID(name), Base: 1, Put: []model.Object{try.put}})
+				Expect(refused).NotTo(BeNil(), name)
+				Expect(refused.Reason).To(Equal(reply.ReasonConflict), name)
+				Expect(refused.Conflicts).To(ConsistOf(try.want), name)
+			}
+			Expect(c.must(p, "unrelated", 1, customer("board", 1)).Revision).To(BeEquivalentTo(4))
+		})
+	})
+
+	It("refuses to delete a referenced object with every broken reference, and a dry run writes nothing", func() {
+		virtual(func(ctx context.Context) {
+			c := newCluster(ctx)
+			p := &config.Publisher{Store: c.client("op")}
+			class := func(name string) model.Object {
+				return object(model.KindRequestClass, name, model.RequestClass{
+					Priority: model.PriorityUrgent, Customers: []model.CustomerID{"judges"}, Timeout: model.Duration(time.Second),
+				})
+			}
+			c.must(p, "first", 0, dataCentre(model.ServiceIn), customer("judges", 1), class("check"), class("scan"))
+			_, refused := p.Publish(ctx, config.Change{ID: "remove", Base: 1, Delete: []model.Ref{{Kind: model.KindCustomer, Name: "judges"}}})
+			Expect(refused.Reason).To(Equal(reply.ReasonInvalid))
+			Expect(refused.Problems).To(HaveLen(2))
+
+			calls := c.kv.Calls()["PUT kv"]
+			result, refused := p.Publish(ctx, config.Change{ID: "try", Base: 1, Put: []model.Object{customer("board", 1)}, DryRun: true})
+			Expect(refused).To(BeNil())
+			Expect(result.Changed).To(HaveLen(1))
+			Expect(c.kv.Calls()["PUT kv"]).To(Equal(calls))
+			_, refused = p.Lookup(ctx, "try")
+			Expect(refused.Reason).To(Equal(reply.ReasonNotFound))
+		})
+	})
+
+	It("lets one of two racing operators win and tells the other, so that no change is lost or half applied", func() {
+		virtual(func(ctx context.Context) {
+			c := newCluster(ctx)
+			p := &config.Publisher{Store: c.client("op")}
+			c.must(p, "first", 0, dataCentre(model.ServiceIn), customer("clerks", 1))
+			answers, mu := map[model.ChangeID]*reply.Error{}, sync.Mutex{}
+			var running sync.WaitGroup
+			for i := range 6 {
+				running.Go(func() {
+					id := model.ChangeID(fmt.Sprintf("race-%d", i))
+					racer := &config.Publisher{Store: c.client(string(id))}
+					put := []model.Object{customer("clerks", 10+i), customer(fmt.Sprintf("c%d", i), 1)}
+					if i%2 == 1 {
+						put = put[1:]
+					}
+					_, refused := racer.Publish(ctx, config.Change{ID: id, Base: 1, Put: put})
+					mu.Lock()
+					defer mu.Unlock()
+					answers[id] = refused
+				})
+			}
+			running.Wait()
+			won := 0
+			for id, refused := range answers {
+				if refused == nil {
+					won++
+					continue
+				}
+				Expect(refused.Reason).To(Equal(reply.ReasonConflict), string(id))
+				Expect(refused.Conflicts).To(ContainElement(model.Ref{Kind: model.KindCustomer, Name: "clerks"}))
+			}
+			Expect(won).To(Equal(4), "three changes of other objects and one of the same object")
+			Expect(untrue(answers, c.history())).To(BeEmpty())
+		})
+	})
+
+	// lostAnswer publishes while the answer of the head write is lost.
+	lostAnswer := func(ctx context.Context, maybeApplied func(error) bool) []string {
+		c := newCluster(ctx)
+		p := &config.Publisher{Store: c.client("op"), MaybeApplied: maybeApplied}
+		c.must(p, "first", 0, dataCentre(model.ServiceIn))
+		c.kv.Set(fakekv.Faults{LoseAnswers: 1, LosePrefix: "/config/head"})
+		_, refused := p.Publish(ctx, config.Change{ID: "second", Base: 1, Put: []model.Object{customer("clerks", 1)}})
+		c.kv.Set(fakekv.Faults{})
+		return untrue(map[model.ChangeID]*reply.Error{"second": refused}, c.history())
+	}
+
+	It("resolves a lost answer by reading, so that a change in effect is not reported as refused (P5)", func() {
+		virtual(func(ctx context.Context) { Expect(lostAnswer(ctx, nil)).To(BeEmpty()) })
+	})
+
+	It("is seen to report a change in effect as refused when lost answers count as not applied (P5 off)", func() {
+		virtual(func(ctx context.Context) {
+			Expect(lostAnswer(ctx, func(error) bool { return false })).To(ConsistOf("second was refused (store-unavailable) and took effect"))
+		})
+	})
+
+	It("answers unknown when a lost answer cannot be resolved, and the same id settles it later", func() {
+		virtual(func(ctx context.Context) {
+			c := newCluster(ctx)
+			p := &config.Publisher{Store: c.client("op")}
+			c.must(p, "first", 0, dataCentre(model.ServiceIn))
+			change := config.Change{ID: "second", Base: 1, Put: []model.Object{customer("clerks", 1)}}
+			c.kv.Set(fakekv.Faults{LoseAnswers: 1, LosePrefix: "/config/head"})
+			go func() {
+				time.Sleep(5 * time.Millisecond)
+				for c.history()["second"] == 0 {
+					time.Sleep(time.Millisecond)
+				}
+				c.net.Cut("op", kvHost, true)
+			}()
+			_, refused := p.Publish(ctx, change)
+			Expect(refused.Outcome).To(Equal(reply.OutcomeUnknown))
+			c.net.Cut("op", kvHost, false)
+			result, refused := p.Publish(ctx, change)
+			Expect(refused).To(BeNil())
+			Expect(result.Already).To(BeTrue())
+		})
+	})
+
+	It("keeps what recent revisions use when old ones are removed, so that reviews and followers find their segments", func() {
+		virtual(func(ctx context.Context) {
+			c := newCluster(ctx)
+			p := &config.Publisher{Store: c.client("op")}
+			c.must(p, "first", 0, dataCentre(model.ServiceIn), customer("clerks", 1))
+			for i := range 4 {
+				time.Sleep(20 * 24 * time.Hour)
+				c.must(p, fmt.Sprintf("weight-%d", i), model.Revision(i+1), customer("clerks", i+2))
+			}
+			started := time.Now()
+			cleaned, err := p.Clean(ctx, 0, limiter())
+			Expect(err).NotTo(HaveOccurred())
+			Expect(cleaned).To(Equal(config.Cleaned{Revisions: 2, Segments: 2, Changes: 2}))
+			Expect(time.Since(started)).To(BeNumerically(">=", 5*time.Second/config.CleanPerSecond), "six deletes wait five times")
+			for rev, want := range map[model.Revision]bool{1: false, 2: false, 3: true, 4: true, 5: true} {
+				_, refused := p.At(ctx, rev)
+				Expect(refused == nil).To(Equal(want), "revision %d", rev)
+			}
+			cleaned, err = p.Clean(ctx, 0, limiter())
+			Expect(err).NotTo(HaveOccurred())
+			Expect(cleaned).To(Equal(config.Cleaned{}))
+		})
+	})
+})
--- /dev/null
+++ b/internal/config/rig_test.go
@@ -0,0 +1,260 @@
+package config_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"golang.org/x/time/rate"
+
+	"peridotgw.example/peridotgw/internal/config"
+	"peridotgw.example/peridotgw/internal/fakekv"
+	"peridotgw.example/peridotgw/internal/member"
+	"peridotgw.example/peridotgw/internal/simnet"
+	"peridotgw.example/peridotgw/internal/store"
+	"peridotgw.example/peridotgw/internal/wire"
+	"peridotgw.example/peridotgw/model"
+	"peridotgw.example/peridotgw/reply"
+)
+
+const (
+	kvHost   = "kv"
+	dcName   = "fairground"
+	ttl      = 5 * time.Second
+	renewing = 1500 * time.Millisecond
+)
+
+var errNoWatch = errors.New("watch is lost")
+
+// cluster is a store and instances in one memory.
+type cluster struct {
+	ctx       context.Context
+	kv        *fakekv.Server
+	net       *simnet.Net
+	instances map[string]*instance
+	// loseWatches makes all watches fail, so that only reads and peers carry revisions.
+	loseWatches atomic.Bool
+	// alter changes a follower before it runs.
+	alter func(*config.Follower)
+}
+
+// instance is one process.
+type instance struct {
+	id        string
+	follower  *config.Follower
+	members   *member.Table
+	publisher *config.Publisher
+	stop      func()
+	lease     *lease
+}
+
+func newCluster(ctx context.Context, ids ...string) *cluster {
+	c := &cluster{ctx: ctx, kv: fakekv.New(), net: simnet.New(time.Millisecond), instances: map[string]*instance{}}
+	c.net.Host(kvHost, c.kv)
+	for _, id := range ids {
+		c.instances[id] = nil
+	}
+	return c
+}
+
+// run starts all instances.
+func (c *cluster) run() *cluster {
+	for id := range c.instances {
+		c.start(id)
+	}
+	return c
+}
+
+func (c *cluster) client(host string) *store.Client {
+	do := c.net.From(host).Do
+	return &store.Client{BaseURL: "http://" + kvHost, Timeout: store.DefaultTimeout, Do: func(r *http.Request) (*http.Response, error) {
+		if c.loseWatches.Load() && r.URL.Path == "/v1/watch" {
+			return nil, errNoWatch
+		}
+		return do(r)
+	}}
+}
+
+// start runs an instance, in place of its former process.
+func (c *cluster) start(id string) *instance {
+	if former := c.instances[id]; former != nil {
+		former.stop()
+	}
+	client := c.client(id)
+	caller := &wire.Caller{HTTP: c.net.From(id)}
+	ctx, cancel := context.WithCancel(c.ctx)
+	i := &instance{id: id, lease: &lease{store: client}}
+	i.members = &member.Table{
+		Store: client, Keep: i.lease.keep, Caller: caller,
+		Self: member.Member{Instance: model.InstanceID(id), Incarnation: model.Incarnation(time.Now().String()), PeerAddress: id},
+	}
+	i.follower = &config.Follower{Store: client, Proof: i.lease.proof, Members: i.members, Caller: caller}
+	if c.alter != nil {
+		c.alter(i.follower)
+	}
+	i.members.OnReport = i.follower.Report
+	i.members.Local = func() (r member.Report) {
+		r.Revision, r.ConfirmedAge, r.Confirmed = i.follower.Confirmation()
+		return r
+	}
+	i.publisher = &config.Publisher{Store: client, Follower: i.follower}
+	mux := http.NewServeMux()
+	i.members.Register(mux)
+	i.follower.Register(mux)
+	c.net.Host(id, mux)
+	var running sync.WaitGroup
+	for _, run := range []func(context.Context) error{i.members.Run, i.follower.Run, i.lease.run} {
+		running.Go(func() { _ = run(ctx) })
+	}
+	i.stop = func() { cancel(); running.Wait() }
+	c.instances[id] = i
+	return i
+}
+
+// lease renews a store lease; it proves the revision of its last renewal.
+type lease struct {
+	store *store.Client
+	mu    sync.Mutex
+	id    store.LeaseID
+	rev   store.Revision
+	sent  time.Time
+	key   string
+	value func() []byte
+}
+
+func (l *lease) keep(key string, value func() []byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.key, l.value = key, value
+}
+
+func (l *lease) proof() (store.Revision, time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rev, l.sent
+}
+
+func (l *lease) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		l.renew(ctx)
+		select {
+		case <-ctx.Done():
+		case <-time.After(renewing):
+		}
+	}
+	return ctx.Err()
+}
+
+func (l *lease) renew(ctx context.Context) {
+	sent := time.Now()
+	var granted store.Lease
+	var err error
+	if l.id != 0 {
+		granted, err = l.store.KeepAlive(ctx, l.id)
+	}
+	var missing *store.NotFoundError
+	if l.id == 0 || errors.As(err, &missing) {
+		if granted, err = l.store.Grant(ctx, ttl); err != nil {
+			return
+		}
+		var conflict *store.ConflictError
+		_, err = l.store.Put(ctx, l.key, l.value(), 0, granted.ID)
+		if errors.As(err, &conflict) {
+			_, err = l.store.Put(ctx, l.key, l.value(), conflict.Current.Version, granted.ID)
+		}
+	}
+	if err != nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.id, l.rev, l.sent = granted.ID, granted.Revision, sent
+}
+
+// object encodes a typed object.
+func object(kind model.Kind, name string, spec any) model.Object {
+	data, err := json.Marshal(spec)
+	Expect(err).NotTo(HaveOccurred())
+	return model.Object{Kind: kind, Name: name, Spec: data}
+}
+
+func dataCentre(state model.ServiceState) model.Object {
+	racks := []model.Rack{{Name: "r1", Workers: 6, AcceleratorsPerWorker: 8}}
+	return object(model.KindDataCentre, dcName, model.DataCentre{Service: state, Racks: racks})
+}
+
+func customer(name string, weight int) model.Object {
+	return object(model.KindCustomer, name, model.Customer{Weight: weight})
+}
+
+// must publishes a change on an instance that is expected to succeed.
+func (c *cluster) must(p *config.Publisher, id string, base model.Revision, put ...model.Object) config.Result {
+	result, refused := p.Publish(c.ctx, config.Change{ID: model.ChangeID(id), Base: base, Put: put})
+	Expect(refused).To(BeNil())
+	return result
+}
+
+// history returns the change ids of all revisions, read without faults.
+func (c *cluster) history() map[model.ChangeID]model.Revision {
+	reader := &config.Publisher{Store: c.client("reader")}
+	ids := map[model.ChangeID]model.Revision{}
+	newest, refused := reader.At(c.ctx, 0)
+	Expect(refused).To(BeNil())
+	for rev := model.Revision(1); rev <= newest.Revision; rev++ {
+		set, refused := reader.At(c.ctx, rev)
+		Expect(refused).To(BeNil())
+		Expect(ids).NotTo(HaveKey(set.ChangeID), "a change took effect twice")
+		ids[set.ChangeID] = rev
+	}
+	return ids
+}
+
+// untrue lists the answers of publications that contradict the history (promise P5).
+func untrue(answers map[model.ChangeID]*reply.Error, history map[model.ChangeID]model.Revision) []string {
+	var found []string
+	for id, refused := range answers {
+		_, happened := history[id]
+		switch {
+		case refused == nil && !happened:
+			found = append(found, fmt.Sprintf("%s was reported done and is not in the history", id))
+		case refused != nil && refused.Outcome == reply.OutcomeRefused && happened:
+			found = append(found, fmt.Sprintf("%s was refused (%s) and took effect", id, refused.Reason))
+		}
+	}
+	return found
+}
+
+// watcher records the revisions in effect per instance, across restarts.
+type watcher struct {
+	last    map[string]model.Revision
+	reverts []string
+}
+
+// look records the revisions now (promise P9).
+func (w *watcher) look(c *cluster) {
+	for id, i := range c.instances {
+		set := i.follower.Current()
+		if set == nil {
+			continue
+		}
+		if set.Revision < w.last[id] {
+			w.reverts = append(w.reverts, fmt.Sprintf("%s went from %d to %d", id, w.last[id], set.Revision))
+		}
+		w.last[id] = set.Revision
+	}
+}
+
+// during looks every 10 ms for a while.
+func (w *watcher) during(c *cluster, d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		w.look(c)
+	}
+}
+
+func limiter() *rate.Limiter { return rate.NewLimiter(config.CleanPerSecond, 1) }
