--- a/internal/place/cluster.go
+++ b/internal/place/cluster.go
@@ -20,6 +20,8 @@
 	holder  model.JobID
 	held    map[*cell]bool
 	probes  int
+	// sets numbers the victim sets.
+	sets int
 	// largestRack is the largest number of accelerators of a rack.
 	largestRack int
 }
@@ -49,6 +51,7 @@
 	avail    [modes]int
 	cores    int
 	loads    []*load
+	mark     mark
 }
 
 // NewCluster returns the placement state of a data centre without workers.
--- /dev/null
+++ b/internal/place/helpers_test.go
@@ -0,0 +1,75 @@
+package place_test
+
+import (
+	"fmt"
+
+	"peridotgw.example/peridotgw/internal/place"
+	"peridotgw.example/peridotgw/model"
+)
+
+// county is a data centre with racks of workers that have 8 accelerators each.
+func county(racks, workers int) *model.Set {
+	set := model.NewSet()
+	dc := model.DataCentre{Service: model.ServiceIn}
+	for i := range racks {
+		dc.Racks = append(dc.Racks, model.Rack{Name: model.RackID(fmt.Sprintf("r%03d", i)), Workers: workers, AcceleratorsPerWorker: 8})
+	}
+	set.DataCentres["dc"] = dc
+	for _, customer := range []model.CustomerID{"a", "b", "c"} {
+		set.Customers[customer] = model.Customer{}
+	}
+	for name, shape := range map[model.ShapeID]model.Shape{
+		"one":    {Tasks: 1, AcceleratorsPerTask: 1, Adjacency: model.AdjacencyWorker},
+		"quad":   {Tasks: 1, AcceleratorsPerTask: 4, Adjacency: model.AdjacencyWorker},
+		"worker": {Tasks: 1, AcceleratorsPerTask: 8, Adjacency: model.AdjacencyWorker},
+		"twelve": {Tasks: 12, AcceleratorsPerTask: 4, Adjacency: model.AdjacencyRack},
+		"half":   {Tasks: 3, AcceleratorsPerTask: 8, Adjacency: model.AdjacencyRack},
+		"rack":   {Tasks: 6, AcceleratorsPerTask: 8, Adjacency: model.AdjacencyRack},
+		"wide":   {Tasks: 9, AcceleratorsPerTask: 8, Adjacency: model.AdjacencyAny},
+		"cores":  {Tasks: 20, AcceleratorsPerTask: 0, Adjacency: model.AdjacencyAny},
+	} {
+		set.Shapes[name] = shape
+	}
+	five := model.MaxStopWithin
+	set.JobClasses["urgent"] = model.JobClass{Priority: model.PriorityUrgent, Repeatable: true}
+	set.JobClasses["urgent-firm"] = model.JobClass{Priority: model.PriorityUrgent}
+	set.JobClasses["firm"] = model.JobClass{Priority: model.PriorityNormal}
+	set.JobClasses["soft"] = model.JobClass{Priority: model.PriorityNormal, Checkpointable: true, StopWithin: five}
+	set.JobClasses["back"] = model.JobClass{Priority: model.PriorityBackground, Checkpointable: true, StopWithin: five}
+	return set
+}
+
+func guarantee(set *model.Set, id model.GuaranteeID, customer model.CustomerID, shape model.ShapeID, count int) {
+	set.Guarantees[id] = model.Guarantee{Customer: customer, Shape: shape, DataCentre: "dc", Count: count}
+}
+
+func cluster(set *model.Set, options place.Options) *place.Cluster {
+	c := place.NewVariant(set, "dc", options)
+	c.SetWorkers(place.Declared(set, "dc"))
+	return c
+}
+
+var order int64
+
+func job(id string, customer model.CustomerID, class model.JobClassID, shape model.ShapeID) place.Job {
+	order++
+	return place.Job{ID: model.JobID(id), Customer: customer, Class: class, Shape: shape, Order: order}
+}
+
+// put plans and adds a job; it panics when the job is blocked, because a fixture must fit.
+func put(c *place.Cluster, j place.Job) place.Plan {
+	plan, blocked := c.Plan(j)
+	if blocked != nil {
+		panic(fmt.Sprintf("fixture job %s is blocked: %s %v", j.ID, blocked.Reason, blocked.Inputs))
+	}
+	c.Add(j, plan)
+	return plan
+}
+
+func racksOf(plan place.Plan) map[model.RackID]int {
+	racks := map[model.RackID]int{}
+	for _, slot := range plan.Slots {
+		racks[slot.Rack]++
+	}
+	return racks
+}
--- a/internal/place/preempt.go
+++ b/internal/place/preempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"peridotgw.example/peridotgw/model"
@@ -75,13 +76,6 @@
 	freed := map[*node]int{}
 	short := func(u use) int { return u.accels - u.node.physical() - u.node.stopping - freed[u.node] }
 	for _, u := range uses {
-		if u.accels > u.node.physical() {
-			for _, l := range u.node.loads {
-				if l.stopping && !slices.Contains(waits, l) {
-					waits = append(waits, l)
-				}
-			}
-		}
 		if short(u) <= 0 {
 			continue
 		}
@@ -102,7 +96,23 @@
 		}
 	}
 	enough := func() bool { return !slices.ContainsFunc(uses, func(u use) bool { return short(u) > 0 }) }
-	return prune(victims, freed, enough), waits, true
+	return prune(victims, freed, enough), waitsOf(uses), true
+}
+
+// waitsOf lists the jobs that are being stopped on workers where the wanted accelerators are not free yet.
+func waitsOf(uses []use) []*load {
+	var waits []*load
+	for _, u := range uses {
+		if u.accels <= u.node.physical() {
+			continue
+		}
+		for _, l := range u.node.loads {
+			if l.stopping && !slices.Contains(waits, l) {
+				waits = append(waits, l)
+			}
+		}
+	}
+	return waits
 }
 
 // prune drops victims that are not needed, the last in preemption order first.
@@ -125,16 +135,19 @@
 
 // comparePreemption orders jobs by who is preempted first: lower priority, then beyond its declared time, then youngest.
 func comparePreemption(a, b *load) int {
-	weak := func(l *load) int {
-		if l.job.Weak {
-			return 0
-		}
+	// Sorting is most of the cost of a large plan, so later keys are compared only where earlier ones are equal.
+	switch {
+	case a.rank != b.rank:
+		return cmp.Compare(b.rank, a.rank)
+	case a.job.Weak != b.job.Weak && a.job.Weak:
+		return -1
+	case a.job.Weak != b.job.Weak:
 		return 1
+	case a.job.Order != b.job.Order:
+		return cmp.Compare(b.job.Order, a.job.Order)
+	default:
+		return cmp.Compare(a.job.ID, b.job.ID)
 	}
-	return cmp.Or(
-		cmp.Compare(b.rank, a.rank), cmp.Compare(weak(a), weak(b)),
-		cmp.Compare(b.job.Order, a.job.Order), cmp.Compare(a.job.ID, b.job.ID),
-	)
 }
 
 func preemptionOrder(loads []*load, allowed func(*load) bool) []*load {
@@ -148,7 +161,8 @@
 	return chosen
 }
 
-// cheaper compares sets of victims by the most urgent priority lost, then by accelerators, then by jobs.
+// cheaper compares sets of victims by the most urgent priority lost, then by accelerators, then by jobs, and prefers the
+// set whose oldest job is younger.
 func cheaper(a, b []*load) bool {
 	rank := func(victims []*load) int {
 		least := len(model.PriorityBackground)
@@ -163,7 +177,17 @@
 		}
 		return sum
 	}
-	return cmp.Or(cmp.Compare(rank(b), rank(a)), cmp.Compare(accels(a), accels(b)), cmp.Compare(len(a), len(b))) < 0
+	oldest := func(victims []*load) int64 {
+		least := int64(math.MaxInt64)
+		for _, l := range victims {
+			least = min(least, l.job.Order)
+		}
+		return least
+	}
+	return cmp.Or(
+		cmp.Compare(rank(b), rank(a)), cmp.Compare(accels(a), accels(b)), cmp.Compare(len(a), len(b)),
+		cmp.Compare(oldest(b), oldest(a)),
+	) < 0
 }
 
 func idsOf(loads []*load) []model.JobID {
@@ -190,7 +214,7 @@
 	avoid := c.avoided(job)
 	var best *victimSet
 	for _, nodes := range c.groups(shape, class.Priority == model.PriorityUrgent) {
-		set := newVictimSet(nodes, shape, soft, avoid)
+		set := c.newVictimSet(nodes, shape, soft, avoid)
 		if set.choose(allowed) && (best == nil || cheaper(set.victims, best.victims)) {
 			best = set
 		}
@@ -198,13 +222,18 @@
 	if best == nil {
 		return Plan{}, false
 	}
-	slots := fill(best.nodes, shape, func(n *node) int { return best.room(n) }, nil)
+	if best.id != c.sets {
+		// The marks on the workers belong to the last set that was tried.
+		best = c.newVictimSet(best.nodes, shape, soft, avoid)
+		best.choose(allowed)
+	}
+	slots := fill(best.nodes, shape, best.room, nil)
 	if slots == nil {
 		return Plan{}, false
 	}
-	_, waits, _ := victimsFor(c.usesOf(slots), func(l *load) bool { return slices.Contains(best.victims, l) })
-	lent := slices.ContainsFunc(c.usesOf(slots), func(u use) bool { return u.node.bound > 0 })
-	return Plan{Slots: slots, Preempt: idsOf(best.victims), WaitFor: idsOf(waits), Lent: soft && lent}, true
+	uses := c.usesOf(slots)
+	lent := slices.ContainsFunc(uses, func(u use) bool { return u.node.bound > 0 })
+	return Plan{Slots: slots, Preempt: idsOf(best.victims), WaitFor: idsOf(waitsOf(uses)), Lent: soft && lent}, true
 }
 
 // groups lists the sets of workers that may take the whole shape: single workers, racks, or all workers.
@@ -246,27 +275,34 @@
 	nodes   []*node
 	shape   model.Shape
 	soft    bool
-	avoid   map[*node]bool
-	inGroup map[*node]bool
-	freed   map[*node]int
+	id      int
 	victims []*load
 }
 
-func newVictimSet(nodes []*node, shape model.Shape, soft bool, avoid map[*node]bool) *victimSet {
-	s := &victimSet{nodes: nodes, shape: shape, soft: soft, avoid: avoid, freed: map[*node]int{}}
-	s.inGroup = make(map[*node]bool, len(nodes))
+// mark is what the latest victimSet noted on a worker; it is void for sets with another id.
+type mark struct {
+	set     int
+	inGroup bool
+	freed   int
+}
+
+func (c *Cluster) newVictimSet(nodes []*node, shape model.Shape, soft bool, avoid map[*node]bool) *victimSet {
+	c.sets++
+	s := &victimSet{nodes: nodes, shape: shape, soft: soft, id: c.sets}
 	for _, n := range nodes {
-		s.inGroup[n] = n.State == WorkerUsable && !avoid[n]
+		n.mark = mark{set: s.id, inGroup: n.State == WorkerUsable && !avoid[n]}
 	}
 	return s
 }
 
+func (s *victimSet) inGroup(n *node) bool { return n.mark.set == s.id && n.mark.inGroup }
+
 // room is what the job may take on a worker once the victims and the jobs that are being stopped have ended.
 func (s *victimSet) room(n *node) int {
-	if !s.inGroup[n] {
+	if !s.inGroup(n) {
 		return 0
 	}
-	free := n.physical() + n.stopping + s.freed[n]
+	free := n.physical() + n.stopping + n.mark.freed
 	if !s.soft {
 		free = min(free, n.total-n.bound-n.firm)
 	}
@@ -285,8 +321,11 @@
 func (s *victimSet) add(l *load, sign int) int {
 	change := 0
 	for _, u := range l.uses {
+		if !s.inGroup(u.node) {
+			continue
+		}
 		before := s.room(u.node)
-		s.freed[u.node] += sign * u.accels
+		u.node.mark.freed += sign * u.accels
 		change += s.room(u.node)/int(s.shape.AcceleratorsPerTask) - before/int(s.shape.AcceleratorsPerTask)
 	}
 	return change
@@ -301,7 +340,7 @@
 	seen := map[*load]bool{}
 	var candidates []*load
 	for _, n := range s.nodes {
-		if !s.inGroup[n] {
+		if !s.inGroup(n) {
 			continue
 		}
 		for _, l := range n.loads {
@@ -312,6 +351,7 @@
 		}
 	}
 	slices.SortFunc(candidates, comparePreemption)
+	s.victims = nil
 	for _, l := range candidates {
 		change := s.add(l, 1)
 		s.victims = append(s.victims, l)
