--- a/internal/place/hold.go
+++ b/internal/place/hold.go
@@ -28,7 +28,7 @@
 	slices.SortStableFunc(racks, func(a, b *cell) int { return cmp.Compare(b.free[m], a.free[m]) })
 	left := int(shape.Tasks)
 	for _, r := range racks {
-		fits := r.mayFit(shape, m)
+		fits := r.mayFit(shape, m, nil)
 		if fits == 0 || (shape.Adjacency != model.AdjacencyAny && fits < int(shape.Tasks)) {
 			continue
 		}
@@ -42,11 +42,31 @@
 	return false
 }
 
+// Possible reports whether a job could be placed, without the workers that it avoids, if no other job ran.
+func (c *Cluster) Possible(job Job) bool {
+	shape, class := c.set.Shapes[job.Shape], c.set.JobClasses[job.Class]
+	if shape.AcceleratorsPerTask <= 0 {
+		return true
+	}
+	m := modeFirm
+	if stoppable(class) {
+		m = modeSoft
+	}
+	avoid, loose := c.avoided(job), 0
+	for _, r := range c.racks {
+		fits := r.mayFit(shape, m, avoid)
+		if loose += fits; fits >= int(shape.Tasks) {
+			return true
+		}
+	}
+	return shape.Adjacency == model.AdjacencyAny && loose >= int(shape.Tasks)
+}
+
 // mayFit is the number of tasks that fit once all jobs in the rack have ended.
-func (r *cell) mayFit(shape model.Shape, m mode) int {
+func (r *cell) mayFit(shape model.Shape, m mode, avoid map[*node]bool) int {
 	tasks := 0
 	for _, n := range r.nodes {
-		if n.State != WorkerUsable {
+		if n.State != WorkerUsable || avoid[n] {
 			continue
 		}
 		room := n.total
--- a/internal/sched/owner_test.go
+++ b/internal/sched/owner_test.go
@@ -141,22 +141,14 @@
 				}
 				r.submit(a, jobs.Spec{ID: "t", Customer: "board", Class: "tally", Shape: "rack", RunTime: longRun})
 				within(time.Second, "decision is recorded", r.state(a, "t", jobs.StateStarting))
-				r.change(func(set *model.Set) {
-					dc := set.DataCentres["courthouse"]
-					dc.Service = model.ServiceOut
-					set.DataCentres["courthouse"] = dc
-				})
+				r.service("courthouse", model.ServiceOut)
 				time.Sleep(noStartAfterOut)
 				for _, fake := range r.workers {
 					fake.Set(fakewk.Faults{})
 				}
 				time.Sleep(settledAfterward)
 				Expect(r.starts("t") > 0).To(Equal(!checked))
-				r.change(func(set *model.Set) {
-					dc := set.DataCentres["courthouse"]
-					dc.Service = model.ServiceIn
-					set.DataCentres["courthouse"] = dc
-				})
+				r.service("courthouse", model.ServiceIn)
 				within(5*time.Second, "job runs after the return", r.state(a, "t", jobs.StateRunning))
 			})
 		})
--- a/internal/sched/pass.go
+++ b/internal/sched/pass.go
@@ -187,9 +187,10 @@
 	c.hold(queue, now)
 }
 
-// mayReturn reports whether a job that avoids workers has waited long enough for others.
+// mayReturn reports whether a job has waited although no other worker than those that it avoids can ever take it.
 func (c *Core) mayReturn(e *entry, now time.Time) bool {
-	return len(e.record.FailedOn) > 0 && e.blocked != "" && now.Sub(e.blockedSince) >= c.tuning.Suspect
+	waited := e.blocked != "" && now.Sub(e.blockedSince) >= c.tuning.Suspect
+	return len(e.record.FailedOn) > 0 && waited && !c.cluster.Possible(c.job(e))
 }
 
 // queue lists the jobs that may start, in order: priority with aging, the customer with the smallest share, and age.
--- a/internal/sched/rig_test.go
+++ b/internal/sched/rig_test.go
@@ -15,6 +15,7 @@
 	"peridotgw.example/peridotgw/internal/fakekv"
 	"peridotgw.example/peridotgw/internal/fakewk"
 	"peridotgw.example/peridotgw/internal/jobs"
+	"peridotgw.example/peridotgw/internal/place"
 	"peridotgw.example/peridotgw/internal/sched"
 	"peridotgw.example/peridotgw/internal/store"
 	"peridotgw.example/peridotgw/internal/worker"
@@ -94,6 +95,7 @@
 	peers    []sched.Peer
 	mayStart func(model.DataCentreID) *reply.Error
 	tuning   sched.Tuning
+	options  place.Options
 	cancels  []context.CancelFunc
 	running  sync.WaitGroup
 	killed   map[model.InstanceID]bool
@@ -170,6 +172,15 @@
 	return r.killed[id]
 }
 
+// service takes a data centre out of service or back in.
+func (r *rig) service(id model.DataCentreID, state model.ServiceState) {
+	r.change(func(set *model.Set) {
+		dc := set.DataCentres[id]
+		dc.Service = state
+		set.DataCentres[id] = dc
+	})
+}
+
 // instance starts a manager; the returned function stops it at once, as a kill does.
 func (r *rig) instance(id model.InstanceID, dc model.DataCentreID) (manager *sched.Manager, kill func()) {
 	self := sched.Peer{Instance: id, DataCentre: dc}
@@ -177,7 +188,7 @@
 	r.peers = append(r.peers, self)
 	r.mu.Unlock()
 	manager = &sched.Manager{
-		Self: self, Current: r.current, Tuning: r.tuning, Jobs: r.book(r.doFor(id)),
+		Self: self, Current: r.current, Tuning: r.tuning, Options: r.options, Jobs: r.book(r.doFor(id)),
 		MayStartTask: func(dc model.DataCentreID) *reply.Error { return r.mayStart(dc) },
 		Live: func() []sched.Peer {
 			r.mu.Lock()
