daemon: specs of whole instances under virtual time

Cause: the promises hold between instances, and no spec had several of them. Change: a rig runs whole instances with the stand-ins over memnet. The matrix names the specs of each row directly.

--- a/faults/main.go
+++ b/faults/main.go
@@ -82,13 +82,12 @@
 	return exitHeld, nil
 }
 
-// runSpecs runs the specs of all packages that are labelled with a row; a failed spec is no error here.
+// runSpecs runs the specs of all packages; a failed spec is no error here.
 func runSpecs(ginkgo string, seed int64, folder string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), runTimeout)
 	defer cancel()
 	args := []string{
-		"run", "-r", "--keep-going", "--label-filter", "/^(row|off):/",
-		"--seed", fmt.Sprint(seed), "--json-report", "report.json", "--output-dir", folder, ".",
+		"run", "-r", "--keep-going", "--seed", fmt.Sprint(seed), "--json-report", "report.json", "--output-dir", folder, ".",
 	}
 	cmd := exec.CommandContext(ctx, ginkgo, args...) //nolint:gosec // The program is named by the person who runs this one.
 	var output bytes.Buffer
@@ -104,6 +103,9 @@
 	return nil
 }
 
+// labelRow starts the id of a row in the list of known failures.
+const labelRow = "row:"
+
 // readKnownRed returns the row ids of the list: the word behind "row:" in each line.
 func readKnownRed(path string) (map[string]bool, error) {
 	known := map[string]bool{}
--- a/faults/matrix.go
+++ b/faults/matrix.go
@@ -18,6 +18,10 @@
 	Fault     string `json:"fault"`
 	Step      string `json:"step"`
 	Mechanism string `json:"mechanism"`
+	// Specs name the specs that run with the mechanism on, as "package/part of the spec's text".
+	Specs []string `json:"specs,omitempty"`
+	// Off names specs that switch the mechanism off and expect the check to report the violation.
+	Off []string `json:"off,omitempty"`
 	// NotRun is the reason why the row has no spec yet.
 	NotRun string `json:"not-run,omitempty"`
 }
--- a/faults/report.go
+++ b/faults/report.go
@@ -3,20 +3,13 @@
 import (
 	"encoding/json"
 	"os"
+	"path/filepath"
 	"strings"
 
 	"github.com/onsi/ginkgo/v2/types"
 	"github.com/rotisserie/eris"
 )
 
-// Labels that tie a spec to a row of the matrix.
-const (
-	// labelRow marks a spec that runs with the mechanism on.
-	labelRow = "row:"
-	// labelOff marks a spec that runs with the mechanism off and expects the check to report the violation.
-	labelOff = "off:"
-)
-
 // Verdict is the result of a row.
 type Verdict string
 
@@ -40,10 +33,24 @@
 	// Known is true when the row stands in KNOWN-RED.txt.
 	Known  bool
 	Reason string
+
+	missing bool
+}
+
+// Spec is one spec of a report with the package that it belongs to.
+type Spec struct {
+	Package string
+	types.SpecReport
+}
+
+// matches reports whether a reference of the form "package/text" names the spec.
+func (s Spec) matches(reference string) bool {
+	pkg, text, found := strings.Cut(reference, "/")
+	return found && pkg == s.Package && strings.Contains(s.FullText(), text)
 }
 
 // ReadReport reads a JSON report of ginkgo; it returns the specs and the random seed of the run.
-func ReadReport(path string) (specs types.SpecReports, seed int64, err error) {
+func ReadReport(path string) (specs []Spec, seed int64, err error) {
 	data, err := os.ReadFile(path) //nolint:gosec // The path is the program's own.
 	if err != nil {
 		return nil, 0, eris.Wrap(err, "reading the report of the specs")
@@ -53,58 +60,68 @@
 		return nil, 0, eris.Wrap(err, "decoding the report of the specs")
 	}
 	for _, report := range reports {
-		specs = append(specs, report.SpecReports...)
+		for _, spec := range report.SpecReports.WithLeafNodeType(types.NodeTypeIt) {
+			specs = append(specs, Spec{Package: filepath.Base(report.SuitePath), SpecReport: spec})
+		}
 		seed = report.SuiteConfig.RandomSeed
 	}
 	return specs, seed, nil
 }
 
 // Judge gives each row its verdict; knownRed holds the row ids of KNOWN-RED.txt.
-func Judge(rows []Row, specs types.SpecReports, knownRed map[string]bool) []Result {
-	byRow, byOff := index(specs, labelRow), index(specs, labelOff)
+func Judge(rows []Row, specs []Spec, knownRed map[string]bool) []Result {
 	results := make([]Result, 0, len(rows))
 	for _, row := range rows {
 		result := Result{Row: row, Verdict: VerdictNotRun, Reason: row.NotRun, Known: knownRed[row.ID]}
-		for _, spec := range byRow[row.ID] {
-			result.add(spec)
+		for _, reference := range row.Specs {
+			result.add(find(specs, reference), reference, false)
 		}
-		for _, spec := range byOff[row.ID] {
-			if spec.State.Is(types.SpecStatePassed) {
-				result.SeenToFail = true
-				continue
-			}
-			result.Verdict = VerdictViolated
-			result.Failures = append(result.Failures, spec.FullText())
+		for _, reference := range row.Off {
+			result.add(find(specs, reference), reference, true)
 		}
 		if result.Verdict == VerdictNotRun && result.Reason == "" {
-			result.Reason = "no spec ran"
+			result.Reason = "no spec yet"
 		}
 		results = append(results, result)
 	}
 	return results
 }
 
-func (r *Result) add(spec types.SpecReport) {
-	switch {
-	case spec.State.Is(types.SpecStateFailureStates):
-		r.Verdict = VerdictViolated
-		r.Failures = append(r.Failures, spec.FullText())
-	case spec.State.Is(types.SpecStatePassed):
-		if r.Verdict == VerdictNotRun {
-			r.Verdict = VerdictHeld
+// add counts the specs of one reference. A reference without a spec leaves the row not run, so that a renamed spec is
+// noticed.
+func (r *Result) add(specs []Spec, reference string, off bool) {
+	if len(specs) == 0 {
+		r.missing = true
+		r.Reason = "no spec matches " + reference
+	}
+	for _, spec := range specs {
+		switch {
+		case spec.State.Is(types.SpecStateFailureStates):
+			r.Verdict = VerdictViolated
+			r.Failures = append(r.Failures, spec.Package+": "+spec.FullText())
+		case !spec.State.Is(types.SpecStatePassed):
+			r.missing = true
+			r.Reason = "skipped: " + spec.FullText()
+		case off:
+			r.SeenToFail = true
+		default:
+			r.Specs = append(r.Specs, spec.Package+": "+spec.FullText())
 		}
-		r.Specs = append(r.Specs, spec.FullText())
+	}
+	if r.Verdict == VerdictViolated {
+		return
+	}
+	r.Verdict = VerdictNotRun
+	if len(r.Specs) > 0 && !r.missing {
+		r.Verdict = VerdictHeld
 	}
 }
 
-func index(specs types.SpecReports, prefix string) map[string][]types.SpecReport {
-	found := map[string][]types.SpecReport{}
+func find(specs []Spec, reference string) []Spec {
+	var found []Spec
 	for _, spec := range specs {
-		for _, label := range spec.Labels() {
-			if id, ok := strings.CutPrefix(label, prefix); ok {
-				id = strings.TrimSpace(id)
-				found[id] = append(found[id], spec)
-			}
+		if spec.matches(reference) {
+			found = append(found, spec)
 		}
 	}
 	return found
--- /dev/null
+++ b/internal/daemon/rig_test.go
@@ -0,0 +1,258 @@
+package daemon_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"peridotgw.example/peridotgw/client"
+	"peridotgw.example/peridotgw/internal/daemon"
+	"peridotgw.example/peridotgw/internal/fakeep"
+	"peridotgw.example/peridotgw/internal/fakekv"
+	"peridotgw.example/peridotgw/internal/fakevm"
+	"peridotgw.example/peridotgw/internal/fakewk"
+	"peridotgw.example/peridotgw/internal/memnet"
+	"peridotgw.example/peridotgw/internal/params"
+	"peridotgw.example/peridotgw/internal/vmlist"
+	"peridotgw.example/peridotgw/model"
+	"peridotgw.example/peridotgw/reply"
+)
+
+const (
+	hostStore = memnet.Host("store")
+	hostVMs   = memnet.Host("vms")
+	token     = "operator-token-for-specs"
+	serviceMs = 20
+)
+
+// rig holds whole instances and the platform's stand-ins in one process.
+type rig struct {
+	net       *memnet.Net
+	kv        *fakekv.Server
+	vms       *fakevm.Server
+	workers   map[string]*fakewk.Server
+	endpoints map[string]*fakeep.Server
+	instances []*node
+	running   sync.WaitGroup
+}
+
+// node is one instance of a rig.
+type node struct {
+	*daemon.Daemon
+	id     string
+	cancel context.CancelFunc
+	err    error
+}
+
+// newRig starts the stand-ins of two data centres, each with a rack of two workers with four accelerators and two endpoints.
+func newRig() *rig {
+	r := &rig{
+		net: memnet.New(), kv: fakekv.New(), workers: map[string]*fakewk.Server{}, endpoints: map[string]*fakeep.Server{},
+	}
+	var vms []vmlist.VM
+	for _, dc := range []model.DataCentreID{"north", "south"} {
+		for i := range 2 {
+			worker, endpoint := fmt.Sprintf("%s-w%d", dc, i), fmt.Sprintf("%s-e%d", dc, i)
+			r.workers[worker] = fakewk.New(model.WorkerID(worker), 4)
+			r.net.Serve(memnet.Host(worker), r.workers[worker])
+			r.endpoints[endpoint] = fakeep.New(8)
+			r.endpoints[endpoint].Service = func(model.RequestClassID) time.Duration { return serviceMs * time.Millisecond }
+			r.net.Serve(memnet.Host(endpoint), r.endpoints[endpoint])
+			vms = append(vms,
+				vmlist.VM{Name: worker, Kind: vmlist.KindWorker, Address: worker, DataCentre: dc, Rack: model.RackID(dc + "-r"), Accelerators: 4, Cores: 64, State: vmlist.StateLive},
+				vmlist.VM{Name: endpoint, Kind: vmlist.KindEndpoint, Address: endpoint, DataCentre: dc, Slots: 8, State: vmlist.StateLive})
+		}
+	}
+	r.vms = fakevm.New(vms...)
+	r.net.Serve(hostVMs, r.vms)
+	r.net.Serve(hostStore, r.kv)
+	return r
+}
+
+// start adds an instance and runs it.
+func (r *rig) start(id, dc string) *node {
+	GinkgoHelper()
+	settings := params.Default()
+	settings.Instance, settings.DataCentre = model.InstanceID(id), model.DataCentreID(dc)
+	settings.Incarnation = model.Incarnation(fmt.Sprintf("%s-%d", id, time.Now().UnixNano()))
+	settings.Advertise = params.Advertise{Callers: id + ".callers", Peers: id + ".peers"}
+	settings.Store.URL, settings.VMList.URL = "http://"+string(hostStore), "http://"+string(hostVMs)
+	settings.VMList.Every = model.Duration(time.Second)
+	settings.OperatorTokens = []params.Operator{{Name: "spec", Token: token}}
+	d, cleanup, err := daemon.New(settings, zerolog.Nop(), r.net.Transport(memnet.Host(id)))
+	Expect(err).NotTo(HaveOccurred())
+	n := &node{Daemon: d, id: id}
+	r.net.Serve(memnet.Host(id+".callers"), d.Front.Handler())
+	r.net.Serve(memnet.Host(id+".peers"), d.PeerHandler())
+	r.net.Serve(memnet.Host(id+".operators"), d.Ops.Handler())
+	var ctx context.Context
+	ctx, n.cancel = context.WithCancel(context.Background())
+	r.running.Go(func() {
+		defer cleanup()
+		n.err = d.Run(ctx)
+	})
+	r.instances = append(r.instances, n)
+	return n
+}
+
+// startAll starts n instances, publishes the configuration and waits until every data centre has an owner.
+func (r *rig) startAll(n int) {
+	GinkgoHelper()
+	for i := range n {
+		r.start(fmt.Sprintf("i%d", i), []string{"north", "south"}[i%2])
+	}
+	time.Sleep(3 * time.Second)
+	r.publish(r.instances[0], objects()...)
+	eventually(15*time.Second, "data centres have owners", func() bool { return r.owner("north") != nil && r.owner("south") != nil })
+}
+
+// kill ends an instance without a graceful stop: nothing that it still sends arrives.
+func (r *rig) kill(n *node) {
+	r.cut(n, memnet.AnyHost, memnet.Fault{Cut: true})
+	for _, suffix := range []string{".callers", ".peers", ".operators"} {
+		r.net.Serve(memnet.Host(n.id+suffix), nil)
+	}
+	n.cancel()
+}
+
+// cut sets the fault of an instance's calls to a host.
+func (r *rig) cut(n *node, to memnet.Host, fault memnet.Fault) {
+	r.net.SetFault(memnet.Host(n.id), to, fault)
+}
+
+// cutPeers cuts an instance from all others in both directions.
+func (r *rig) cutPeers(n *node) {
+	for _, other := range r.instances {
+		if other == n {
+			continue
+		}
+		r.cut(n, memnet.Host(other.id+".peers"), memnet.Fault{Silent: true})
+		r.cut(other, memnet.Host(n.id+".peers"), memnet.Fault{Silent: true})
+	}
+}
+
+func (r *rig) close() {
+	for _, n := range r.instances {
+		n.cancel()
+	}
+	r.running.Wait()
+	// Leases of tasks that still run end with their timers.
+	time.Sleep(time.Minute)
+}
+
+// owner returns the running instance that holds a data centre.
+func (r *rig) owner(dc model.DataCentreID) *node {
+	for _, n := range r.instances {
+		if owner, found := n.Tasks.Manager.Owned(dc); found && owner.Valid() {
+			return n
+		}
+	}
+	return nil
+}
+
+func (r *rig) operator(n *node) *client.Operator {
+	return &client.Operator{
+		Target: client.Target{Addresses: []string{"http://" + n.id + ".operators"}, Do: r.net.Client("operator").Do, Timeout: 30 * time.Second},
+		Token:  token,
+	}
+}
+
+func (r *rig) publish(n *node, objects ...model.Object) client.Result {
+	GinkgoHelper()
+	revision, _, _ := n.Follower.Confirmation()
+	result, err := r.operator(n).Publish(context.Background(), client.Change{ID: client.NewChangeID(), Base: revision, Put: objects})
+	Expect(err).NotTo(HaveOccurred())
+	return result
+}
+
+// request sends a request to one instance and returns the outcome, the reason and the answer.
+func (r *rig) request(n *node, class model.RequestClassID, id string, timeout time.Duration) (reply.Outcome, reply.Reason, string) {
+	GinkgoHelper()
+	caller := &client.Caller{
+		Target: client.Target{Addresses: []string{"http://" + n.id + ".callers"}, Do: r.net.Client("caller").Do}, Customer: "big",
+	}
+	answer, err := caller.Do(context.Background(), client.Request{Class: class, ID: model.RequestID(id), Timeout: timeout, Body: []byte(id)})
+	if err == nil {
+		return reply.OutcomeDone, "", string(answer.Body)
+	}
+	var typed *reply.Error
+	if errors.As(err, &typed) {
+		return typed.Outcome, typed.Reason, typed.Message
+	}
+	return "unreachable", "", err.Error()
+}
+
+// runs returns how often a request ran on all endpoints.
+func (r *rig) runs(id string) int {
+	total := 0
+	for _, endpoint := range r.endpoints {
+		total += endpoint.Runs()[model.RequestID(id)]
+	}
+	return total
+}
+
+func (r *rig) submit(n *node, id string, dc model.DataCentreID, class model.JobClassID, run time.Duration) {
+	GinkgoHelper()
+	_, err := r.operator(n).Submit(context.Background(), client.Job{
+		ID: model.JobID(id), Customer: "small", Class: class, Shape: "one", DataCentre: dc, RunTime: model.Duration(run),
+	})
+	Expect(err).NotTo(HaveOccurred())
+}
+
+// starts returns when tasks were started in a data centre.
+func (r *rig) starts(dc string) []time.Time {
+	var times []time.Time
+	for name, worker := range r.workers {
+		if !strings.HasPrefix(name, dc) {
+			continue
+		}
+		for _, run := range worker.Runs() {
+			times = append(times, run.Started)
+		}
+	}
+	return times
+}
+
+// eventually waits under virtual time.
+func eventually(within time.Duration, what string, condition func() bool) {
+	GinkgoHelper()
+	for deadline := time.Now().Add(within); !condition(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			Fail(fmt.Sprintf("not within %s: %s", within, what))
+		}
+	}
+}
+
+func object(kind model.Kind, name string, spec any) model.Object {
+	data, err := json.Marshal(spec)
+	Expect(err).NotTo(HaveOccurred())
+	return model.Object{Kind: kind, Name: name, Spec: data}
+}
+
+func dataCentre(name string, service model.ServiceState) model.Object {
+	return object(model.KindDataCentre, name, model.DataCentre{
+		Service: service, Racks: []model.Rack{{Name: model.RackID(name + "-r"), Workers: 2, AcceleratorsPerWorker: 4}},
+	})
+}
+
+func objects() []model.Object {
+	second := model.Duration(time.Second)
+	return []model.Object{
+		dataCentre("north", model.ServiceIn), dataCentre("south", model.ServiceIn),
+		object(model.KindCustomer, "big", model.Customer{}), object(model.KindCustomer, "small", model.Customer{}),
+		object(model.KindShape, "one", model.Shape{Tasks: 1, AcceleratorsPerTask: 1, Adjacency: model.AdjacencyWorker}),
+		object(model.KindShape, "rack", model.Shape{Tasks: 2, AcceleratorsPerTask: 4, Adjacency: model.AdjacencyRack}),
+		object(model.KindGuarantee, "big-north", model.Guarantee{Customer: "big", Shape: "rack", DataCentre: "north", Count: 1}),
+		object(model.KindJobClass, "soft", model.JobClass{Priority: model.PriorityBackground, Repeatable: true, StopWithin: second}),
+		object(model.KindRequestClass, "check", model.RequestClass{Priority: model.PriorityUrgent, Idempotent: true, Timeout: 2 * second}),
+		object(model.KindRequestClass, "tally", model.RequestClass{Priority: model.PriorityBackground, Timeout: 20 * second}),
+	}
+}
