--- a/internal/claim/wait.go
+++ b/internal/claim/wait.go
@@ -15,6 +15,8 @@
 	watchWait = 10 * time.Second
 	// deadCheck is the time after which a waiting duplicate looks again whether the holder is gone.
 	deadCheck = 2 * time.Second
+	// idleTurn is the time in which a watch without news counts as one that does not wait, so that a pause follows.
+	idleTurn = time.Second
 )
 
 // next returns the claim's entry when it has changed since entry was read, or after deadCheck; it returns an error only when
@@ -28,20 +30,22 @@
 	pause.InitialInterval = 100 * time.Millisecond
 	pause.MaxInterval = 2 * time.Second
 	for {
+		started := time.Now()
 		listing, err := b.Store.Watch(ctx, entry.Key, entry.Revision, wait)
 		if ctx.Err() != nil {
 			return entry, ctx.Err()
 		}
-		if err == nil && !listing.Compacted && listing.Revision >= entry.Revision {
+		moved := listing.Revision > entry.Revision || time.Since(started) >= idleTurn
+		if err == nil && !listing.Compacted && listing.Revision >= entry.Revision && moved {
 			return latest(entry, listing), nil
 		}
 		if err == nil && listing.Compacted {
 			current, err := b.Store.Get(ctx, entry.Key, entry.Revision)
 			var gone *store.NotFoundError
-			if err == nil {
+			if err == nil && current.Revision > entry.Revision {
 				return current, nil
 			}
-			if errors.As(err, &gone) && gone.Revision >= entry.Revision {
+			if errors.As(err, &gone) && gone.Revision > entry.Revision {
 				return store.Entry{Key: entry.Key, Revision: gone.Revision}, nil
 			}
 		}
--- a/internal/fakekv/faults.go
+++ b/internal/fakekv/faults.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"peridotgw.example/peridotgw/internal/store"
 )
 
 // Faults are the switches of the stand-in; the zero value is a healthy service.
@@ -25,7 +27,12 @@
 }
 
 // InstanceHeader lets the stand-in be down for one caller only.
-const InstanceHeader = "X-Instance"
+const InstanceHeader = store.InstanceHeader
+
+// down reports whether the caller of r finds the service unavailable.
+func (f Faults) down(r *http.Request) bool {
+	return f.Down || (f.DownFor != "" && f.DownFor == r.Header.Get(InstanceHeader))
+}
 
 // Set replaces the switches.
 func (s *Server) Set(faults Faults) {
@@ -38,14 +45,20 @@
 		s.stale = nil
 	}
 	s.faults = faults
+	s.notify()
 }
 
-// LapseLeases ends all leases at once, as if their holders had been paused.
+// maxPause is the longest TTL of a lease that a paused holder lets expire; claims and records have leases of many hours.
+const maxPause = time.Minute
+
+// LapseLeases ends all short leases at once, as if their holders had been paused.
 func (s *Server) LapseLeases() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for id := range s.leases {
-		s.end(id)
+	for id, held := range s.leases {
+		if held.ttl <= maxPause {
+			s.end(id)
+		}
 	}
 	s.notify()
 }
@@ -74,8 +87,7 @@
 	s.mu.Lock()
 	faults := s.faults
 	s.calls[r.Method+" "+callName(r.URL.Path)]++
-	caller := r.Header.Get(InstanceHeader)
-	down := faults.Down || (faults.DownFor != "" && faults.DownFor == caller)
+	down := faults.down(r)
 	if !down && r.Method != http.MethodGet && faults.LoseAnswers > 0 && strings.Contains(r.URL.Path, faults.LosePrefix) {
 		s.faults.LoseAnswers--
 		loseAnswer = true
--- a/internal/fakekv/server.go
+++ b/internal/fakekv/server.go
@@ -21,11 +21,13 @@
 	leases   map[store.LeaseID]*lease
 	nextID   store.LeaseID
 	deleted  []deletion
-	changed  chan struct{}
-	faults   Faults
-	stale    map[string]store.Entry
-	staleRev store.Revision
-	calls    map[string]int
+	// compacted is the revision up to which deletions are no longer known.
+	compacted store.Revision
+	changed   chan struct{}
+	faults    Faults
+	stale     map[string]store.Entry
+	staleRev  store.Revision
+	calls     map[string]int
 }
 
 type lease struct {
@@ -172,11 +174,27 @@
 	s.revision++
 	delete(s.entries, key)
 	s.deleted = append(s.deleted, deletion{key: key, revision: s.revision})
-	if len(s.deleted) > maxDeletions {
-		s.deleted = slices.Delete(s.deleted, 0, len(s.deleted)-maxDeletions)
+	if excess := len(s.deleted) - maxDeletions; excess > 0 {
+		s.compacted = s.deleted[excess-1].revision
+		s.deleted = slices.Delete(s.deleted, 0, excess)
 	}
 }
 
+// Compact forgets all deletions so far, so that watches from an earlier revision have to list again.
+func (s *Server) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deleted, s.compacted = nil, s.revision
+	s.notify()
+}
+
+// Revision returns the number of changes so far.
+func (s *Server) Revision() store.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
 func (s *Server) notify() {
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -186,19 +204,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
-	answer(w, http.StatusOK, s.collect(r.URL.Query().Get("prefix"), 0))
+	entries, revision := s.entries, s.revision
+	if s.stale != nil {
+		entries, revision = s.stale, s.staleRev
+	}
+	answer(w, http.StatusOK, collect(entries, revision, r.URL.Query().Get("prefix"), 0))
 }
 
-// collect returns the entries and deletions under prefix after a revision.
-func (s *Server) collect(prefix string, after store.Revision) store.Listing {
-	listing := store.Listing{Entries: []store.Entry{}, Revision: s.revision}
-	for key, entry := range s.entries {
-		if strings.HasPrefix(key, prefix) && entry.Modified > after {
-			entry.Revision = s.revision
-			listing.Entries = append(listing.Entries, entry)
-		}
-	}
-	slices.SortFunc(listing.Entries, func(a, b store.Entry) int { return strings.Compare(a.Key, b.Key) })
+// changes returns the entries and deletions under prefix after a revision.
+func (s *Server) changes(prefix string, after store.Revision) store.Listing {
+	listing := collect(s.entries, s.revision, prefix, after)
 	if after == 0 {
 		return listing
 	}
@@ -207,7 +222,20 @@
 			listing.Deleted = append(listing.Deleted, gone.key)
 		}
 	}
-	listing.Compacted = len(s.deleted) == maxDeletions && s.deleted[0].revision > after
+	listing.Compacted = after < s.compacted
+	return listing
+}
+
+// collect returns the entries under prefix that were written after a revision.
+func collect(entries map[string]store.Entry, revision store.Revision, prefix string, after store.Revision) store.Listing {
+	listing := store.Listing{Entries: []store.Entry{}, Revision: revision}
+	for key, entry := range entries {
+		if strings.HasPrefix(key, prefix) && entry.Modified > after {
+			entry.Revision = revision
+			listing.Entries = append(listing.Entries, entry)
+		}
+	}
+	slices.SortFunc(listing.Entries, func(a, b store.Entry) int { return strings.Compare(a.Key, b.Key) })
 	return listing
 }
 
@@ -219,9 +247,14 @@
 	for {
 		s.mu.Lock()
 		next := s.expire()
-		listing := s.collect(prefix, after)
-		changed := s.changed
+		listing := s.changes(prefix, after)
+		changed, faults := s.changed, s.faults
 		s.mu.Unlock()
+		if faults.down(r) {
+			// An outage ends the watches that wait.
+			http.Error(w, "service is unavailable", http.StatusServiceUnavailable)
+			return
+		}
 		if len(listing.Entries)+len(listing.Deleted) > 0 || listing.Compacted {
 			answer(w, http.StatusOK, listing)
 			return
--- a/internal/store/errors.go
+++ b/internal/store/errors.go
@@ -27,9 +27,12 @@
 // UnavailableError reports a call without a usable answer.
 type UnavailableError struct {
 	Op, Key string
-	// MaybeApplied is true when a write may have taken effect.
+	// MaybeApplied is true when a write may have taken effect. False proves that it did not and will not: the call was not sent,
+	// or the service refused it before it applied anything.
 	MaybeApplied bool
-	Cause        error
+	// Sent is false when the call did not leave, such as with an OpenError, a TooLargeError, or a context that had ended.
+	Sent  bool
+	Cause error
 }
 
 // Error names the operation and the cause.
@@ -59,3 +62,14 @@
 
 // Error states the status and the start of the body.
 func (e *StatusError) Error() string { return fmt.Sprintf("status %d: %.200s", e.Status, e.Body) }
+
+// TooLargeError is the cause of an UnavailableError of a value that the service cannot hold; a retry does not help.
+type TooLargeError struct {
+	Key   string
+	Bytes int
+}
+
+// Error states the size and the limit.
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("value of %d bytes for %q is larger than %d", e.Bytes, e.Key, MaxValueBytes)
+}
