--- a/internal/config/follower_test.go
+++ b/internal/config/follower_test.go
@@ -185,10 +185,9 @@
 				c.must(a.publisher, fmt.Sprintf("change-%d", i), model.Revision(i), customer("clerks", i+1))
 				time.Sleep(inEffectBound)
 			}
-			close(seen)
 			var order []model.Revision
-			for revision := range seen {
-				order = append(order, revision)
+			for len(seen) > 0 {
+				order = append(order, <-seen)
 			}
 			Expect(order).To(Equal([]model.Revision{0, 1, 2, 3}))
 		})
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -164,7 +164,7 @@
 	ticker := time.NewTicker(cmp.Or(t.ListEvery, DefaultListEvery))
 	defer ticker.Stop()
 	for {
-		if err := t.list(ctx); err != nil {
+		if err := t.Refresh(ctx); err != nil {
 			t.Log.Warn().Err(err).Msg("member: members not listed")
 		}
 		t.adjust(ctx, peers, &running)
@@ -209,8 +209,8 @@
 	}
 }
 
-// list replaces the known members by those in the store.
-func (t *Table) list(ctx context.Context) error {
+// Refresh replaces the known members by those in the store now. Run does so by itself when a membership changes.
+func (t *Table) Refresh(ctx context.Context) error {
 	listing, err := t.Store.List(ctx, Prefix)
 	if err != nil {
 		return fmt.Errorf("listing members: %w", err)
--- a/internal/opsapi/server.go
+++ b/internal/opsapi/server.go
@@ -72,12 +72,11 @@
 // Handler returns the API.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
+	timeout := cmp.Or(s.Timeout, DefaultTimeout)
 	for pattern, handle := range map[string]handler{
 		"POST /v1/changes":                        s.publish,
 		"GET /v1/changes/{id}":                    s.lookup,
 		"GET /v1/objects":                         s.objects,
-		"POST /v1/data-centres/{name}/out":        s.service(model.ServiceOut),
-		"POST /v1/data-centres/{name}/in":         s.service(model.ServiceIn),
 		"GET /v1/jobs":                            s.listJobs,
 		"POST /v1/jobs":                           s.submitJob,
 		"GET /v1/jobs/{id}":                       s.getJob,
@@ -88,13 +87,16 @@
 		"POST /v1/endpoints/{name}/leaving":       s.leaving,
 		"/":                                       notFound,
 	} {
-		mux.Handle(pattern, s.wrap(handle))
+		mux.Handle(pattern, s.wrap(handle, timeout))
+	}
+	for path, state := range map[string]model.ServiceState{"out": model.ServiceOut, "in": model.ServiceIn} {
+		mux.Handle("POST /v1/data-centres/{name}/"+path, s.wrap(s.service(state), timeout+MaxMembersWait))
 	}
 	return mux
 }
 
 // wrap authorizes a request, bounds it and writes its answer.
-func (s *Server) wrap(handle handler) http.Handler {
+func (s *Server) wrap(handle handler, timeout time.Duration) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		operator, authorized := s.operator(r)
 		if !authorized {
@@ -102,13 +104,12 @@
 			s.refuse(w, reply.Refused(reply.ReasonUnauthorized, "the bearer token is missing or unknown"))
 			return
 		}
-		timeout := cmp.Or(s.Timeout, DefaultTimeout)
 		// Servers that do not support a deadline, such as recorders in tests, have their own bounds.
-		if err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(timeout)); err != nil {
+		if err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(cmp.Or(s.Timeout, DefaultTimeout))); err != nil {
 			s.Log.Debug().Err(err).Msg("opsapi: read deadline not set")
 		}
 		r.Body = http.MaxBytesReader(w, r.Body, MaxBodyBytes)
-		ctx, cancel := context.WithTimeout(r.Context(), timeout+MaxMembersWait)
+		ctx, cancel := context.WithTimeout(r.Context(), timeout)
 		defer cancel()
 		result, refused := handle(ctx, call{Request: r, operator: operator})
 		if refused != nil {
--- a/internal/opsapi/service.go
+++ b/internal/opsapi/service.go
@@ -18,8 +18,9 @@
 const (
 	// serviceAttempts bounds how often a change of service is made again from a newer revision.
 	serviceAttempts = 5
-	// membersEvery is the interval between two looks at the members.
+	// membersEvery is the interval between two looks at the members, and refreshEvery between two listings of them.
 	membersEvery = 50 * time.Millisecond
+	refreshEvery = time.Second
 )
 
 // serviceBody is the optional body of POST /v1/data-centres/<name>/out and in.
@@ -142,26 +143,46 @@
 	return model.ChangeID(fmt.Sprintf("%s-%s-%s", state, short, strings.ToLower(rand.Text())))
 }
 
-// await waits until each member has a revision or has left, and tells which have not.
+// await waits until each member has a revision or has left, and tells which have not. Members are listed after the
+// publication, because an instance that this one does not know of yet may start tasks too.
 func (s *Server) await(ctx context.Context, revision model.Revision, wait time.Duration, told *serviceAnswer) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	ticker := time.NewTicker(membersEvery)
 	defer ticker.Stop()
 	before := s.known()
+	var listed time.Time
 	for {
+		if time.Since(listed) >= refreshEvery {
+			if err := s.refresh(ctx); err != nil {
+				s.Log.Warn().Err(err).Msg("opsapi: members not listed")
+			} else {
+				listed = time.Now()
+			}
+		}
 		s.progress(before, revision, told)
+		told.Complete = told.Complete && !listed.IsZero()
 		if told.Complete {
 			return
 		}
 		select {
 		case <-ctx.Done():
+			if listed.IsZero() {
+				told.Warnings = append(told.Warnings, "members could not be listed since the change, so there may be others")
+			}
 			return
 		case <-ticker.C:
 		}
 	}
 }
 
+func (s *Server) refresh(ctx context.Context) error {
+	if s.Members == nil {
+		return nil
+	}
+	return s.Members.Refresh(ctx)
+}
+
 // known returns the instances that are members now, this one included.
 func (s *Server) known() []model.InstanceID {
 	ids := []model.InstanceID{s.Instance}
