config, opsapi: prove reads of publications current and bound bodies

A read without min-revision may be stale and show that a change did not take effect although it did. Publish, Lookup and At now grant a short lease first and read at the revision of its answer; the random histories include stale reads. The deadline for reading a body is lifted once the body is complete, because the server cancelled calls that outlast it.

--- a/internal/config/follow.go
+++ b/internal/config/follow.go
@@ -21,6 +21,7 @@
 	ticker := time.NewTicker(step)
 	defer ticker.Stop()
 	var last, usedProof time.Time
+	failing := false
 	for {
 		hinted := false
 		select {
@@ -37,9 +38,17 @@
 			continue
 		}
 		last, usedProof = f.now(), sent
-		if err := f.readStore(ctx); err != nil && ctx.Err() == nil {
+		err := f.readStore(ctx)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err != nil && !failing {
 			f.Log.Warn().Err(err).Msg("config: head not read")
 		}
+		if err == nil && failing {
+			f.Log.Info().Msg("config: head read again")
+		}
+		failing = err != nil
 	}
 }
 
--- a/internal/config/janitor.go
+++ b/internal/config/janitor.go
@@ -37,7 +37,7 @@
 // Clean removes the history, the segments and the change records that neither the head nor any revision replaced within
 // keep uses; 0 means DefaultKeep. Each delete waits for limit. It is run by one instance at a time.
 func (p *Publisher) Clean(ctx context.Context, keep time.Duration, limit *rate.Limiter) (Cleaned, error) {
-	now, err := p.readHead(ctx, 0)
+	now, err := p.newest(ctx)
 	if err != nil {
 		return Cleaned{}, err
 	}
--- a/internal/config/prepare.go
+++ b/internal/config/prepare.go
@@ -207,6 +207,10 @@
 	if err != nil {
 		return plan{}, reply.Refused(reply.ReasonInvalid, "the head cannot be encoded: %v", err)
 	}
+	if len(raw) > store.MaxValueBytes {
+		return plan{}, reply.Refused(reply.ReasonTooLarge, "the change names too many objects: the head would take %d bytes, more than %d",
+			len(raw), store.MaxValueBytes)
+	}
 	result := Result{ChangeID: p.change.ID, Revision: next.Revision, Changed: changed, Warnings: warnings(after, changed)}
 	return plan{head: next, raw: raw, fresh: fresh, result: result}, nil
 }
--- a/internal/config/publish.go
+++ b/internal/config/publish.go
@@ -37,6 +37,9 @@
 	defer cancel()
 	pub := &publication{Publisher: p, change: c, digest: digest}
 	result, err := pub.run(ctx)
+	if p.Record != nil {
+		p.Record(c, result, err)
+	}
 	event := p.Log.Info().Str("change", string(c.ID)).Str("by", c.By).Bool("dry-run", c.DryRun)
 	if err != nil {
 		event.Str("outcome", string(err.Outcome)).Str("reason", string(err.Reason)).Msg("config: change not published")
@@ -48,7 +51,7 @@
 
 // run repeats the publication on newer heads until it is settled.
 func (p *publication) run(ctx context.Context) (Result, *reply.Error) {
-	now, err := p.readHead(ctx, 0)
+	now, err := p.newest(ctx)
 	if err != nil {
 		return Result{}, p.unavailable(err)
 	}
@@ -84,7 +87,7 @@
 		if !errors.As(err, &conflict) {
 			return Result{}, nil, p.unavailable(err)
 		}
-		next, err := p.readHead(ctx, now.seen)
+		next, err := p.readHead(ctx, max(now.seen, conflict.Current.Revision))
 		if err != nil {
 			return Result{}, nil, p.unavailable(err)
 		}
@@ -195,11 +198,15 @@
 			}
 			return p.overtaken(plan, next)
 		}
-		if !p.maybeApplied(err) {
+		maybe := p.maybeApplied(err)
+		if !maybe && p.lost == 0 {
 			return Result{}, nil, p.unavailable(err)
 		}
-		p.lost, p.sent = plan.head.Revision, true
-		p.Log.Warn().Err(err).Str("change", string(p.change.ID)).Msg("config: answer to the head write was lost")
+		if maybe {
+			p.lost, p.sent = plan.head.Revision, true
+		}
+		p.Log.Warn().Err(err).Str("change", string(p.change.ID)).
+			Bool("maybe-applied", maybe).Msg("config: head not written")
 		if sleep(ctx, pause) != nil {
 			return Result{}, nil, p.unavailable(err)
 		}
--- a/internal/config/publish_test.go
+++ b/internal/config/publish_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"sync"
 	"time"
 
@@ -152,16 +153,18 @@
 			c.must(p, "first", 0, dataCentre(model.ServiceIn))
 			change := config.Change{ID: "second", Base: 1, Put: []model.Object{customer("clerks", 1)}}
 			c.kv.Set(fakekv.Faults{LoseAnswers: 1, LosePrefix: "/config/head"})
-			go func() {
-				time.Sleep(5 * time.Millisecond)
-				for c.history()["second"] == 0 {
-					time.Sleep(time.Millisecond)
-				}
-				c.net.Cut("op", kvHost, true)
-			}()
+			do := p.Store.Do
+			p.Store.Do = func(r *http.Request) (*http.Response, error) {
+				res, err := do(r)
+				// The instance loses the store together with the answer.
+				c.net.Cut("op", kvHost, err != nil)
+				return res, err
+			}
 			_, refused := p.Publish(ctx, change)
 			Expect(refused.Outcome).To(Equal(reply.OutcomeUnknown))
+			Expect(refused.Reason).To(Equal(reply.ReasonAnswerLost))
 			c.net.Cut("op", kvHost, false)
+			p.Store.Do = do
 			result, refused := p.Publish(ctx, change)
 			Expect(refused).To(BeNil())
 			Expect(result.Already).To(BeTrue())
--- a/internal/config/publisher.go
+++ b/internal/config/publisher.go
@@ -59,6 +59,8 @@
 	Check func(*model.Set) []model.Problem
 	// MaybeApplied tells whether a failed write of the head may have taken effect; nil asks the store's error.
 	MaybeApplied func(error) bool
+	// Record receives each publication and its outcome, for the record of decisions; nil records nothing.
+	Record func(Change, Result, *reply.Error)
 	// Timeout bounds one publication; 0 means DefaultTimeout.
 	Timeout time.Duration
 	// Wall is the clock of the times in records; nil means time.Now.
@@ -73,7 +75,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, cmp.Or(p.Timeout, DefaultTimeout))
 	defer cancel()
-	now, err := p.readHead(ctx, 0)
+	now, err := p.newest(ctx)
 	if err != nil {
 		return Result{}, unreadable(err)
 	}
@@ -86,7 +88,7 @@
 	}
 	if rec.Target > now.head.Revision {
 		// The record may be newer than the head that was read before it.
-		if now, err = p.readHead(ctx, 0); err != nil {
+		if now, err = p.newest(ctx); err != nil {
 			return Result{}, unreadable(err)
 		}
 	}
@@ -109,7 +111,7 @@
 func (p *Publisher) At(ctx context.Context, rev model.Revision) (*model.Set, *reply.Error) {
 	ctx, cancel := context.WithTimeout(ctx, cmp.Or(p.Timeout, DefaultTimeout))
 	defer cancel()
-	now, err := p.readHead(ctx, 0)
+	now, err := p.newest(ctx)
 	if err != nil {
 		return nil, unreadable(err)
 	}
--- a/internal/config/random_test.go
+++ b/internal/config/random_test.go
@@ -80,9 +80,9 @@
 		})
 	})
 
-	It("give publications and reads a history that one register explains, with races, lost answers and outages (P5, P9)", func() {
+	It("give publications and reads a history that one register explains, with races, lost answers, outages and stale reads (P5, P9)", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
-			events := schedule(t, "publish", "publish", "race", "read", "lose", "lose-head", "down")
+			events := schedule(t, "publish", "publish", "race", "read", "lose", "lose-head", "down", "stale")
 			linearizable := false
 			var lies []string
 			virtual(func(ctx context.Context) { linearizable, lies = operate(newCluster(ctx), events, nil) })
@@ -174,6 +174,8 @@
 			c.kv.Set(fakekv.Faults{LoseAnswers: 1 + e.who})
 		case "lose-head":
 			c.kv.Set(fakekv.Faults{LoseAnswers: 1 + e.who, LosePrefix: "/config/head"})
+		case "stale":
+			c.kv.Set(fakekv.Faults{StaleReads: true})
 		case "down":
 			c.kv.Set(fakekv.Faults{Down: true})
 			time.Sleep(e.gap)
--- a/internal/config/read.go
+++ b/internal/config/read.go
@@ -13,6 +13,9 @@
 	"peridotgw.example/peridotgw/model"
 )
 
+// proofTTL is the life of the lease that proves a read current. Nothing is attached to it.
+const proofTTL = time.Second
+
 // observed is a head with its version in the store.
 type observed struct {
 	head    head
@@ -22,6 +25,21 @@
 	seen store.Revision
 }
 
+// newest reads the head as it is now. Granting a lease is a write, so a read at the revision of its answer cannot be stale.
+// Without it, a stale read could show that a change did not take effect although it did.
+func (p *Publisher) newest(ctx context.Context) (observed, error) {
+	var lease store.Lease
+	err := again(ctx, func() error {
+		var err error
+		lease, err = p.Store.Grant(ctx, proofTTL)
+		return err
+	})
+	if err != nil {
+		return observed{}, fmt.Errorf("proving reads current: %w", err)
+	}
+	return p.readHead(ctx, lease.Revision)
+}
+
 // readHead reads the head at least as new as the store revision atLeast, the instance's last own write and its follower's
 // knowledge; a head that does not exist has revision 0.
 func (p *Publisher) readHead(ctx context.Context, atLeast store.Revision) (observed, error) {
--- a/internal/opsapi/decode.go
+++ b/internal/opsapi/decode.go
@@ -1,6 +1,7 @@
 package opsapi
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"io"
@@ -13,7 +14,7 @@
 // decode reads the JSON body of a call. An empty body is allowed where optional is true. Unknown fields and anything after
 // the value are refused.
 func decode(c call, into any, optional bool) *reply.Error {
-	decoder := json.NewDecoder(c.Body)
+	decoder := json.NewDecoder(bytes.NewReader(c.body))
 	decoder.DisallowUnknownFields()
 	err := decoder.Decode(into)
 	if optional && errors.Is(err, io.EOF) {
--- a/internal/opsapi/server.go
+++ b/internal/opsapi/server.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/json"
+	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -59,6 +60,7 @@
 type call struct {
 	*http.Request
 	operator string
+	body     []byte
 }
 
 // answer is a successful answer; Status 0 means 200.
@@ -104,14 +106,14 @@
 			s.refuse(w, reply.Refused(reply.ReasonUnauthorized, "the bearer token is missing or unknown"))
 			return
 		}
-		// Servers that do not support a deadline, such as recorders in tests, have their own bounds.
-		if err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(cmp.Or(s.Timeout, DefaultTimeout))); err != nil {
-			s.Log.Debug().Err(err).Msg("opsapi: read deadline not set")
+		body, refused := s.body(w, r)
+		if refused != nil {
+			s.refuse(w, refused)
+			return
 		}
-		r.Body = http.MaxBytesReader(w, r.Body, MaxBodyBytes)
 		ctx, cancel := context.WithTimeout(r.Context(), timeout)
 		defer cancel()
-		result, refused := handle(ctx, call{Request: r, operator: operator})
+		result, refused := handle(ctx, call{Request: r, operator: operator, body: body})
 		if refused != nil {
 			s.refuse(w, refused)
 			return
@@ -120,6 +122,24 @@
 	})
 }
 
+// body reads the whole body within a bound of bytes and time. The deadline is lifted afterwards, because the server would
+// cancel a call that outlasts it.
+func (s *Server) body(w http.ResponseWriter, r *http.Request) ([]byte, *reply.Error) {
+	controller := http.NewResponseController(w)
+	// Servers that do not support a deadline, such as recorders in tests, have their own bounds.
+	if err := controller.SetReadDeadline(time.Now().Add(cmp.Or(s.Timeout, DefaultTimeout))); err != nil {
+		s.Log.Debug().Err(err).Msg("opsapi: read deadline not set")
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
+	if err != nil {
+		return nil, malformed(err)
+	}
+	if err := controller.SetReadDeadline(time.Time{}); err != nil {
+		s.Log.Debug().Err(err).Msg("opsapi: read deadline not lifted")
+	}
+	return body, nil
+}
+
 // operator compares the bearer token with all known ones in constant time. Their hashes are compared, so that the time
 // does not depend on lengths either.
 func (s *Server) operator(r *http.Request) (string, bool) {
--- a/internal/opsapi/server_test.go
+++ b/internal/opsapi/server_test.go
@@ -1,8 +1,12 @@
 package opsapi_test
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -42,13 +46,13 @@
 
 func newSite(ctx context.Context) *site {
 	s := &site{ctx: ctx, kv: fakekv.New()}
-	net := simnet.New(time.Millisecond)
-	net.Host("kv", s.kv)
-	s.store = &store.Client{BaseURL: "http://kv", Timeout: store.DefaultTimeout, Do: net.From("a").Do}
+	network := simnet.New(time.Millisecond)
+	network.Host("kv", s.kv)
+	s.store = &store.Client{BaseURL: "http://kv", Timeout: store.DefaultTimeout, Do: network.From("a").Do}
 	tables := map[string]*member.Table{}
 	for _, id := range []string{"a", "b"} {
 		t := &member.Table{
-			Store: s.store, Caller: &wire.Caller{HTTP: net.From(id)},
+			Store: s.store, Caller: &wire.Caller{HTTP: network.From(id)},
 			Self: member.Member{Instance: model.InstanceID(id), Incarnation: "one", PeerAddress: id},
 			Keep: func(key string, value func() []byte) {
 				_, err := s.store.Put(ctx, key, value(), 0, 0)
@@ -57,7 +61,7 @@
 		}
 		mux := http.NewServeMux()
 		t.Register(mux)
-		net.Host(id, mux)
+		network.Host(id, mux)
 		tables[id] = t
 	}
 	tables["b"].Local = func() member.Report {
@@ -98,6 +102,29 @@
 	Left, Missing     []string
 }
 
+// oneConn is a listener with one connection.
+type oneConn struct {
+	net.Listener
+	conns chan net.Conn
+	conn  net.Conn
+}
+
+func (l *oneConn) Accept() (net.Conn, error) {
+	if conn := l.conn; conn != nil {
+		l.conn = nil
+		return conn, nil
+	}
+	<-l.conns
+	return nil, net.ErrClosed
+}
+
+func (l *oneConn) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (l *oneConn) Close() error {
+	close(l.conns)
+	return nil
+}
+
 var _ = Describe("Server", func() {
 	It("lets nobody in without a known token, so that only operators change the configuration", func() {
 		virtual(func(ctx context.Context) {
@@ -223,6 +250,38 @@
 		})
 	})
 
+	It("bounds the reading of a body but not the wait for members by it, over a server", func() {
+		virtual(func(ctx context.Context) {
+			s := newSite(ctx)
+			var done service
+			s.call("POST", "/v1/changes", first, &done)
+			s.server.Timeout = time.Second
+			ours, theirs := net.Pipe()
+			server := &http.Server{Handler: s.server.Handler(), ReadHeaderTimeout: time.Second}
+			go func() { _ = server.Serve(&oneConn{conns: make(chan net.Conn, 1), conn: theirs}) }()
+			defer server.Close()
+			reader := bufio.NewReader(ours)
+			ask := func(body string, length int) (*http.Response, string) {
+				_, err := fmt.Fprintf(ours, "POST /v1/data-centres/library/out HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer secret\r\n"+
+					"Content-Length: %d\r\n\r\n%s", length, body)
+				Expect(err).NotTo(HaveOccurred())
+				res, err := http.ReadResponse(reader, nil)
+				Expect(err).NotTo(HaveOccurred())
+				text, err := io.ReadAll(res.Body)
+				Expect(err).NotTo(HaveOccurred())
+				return res, string(text)
+			}
+			body := `{"wait":"5s"}`
+			res, text := ask(body, len(body))
+			Expect(res.StatusCode).To(Equal(http.StatusAccepted), text)
+			Expect(text).To(ContainSubstring(`"missing":["b"]`))
+			started := time.Now()
+			res, text = ask(body, 2*len(body))
+			Expect(res.StatusCode).To(Equal(http.StatusBadRequest), text)
+			Expect(time.Since(started)).To(BeNumerically("<=", 2*time.Second))
+		})
+	})
+
 	It("answers as an outage of the store demands, without saying that a change was refused when it may have been applied", func() {
 		virtual(func(ctx context.Context) {
 			s := newSite(ctx)
--- a/model/set.go
+++ b/model/set.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"slices"
 	"strings"
@@ -36,6 +37,8 @@
 // Unwrap returns the cause.
 func (e *DecodeError) Unwrap() error { return e.Cause }
 
+var errNoSpec = errors.New("spec is missing")
+
 // NewSet returns an empty set.
 func NewSet() *Set {
 	return &Set{
@@ -157,6 +160,9 @@
 }
 
 func put[K ~string, V any](into map[K]V, object Object) error {
+	if spec := bytes.TrimSpace(object.Spec); len(spec) == 0 || string(spec) == "null" {
+		return errNoSpec
+	}
 	var value V
 	decoder := json.NewDecoder(bytes.NewReader(object.Spec))
 	decoder.DisallowUnknownFields()
