sched: ends of jobs survive an outage of the store

Cause: an owner whose lease ended during an outage was replaced by one of the same instance, which did not know that a job had ended meanwhile; and every renewal cost a whole pass.

--- a/internal/fakewk/faults.go
+++ b/internal/fakewk/faults.go
@@ -27,6 +27,8 @@
 	LoseAnswers int `json:"lose-answers,omitempty"`
 	// Dead breaks every connection; setting it ends all tasks, and clearing it is a restart.
 	Dead bool `json:"dead,omitempty"`
+	// NoFence accepts stale tokens; it exists so that a check can show what fencing prevents.
+	NoFence bool `json:"no-fence,omitempty"`
 	// CheckpointMs makes checkpoints take this long.
 	CheckpointMs int `json:"checkpoint-ms,omitempty"`
 }
--- a/internal/fakewk/server.go
+++ b/internal/fakewk/server.go
@@ -165,10 +165,10 @@
 
 // fence refuses a token below the highest one seen for the data centre; the caller holds the lock.
 func (s *Server) fence(dc model.DataCentreID, token model.Token) *worker.RefusedError {
-	if highest := s.tokens[dc]; token < highest {
+	if highest := s.tokens[dc]; token < highest && !s.faults.NoFence {
 		return refuse(worker.RefusedStaleToken, "token %d is below %d", token, highest)
 	}
-	s.tokens[dc] = token
+	s.tokens[dc] = max(s.tokens[dc], token)
 	return nil
 }
 
@@ -176,7 +176,9 @@
 func (s *Server) free() model.Accelerators {
 	free := s.Accelerators
 	for _, held := range s.reservations {
-		free -= held.Accelerators
+		if time.Now().Before(held.expires) {
+			free -= held.Accelerators
+		}
 	}
 	return free - s.busy()
 }
--- /dev/null
+++ b/internal/fakewk/suite_test.go
@@ -0,0 +1,26 @@
+package fakewk_test
+
+import (
+	"testing"
+	"testing/synctest"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// suiteT carries the virtual clock of the specs.
+var suiteT *testing.T
+
+func TestFakewk(t *testing.T) {
+	suiteT = t
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "fakewk")
+}
+
+// virtual runs body under a virtual clock.
+func virtual(body func()) {
+	synctest.Test(suiteT, func(*testing.T) {
+		defer GinkgoRecover()
+		body()
+	})
+}
--- a/internal/fakewk/tasks.go
+++ b/internal/fakewk/tasks.go
@@ -54,7 +54,7 @@
 		return s.status(mine), nil
 	}
 	accelerators := m.Accelerators
-	if held, found := s.reservations[m.Reservation]; found {
+	if held, found := s.reservations[m.Reservation]; found && time.Now().Before(held.expires) {
 		held.timer.Stop()
 		delete(s.reservations, m.Reservation)
 		accelerators = held.Accelerators
--- /dev/null
+++ b/internal/jobs/book_test.go
@@ -0,0 +1,194 @@
+package jobs_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"peridotgw.example/peridotgw/internal/fakekv"
+	"peridotgw.example/peridotgw/internal/fakewk"
+	"peridotgw.example/peridotgw/internal/jobs"
+	"peridotgw.example/peridotgw/internal/store"
+	"peridotgw.example/peridotgw/model"
+)
+
+func newBook() (*jobs.Book, *fakekv.Server) {
+	kv, network := fakekv.New(), fakewk.NewNetwork()
+	network.Add("kv", kv)
+	return &jobs.Book{Store: &store.Client{BaseURL: "http://kv", Timeout: time.Second, Do: network.Do}}, kv
+}
+
+func record(dc model.DataCentreID, id model.JobID) jobs.Record {
+	return jobs.Record{Spec: jobs.Spec{ID: id, Payload: json.RawMessage(`{"a": 1}`)}, State: jobs.StateQueued, DataCentre: dc}
+}
+
+var _ = Describe("Book", func() {
+	ctx := context.Background()
+
+	// Guards against ids that reach another job's or data centre's keys.
+	DescribeTable("keeps records apart", func(id model.JobID) {
+		book, _ := newBook()
+		stored, err := book.Create(ctx, record("dc", id))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(stored.Version).To(BeEquivalentTo(1))
+		read, err := book.Get(ctx, "dc", id)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(read.Spec.ID).To(Equal(id))
+		Expect(read.Spec.Equal(record("dc", id).Spec)).To(BeTrue())
+		others, err := book.List(ctx, "dc/x")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(others).To(BeEmpty())
+	},
+		Entry("slash", model.JobID("x/y")), Entry("dots", model.JobID("../dc2/x")), Entry("percent", model.JobID("50%2F")),
+		Entry("space and umlaut", model.JobID("große Wertung")), Entry("query", model.JobID("a?version=3#x")),
+	)
+
+	// Guards against a lost answer that is taken for a conflict, or for a success of another writer's change.
+	It("resolves writes whose answer was lost", func() {
+		book, kv := newBook()
+		kv.Set(fakekv.Faults{LoseAnswers: 2})
+		stored, err := book.Create(ctx, record("dc", "j"))
+		Expect(err).NotTo(HaveOccurred())
+		kv.Set(fakekv.Faults{LoseAnswers: 1})
+		stored.State = jobs.StateStarting
+		stored, err = book.Update(ctx, stored)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(stored.Version).To(BeEquivalentTo(2))
+		kv.Set(fakekv.Faults{LoseAnswers: 9})
+		stored.State = jobs.StateRunning
+		_, err = book.Update(ctx, stored)
+		var unavailable *store.UnavailableError
+		Expect(errors.As(err, &unavailable)).To(BeTrue())
+		Expect(unavailable.MaybeApplied).To(BeTrue(), "no answer arrived at all")
+	})
+
+	// Guards against a write in doubt that is reported as not applied because a later send was refused.
+	It("keeps a write in doubt when the store goes down after a lost answer", func() {
+		book, kv := newBook()
+		inner := book.Store.Do
+		sends := 0
+		book.Store.Do = func(req *http.Request) (*http.Response, error) {
+			if sends++; sends == 2 {
+				kv.Set(fakekv.Faults{Down: true})
+			}
+			return inner(req)
+		}
+		kv.Set(fakekv.Faults{LoseAnswers: 1})
+		_, err := book.Create(ctx, record("dc", "j"))
+		var unavailable *store.UnavailableError
+		Expect(errors.As(err, &unavailable)).To(BeTrue())
+		Expect(unavailable.MaybeApplied).To(BeTrue())
+	})
+
+	// Guards against two writers that both believe that their change is there.
+	It("lets one of two writers win", func() {
+		book, _ := newBook()
+		first, err := book.Create(ctx, record("dc", "j"))
+		Expect(err).NotTo(HaveOccurred())
+		cancelled := first
+		cancelled.CancelRequested = true
+		_, err = book.Update(ctx, cancelled)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = book.Update(ctx, first)
+		var changed *jobs.ChangedError
+		Expect(errors.As(err, &changed)).To(BeTrue())
+		Expect(changed.Current.CancelRequested).To(BeTrue())
+	})
+
+	// Guards against a move that loses the job, or leaves two, when the mover crashes at any of its writes.
+	It("completes a move after a crash at any step", func() {
+		for crash := range 4 {
+			book, _ := newBook()
+			old, err := book.Create(ctx, record("a", "j"))
+			Expect(err).NotTo(HaveOccurred())
+			inner, writes := book.Store.Do, 0
+			book.Store.Do = func(req *http.Request) (*http.Response, error) {
+				if writes++; writes > crash {
+					return nil, errors.New("crashed")
+				}
+				return inner(req)
+			}
+			_, err = book.Move(ctx, old, "b", jobs.Note{Action: "moved"})
+			Expect(err == nil).To(Equal(crash == 3), "crash after %d writes: %v", crash, err)
+			book.Store.Do = inner
+			left, err := book.Get(ctx, "a", "j")
+			if err == nil && left.State == jobs.StateMoved {
+				_, err = book.CompleteMove(ctx, left)
+				Expect(err).NotTo(HaveOccurred())
+			}
+			var live []jobs.Record
+			for _, dc := range []model.DataCentreID{"a", "b"} {
+				records, err := book.List(ctx, dc)
+				Expect(err).NotTo(HaveOccurred())
+				live = append(live, records...)
+			}
+			Expect(live).To(HaveLen(1), "crash after %d writes", crash)
+			Expect(live[0].State).To(Equal(jobs.StateQueued))
+		}
+	})
+
+	// Guards against two data centres that both get a job that was submitted twice at the same time.
+	It("gives an id to the first claim only", func() {
+		book, kv := newBook()
+		kv.Set(fakekv.Faults{LoseAnswers: 1})
+		dc, _, err := book.Claim(ctx, "j", "a")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(dc).To(BeEquivalentTo("a"))
+		dc, first, err := book.Claim(ctx, "j", "b")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(first).To(BeFalse())
+		Expect(dc).To(BeEquivalentTo("a"))
+	})
+
+	// Guards against records that are removed too early or without the rate limit.
+	It("removes old ended records only, at the given rate", func() {
+		book, _ := newBook()
+		now := time.Now()
+		for id, age := range map[model.JobID]time.Duration{"old": 8 * 24 * time.Hour, "new": time.Hour, "open": 0} {
+			r := record("dc", id)
+			if id != "open" {
+				r.End(jobs.StateDone, "done", "", now.Add(-age), "")
+			}
+			_, err := book.Create(ctx, r)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		waits := 0
+		removed, err := book.Janitor(ctx, "dc", now, func(context.Context) error { waits++; return nil })
+		Expect(err).NotTo(HaveOccurred())
+		Expect(removed).To(Equal(1))
+		Expect(waits).To(Equal(2))
+		Expect(book.List(ctx, "dc")).To(HaveLen(2))
+	})
+})
+
+var _ = Describe("Record", func() {
+	// Guards against histories that grow without bound or lose the submission.
+	It("keeps the first and the newest notes", func() {
+		r := record("dc", "j")
+		for i := range 100 {
+			r.Note(jobs.Note{Action: fmt.Sprint(i)})
+		}
+		Expect(r.History).To(HaveLen(jobs.MaxNotes))
+		Expect(r.History[0].Action).To(Equal("0"))
+		Expect(r.History[jobs.MaxNotes-1].Action).To(Equal("99"))
+	})
+
+	// Guards against the record's size at the largest gang, which must stay below the store's limit.
+	It("stays far below the store's limit with 512 tasks", func() {
+		r := record("dc", model.JobID(strings.Repeat("j", 200)))
+		for i := range 512 {
+			name := fmt.Sprintf("%s/%d.%d.%d", r.Spec.ID, 1<<40, 99, i)
+			r.Placement = append(r.Placement, jobs.Placement{Task: model.TaskID(name), Worker: "worker-0001", Rack: "rack-01", Reservation: model.ReservationID(name)})
+		}
+		data, err := json.Marshal(r)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(len(data)).To(BeNumerically("<", store.MaxValueBytes/2))
+	})
+})
--- a/internal/place/plan.go
+++ b/internal/place/plan.go
@@ -288,6 +288,9 @@
 		"largest-rack-free": strconv.Itoa(largest), "fitting-tasks": strconv.Itoa(tasks),
 		"stoppable": strconv.FormatBool(stoppable(class)),
 	}}
+	if open := len(c.Unbound()); open > 0 {
+		blocked.Inputs["unbound-copies"] = strconv.Itoa(open)
+	}
 	need := int(shape.Accelerators())
 	switch {
 	case held:
--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -29,7 +29,11 @@
 	starting int
 	notes    int
 	lostTo   string
-	dropped  map[model.JobID]dropped
+	// dirty is true when something happened that a pass may act on.
+	dirty bool
+	// inherited are ends of jobs that an owner of this instance with an earlier token could not store.
+	inherited map[model.JobID]jobs.Record
+	dropped   map[model.JobID]dropped
 	// loads are the summaries of all data centres, for moves.
 	loads []Summary
 }
@@ -107,7 +111,32 @@
 
 func (c *Core) out() bool { return c.set.DataCentres[c.dc].Service != model.ServiceIn }
 
-func (c *Core) act(action Action) { c.actions = append(c.actions, action) }
+func (c *Core) act(action Action) {
+	c.actions = append(c.actions, action)
+	c.dirty = true
+}
+
+// Dirty reports whether something happened since the last pass that the next one may act on.
+func (c *Core) Dirty() bool { return c.dirty }
+
+// Unstored lists the ends of jobs that were decided but not stored yet.
+func (c *Core) Unstored() []jobs.Record {
+	var ends []jobs.Record
+	for _, id := range c.ids() {
+		if e := c.entries[id]; e.phase == phaseWriting && e.record.State.Ended() {
+			ends = append(ends, e.record)
+		}
+	}
+	return ends
+}
+
+// Inherit gives the core the ends that an earlier owner of the same instance could not store, because the store was down.
+func (c *Core) Inherit(ends []jobs.Record) {
+	c.inherited = make(map[model.JobID]jobs.Record, len(ends))
+	for _, end := range ends {
+		c.inherited[end.Spec.ID] = end
+	}
+}
 
 // Take returns the actions decided since the last call.
 func (c *Core) Take() []Action {
@@ -125,6 +154,11 @@
 // Seen tells the core about a record that it read. Records that it works on only pass on their cancel mark.
 func (c *Core) Seen(record jobs.Record, now time.Time) {
 	id := record.Spec.ID
+	c.dirty = true
+	if record.Token > c.token {
+		c.lostTo = fmt.Sprintf("record of job %q has a higher token", id)
+		return
+	}
 	e, found := c.entries[id]
 	if found {
 		c.update(e, record, now)
@@ -136,6 +170,13 @@
 	delete(c.dropped, id)
 	e = &entry{record: record}
 	c.entries[id] = e
+	if end, known := c.inherited[id]; known && end.Token == record.Token && end.Attempts == record.Attempts {
+		delete(c.inherited, id)
+		end.Version, end.Owner, end.Token = record.Version, c.instance, c.token
+		e.record, e.phase = end, phaseWriting
+		c.act(Action{Kind: ActionWrite, Job: id, Record: end})
+		return
+	}
 	switch record.State {
 	case jobs.StateMoved:
 		e.phase = phaseWriting
@@ -235,6 +276,7 @@
 
 // forget gives up the places of a job.
 func (c *Core) forget(e *entry) {
+	c.dirty = true
 	id := e.record.Spec.ID
 	c.cluster.Remove(id)
 	e.plan, e.waitFor = place.Plan{}, nil
--- a/internal/sched/manager.go
+++ b/internal/sched/manager.go
@@ -61,6 +61,7 @@
 	mu       sync.Mutex
 	owners   map[model.DataCentreID]*Owner
 	unowned  map[model.DataCentreID]time.Time
+	unstored map[model.DataCentreID][]jobs.Record
 	runners  map[model.DataCentreID]bool
 	stopping chan struct{}
 	stopped  chan struct{}
@@ -128,7 +129,7 @@
 		return
 	}
 	m.owners, m.unowned = map[model.DataCentreID]*Owner{}, map[model.DataCentreID]time.Time{}
-	m.runners = map[model.DataCentreID]bool{}
+	m.runners, m.unstored = map[model.DataCentreID]bool{}, map[model.DataCentreID][]jobs.Record{}
 	m.stopping, m.stopped = make(chan struct{}), make(chan struct{})
 	if m.Tuning == (Tuning{}) {
 		m.Tuning = DefaultTuning()
@@ -272,6 +273,7 @@
 // own runs the owner until the ownership is lost or handed over.
 func (m *Manager) own(ctx context.Context, dc model.DataCentreID, token model.Token) {
 	owner := m.newOwner(dc, token)
+	owner.Inherited = m.takeUnstored(dc)
 	ownerCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	done := make(chan error, 1)
@@ -283,6 +285,7 @@
 	if err == nil {
 		err = <-done
 	}
+	m.keepUnstored(dc, owner.Unstored())
 	m.Log.Info().Err(ignoreCancel(err)).Str("data-centre", string(dc)).Msg("sched: data centre is no longer owned here")
 	if held, valid := m.Token(OwnerKey(dc)); !valid || held != token {
 		return
@@ -294,6 +297,19 @@
 	}
 }
 
+func (m *Manager) takeUnstored(dc model.DataCentreID) []jobs.Record {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.unstored[dc]
+}
+
+// keepUnstored keeps ends that were not stored, because the store was down, for the next owner of this instance.
+func (m *Manager) keepUnstored(dc model.DataCentreID, ends []jobs.Record) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.unstored[dc] = ends
+}
+
 // watchOwner returns the owner's error when it has ended, and nil when it should be stopped.
 func (m *Manager) watchOwner(ctx context.Context, dc model.DataCentreID, token model.Token, done <-chan error) error {
 	unwanted := time.Time{}
@@ -354,6 +370,8 @@
 
 func (m *Manager) newOwner(dc model.DataCentreID, token model.Token) *Owner {
 	return &Owner{
+		// Wake may be called before Run.
+		wake:       make(chan struct{}, 1),
 		DataCentre: dc, Instance: m.Self.Instance, Token: token,
 		Valid: func() bool {
 			held, valid := m.Token(OwnerKey(dc))
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 
 	"peridotgw.example/peridotgw/internal/gang"
 	"peridotgw.example/peridotgw/internal/jobs"
@@ -43,9 +44,13 @@
 	Log          zerolog.Logger
 	Metrics      *metric.Set
 
+	// Inherited are the ends of jobs that an earlier owner of this instance could not store.
+	Inherited []jobs.Record
+
 	core   *Core
 	gang   *gang.Driver
 	events chan func(now time.Time)
+	writes *rate.Limiter
 	wake   chan struct{}
 	work   sync.WaitGroup
 	mu     sync.Mutex
@@ -71,6 +76,13 @@
 	return fmt.Sprintf("ownership of data centre %q is lost: %s", e.DataCentre, e.Cause)
 }
 
+// Limits of the writes that neither start nor move a job, per second and at once, so that a wave of cancels or ends leaves
+// the store room for other work; it sustains several hundred writes/s in all.
+const (
+	writeRate  = 100
+	writeBurst = 50
+)
+
 // watchWait is how long one watch waits for changed records.
 const watchWait = 30 * time.Second
 
@@ -78,7 +90,10 @@
 // are being started are finished first, so that a hand-over leaves none half started.
 func (o *Owner) Run(ctx context.Context) error {
 	o.events = make(chan func(time.Time), 256)
-	o.wake = make(chan struct{}, 1)
+	if o.wake == nil {
+		o.wake = make(chan struct{}, 1)
+	}
+	o.writes = rate.NewLimiter(writeRate, writeBurst)
 	o.core = NewCore(o.DataCentre, o.Instance, o.Token, o.Config(), o.Tuning, o.Options)
 	o.gang = &gang.Driver{
 		Worker: o.Worker, Record: o.store, Address: o.address, MayStart: o.mayStart, Times: o.Times,
@@ -96,6 +111,14 @@
 	return o.loop(runCtx)
 }
 
+// Unstored lists the ends of jobs that were decided but not stored; it is called after Run has returned.
+func (o *Owner) Unstored() []jobs.Record {
+	if o.core == nil {
+		return nil
+	}
+	return o.core.Unstored()
+}
+
 // Wake makes the next pass due now.
 func (o *Owner) Wake() {
 	select {
@@ -135,6 +158,7 @@
 // takeOver raises the fencing token on every worker, so that late messages of an earlier owner are refused, and then
 // rebuilds the state from the records and the workers' answers.
 func (o *Owner) takeOver(ctx context.Context) (store.Revision, error) {
+	o.core.Inherit(o.Inherited)
 	o.core.SetWorkers(o.Workers())
 	o.core.loads = o.Loads()
 	o.shareAddresses()
@@ -192,7 +216,9 @@
 			return ctx.Err()
 		case event := <-o.events:
 			o.apply(event)
-			o.pass(ctx)
+			if o.core.Dirty() {
+				o.pass(ctx)
+			}
 		case <-o.wake:
 			o.pass(ctx)
 		case <-pass.C:
@@ -344,6 +370,9 @@
 		})
 	case ActionWrite:
 		o.spawn(ctx, func(ctx context.Context) func(time.Time) {
+			if err := o.writes.Wait(ctx); err != nil {
+				return nil
+			}
 			stored, err := o.store(ctx, record)
 			return func(now time.Time) { o.core.Written(id, stored, err, now) }
 		})
@@ -398,6 +427,9 @@
 			return jobs.Record{}, err
 		}
 		record.Version = current.Version
-		record.CancelRequested = record.CancelRequested || current.CancelRequested
+		if current.CancelRequested && !record.CancelRequested {
+			record.CancelRequested = true
+			record.Note(current.History[len(current.History)-1])
+		}
 	}
 }
--- a/internal/sched/owner_test.go
+++ b/internal/sched/owner_test.go
@@ -57,7 +57,7 @@
 			b, _ := r.instance("b", "fairground")
 			r.submit(b, jobs.Spec{ID: "long", Customer: "board", Class: "tally", Shape: "half", RunTime: model.Duration(time.Minute)})
 			within(3*time.Second, "job runs", r.state(a, "long", jobs.StateRunning))
-			r.peers = r.peers[1:]
+			r.leave("a")
 			Expect(a.Stop(context.Background())).To(Succeed())
 			within(ownershipMoves, "b owns the data centre", func() bool { _, owned := b.Owned("courthouse"); return owned })
 			within(time.Minute, "job is done", r.state(b, "long", jobs.StateDone))
@@ -78,7 +78,7 @@
 				a, _ := r.instance("a", "courthouse")
 				within(3*time.Second, "a owns the data centre", func() bool { _, owned := a.Owned("courthouse"); return owned })
 				time.Sleep(time.Second)
-				r.peers = nil
+				r.leave("a")
 				b, _ := r.instance("b", "courthouse")
 				r.leases.expire("a", !checked)
 				within(ownershipMoves, "b owns the data centre", func() bool { _, owned := b.Owned("courthouse"); return owned })
--- a/internal/sched/pass.go
+++ b/internal/sched/pass.go
@@ -17,7 +17,7 @@
 
 // Pass makes all decisions that are due. mayDecide is false while the ownership is not valid.
 func (c *Core) Pass(now time.Time, mayDecide bool) {
-	c.notes = 0
+	c.notes, c.dirty = 0, false
 	c.refreshWorkers(now)
 	c.stopLost(now)
 	if !mayDecide {
@@ -147,10 +147,10 @@
 	}
 }
 
-// waitsForSilent reports whether a job that is waited for is settling, which takes until its leases end.
+// waitsForSilent reports whether a job that is waited for ends only when its leases or reservations do.
 func (c *Core) waitsForSilent(e *entry) bool {
 	for id := range e.waitFor {
-		if victim, found := c.entries[id]; found && victim.phase == phaseSettling {
+		if victim, found := c.entries[id]; found && (victim.phase == phaseSettling || victim.phase == phaseUnresolved) {
 			return true
 		}
 	}
--- a/internal/sched/preempt_test.go
+++ b/internal/sched/preempt_test.go
@@ -128,7 +128,7 @@
 				r.submit(m, jobs.Spec{ID: model.JobID(fmt.Sprint("late", i)), Customer: "festival", Class: "score", Shape: "worker", RunTime: model.Duration(2 * time.Minute)})
 			}
 			time.Sleep(90 * time.Second)
-			Expect(r.events).To(ContainElement("worker courthouse-r0-0 cleared probe-succeeded"))
+			Expect(r.recorded()).To(ContainElement("worker courthouse-r0-0 cleared probe-succeeded"))
 		})
 	},
 		Entry("is quarantined and returns after a probe", 3, true),
@@ -247,6 +247,8 @@
 		virtual(func() {
 			r := newRig(hollowCreek(4))
 			defer r.close()
+			// Notes of why jobs wait are writes of their own.
+			r.tuning.Notes = 0
 			m := owned(r)
 			const count = 120
 			for i := range count {
--- a/internal/sched/results.go
+++ b/internal/sched/results.go
@@ -16,6 +16,7 @@
 // Started reports the result of ActionStart or ActionRecover.
 func (c *Core) Started(id model.JobID, record jobs.Record, err error, now time.Time) {
 	c.starting--
+	c.dirty = true
 	e, found := c.entries[id]
 	if !found {
 		return
@@ -114,6 +115,13 @@
 		if e.readyAt.Before(now) {
 			e.readyAt = now
 		}
+		for _, id := range outcome.Unreachable {
+			// Nothing is planned on accelerators that tasks may still use.
+			if h, found := c.workers[id]; found && h.suspectUntil.Before(e.readyAt) {
+				h.suspectUntil = e.readyAt
+			}
+		}
+		c.dirty = true
 		c.note(e, now, "settling", string(e.cause), map[string]string{"silent": fmt.Sprint(outcome.Unreachable)})
 	}
 }
@@ -210,7 +218,7 @@
 		e.phase = phaseWriting
 		c.act(Action{Kind: ActionCompleteMove, Job: id, Record: record})
 	case jobs.StateQueued:
-		e.phase = phaseQueued
+		e.phase, c.dirty = phaseQueued, true
 	default:
 		// The decision was recorded but nothing was started from it, or an earlier owner started it: it is recovered, which
 		// finds the reservations gone and queues the job again.
@@ -241,6 +249,7 @@
 	e.record = record
 	e.record.CancelRequested = e.record.CancelRequested || cancelled
 	e.phase = phaseQueued
+	c.dirty = true
 }
 
 // done ends a job whose tasks have all ended well.
--- a/internal/sched/rig_test.go
+++ b/internal/sched/rig_test.go
@@ -172,6 +172,20 @@
 	return r.killed[id]
 }
 
+// leave takes an instance out of the members, as when it drains or is not heard.
+func (r *rig) leave(id model.InstanceID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.peers = slices.DeleteFunc(slices.Clone(r.peers), func(p sched.Peer) bool { return p.Instance == id })
+}
+
+// recorded returns the decisions that were recorded.
+func (r *rig) recorded() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.events)
+}
+
 // service takes a data centre out of service or back in.
 func (r *rig) service(id model.DataCentreID, state model.ServiceState) {
 	r.change(func(set *model.Set) {
@@ -221,10 +235,10 @@
 	r.cancels = append(r.cancels, cancel)
 	return manager, func() {
 		r.mu.Lock()
-		defer r.mu.Unlock()
 		r.killed[id] = true
+		r.mu.Unlock()
 		cancel()
-		r.peers = slices.DeleteFunc(r.peers, func(p sched.Peer) bool { return p.Instance == id })
+		r.leave(id)
 	}
 }
 
