opsapi: specs read the status as the client does

Cause: the status names a data centre by 'data-centre' and no longer by 'name', as the client reads it; the spec still expected the old key. Change: the spec reads the new key; it checks the same values.

--- a/internal/opsapi/server_test.go
+++ b/internal/opsapi/server_test.go
@@ -202,15 +202,20 @@
 				Expect(objects.Objects).To(HaveLen(1))
 				Expect(objects.Objects[0].Revision).To(BeEquivalentTo(1))
 			}
+			type dataCentre struct {
+				Name    string `json:"data-centre"`
+				Owner   string
+				Service string
+			}
 			var status struct {
 				Level       config.Level
 				Members     []struct{ Instance, Live any }
-				DataCentres []struct{ Name, Owner, Service string } `json:"data-centres"`
+				DataCentres []dataCentre `json:"data-centres"`
 			}
 			Expect(s.call("GET", "/v1/status", "", &status)).To(Equal(http.StatusOK))
 			Expect(status.Level).To(Equal(config.LevelConfirmed))
 			Expect(status.Members).To(HaveLen(2))
-			Expect(status.DataCentres).To(HaveExactElements(struct{ Name, Owner, Service string }{"library", "b", "in"}))
+			Expect(status.DataCentres).To(HaveExactElements(dataCentre{"library", "b", "in"}))
 			var list []string
 			Expect(s.call("GET", "/v1/explain/request/board/r1", "", &list)).To(Equal(http.StatusOK))
 			Expect(list).To(Equal([]string{"request", "board/r1"}))
