--- a/internal/config/follower_test.go
+++ b/internal/config/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -44,7 +45,7 @@
 	})
 
 	// takeOut takes a data centre out while instance b is cut off, and returns the latest start on b after the acceptance.
-	takeOut := func(ctx context.Context, fromStore, fromPeers bool, alter func(*config.Follower)) (latest time.Duration, b *instance) {
+	takeOut := func(ctx context.Context, fromStore, fromPeers, stale bool, alter func(*config.Follower)) (latest time.Duration, b *instance) {
 		c := newCluster(ctx, "a", "b", "c")
 		c.alter = alter
 		c.run()
@@ -57,6 +58,9 @@
 		c.net.Cut("b", kvHost, fromStore)
 		c.net.Cut("b", "a", fromPeers)
 		c.net.Cut("b", "c", fromPeers)
+		c.unproved.Store(stale)
+		c.loseWatches.Store(stale)
+		c.kv.Set(fakekv.Faults{StaleReads: stale})
 		c.must(p, "out", 1, dataCentre(model.ServiceOut))
 		accepted := time.Now()
 		for time.Since(accepted) < 20*time.Second {
@@ -69,9 +73,9 @@
 	}
 
 	DescribeTable("starts nothing in a data centre taken out, after the bound, on an instance that is cut off (P3)",
-		func(fromStore, fromPeers bool, level config.Level) {
+		func(fromStore, fromPeers, stale bool, level config.Level) {
 			virtual(func(ctx context.Context) {
-				latest, b := takeOut(ctx, fromStore, fromPeers, nil)
+				latest, b := takeOut(ctx, fromStore, fromPeers, stale, nil)
 				Expect(latest).To(BeNumerically("<=", noStartBound))
 				Expect(b.follower.Level()).To(Equal(level))
 				if level == config.LevelConfirmed {
@@ -79,15 +83,16 @@
 				}
 			})
 		},
-		Entry("from nobody", false, false, config.LevelConfirmed),
-		Entry("from the store", true, false, config.LevelConfirmed),
-		Entry("from its peers", false, true, config.LevelConfirmed),
-		Entry("from both", true, true, config.LevelStale),
+		Entry("from nobody", false, false, false, config.LevelConfirmed),
+		Entry("from the store", true, false, false, config.LevelConfirmed),
+		Entry("from its peers", false, true, false, config.LevelConfirmed),
+		Entry("from both", true, true, false, config.LevelStale),
+		Entry("from its peers, while its renewals fail and its reads are stale", false, true, true, config.LevelStale),
 	)
 
 	It("is seen to start tasks after the bound when confirmations never grow old (P3 off)", func() {
 		virtual(func(ctx context.Context) {
-			latest, _ := takeOut(ctx, true, true, func(f *config.Follower) { f.Fresh = func(time.Duration) bool { return true } })
+			latest, _ := takeOut(ctx, true, true, false, func(f *config.Follower) { f.Fresh = func(time.Duration) bool { return true } })
 			Expect(latest).To(BeNumerically(">", noStartBound))
 		})
 	})
@@ -141,39 +146,99 @@
 		})
 	})
 
-	// staleRestart publishes during stale reads and lost watches, restarts an instance and returns the reverts.
-	staleRestart := func(ctx context.Context, alter func(*config.Follower)) []string {
+	// staleReads publishes during stale reads and lost watches, lets go of the proof or restarts, and returns the reverts.
+	staleReads := func(ctx context.Context, restart bool, alter func(*config.Follower)) []string {
 		c := newCluster(ctx, "a")
-		c.alter = alter
 		c.loseWatches.Store(true)
+		var unproved atomic.Bool
+		c.alter = func(f *config.Follower) {
+			proof := f.Proof
+			f.Proof = func() (store.Revision, time.Time) {
+				if unproved.Load() {
+					return 0, time.Now()
+				}
+				return proof()
+			}
+			if alter != nil {
+				alter(f)
+			}
+		}
 		c.run()
 		w := &watcher{last: map[string]model.Revision{}}
 		w.during(c, 3*time.Second)
-		c.must(c.instances["a"].publisher, "first", 0, dataCentre(model.ServiceIn))
-		w.during(c, 3*time.Second)
-		c.must(c.instances["a"].publisher, "second", 1, customer("clerks", 1))
+		operator := &config.Publisher{Store: c.client("operator")}
+		c.must(operator, "first", 0, dataCentre(model.ServiceIn))
+		c.must(operator, "second", 1, customer("clerks", 1))
 		w.during(c, 3*time.Second)
-		Expect(w.last["a"]).To(BeEquivalentTo(2))
 		c.kv.Set(fakekv.Faults{StaleReads: true})
-		c.must(&config.Publisher{Store: c.client("op"), Follower: c.instances["a"].follower}, "third", 2, customer("clerks", 2))
+		c.must(operator, "third", 2, customer("clerks", 2))
 		w.during(c, 3*time.Second)
-		c.start("a")
+		Expect(w.last["a"]).To(BeEquivalentTo(3))
+		if restart {
+			c.start("a")
+		} else {
+			unproved.Store(true)
+		}
 		w.during(c, 3*time.Second)
 		return w.reverts
 	}
 
 	It("takes no older revision from stale reads, while running and after a restart (P9)", func() {
-		virtual(func(ctx context.Context) { Expect(staleRestart(ctx, nil)).To(BeEmpty()) })
+		virtual(func(ctx context.Context) {
+			Expect(staleReads(ctx, true, nil)).To(BeEmpty())
+			Expect(staleReads(ctx, false, nil)).To(BeEmpty())
+		})
 	})
 
 	It("is seen to revert after a restart when reads are not tied to a write of its own (P9 off)", func() {
 		virtual(func(ctx context.Context) {
-			unproved := func() (store.Revision, time.Time) { return 0, time.Now() }
-			reverts := staleRestart(ctx, func(f *config.Follower) { f.Proof = unproved })
+			process := 0
+			reverts := staleReads(ctx, true, func(f *config.Follower) {
+				if process++; process == 2 {
+					f.Proof = func() (store.Revision, time.Time) { return 0, time.Now() }
+				}
+			})
+			Expect(reverts).To(ConsistOf("a went from 3 to 2"))
+		})
+	})
+
+	It("is seen to revert while running when an older revision may replace a newer one (P9 off)", func() {
+		virtual(func(ctx context.Context) {
+			reverts := staleReads(ctx, false, func(f *config.Follower) {
+				f.Newer = func(current, offered model.Revision) bool { return offered != current }
+			})
 			Expect(reverts).To(ConsistOf("a went from 3 to 2"))
 		})
 	})
 
+	It("takes no revision from a peer that was confirmed before the restart, because the former process may have had a newer one", func() {
+		virtual(func(ctx context.Context) {
+			c := newCluster(ctx, "a", "b").run()
+			time.Sleep(3 * time.Second)
+			operator := &config.Publisher{Store: c.client("operator")}
+			c.must(operator, "first", 0, dataCentre(model.ServiceIn))
+			time.Sleep(3 * time.Second)
+			w := &watcher{last: map[string]model.Revision{}}
+			c.net.Cut("a", kvHost, true)
+			c.net.Cut("a", "b", true)
+			c.must(operator, "second", 1, customer("clerks", 1))
+			w.during(c, 200*time.Millisecond)
+			Expect(w.last).To(Equal(map[string]model.Revision{"a": 1, "b": 2}))
+
+			c.loseWatches.Store(true)
+			c.alter = func(f *config.Follower) { f.Proof = nil }
+			c.net.Cut("a", "b", false)
+			b := c.start("b")
+			w.during(c, 600*time.Millisecond)
+			Expect(c.instances["a"].follower.Level()).To(Equal(config.LevelConfirmed))
+			Expect(b.follower.Ready()).To(BeFalse())
+			c.net.Cut("a", kvHost, false)
+			w.during(c, 5*time.Second)
+			Expect(b.follower.Ready()).To(BeTrue())
+			Expect(w.reverts).To(BeEmpty())
+		})
+	})
+
 	It("calls subscribers with each revision in order, and late ones with the current one first", func() {
 		virtual(func(ctx context.Context) {
 			c := newCluster(ctx, "a").run()
--- a/internal/config/rig_test.go
+++ b/internal/config/rig_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,7 +31,10 @@
 	renewing = 1500 * time.Millisecond
 )
 
-var errNoWatch = errors.New("watch is lost")
+var (
+	errNoWatch   = errors.New("watch is lost")
+	errNoRenewal = errors.New("renewal is lost")
+)
 
 // cluster is a store and instances in one memory.
 type cluster struct {
@@ -40,6 +44,8 @@
 	instances map[string]*instance
 	// loseWatches makes all watches fail, so that only reads and peers carry revisions.
 	loseWatches atomic.Bool
+	// unproved is set when renewals of instance b's lease fail.
+	unproved atomic.Bool
 	// alter changes a follower before it runs.
 	alter func(*config.Follower)
 }
@@ -77,6 +83,9 @@
 		if c.loseWatches.Load() && r.URL.Path == "/v1/watch" {
 			return nil, errNoWatch
 		}
+		if c.unproved.Load() && host == "b" && strings.HasPrefix(r.URL.Path, "/v1/leases") {
+			return nil, errNoRenewal
+		}
 		return do(r)
 	}}
 }
