front: specs for checks, claims, drain under load and jobs

The drain spec showed that instances borrowed slots by reports that did not count sends still on their way, which endpoints then refused as full; own requests in flight bound borrowing now. A request that was proved not run waits up to 1 s for retry budget instead of being refused. Drain before Run no longer leaves a listener that accepts, and closing the listener waits for a close that is going on.

--- a/internal/fakeep/network.go
+++ b/internal/fakeep/network.go
@@ -44,12 +44,18 @@
 // NewNetwork returns a network without listeners.
 func NewNetwork() *Network { return &Network{listeners: map[string]*pipes{}} }
 
-// Serve answers connections to an address until stop is called.
-func (n *Network) Serve(address string, handler http.Handler) (stop func()) {
+// Listen returns a listener for an address.
+func (n *Network) Listen(address string) net.Listener {
 	listener := &pipes{address: pipeAddress(address), conns: make(chan net.Conn), closed: make(chan struct{})}
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	n.listeners[address] = listener
-	n.mu.Unlock()
+	return listener
+}
+
+// Serve answers connections to an address until stop is called.
+func (n *Network) Serve(address string, handler http.Handler) (stop func()) {
+	listener := n.Listen(address)
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
 	ended := make(chan struct{})
 	go func() {
--- a/internal/front/bench_test.go
+++ b/internal/front/bench_test.go
@@ -14,7 +14,8 @@
 
 // BenchmarkHop compares a call through front, queue, route and relay with the same call straight to the endpoint.
 func BenchmarkHop(b *testing.B) {
-	p := newPath(b, 4)
+	p := newPath(4, nil, "a")
+	defer p.close()
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}, Timeout: 5 * time.Second}
 	endpoint := "http://" + p.addresses[0]
 	b.Run("direct", func(b *testing.B) { measure(b, client, endpoint+"/v1/run/check") })
--- a/internal/front/drain.go
+++ b/internal/front/drain.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -26,6 +27,7 @@
 func (s *Server) Drain(ctx context.Context) error {
 	s.SetDraining()
 	s.mu.Lock()
+	s.drained = true
 	server, accepting := s.server, s.listener
 	s.mu.Unlock()
 	if server != nil {
@@ -48,7 +50,11 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	if err := server.Shutdown(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+	shut := s.Shut
+	if shut == nil {
+		shut = func(ctx context.Context, server *http.Server) error { return server.Shutdown(ctx) }
+	}
+	if err := shut(ctx, server); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		return fmt.Errorf("draining callers: %w", err)
 	}
 	return nil
@@ -66,7 +72,8 @@
 type listener struct {
 	net.Listener
 	stopping atomic.Bool
-	closed   atomic.Bool
+	once     sync.Once
+	closeErr error
 }
 
 // stop accepts the connections that are waiting and closes the listener then.
@@ -92,12 +99,10 @@
 	return c, err
 }
 
-// Close closes the listener once.
+// Close closes the listener once; later calls wait until that is done.
 func (l *listener) Close() error {
-	if l.closed.Swap(true) {
-		return nil
-	}
-	return l.Listener.Close()
+	l.once.Do(func() { l.closeErr = l.Listener.Close() })
+	return l.closeErr
 }
 
 func (l *listener) shut() {
--- a/internal/front/path_test.go
+++ b/internal/front/path_test.go
@@ -1,28 +1,224 @@
 package front_test
 
 import (
-	"io"
+	"context"
+	"encoding/json"
 	"net/http"
+	"strings"
+	"sync"
+	"testing/synctest"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"peridotgw.example/peridotgw/internal/fakeep"
+	"peridotgw.example/peridotgw/internal/front"
+	"peridotgw.example/peridotgw/model"
 	"peridotgw.example/peridotgw/reply"
 )
 
-var _ = Describe("path", func() {
-	It("returns the endpoint's whole answer; guards against a break anywhere between caller and endpoint", func() {
-		p := newPath(GinkgoTB(), 2)
-		answer, err := http.DefaultClient.Do(p.request("check", "r-1", "score 7"))
-		Expect(err).NotTo(HaveOccurred())
-		defer answer.Body.Close()
-		body, err := io.ReadAll(answer.Body)
-		Expect(err).NotTo(HaveOccurred())
-		Expect(string(body)).To(Equal("answer to r-1: score 7"))
-		Expect(answer.StatusCode).To(Equal(http.StatusOK))
-		Expect(answer.Header.Get(reply.HeaderOutcome)).To(Equal("done"))
-		Expect(answer.Header.Get(reply.HeaderRequestID)).To(Equal("r-1"))
-		Expect(answer.Header.Get(reply.HeaderInstance)).To(Equal("a"))
-		Expect(answer.Header.Get(reply.HeaderAttempts)).To(Equal("1"))
+var _ = Describe("requests", func() {
+	It("return the endpoint's whole answer; guards against a break anywhere between caller and endpoint", func() {
+		p := newPath(2, nil, "a")
+		defer p.close()
+		got := p.must(p.request("check", "r-1", "score 7"))
+		Expect(got.body).To(Equal("answer to r-1: score 7"))
+		Expect(got.status).To(Equal(http.StatusOK))
+		Expect(got.header.Get(reply.HeaderOutcome)).To(Equal("done"))
+		Expect(got.header.Get(reply.HeaderRequestID)).To(Equal("r-1"))
+		Expect(got.header.Get(reply.HeaderInstance)).To(Equal("a"))
+		Expect(got.header.Get(reply.HeaderAttempts)).To(Equal("1"))
+	})
+
+	DescribeTable("are refused before running with a typed error", func(change func(*http.Request), reason reply.Reason, status int) {
+		virtual(func() {
+			p := newPath(1, fakeep.NewNetwork(), "a")
+			defer p.close()
+			request := p.request("check", "r-1", "body")
+			change(request)
+			got := p.must(request)
+			Expect(got.err.Outcome).To(Equal(reply.OutcomeRefused))
+			Expect(got.err.Reason).To(Equal(reason))
+			Expect(got.err.Message).NotTo(BeEmpty())
+			Expect(got.status).To(Equal(status))
+			Expect(p.endpoints[0].Runs()).To(BeEmpty())
+		})
+	},
+		Entry("method", func(r *http.Request) { r.Method = http.MethodPut }, reply.ReasonMalformed, 400),
+		Entry("class", func(r *http.Request) { r.URL.Path = "/v1/requests/none" }, reply.ReasonUnknownClass, 400),
+		Entry("path", func(r *http.Request) { r.URL.Path = "/v2" }, reply.ReasonNotFound, 404),
+		Entry("no customer", func(r *http.Request) { r.Header.Del(reply.HeaderCustomer) }, reply.ReasonMalformed, 400),
+		Entry("unknown customer", func(r *http.Request) { r.Header.Set(reply.HeaderCustomer, "x") }, reply.ReasonUnknownCustomer, 400),
+		Entry("customer not allowed", func(r *http.Request) {
+			r.URL.Path = "/v1/requests/tally"
+			r.Header.Set(reply.HeaderCustomer, "other")
+		}, reply.ReasonNotAllowed, 403),
+		Entry("no id", func(r *http.Request) { r.Header.Del(reply.HeaderRequestID) }, reply.ReasonMalformed, 400),
+		Entry("id with a slash", func(r *http.Request) { r.Header.Set(reply.HeaderRequestID, "a/b") }, reply.ReasonMalformed, 400),
+		Entry("timeout is no number", func(r *http.Request) { r.Header.Set(reply.HeaderTimeout, "1s") }, reply.ReasonMalformed, 400),
+		Entry("timeout over the class's", func(r *http.Request) { r.Header.Set(reply.HeaderTimeout, "5001") }, reply.ReasonMalformed, 400),
+		Entry("no time left", func(r *http.Request) { r.Header.Set(reply.HeaderTimeout, "0") }, reply.ReasonDeadlinePast, 400),
+	)
+
+	It("over 1 MB are refused, with and without a declared length; guards against memory that a caller can fill", func() {
+		p := newPath(1, nil, "a")
+		defer p.close()
+		request := p.request("check", "r-1", strings.Repeat("x", front.MaxBody+1))
+		Expect(p.must(request).err.Reason).To(Equal(reply.ReasonTooLarge))
+		request = p.request("check", "r-1", strings.Repeat("x", front.MaxBody+1))
+		request.ContentLength = -1
+		Expect(p.must(request).err.Reason).To(Equal(reply.ReasonTooLarge))
+		Expect(p.must(p.request("check", "r-2", strings.Repeat("x", front.MaxBody))).status).To(Equal(http.StatusOK))
+	})
+
+	It("are answered at their deadline; guards against an answer that comes after the caller's deadline", func() {
+		virtual(func() {
+			p := newPath(1, fakeep.NewNetwork(), "a")
+			defer p.close()
+			p.endpoints[0].Set(fakeep.Faults{LateMs: 900})
+			request := p.request("check", "r-1", "")
+			request.Header.Set(reply.HeaderTimeout, "400")
+			started := time.Now()
+			got := p.must(request)
+			Expect(got.err.Outcome).To(Equal(reply.OutcomeUnknown))
+			Expect(got.err.Reason).To(Equal(reply.ReasonAnswerLate))
+			Expect(time.Since(started)).To(Equal(400 * time.Millisecond))
+		})
+	})
+
+	It("that are queued end when their caller goes away; guards against work that nobody waits for", func() {
+		virtual(func() {
+			p := newPath(1, fakeep.NewNetwork(), "a")
+			defer p.close()
+			p.endpoints[0].Service = func(model.RequestClassID) time.Duration { return time.Second }
+			var group sync.WaitGroup
+			ctx, cancel := context.WithCancel(context.Background())
+			for i := range 12 {
+				request := p.request("check", "r-"+string(rune('a'+i)), "")
+				if i >= 8 {
+					request = request.WithContext(ctx)
+				}
+				group.Go(func() {
+					if got, err := p.do(request); err == nil && got.status != http.StatusOK {
+						panic(got.body)
+					}
+				})
+				synctest.Wait()
+			}
+			Expect(p.server.Queue.Queued()).To(BeNumerically(">", 0))
+			cancel()
+			synctest.Wait()
+			Expect(p.server.Queue.Queued()).To(Equal(0))
+			group.Wait()
+		})
+	})
+})
+
+// ledger keeps claims in memory.
+type ledger struct {
+	mu       sync.Mutex
+	outcomes map[model.RequestID]*front.StoredAnswer
+	released int
+}
+
+func (l *ledger) claim(_ context.Context, r front.ClaimRequest) (*front.Claim, *front.StoredAnswer, *reply.Error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if stored, known := l.outcomes[r.Request]; known {
+		return nil, stored, nil
+	}
+	l.outcomes[r.Request] = &front.StoredAnswer{Outcome: reply.OutcomeUnknown, Reason: reply.ReasonInDoubt}
+	set := func(stored *front.StoredAnswer) error {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if stored == nil {
+			l.released++
+			delete(l.outcomes, r.Request)
+			return nil
+		}
+		l.outcomes[r.Request] = stored
+		return nil
+	}
+	return &front.Claim{
+		Finish:  func(_ context.Context, stored front.StoredAnswer) error { return set(&stored) },
+		Release: func(context.Context) error { return set(nil) },
+	}, nil, nil
+}
+
+var _ = Describe("requests that must not be repeated", func() {
+	It("P6: run once, and a duplicate gets the stored answer; guards against a second tally", func() {
+		virtual(func() {
+			p := newPath(2, fakeep.NewNetwork(), "a")
+			defer p.close()
+			book := &ledger{outcomes: map[model.RequestID]*front.StoredAnswer{}}
+			p.server.Claim = book.claim
+			first := p.must(p.request("tally", "t-1", "board"))
+			synctest.Wait()
+			second := p.must(p.request("tally", "t-1", "board"))
+			Expect(second.body).To(Equal(first.body))
+			Expect(second.header.Get(reply.HeaderAttempts)).To(Equal("0"))
+			Expect(p.endpoints[0].Runs()["t-1"] + p.endpoints[1].Runs()["t-1"]).To(Equal(1))
+		})
+	})
+
+	It("send nothing without a claim; guards against a run that no record shows", func() {
+		virtual(func() {
+			p := newPath(1, fakeep.NewNetwork(), "a")
+			defer p.close()
+			p.server.Claim = func(context.Context, front.ClaimRequest) (*front.Claim, *front.StoredAnswer, *reply.Error) {
+				time.Sleep(time.Second)
+				return nil, nil, reply.Refused(reply.ReasonStoreUnavailable, "the store does not answer")
+			}
+			got := p.must(p.request("tally", "t-1", ""))
+			Expect(got.err.Reason).To(Equal(reply.ReasonStoreUnavailable))
+			Expect(p.endpoints[0].Runs()).To(BeEmpty())
+		})
+	})
+
+	It("release the claim when nothing ran, and keep it in doubt otherwise; guards against an id that is blocked or free wrongly", func() {
+		virtual(func() {
+			p := newPath(1, fakeep.NewNetwork(), "a")
+			defer p.close()
+			book := &ledger{outcomes: map[model.RequestID]*front.StoredAnswer{}}
+			p.server.Claim = book.claim
+			p.endpoints[0].Set(fakeep.Faults{Refuse: true})
+			Expect(p.must(p.request("tally", "t-1", "")).err.Outcome).To(Equal(reply.OutcomeRefused))
+			p.endpoints[0].Set(fakeep.Faults{CutBefore: true})
+			Expect(p.must(p.request("tally", "t-2", "")).err.Outcome).To(Equal(reply.OutcomeUnknown))
+			synctest.Wait()
+			Expect(book.released).To(Equal(1))
+			p.endpoints[0].Set(fakeep.Faults{})
+			Expect(p.must(p.request("tally", "t-1", "")).status).To(Equal(http.StatusOK))
+			Expect(p.must(p.request("tally", "t-2", "")).err.Outcome).To(Equal(reply.OutcomeUnknown))
+			Expect(p.endpoints[0].Runs()["t-2"]).To(Equal(1))
+		})
+	})
+})
+
+var _ = Describe("jobs", func() {
+	It("are submitted, read and cancelled; guards against a wrong route or status", func() {
+		p := newPath(1, nil, "a")
+		defer p.close()
+		record := json.RawMessage(`{"state":"queued"}`)
+		p.server.Submit = func(context.Context, json.RawMessage) (json.RawMessage, *reply.Error) { return record, nil }
+		p.server.Get = func(_ context.Context, id model.JobID) (json.RawMessage, *reply.Error) {
+			return nil, reply.Refused(reply.ReasonNotFound, "job %s does not exist", id)
+		}
+		p.server.Cancel = func(context.Context, model.JobID) (json.RawMessage, *reply.Error) { return record, nil }
+		for _, c := range []struct {
+			method, path, body string
+			status             int
+		}{
+			{http.MethodPost, "/v1/jobs", "{}", http.StatusAccepted},
+			{http.MethodPost, "/v1/jobs", "{", http.StatusBadRequest},
+			{http.MethodGet, "/v1/jobs/j-1", "", http.StatusNotFound},
+			{http.MethodDelete, "/v1/jobs/j-1", "", http.StatusAccepted},
+			{http.MethodPut, "/v1/jobs/j-1", "", http.StatusBadRequest},
+		} {
+			request, err := http.NewRequest(c.method, p.url+c.path, strings.NewReader(c.body))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(p.must(request).status).To(Equal(c.status), c.method+" "+c.path+" "+c.body)
+		}
 	})
 })
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -91,12 +91,16 @@
 	Listener net.Listener
 	// Linger is how long connections that are idle when accepting stops are kept open; zero means DefaultLinger.
 	Linger time.Duration
+	// Shut ends the HTTP server at the end of Drain; nil means its graceful shutdown. Tests cut connections instead.
+	Shut func(context.Context, *http.Server) error
 
 	draining atomic.Bool
 	inFlight tracker
 	mu       sync.Mutex
 	server   *http.Server
 	listener *listener
+	// drained is set by Drain, which may come before Run.
+	drained bool
 }
 
 // Handler serves the callers' API.
@@ -123,10 +127,12 @@
 		Handler: s.Handler(), ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, WriteTimeout: writeTimeout,
 		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 	}
+	accepting := &listener{Listener: s.Listener}
 	s.mu.Lock()
-	s.server = server
-	s.listener = &listener{Listener: s.Listener}
-	accepting := s.listener
+	if s.drained {
+		accepting.stop()
+	}
+	s.server, s.listener = server, accepting
 	s.mu.Unlock()
 	ended := make(chan error, 1)
 	go func() { ended <- server.Serve(accepting) }()
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -50,12 +50,12 @@
 				return result
 			}
 		case <-hedge.C:
-			c.again(ctx, retryHedge, false, false)
+			c.again(ctx, retryHedge, false, false, false)
 		case <-c.overdue.C:
 			c.suspect(ctx)
 		case s := <-c.suspects:
 			if c.request.Idempotent && !s.attempt.ended {
-				c.again(ctx, s.reason, s.free, false)
+				c.again(ctx, s.reason, s.free, false, false)
 			}
 		case <-ctx.Done():
 			return c.giveUp(ctx)
@@ -122,14 +122,15 @@
 		count(c.relay.denied, deniedForbidden)
 		return c.fail(ctx, nil), true
 	}
-	if !c.again(ctx, out.retryReason(), false, true) {
+	if !c.again(ctx, out.retryReason(), false, true, out.kind == kindNotRun || out.kind == kindNotSent) {
 		return c.fail(ctx, nil), true
 	}
 	return Result{}, false
 }
 
-// again sends the request once more when the limits allow it; wait is whether to wait for a free slot.
-func (c *call) again(ctx context.Context, reason string, free, wait bool) bool {
+// again sends the request once more when the limits allow it; wait is whether to wait for a free slot, and patient whether to
+// wait for the retry budget.
+func (c *call) again(ctx context.Context, reason string, free, wait, patient bool) bool {
 	if len(c.attempts) >= MaxAttempts {
 		count(c.relay.denied, deniedAttempts)
 		return false
@@ -143,7 +144,7 @@
 		count(c.relay.denied, deniedNoSlot)
 		return false
 	}
-	if !free && !c.relay.allow(c.request.Class, c.class) {
+	if !free && !c.budgeted(ctx, patient) {
 		count(c.relay.denied, deniedBudget)
 		return false
 	}
@@ -162,6 +163,26 @@
 	return true
 }
 
+// budgeted takes a retry from the budget. A request that did not run holds no slot, so it can wait for the budget to grow
+// instead of being refused.
+func (c *call) budgeted(ctx context.Context, patient bool) bool {
+	limit := time.Now().Add(slotWait)
+	for {
+		if c.relay.allow(c.request.Class, c.class) {
+			return true
+		}
+		if !patient || ctx.Err() != nil || time.Now().After(limit) {
+			return false
+		}
+		timer := time.NewTimer(budgetPoll)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+		}
+	}
+}
+
 func (c *call) pick(ctx context.Context, ask route.Ask, wait bool) *route.Pick {
 	if !wait {
 		return c.relay.Table.Acquire(ask)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -24,6 +24,8 @@
 	DefaultMaxAnswer = 8 << 20
 	// slotWait bounds how long a retry waits for a free slot.
 	slotWait = time.Second
+	// budgetPoll is how often a request that did not run looks for retry budget, for at most slotWait.
+	budgetPoll = 10 * time.Millisecond
 	// suspectProbe bounds the probe on a new connection after an overdue answer.
 	suspectProbe = 250 * time.Millisecond
 )
--- a/internal/route/endpoint.go
+++ b/internal/route/endpoint.go
@@ -78,7 +78,8 @@
 
 // lendable reports whether a recent report shows a free slot.
 func (e *endpoint) lendable(now time.Time, connLimit int) bool {
-	return now.Sub(e.reportedAt) < reportAge && e.reportedBusy+e.sentSince < int(e.slots) && e.inFlight < e.limit(connLimit)
+	// A report may not count sends that were still on their way, so the own requests in flight bound it too.
+	return now.Sub(e.reportedAt) < reportAge && e.load(now) < int(e.slots) && e.inFlight < e.limit(connLimit)
 }
 
 // share counts the slots of an endpoint that rendezvous hashing gives to self.
