--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 	$(LINT) fmt ./...
 
 unit:
-	go test -count=1 $(addsuffix /...,$(patsubst %,./%,$(MODULES)))
+	go test -count=1 -timeout 5m $(addsuffix /...,$(patsubst %,./%,$(MODULES)))
 
 test: build lint unit
 
