--- a/internal/audit/batch.go
+++ b/internal/audit/batch.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"peridotgw.example/peridotgw/internal/store"
+	"peridotgw.example/peridotgw/model"
 )
 
 const (
@@ -119,10 +120,14 @@
 	return fmt.Errorf("writing a batch of events: no free key in %d tries", keyTries)
 }
 
-// nextKey returns a key that sorts by time; its first digits are what Explain lists by.
 func (l *Log) nextKey(now time.Time) string {
 	l.sequence++
-	return store.Key("audit", string(l.Instance), fmt.Sprintf("%013d-%06d", now.UnixMilli(), l.sequence))
+	return batchKey(l.Instance, now, l.sequence)
+}
+
+// batchKey returns a key that sorts by time; its first digits are what Explain lists by.
+func batchKey(instance model.InstanceID, at time.Time, sequence int) string {
+	return store.Key("audit", string(instance), fmt.Sprintf("%013d-%06d", at.UnixMilli(), sequence))
 }
 
 func sleep(ctx context.Context, wait time.Duration) error {
--- a/internal/audit/explain.go
+++ b/internal/audit/explain.go
@@ -64,11 +64,12 @@
 	if window <= 0 {
 		window = DefaultWindow
 	}
-	spans, err := l.spans(ctx, now.Add(-window), now)
+	from := now.Add(-window)
+	spans, err := l.spans(ctx, from, now)
 	if err != nil {
 		return nil, err
 	}
-	events, err := l.read(ctx, spans, s)
+	events, err := l.read(ctx, spans, from, s)
 	events = append(events, l.buffered(s)...)
 	return newest(events), err
 }
@@ -100,7 +101,7 @@
 	return slices.Compact(found), nil
 }
 
-func (l *Log) read(ctx context.Context, wanted []slice, s Subject) ([]Event, error) {
+func (l *Log) read(ctx context.Context, wanted []slice, from time.Time, s Subject) ([]Event, error) {
 	var tooMany error
 	if len(wanted) > MaxReads {
 		tooMany = &TooManyReadsError{Wanted: len(wanted)}
@@ -112,7 +113,7 @@
 	for i, part := range wanted {
 		group.Go(func() error {
 			var err error
-			results[i], err = l.readSlice(ctx, part, s)
+			results[i], err = l.readSlice(ctx, part, from, s)
 			return err
 		})
 	}
@@ -120,14 +121,18 @@
 	return slices.Concat(results...), errors.Join(tooMany, err)
 }
 
-func (l *Log) readSlice(ctx context.Context, part slice, s Subject) ([]Event, error) {
+func (l *Log) readSlice(ctx context.Context, part slice, from time.Time, s Subject) ([]Event, error) {
 	digits := fmt.Sprintf("%013d", part.start.UnixMilli())[:sliceDigits]
 	listing, err := l.Store.List(ctx, store.Prefix("audit", string(part.instance))+digits)
 	if err != nil {
 		return nil, fmt.Errorf("listing events of instance %q: %w", part.instance, err)
 	}
 	var events []Event
+	first := batchKey(part.instance, from, 0)
 	for _, entry := range listing.Entries {
+		if entry.Key < first {
+			continue
+		}
 		var written content
 		if err := json.Unmarshal(entry.Value, &written); err != nil {
 			return events, fmt.Errorf("decoding events %q: %w", entry.Key, err)
--- /dev/null
+++ b/internal/audit/suite_test.go
@@ -0,0 +1,96 @@
+package audit_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"peridotgw.example/peridotgw/internal/audit"
+	"peridotgw.example/peridotgw/internal/fakekv"
+	"peridotgw.example/peridotgw/internal/metric"
+	"peridotgw.example/peridotgw/internal/store"
+	"peridotgw.example/peridotgw/model"
+)
+
+var suite *testing.T
+
+func TestAudit(t *testing.T) {
+	suite = t
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "audit")
+}
+
+// virtual runs a spec's body in virtual time with a store and a context that ends with the spec.
+func virtual(body func(ctx context.Context, kv *fakekv.Server)) func() {
+	return func() {
+		synctest.Test(suite, func(*testing.T) {
+			defer GinkgoRecover()
+			ctx, cancel := context.WithCancel(context.Background())
+			// Handlers whose callers have given up go on until they have applied the call.
+			defer time.Sleep(10 * time.Second)
+			defer cancel()
+			body(ctx, fakekv.New())
+		})
+	}
+}
+
+func start(ctx context.Context, kv *fakekv.Server, instance model.InstanceID) *audit.Log {
+	l := &audit.Log{
+		Store:    &store.Client{BaseURL: "http://store", Timeout: store.DefaultTimeout, Do: fakekv.Do(kv), Breaker: &store.Breaker{}},
+		Instance: instance, Metrics: metric.New(),
+	}
+	go func() {
+		defer GinkgoRecover()
+		Expect(l.Run(ctx)).To(Succeed())
+	}()
+	return l
+}
+
+func job(id string) audit.Event {
+	return audit.Event{Subject: audit.Subject{Kind: audit.KindJob, ID: id}, Action: "placed", Inputs: map[string]string{"rack": "r1"}}
+}
+
+func refusal(id, reason string, size int) audit.Event {
+	return audit.Event{
+		Subject: audit.Subject{Kind: audit.KindRequest, ID: id}, Action: audit.ActionRefused, Reason: reason,
+		Inputs: map[string]string{audit.InputClass: "scan", "text": strings.Repeat("x", size)},
+	}
+}
+
+// explain returns the ids of the events that Explain finds about a subject, which must succeed.
+func explain(ctx context.Context, l *audit.Log, kind, id string) []audit.Event {
+	GinkgoHelper()
+	events, err := l.Explain(ctx, audit.Subject{Kind: kind, ID: id})
+	Expect(err).NotTo(HaveOccurred())
+	return events
+}
+
+// dropped sums the dropped events of a kind, and of a cause if it is not empty.
+func dropped(l *audit.Log, kind, cause string) int {
+	families, err := prometheus.Gatherer(l.Metrics.Registry).Gather()
+	Expect(err).NotTo(HaveOccurred())
+	sum := 0.0
+	for _, family := range families {
+		for _, m := range family.GetMetric() {
+			labels := map[string]string{}
+			for _, pair := range m.GetLabel() {
+				labels[pair.GetName()] = pair.GetValue()
+			}
+			if family.GetName() == "peridot_audit_dropped_total" && labels["kind"] == kind && (cause == "" || labels["cause"] == cause) {
+				sum += m.GetCounter().GetValue()
+			}
+		}
+	}
+	return int(sum)
+}
+
+func number(i int) string { return fmt.Sprint(i) }
+
+const week = 7 * 24 * time.Hour
--- /dev/null
+++ b/internal/claim/suite_test.go
@@ -0,0 +1,89 @@
+package claim_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"peridotgw.example/peridotgw/internal/claim"
+	"peridotgw.example/peridotgw/internal/fakekv"
+	"peridotgw.example/peridotgw/internal/metric"
+	"peridotgw.example/peridotgw/internal/store"
+	"peridotgw.example/peridotgw/model"
+	"peridotgw.example/peridotgw/reply"
+)
+
+var suite *testing.T
+
+func TestClaim(t *testing.T) {
+	suite = t
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "claim")
+}
+
+// virtual runs a spec's body in virtual time with a store and a context that ends with the spec.
+func virtual(body func(ctx context.Context, kv *fakekv.Server)) func() {
+	return func() {
+		synctest.Test(suite, func(*testing.T) {
+			defer GinkgoRecover()
+			ctx, cancel := context.WithCancel(context.Background())
+			// Handlers whose callers have given up go on until they have applied the call.
+			defer time.Sleep(10 * time.Second)
+			defer cancel()
+			body(ctx, fakekv.New())
+		})
+	}
+}
+
+// book returns the book of a process whose background work runs until ctx ends.
+func book(ctx context.Context, handler http.Handler, instance model.InstanceID, incarnation model.Incarnation) *claim.Book {
+	b := &claim.Book{
+		Store: &store.Client{
+			BaseURL: "http://store", Timeout: store.DefaultTimeout, Do: fakekv.Do(handler), Breaker: &store.Breaker{},
+			Instance: string(instance),
+		},
+		Instance: instance, Incarnation: incarnation, Metrics: metric.New(),
+	}
+	go func() {
+		defer GinkgoRecover()
+		Expect(b.Run(ctx)).To(Succeed())
+	}()
+	synctest.Wait()
+	return b
+}
+
+var (
+	key  = claim.Key{Customer: "hollow creek/1", Request: "tally%2F1"}
+	done = claim.Outcome{Outcome: reply.OutcomeDone, Status: 200, ContentType: "text/plain", Body: []byte("42")}
+)
+
+func begin(ctx context.Context, b *claim.Book, k claim.Key, wait time.Duration) (*claim.Claim, *claim.Outcome, *reply.Error) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	return b.Begin(ctx, k, "tally", 7)
+}
+
+// held begins a claim that must succeed.
+func held(ctx context.Context, b *claim.Book, k claim.Key) *claim.Claim {
+	GinkgoHelper()
+	c, outcome, problem := begin(ctx, b, k, 5*time.Second)
+	Expect(problem).To(BeNil())
+	Expect(outcome).To(BeNil())
+	Expect(c).NotTo(BeNil())
+	return c
+}
+
+// refusal begins a claim that must not succeed, and returns the error.
+func refusal(ctx context.Context, b *claim.Book, k claim.Key) *reply.Error {
+	GinkgoHelper()
+	c, outcome, problem := begin(ctx, b, k, 5*time.Second)
+	Expect(c).To(BeNil())
+	Expect(outcome).To(BeNil())
+	Expect(problem).NotTo(BeNil())
+	return problem
+}
