claim, audit: bound the writes of a claim, find delayed batches

A Begin that lost an id to others again and again had no bound on its writes; three rounds are tried now, which makes 12 writes per request at most. A retried finish trusted a stale read that showed no claim, and a batch that an outage delayed into another hour had no mark by which Explain finds it. Refusals are sampled before they are encoded, and Explain decodes buffered events outside the lock that Add takes.

--- a/internal/audit/batch.go
+++ b/internal/audit/batch.go
@@ -24,6 +24,7 @@
 
 // batch is one write; it keeps its key and value while its result is unknown, so that it is never written twice.
 type batch struct {
+	at    time.Time
 	key   string
 	value []byte
 }
@@ -43,26 +44,27 @@
 	Count  int    `json:"count"`
 }
 
-// write writes one batch if there is anything to write, and not before WriteEvery has passed since the last write.
-func (l *Log) write(ctx context.Context, limit int) error {
+// write writes one batch, not before WriteEvery has passed since the last write. It reports false when there is nothing to write.
+func (l *Log) write(ctx context.Context, limit int) (bool, error) {
 	select {
 	case l.turn <- struct{}{}:
 		defer func() { <-l.turn }()
 	case <-ctx.Done():
-		return fmt.Errorf("waiting for another write: %w", ctx.Err())
+		return false, fmt.Errorf("waiting for another write: %w", ctx.Err())
 	}
 	if l.unsent == nil {
 		next, err := l.compose(limit)
 		if err != nil || next == nil {
-			return err
+			return false, err
 		}
 		l.unsent = next
 	}
 	if err := sleep(ctx, time.Until(l.lastWrite.Add(WriteEvery))); err != nil {
-		return err
+		return false, err
 	}
 	l.lastWrite = time.Now()
-	return l.send(ctx)
+	err := l.send(ctx)
+	return err == nil, err
 }
 
 func (l *Log) compose(limit int) (*batch, error) {
@@ -89,13 +91,14 @@
 	if err != nil {
 		return nil, fmt.Errorf("encoding a batch of events: %w", err)
 	}
-	return &batch{key: l.nextKey(time.Now()), value: value}, nil
+	at := time.Now()
+	return &batch{at: at, key: l.nextKey(at), value: value}, nil
 }
 
 // send writes the unsent batch. A batch whose answer was lost is found by its key and value when it is written again.
 func (l *Log) send(ctx context.Context) error {
 	for range keyTries {
-		lease, err := l.lease(ctx)
+		lease, err := l.lease(ctx, l.unsent.at)
 		if err != nil {
 			return err
 		}
@@ -110,7 +113,7 @@
 			l.unsent = nil
 			return nil
 		case errors.As(err, &conflict):
-			l.unsent.key = l.nextKey(time.Now())
+			l.unsent.key = l.nextKey(l.unsent.at)
 		case errors.As(err, &gone):
 			l.bucket.id = 0
 		default:
--- a/internal/audit/bucket.go
+++ b/internal/audit/bucket.go
@@ -21,8 +21,9 @@
 	marked  int64
 }
 
-// lease returns the lease of the present hour; with a new one it marks that this instance writes batches.
-func (l *Log) lease(ctx context.Context) (store.LeaseID, error) {
+// lease returns the lease of the present hour. It marks that this instance has written a batch in the hour of at, which is past
+// when an outage delayed the batch.
+func (l *Log) lease(ctx context.Context, at time.Time) (store.LeaseID, error) {
 	now := time.Now()
 	if l.bucket.id == 0 || now.Sub(l.bucket.granted) >= bucketTime {
 		granted, err := l.Store.Grant(ctx, KeepFor+bucketTime)
@@ -31,7 +32,7 @@
 		}
 		l.bucket.id, l.bucket.granted, l.bucket.marked = granted.ID, now, 0
 	}
-	if hour := hourOf(now); l.bucket.marked != hour {
+	if hour := hourOf(at); l.bucket.marked != hour {
 		if err := l.mark(ctx, hour); err != nil {
 			return 0, err
 		}
--- a/internal/audit/explain.go
+++ b/internal/audit/explain.go
@@ -51,21 +51,28 @@
 	start    time.Time
 }
 
-// Explain returns the events about a subject in the last Window, oldest first, from all instances and from this one's buffer.
-// It returns what it found together with an error when some of it could not be read.
+// Explain returns the events about a subject in the last Window, as ExplainBetween does.
 func (l *Log) Explain(ctx context.Context, s Subject) ([]Event, error) {
+	window := l.Window
+	if window <= 0 {
+		window = DefaultWindow
+	}
+	now := time.Now()
+	return l.ExplainBetween(ctx, s, now.Add(-window), now)
+}
+
+// ExplainBetween returns the events about a subject that were written in a span of time, oldest first, from all instances and
+// from this one's buffer. It returns what it found together with an error when some of it could not be read.
+func (l *Log) ExplainBetween(ctx context.Context, s Subject, from, to time.Time) ([]Event, error) {
 	l.init()
 	if s.Kind == "" || s.ID == "" {
 		return nil, &SubjectError{Subject: s}
 	}
 	s.ID, s.Kind = cut(s.ID), cut(s.Kind)
-	now := time.Now()
-	window := l.Window
-	if window <= 0 {
-		window = DefaultWindow
+	if oldest := time.Now().Add(-KeepFor - bucketTime); from.Before(oldest) {
+		from = oldest
 	}
-	from := now.Add(-window)
-	spans, err := l.spans(ctx, from, now)
+	spans, err := l.spans(ctx, from, to)
 	if err != nil {
 		return nil, err
 	}
@@ -145,13 +152,12 @@
 // buffered returns the matching events that are not written yet.
 func (l *Log) buffered(s Subject) []Event {
 	l.mu.Lock()
-	defer l.mu.Unlock()
+	waiting := slices.Concat(l.buffer.others, l.buffer.requests)
+	l.mu.Unlock()
 	var events []Event
-	for _, queue := range [][]encoded{l.buffer.others, l.buffer.requests} {
-		for _, event := range queue {
-			if event.kind == s.Kind {
-				events = append(events, matching([]json.RawMessage{event.data}, s)...)
-			}
+	for _, event := range waiting {
+		if event.kind == s.Kind {
+			events = append(events, matching([]json.RawMessage{event.data}, s)...)
 		}
 	}
 	return events
--- a/internal/audit/log.go
+++ b/internal/audit/log.go
@@ -62,6 +62,9 @@
 	if e.Instance == "" {
 		e.Instance = l.Instance
 	}
+	if !l.sampled(e) {
+		return
+	}
 	data, err := encode(e)
 	if err != nil {
 		l.Log.Warn().Err(err).Msg("audit: event cannot be encoded")
@@ -69,11 +72,8 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if e.Subject.Kind == KindRequest && e.Action == ActionRefused {
-		l.buffer.countRefusal(refusal{class: cut(e.Inputs[InputClass]), reason: cut(e.Reason)})
-	}
-	if cause := l.sampler.refuse(e, data.size(), time.Now()); cause != "" {
-		l.drop(data.kind, cause)
+	if !l.sampler.fits(data.kind, data.size()) {
+		l.drop(data.kind, "rate")
 		return
 	}
 	for _, kind := range l.buffer.add(data) {
@@ -81,6 +81,21 @@
 	}
 }
 
+// sampled counts a refusal and reports whether the event is kept. It comes before the encoding, which thousands of refusals a
+// second in an overload would pay for in vain.
+func (l *Log) sampled(e Event) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if e.Subject.Kind == KindRequest && e.Action == ActionRefused {
+		l.buffer.countRefusal(refusal{class: cut(e.Inputs[InputClass]), reason: cut(e.Reason)})
+	}
+	if l.sampler.sampled(e, time.Now()) {
+		return true
+	}
+	l.drop(cut(e.Subject.Kind), "sampled")
+	return false
+}
+
 // Run writes batches until ctx ends; events that are left are written by Flush.
 func (l *Log) Run(ctx context.Context) error {
 	l.init()
@@ -92,7 +107,7 @@
 			return nil
 		case <-ticker.C:
 		}
-		if err := l.write(ctx, BatchBytes); err != nil && ctx.Err() == nil {
+		if _, err := l.write(ctx, BatchBytes); err != nil && ctx.Err() == nil {
 			l.Log.Warn().Err(err).Msg("audit: batch was not written")
 		}
 	}
@@ -101,21 +116,11 @@
 // Flush writes all events that were added before; it returns the error of the store, and the events stay for another call.
 func (l *Log) Flush(ctx context.Context) error {
 	l.init()
-	for l.waiting() {
-		if err := l.write(ctx, flushBytes); err != nil {
+	for {
+		if wrote, err := l.write(ctx, flushBytes); err != nil || !wrote {
 			return err
 		}
 	}
-	return nil
-}
-
-// waiting reports whether events are left to write.
-func (l *Log) waiting() bool {
-	l.turn <- struct{}{}
-	defer func() { <-l.turn }()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.unsent != nil || !l.buffer.empty()
 }
 
 func (l *Log) init() {
--- a/internal/audit/log_test.go
+++ b/internal/audit/log_test.go
@@ -162,6 +162,18 @@
 		Expect(explain(ctx, b, audit.KindJob, "j")).To(HaveLen(2))
 	}))
 
+	It("finds a batch that an outage delayed into another hour", virtual(func(ctx context.Context, kv *fakekv.Server) {
+		l := start(ctx, kv, "a")
+		kv.Set(fakekv.Faults{Down: true})
+		l.Add(job("j"))
+		time.Sleep(2 * time.Hour)
+		kv.Set(fakekv.Faults{})
+		time.Sleep(5 * time.Second)
+		b := start(ctx, kv, "b")
+		b.Window = 3 * time.Hour
+		Expect(explain(ctx, b, audit.KindJob, "j")).To(HaveLen(1))
+	}))
+
 	It("bounds its reads and says what it left out", virtual(func(ctx context.Context, kv *fakekv.Server) {
 		l := start(ctx, kv, "a")
 		for hour := range 24 {
--- a/internal/audit/sample.go
+++ b/internal/audit/sample.go
@@ -15,27 +15,30 @@
 	bytes   int
 }
 
-// refuse returns the cause for which an event is not kept, or "".
-func (s *sampler) refuse(e Event, size int, now time.Time) string {
-	if e.Subject.Kind != KindRequest {
-		return ""
-	}
+// sampled reports whether an event is kept as a sample.
+func (s *sampler) sampled(e Event, now time.Time) bool {
 	if s.samples == nil || now.Sub(s.second) >= time.Second || now.Before(s.second) {
 		s.second, s.samples, s.bytes = now, map[refusal]int{}, 0
 	}
-	if e.Action == ActionRefused {
-		key := refusal{class: e.Inputs[InputClass], reason: e.Reason}
-		if len(s.samples) >= maxRefusalKeys && s.samples[key] == 0 {
-			return "sampled"
-		}
-		s.samples[key]++
-		if s.samples[key] > RefusalsPerSecond {
-			return "sampled"
-		}
+	if e.Subject.Kind != KindRequest || e.Action != ActionRefused {
+		return true
+	}
+	key := refusal{class: e.Inputs[InputClass], reason: e.Reason}
+	if len(s.samples) >= maxRefusalKeys && s.samples[key] == 0 {
+		return false
+	}
+	s.samples[key]++
+	return s.samples[key] <= RefusalsPerSecond
+}
+
+// fits reports whether an event of this size is kept; requests share BatchBytes a second.
+func (s *sampler) fits(kind string, size int) bool {
+	if kind != KindRequest {
+		return true
 	}
 	if s.bytes+size > BatchBytes {
-		return "rate"
+		return false
 	}
 	s.bytes += size
-	return ""
+	return true
 }
--- a/internal/claim/begin.go
+++ b/internal/claim/begin.go
@@ -20,7 +20,7 @@
 		return nil, nil, err
 	}
 	c := &Claim{book: b, key: key.String(), record: b.newRecord(class, bodyDigest)}
-	for {
+	for range beginRounds {
 		found, err := c.create(ctx)
 		if err != nil {
 			return nil, nil, reply.Refused(reply.ReasonStoreUnavailable, "claim of request %q: %v", key.Request, err)
@@ -37,6 +37,7 @@
 			return nil, nil, reply.Refused(reply.ReasonDeadlinePast, "time ran out before request %q was claimed", key.Request)
 		}
 	}
+	return nil, nil, reply.Refused(reply.ReasonDuplicate, "others claim and release request %q at the same time", key.Request)
 }
 
 // create writes the claim. It returns the entry of another holder, or an error that proves that the claim is not used.
@@ -80,7 +81,7 @@
 	var unavailable *store.UnavailableError
 	switch {
 	case err == nil:
-		c.version = entry.Version
+		c.version, c.revision = entry.Version, entry.Modified
 		return nil, false, nil
 	case errors.As(err, &conflict):
 		return c.compare(conflict.Current), false, nil
@@ -98,7 +99,7 @@
 	if err != nil || found.Nonce != c.record.Nonce || found.State != stateClaimed {
 		return &current
 	}
-	c.version, c.lease = current.Version, current.Lease
+	c.version, c.revision, c.lease = current.Version, current.Modified, current.Lease
 	return nil
 }
 
--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -23,12 +23,14 @@
 	MaxBodyBytes = 64 << 10
 	// MaxIDBytes bounds customer and request ids, which are parts of the claim's key.
 	MaxIDBytes = 256
-	// MaxWrites bounds the writes to the store for one request: two tries to create, two to finish or release, and those of the
+	// MaxWrites bounds the writes to the store for one request: the tries to create, to finish or release, and those of the
 	// background.
-	MaxWrites = 2*writeTries + backgroundWrites
+	MaxWrites = beginRounds*writeTries + writeTries + backgroundWrites
 
 	writeTries       = 2
 	backgroundWrites = 4
+	// beginRounds bounds how often one Begin tries to take an id over that others claim and release meanwhile.
+	beginRounds = 3
 )
 
 // Book makes and finds claims; its exported fields are set before use.
@@ -75,8 +77,10 @@
 	key     string
 	record  record
 	version store.Version
-	lease   store.LeaseID
-	writes  int
+	// revision is the store revision of the create; 0 while it is not known to have taken effect.
+	revision store.Revision
+	lease    store.LeaseID
+	writes   int
 
 	mu    sync.Mutex
 	ended bool
--- a/internal/claim/book_test.go
+++ b/internal/claim/book_test.go
@@ -136,6 +136,19 @@
 		Expect(ended.Body.String()).To(ContainSubstring(`peridot_claims_ended_total{end="done",writes="4"} 1`))
 	}))
 
+	It("answers stale reads: the outcome is still written when the store is back", virtual(func(ctx context.Context, kv *fakekv.Server) {
+		a, b := book(ctx, kv, "a", "1"), book(ctx, kv, "b", "1")
+		kv.Set(fakekv.Faults{StaleReads: true})
+		c := held(ctx, a, key)
+		kv.Set(fakekv.Faults{StaleReads: true, Down: true})
+		Expect(c.Finish(ctx, done)).NotTo(Succeed())
+		kv.Set(fakekv.Faults{StaleReads: true})
+		time.Sleep(time.Minute)
+		_, outcome, problem := begin(ctx, b, key, time.Second)
+		Expect(problem).To(BeNil())
+		Expect(outcome.Body).To(Equal(done.Body))
+	}))
+
 	It("gets a release late and does not lose the claim of the next holder to it", virtual(func(ctx context.Context, kv *fakekv.Server) {
 		var late *http.Request
 		handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/claim/retry.go
+++ b/internal/claim/retry.go
@@ -19,7 +19,7 @@
 		c.abandon(err)
 		return nil
 	}
-	current, err := c.book.Store.Get(ctx, c.key, 0)
+	current, err := c.book.Store.Get(ctx, c.key, c.revision)
 	var gone *store.NotFoundError
 	if err != nil && !errors.As(err, &gone) {
 		return err
@@ -44,19 +44,23 @@
 
 // match takes over version and lease of the entry that is there; it reports false when nothing is left to do.
 func (c *Claim) match(ctx context.Context, current store.Entry, last record) (bool, error) {
-	if current.Version > 0 {
+	found, err := decode(current)
+	switch {
+	case err != nil:
+		return false, err
+	case found.Nonce == c.record.Nonce && current.Version > 0:
 		return c.reconcile(current, last)
-	}
-	if last.State != stateReleased {
+	case last.State == stateDone:
 		return false, &LostError{Key: c.key}
+	case found.State != stateReleased:
+		return false, nil // Another holder has the id.
 	}
-	// The create may still be under way; the entry of a released claim makes it fail.
-	id, err := c.book.lease(ctx)
-	if err != nil {
-		return false, err
+	// The create may still be under way; a newer entry of a released claim makes it fail.
+	c.version, c.lease = current.Version, current.Lease
+	if c.lease == 0 {
+		c.lease, err = c.book.lease(ctx)
 	}
-	c.version, c.lease = 0, id
-	return true, nil
+	return err == nil, err
 }
 
 func (c *Claim) finishRetry(last *record, err error) {
