lease, claim, store: make three checks able to fail

Mutations of the code showed three specs that passed with a fault: validity was compared with the holder's own record of when the renewal was sent, no spec listed stale keys after compaction, and no spec delayed a release past the same instance's next acquisition. A duplicate's wait now sees a key with the same prefix change.

--- a/internal/claim/book_test.go
+++ b/internal/claim/book_test.go
@@ -40,14 +40,17 @@
 		Expect(refusal(ctx, b, key).Outcome).To(Equal(reply.OutcomeUnknown))
 		Expect(time.Since(started)).To(Equal(5 * time.Second))
 		go func() {
+			defer GinkgoRecover()
+			time.Sleep(time.Second)
+			// Another request whose key starts with the same text must not be taken for this one.
+			other := claim.Key{Customer: key.Customer, Request: key.Request + "0"}
+			Expect(held(ctx, a, other).Finish(ctx, claim.Outcome{})).To(Succeed())
 			time.Sleep(time.Second)
 			kv.Set(fakekv.Faults{DownFor: "b"})
 			Expect(c.Finish(ctx, done)).To(Succeed())
 			time.Sleep(2 * time.Second)
 			kv.Set(fakekv.Faults{})
 		}()
-		// Another request whose key starts with the same text must not be taken for this one.
-		Expect(held(ctx, b, claim.Key{Customer: key.Customer, Request: key.Request + "0"}).Finish(ctx, claim.Outcome{})).To(Succeed())
 		_, outcome, problem := begin(ctx, b, key, 20*time.Second)
 		Expect(problem).To(BeNil())
 		Expect(outcome.Body).To(Equal(done.Body))
--- a/internal/lease/holder_test.go
+++ b/internal/lease/holder_test.go
@@ -24,18 +24,45 @@
 	return string(entry.Value)
 }
 
+// releases passes calls on, and keeps a copy of the last release that late delivers. Without deliver, releases are held up.
+func releases(kv http.Handler, deliver bool) (handler http.Handler, late func()) {
+	var kept *http.Request
+	handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		Expect(err).NotTo(HaveOccurred())
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		if bytes.Contains(body, []byte(`"instance":""`)) {
+			kept = r.Clone(context.Background())
+			kept.Body = io.NopCloser(bytes.NewReader(body))
+			if !deliver {
+				panic(http.ErrAbortHandler)
+			}
+		}
+		kv.ServeHTTP(w, r)
+	})
+	return handler, func() { kv.ServeHTTP(httptest.NewRecorder(), kept) }
+}
+
 var _ = Describe("validity", func() {
 	It("counts from when the renewal was sent, because the store counts from when it arrived", virtual(func(ctx context.Context, kv *fakekv.Server) {
 		kv.Set(fakekv.Faults{DelayMs: 1000})
-		a := start(ctx, kv, "a", plain)
-		time.Sleep(10 * time.Second)
+		var arrived atomic.Int64
+		a := start(ctx, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			at := time.Now()
+			kv.ServeHTTP(w, r)
+			if r.Context().Err() == nil {
+				arrived.Store(at.UnixNano())
+			}
+		}), "a", plain)
+		time.Sleep(10200 * time.Millisecond) // No renewal is under way at this time.
+		Expect(a.Valid()).To(BeTrue())
+		good := time.Unix(0, arrived.Load())
 		_, sentAt := a.Proof()
+		Expect(sentAt).To(BeTemporally("==", good))
 		kv.Set(fakekv.Faults{Down: true})
-		for ; time.Since(sentAt) < 8*time.Second; time.Sleep(10 * time.Millisecond) {
-			if _, latest := a.Proof(); latest.After(sentAt) {
-				sentAt = latest
-			}
-			Expect(a.Valid()).To(Equal(time.Since(sentAt) < 4750*time.Millisecond), "%s after the renewal was sent", time.Since(sentAt))
+		for time.Since(good) < 8*time.Second {
+			time.Sleep(10 * time.Millisecond)
+			Expect(a.Valid()).To(Equal(time.Since(good) < 4750*time.Millisecond), "%s after the renewal arrived", time.Since(good))
 		}
 	}))
 
@@ -152,17 +179,7 @@
 	}))
 
 	It("passes on when it is released, with a higher token, and a late release does not end the next one", virtual(func(ctx context.Context, kv *fakekv.Server) {
-		var late *http.Request
-		handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			body, err := io.ReadAll(r.Body)
-			Expect(err).NotTo(HaveOccurred())
-			r.Body = io.NopCloser(bytes.NewReader(body))
-			if bytes.Contains(body, []byte(`"instance":""`)) {
-				late = r.Clone(context.Background())
-				late.Body = io.NopCloser(bytes.NewReader(body))
-			}
-			kv.ServeHTTP(w, r)
-		})
+		handler, late := releases(kv, true)
 		a, b := start(ctx, handler, "a", plain), start(ctx, kv, "b", plain)
 		first, err := a.Acquire(ctx, owner)
 		Expect(err).NotTo(HaveOccurred())
@@ -170,10 +187,25 @@
 		second, err := b.Acquire(ctx, owner)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(second).To(BeNumerically(">", first))
-		kv.ServeHTTP(httptest.NewRecorder(), late)
+		late()
 		Expect(get(ctx, b, owner)).To(ContainSubstring(`"b"`))
 	}))
 
+	It("that is taken again is not ended by its own late release", virtual(func(ctx context.Context, kv *fakekv.Server) {
+		handler, late := releases(kv, false)
+		a := start(ctx, handler, "a", plain)
+		first, err := a.Acquire(ctx, owner)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.Release(ctx, owner)).To(BeAssignableToTypeOf(&lease.DoubtError{}))
+		_, held := a.Token(owner)
+		Expect(held).To(BeFalse())
+		second, err := a.Acquire(ctx, owner)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(second).To(BeNumerically(">", first))
+		late()
+		Expect(get(ctx, a, owner)).To(ContainSubstring(`"a"`))
+	}))
+
 	It("ends with Close at once, and no lease is granted afterwards", virtual(func(ctx context.Context, kv *fakekv.Server) {
 		a, b := start(ctx, kv, "a", plain), start(ctx, kv, "b", plain)
 		_, err := a.Acquire(ctx, owner)
--- a/internal/store/follow_test.go
+++ b/internal/store/follow_test.go
@@ -119,6 +119,35 @@
 		Expect(maps.Keys(m.values)).To(ContainElement("/f/a"))
 	}))
 
+	It("ignores a listing that is older than what it has reported", virtual(func() {
+		kv := fakekv.New()
+		writer, client := clientOf(kv), clientOf(kv)
+		client.Instance = "follower"
+		m, stop := follow(client)
+		defer stop()
+		put := func(key string) {
+			_, err := writer.Put(context.Background(), key, []byte("x"), 0, 0)
+			Expect(err).NotTo(HaveOccurred())
+			time.Sleep(time.Second)
+			synctest.Wait()
+		}
+		put("/f/a")
+		kv.Set(fakekv.Faults{StaleReads: true})
+		put("/f/b")
+		kv.Set(fakekv.Faults{StaleReads: true, DownFor: "follower"})
+		put("/f/c")
+		kv.Compact()
+		kv.Set(fakekv.Faults{StaleReads: true})
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		Expect(m.values).To(And(HaveKey("/f/a"), HaveKey("/f/b"), Not(HaveKey("/f/c"))))
+		kv.Set(fakekv.Faults{})
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		Expect(m.values).To(HaveKey("/f/c"))
+		Expect(m.backwards).To(BeFalse())
+	}))
+
 	It("pauses when compaction meets stale listings, which hot loops would overload", virtual(func() {
 		kv := fakekv.New()
 		kv.Set(fakekv.Faults{StaleReads: true})
