lease: bound renewals by the store's timeout

A renewal was given up after 1.5 s, so a store that answers in 1.9 s cost the lease although its calls may take 2 s. The new spec failed before the change: it asks for validity over a minute of such answers. A store.Client without a timeout uses the default of 2 s.

--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -29,7 +29,8 @@
 	Incarnation model.Incarnation
 	// TTL is the time to live of the lease; zero means DefaultTTL.
 	TTL time.Duration
-	// RenewEvery is the time between renewals and bounds each of them; zero means DefaultRenewEvery.
+	// RenewEvery is the time between renewals; zero means DefaultRenewEvery. The store's timeout bounds each of them, so that a
+	// store that is slow but answers does not cost the lease.
 	RenewEvery time.Duration
 	// Now reads a monotonic clock; nil means time.Now.
 	Now     func() time.Time
--- a/internal/lease/holder_test.go
+++ b/internal/lease/holder_test.go
@@ -70,7 +70,7 @@
 		a := start(ctx, kv, "a", plain)
 		token, err := a.Acquire(ctx, owner)
 		Expect(err).NotTo(HaveOccurred())
-		for _, faults := range []fakekv.Faults{{LoseAnswers: 1, LosePrefix: "/leases"}, {DelayMs: 1600}} {
+		for _, faults := range []fakekv.Faults{{LoseAnswers: 1, LosePrefix: "/leases"}, {DelayMs: 2100}} {
 			kv.Set(faults)
 			time.Sleep(1600 * time.Millisecond)
 			kv.Set(fakekv.Faults{})
@@ -84,6 +84,15 @@
 		Expect(again).To(Equal(token))
 	}))
 
+	It("lasts while the store is slow, up to the timeout of its calls", virtual(func(ctx context.Context, kv *fakekv.Server) {
+		a := start(ctx, kv, "a", plain)
+		kv.Set(fakekv.Faults{DelayMs: 1900})
+		for range 600 {
+			time.Sleep(100 * time.Millisecond)
+			Expect(a.Valid()).To(BeTrue())
+		}
+	}))
+
 	It("ends while the process is paused, before it has talked to the store again", virtual(func(ctx context.Context, kv *fakekv.Server) {
 		a, b := start(ctx, kv, "a", plain), start(ctx, kv, "b", plain)
 		first, err := a.Acquire(ctx, owner)
--- a/internal/lease/renew.go
+++ b/internal/lease/renew.go
@@ -79,10 +79,8 @@
 
 // keepAlive renews the lease id, and grants a new one when the store does not know it any more.
 func (h *Holder) keepAlive(ctx context.Context, id store.LeaseID) bool {
-	callCtx, cancel := context.WithTimeout(ctx, h.renewEvery())
-	defer cancel()
 	sentAt := h.now()
-	renewed, err := h.Store.KeepAlive(callCtx, id)
+	renewed, err := h.Store.KeepAlive(ctx, id)
 	var gone *store.NotFoundError
 	if errors.As(err, &gone) {
 		h.lose(id)
@@ -98,10 +96,8 @@
 }
 
 func (h *Holder) grant(ctx context.Context) bool {
-	callCtx, cancel := context.WithTimeout(ctx, h.renewEvery())
-	defer cancel()
 	sentAt := h.now()
-	granted, err := h.Store.Grant(callCtx, h.ttl())
+	granted, err := h.Store.Grant(ctx, h.ttl())
 	if err != nil {
 		h.Log.Warn().Err(err).Msg("lease: grant did not succeed")
 		h.count("grant")
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -60,7 +60,7 @@
 	BaseURL string
 	// Role labels the calls in the metrics.
 	Role string
-	// Timeout bounds each call, watches excepted.
+	// Timeout bounds each call, and a watch beyond its wait; zero means DefaultTimeout.
 	Timeout time.Duration
 	Metrics *metric.Set
 	// Do sends a request; tests replace it to reach a fake without a network.
@@ -105,7 +105,7 @@
 		query.Set("min-revision", strconv.FormatUint(uint64(minRevision), 10))
 	}
 	var entry Entry
-	err := c.call(ctx, request{op: "get", key: key, method: http.MethodGet, path: keyPath(key), query: query, timeout: c.Timeout}, &entry)
+	err := c.call(ctx, request{op: "get", key: key, method: http.MethodGet, path: keyPath(key), query: query, timeout: c.timeout()}, &entry)
 	if err != nil {
 		return Entry{}, err
 	}
@@ -119,7 +119,7 @@
 func (c *Client) List(ctx context.Context, prefix string) (Listing, error) {
 	var listing Listing
 	query := url.Values{"prefix": {prefix}}
-	err := c.call(ctx, request{op: "list", key: prefix, method: http.MethodGet, path: "/v1/kv", query: query, timeout: c.Timeout}, &listing)
+	err := c.call(ctx, request{op: "list", key: prefix, method: http.MethodGet, path: "/v1/kv", query: query, timeout: c.timeout()}, &listing)
 	return listing, err
 }
 
@@ -131,7 +131,7 @@
 	}
 	var entry Entry
 	err := c.call(ctx, request{
-		op: "put", key: key, method: http.MethodPut, path: keyPath(key), query: query, body: value, timeout: c.Timeout, version: version,
+		op: "put", key: key, method: http.MethodPut, path: keyPath(key), query: query, body: value, timeout: c.timeout(), version: version,
 	}, &entry)
 	return entry, err
 }
@@ -140,7 +140,7 @@
 func (c *Client) Delete(ctx context.Context, key string, version Version) error {
 	query := url.Values{"version": {strconv.FormatUint(uint64(version), 10)}}
 	return c.call(ctx, request{
-		op: "delete", key: key, method: http.MethodDelete, path: keyPath(key), query: query, timeout: c.Timeout, version: version,
+		op: "delete", key: key, method: http.MethodDelete, path: keyPath(key), query: query, timeout: c.timeout(), version: version,
 	}, nil)
 }
 
@@ -151,20 +151,20 @@
 		return Lease{}, fmt.Errorf("encoding lease: %w", err)
 	}
 	var lease Lease
-	err = c.call(ctx, request{op: "grant", method: http.MethodPost, path: "/v1/leases", body: body, timeout: c.Timeout}, &lease)
+	err = c.call(ctx, request{op: "grant", method: http.MethodPost, path: "/v1/leases", body: body, timeout: c.timeout()}, &lease)
 	return lease, err
 }
 
 // KeepAlive renews a lease for its whole time to live. It returns NotFoundError when the lease has expired.
 func (c *Client) KeepAlive(ctx context.Context, id LeaseID) (Lease, error) {
 	var lease Lease
-	err := c.call(ctx, request{op: "keep-alive", method: http.MethodPost, path: leasePath(id), timeout: c.Timeout}, &lease)
+	err := c.call(ctx, request{op: "keep-alive", method: http.MethodPost, path: leasePath(id), timeout: c.timeout()}, &lease)
 	return lease, err
 }
 
 // Revoke ends a lease at once.
 func (c *Client) Revoke(ctx context.Context, id LeaseID) error {
-	return c.call(ctx, request{op: "revoke", method: http.MethodDelete, path: leasePath(id), timeout: c.Timeout}, nil)
+	return c.call(ctx, request{op: "revoke", method: http.MethodDelete, path: leasePath(id), timeout: c.timeout()}, nil)
 }
 
 // Watch waits up to wait for changes of keys with prefix after a revision; no change gives an empty listing.
@@ -176,7 +176,14 @@
 	}
 	var listing Listing
 	err := c.call(ctx, request{
-		op: "watch", key: prefix, method: http.MethodGet, path: "/v1/watch", query: query, timeout: wait + c.Timeout,
+		op: "watch", key: prefix, method: http.MethodGet, path: "/v1/watch", query: query, timeout: wait + c.timeout(),
 	}, &listing)
 	return listing, err
 }
+
+func (c *Client) timeout() time.Duration {
+	if c.Timeout > 0 {
+		return c.Timeout
+	}
+	return DefaultTimeout
+}
