--- a/internal/audit/explain.go
+++ b/internal/audit/explain.go
@@ -51,24 +51,32 @@
 	start    time.Time
 }
 
-// Explain returns the events about a subject in the last Window, oldest first, from all instances and from this one's buffer.
-// It returns what it found together with an error when some of it could not be read.
+// Explain returns the events about a subject in the last Window, as ExplainBetween does.
 func (l *Log) Explain(ctx context.Context, s Subject) ([]Event, error) {
+	window := l.Window
+	if window <= 0 {
+		window = DefaultWindow
+	}
+	now := time.Now()
+	return l.ExplainBetween(ctx, s, now.Add(-window), now)
+}
+
+// ExplainBetween returns the events about a subject that were written in a span of time, oldest first, from all instances and
+// from this one's buffer. It returns what it found together with an error when some of it could not be read.
+func (l *Log) ExplainBetween(ctx context.Context, s Subject, from, to time.Time) ([]Event, error) {
 	l.init()
 	if s.Kind == "" || s.ID == "" {
 		return nil, &SubjectError{Subject: s}
 	}
 	s.ID, s.Kind = cut(s.ID), cut(s.Kind)
-	now := time.Now()
-	window := l.Window
-	if window <= 0 {
-		window = DefaultWindow
+	if oldest := time.Now().Add(-KeepFor - bucketTime); from.Before(oldest) {
+		from = oldest
 	}
-	spans, err := l.spans(ctx, now.Add(-window), now)
+	spans, err := l.spans(ctx, from, to)
 	if err != nil {
 		return nil, err
 	}
-	events, err := l.read(ctx, spans, s)
+	events, err := l.read(ctx, spans, from, s)
 	events = append(events, l.buffered(s)...)
 	return newest(events), err
 }
@@ -100,7 +108,7 @@
 	return slices.Compact(found), nil
 }
 
-func (l *Log) read(ctx context.Context, wanted []slice, s Subject) ([]Event, error) {
+func (l *Log) read(ctx context.Context, wanted []slice, from time.Time, s Subject) ([]Event, error) {
 	var tooMany error
 	if len(wanted) > MaxReads {
 		tooMany = &TooManyReadsError{Wanted: len(wanted)}
@@ -112,7 +120,7 @@
 	for i, part := range wanted {
 		group.Go(func() error {
 			var err error
-			results[i], err = l.readSlice(ctx, part, s)
+			results[i], err = l.readSlice(ctx, part, from, s)
 			return err
 		})
 	}
@@ -120,14 +128,18 @@
 	return slices.Concat(results...), errors.Join(tooMany, err)
 }
 
-func (l *Log) readSlice(ctx context.Context, part slice, s Subject) ([]Event, error) {
+func (l *Log) readSlice(ctx context.Context, part slice, from time.Time, s Subject) ([]Event, error) {
 	digits := fmt.Sprintf("%013d", part.start.UnixMilli())[:sliceDigits]
 	listing, err := l.Store.List(ctx, store.Prefix("audit", string(part.instance))+digits)
 	if err != nil {
 		return nil, fmt.Errorf("listing events of instance %q: %w", part.instance, err)
 	}
 	var events []Event
+	first := batchKey(part.instance, from, 0)
 	for _, entry := range listing.Entries {
+		if entry.Key < first {
+			continue
+		}
 		var written content
 		if err := json.Unmarshal(entry.Value, &written); err != nil {
 			return events, fmt.Errorf("decoding events %q: %w", entry.Key, err)
@@ -140,13 +152,12 @@
 // buffered returns the matching events that are not written yet.
 func (l *Log) buffered(s Subject) []Event {
 	l.mu.Lock()
-	defer l.mu.Unlock()
+	waiting := slices.Concat(l.buffer.others, l.buffer.requests)
+	l.mu.Unlock()
 	var events []Event
-	for _, queue := range [][]encoded{l.buffer.others, l.buffer.requests} {
-		for _, event := range queue {
-			if event.kind == s.Kind {
-				events = append(events, matching([]json.RawMessage{event.data}, s)...)
-			}
+	for _, event := range waiting {
+		if event.kind == s.Kind {
+			events = append(events, matching([]json.RawMessage{event.data}, s)...)
 		}
 	}
 	return events
