--- a/internal/config/follower_test.go
+++ b/internal/config/follower_test.go
@@ -11,6 +11,7 @@
 
 	"peridotgw.example/peridotgw/internal/config"
 	"peridotgw.example/peridotgw/internal/fakekv"
+	"peridotgw.example/peridotgw/internal/metric"
 	"peridotgw.example/peridotgw/internal/store"
 	"peridotgw.example/peridotgw/model"
 	"peridotgw.example/peridotgw/reply"
@@ -22,25 +23,47 @@
 	noStartBound  = 4 * time.Second
 )
 
+// gathered returns the value of a metric.
+func gathered(set *metric.Set, name string) float64 {
+	families, err := set.Registry.Gather()
+	Expect(err).NotTo(HaveOccurred())
+	for _, family := range families {
+		if family.GetName() == metric.Prefix+name {
+			return family.GetMetric()[0].GetGauge().GetValue() + family.GetMetric()[0].GetCounter().GetValue()
+		}
+	}
+	return -1
+}
+
 var _ = Describe("Follower", func() {
 	It("has each accepted revision in effect everywhere within the bound, and fetches only changed segments", func() {
 		virtual(func(ctx context.Context) {
-			c := newCluster(ctx, "a", "b", "c").run()
+			c := newCluster(ctx, "a", "b", "c")
+			c.alter = func(f *config.Follower) { f.Metrics = metric.New() }
+			c.run()
 			time.Sleep(3 * time.Second)
 			p := c.instances["a"].publisher
 			c.must(p, "first", 0, dataCentre(model.ServiceIn), customer("clerks", 1))
 			time.Sleep(inEffectBound)
-			reads := c.kv.Calls()["GET kv"]
+			reads := c.segmentReads.Load()
 			c.must(p, "second", 1, customer("clerks", 2))
 			time.Sleep(inEffectBound)
 			for id, i := range c.instances {
 				Expect(i.follower.Current().Revision).To(BeEquivalentTo(2), id)
 				Expect(i.follower.Level()).To(Equal(config.LevelConfirmed), id)
 				Expect(i.follower.MayStartTask(dcName)).To(BeNil(), id)
+				Expect(gathered(i.follower.Metrics, "config_revision")).To(BeEquivalentTo(2), id)
+				Expect(gathered(i.follower.Metrics, "config_level")).To(BeEquivalentTo(2), id)
+				Expect(gathered(i.follower.Metrics, "config_confirmation_age_seconds")).To(And(BeNumerically(">", 0), BeNumerically("<=", 3)), id)
+				Expect(gathered(i.follower.Metrics, "config_applied_total")).To(BeEquivalentTo(2), id)
 			}
-			// The publisher reads the head and the change record; each instance reads the head at most 1.5 times a second
-			// and once more for the change, and one new segment. Reading both segments would take three reads more.
-			Expect(c.kv.Calls()["GET kv"] - reads).To(BeNumerically("<=", 2+3*(3+1+1)))
+			Expect(c.segmentReads.Load()-reads).To(BeEquivalentTo(3), "one changed segment on three instances")
+
+			const quiet = 60
+			before := c.kv.Calls()["GET kv"]
+			lists := quiet / 5 * 3
+			time.Sleep(quiet * time.Second)
+			Expect(c.kv.Calls()["GET kv"]-before-lists).To(BeNumerically("<=", 1.5*3*quiet), "reads of the head")
 		})
 	})
 
--- a/internal/config/publish_test.go
+++ b/internal/config/publish_test.go
@@ -171,6 +171,55 @@
 		})
 	})
 
+	It("publishes once when the same change is sent to several instances at once", func() {
+		virtual(func(ctx context.Context) {
+			c := newCluster(ctx)
+			c.must(&config.Publisher{Store: c.client("op")}, "first", 0, dataCentre(model.ServiceIn))
+			c.kv.Set(fakekv.Faults{LoseAnswers: 3})
+			var running sync.WaitGroup
+			results := make(chan config.Result, 4)
+			for i := range 4 {
+				running.Go(func() {
+					defer GinkgoRecover()
+					results <- c.must(&config.Publisher{Store: c.client(fmt.Sprint(i))}, "twin", 1, customer("clerks", 1))
+				})
+			}
+			running.Wait()
+			for range 4 {
+				Expect((<-results).Revision).To(BeEquivalentTo(2))
+			}
+			Expect(c.history()).To(HaveLen(2))
+		})
+	})
+
+	It("says of a publication that was cut short that it is in doubt, until another change takes its revision", func() {
+		virtual(func(ctx context.Context) {
+			c := newCluster(ctx)
+			p, other := &config.Publisher{Store: c.client("op")}, &config.Publisher{Store: c.client("other")}
+			c.must(p, "first", 0, dataCentre(model.ServiceIn))
+			do := p.Store.Do
+			p.Store.Do = func(r *http.Request) (*http.Response, error) {
+				if r.Method == http.MethodPut && r.URL.Path == "/v1/kv/config/head" {
+					c.net.Cut("op", kvHost, true)
+				}
+				return do(r)
+			}
+			change := config.Change{ID: "second", Base: 1, Put: []model.Object{customer("clerks", 1)}}
+			_, refused := p.Publish(ctx, change)
+			Expect(refused.Outcome).To(Equal(reply.OutcomeUnknown))
+			_, refused = other.Lookup(ctx, "second")
+			Expect(refused.Outcome).To(Equal(reply.OutcomeUnknown), "the write may still be on its way")
+			c.must(other, "third", 1, customer("judges", 1))
+			_, refused = other.Lookup(ctx, "second")
+			Expect(refused.Outcome).To(Equal(reply.OutcomeRefused))
+			Expect(refused.Reason).To(Equal(reply.ReasonNotFound))
+			Expect(c.must(other, "second", 1, change.Put...).Revision).To(BeEquivalentTo(3))
+			result, refused := other.Lookup(ctx, "second")
+			Expect(refused).To(BeNil())
+			Expect(result.Revision).To(BeEquivalentTo(3))
+		})
+	})
+
 	It("keeps what recent revisions use when old ones are removed, so that reviews and followers find their segments", func() {
 		virtual(func(ctx context.Context) {
 			c := newCluster(ctx)
--- a/internal/config/rig_test.go
+++ b/internal/config/rig_test.go
@@ -44,6 +44,8 @@
 	instances map[string]*instance
 	// loseWatches makes all watches fail, so that only reads and peers carry revisions.
 	loseWatches atomic.Bool
+	// segmentReads counts reads of segments.
+	segmentReads atomic.Int64
 	// unproved is set when renewals of instance b's lease fail.
 	unproved atomic.Bool
 	// alter changes a follower before it runs.
@@ -83,6 +85,9 @@
 		if c.loseWatches.Load() && r.URL.Path == "/v1/watch" {
 			return nil, errNoWatch
 		}
+		if strings.HasPrefix(r.URL.Path, "/v1/kv/config/segment/") && r.Method == http.MethodGet {
+			c.segmentReads.Add(1)
+		}
 		if c.unproved.Load() && host == "b" && strings.HasPrefix(r.URL.Path, "/v1/leases") {
 			return nil, errNoRenewal
 		}
