config, member: resume an interrupted clean-up and tell whether the instance joined

A run that removed revisions and ended before it wrote its progress made the next run fail on the first missing history entry. It now moves past entries that are gone.

--- a/internal/config/janitor.go
+++ b/internal/config/janitor.go
@@ -72,6 +72,12 @@
 	first := c.oldest
 	for c.oldest < c.now.head.Revision {
 		next, err := c.headAt(ctx, c.oldest+1, c.now)
+		var missing *store.NotFoundError
+		if errors.As(err, &missing) {
+			// A former run removed this revision and the next one, and ended before it wrote its progress.
+			c.oldest++
+			continue
+		}
 		if err != nil {
 			return err
 		}
--- a/internal/config/publish_test.go
+++ b/internal/config/publish_test.go
@@ -230,8 +230,16 @@
 				c.must(p, fmt.Sprintf("weight-%d", i), model.Revision(i+1), customer("clerks", i+2))
 			}
 			started := time.Now()
+			do := p.Store.Do
+			p.Store.Do = func(r *http.Request) (*http.Response, error) {
+				if r.URL.Path == "/v1/kv/config/oldest" && r.Method == http.MethodPut {
+					return nil, errNoWrite
+				}
+				return do(r)
+			}
 			cleaned, err := p.Clean(ctx, 0, limiter())
-			Expect(err).NotTo(HaveOccurred())
+			Expect(err).To(MatchError(errNoWrite), "the progress is not written")
+			p.Store.Do = do
 			Expect(cleaned).To(Equal(config.Cleaned{Revisions: 2, Segments: 2, Changes: 2}))
 			Expect(time.Since(started)).To(BeNumerically(">=", 5*time.Second/config.CleanPerSecond), "six deletes wait five times")
 			for rev, want := range map[model.Revision]bool{1: false, 2: false, 3: true, 4: true, 5: true} {
--- a/internal/config/rig_test.go
+++ b/internal/config/rig_test.go
@@ -32,8 +32,8 @@
 )
 
 var (
-	errNoWatch   = errors.New("watch is lost")
-	errNoRenewal = errors.New("renewal is lost")
+	errNoWatch = errors.New("watch is lost")
+	errNoWrite = errors.New("write is lost")
 )
 
 // cluster is a store and instances in one memory.
@@ -89,7 +89,7 @@
 			c.segmentReads.Add(1)
 		}
 		if c.unproved.Load() && host == "b" && strings.HasPrefix(r.URL.Path, "/v1/leases") {
-			return nil, errNoRenewal
+			return nil, errNoWrite
 		}
 		return do(r)
 	}}
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -99,6 +99,14 @@
 	return known
 }
 
+// Joined reports whether this instance is among the known members.
+func (t *Table) Joined() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, found := t.known[t.Self.Instance]
+	return found
+}
+
 // Heard counts the known members heard within a time, this instance included.
 func (t *Table) Heard(within time.Duration) int {
 	return 1 + len(t.Reports(within))
--- a/internal/member/table_test.go
+++ b/internal/member/table_test.go
@@ -107,6 +107,7 @@
 			g.join("c", member.Report{})
 			time.Sleep(2 * time.Second)
 			Expect(ids(a.Live())).To(Equal("a b c"))
+			Expect(a.Joined()).To(BeTrue())
 			Expect(a.Heard(member.LiveWithin)).To(Equal(3))
 
 			b.SetDraining()
