--- a/internal/config/publish.go
+++ b/internal/config/publish.go
@@ -27,7 +27,8 @@
 }
 
 // Publish applies a change to the newest configuration. It returns refused only when this call certainly had no effect,
-// and unknown otherwise; publishing again with the same id then settles it.
+// and unknown otherwise; publishing again with the same id then settles it. While the store cannot be read, a repeated call
+// is refused like a first one, so what became of an earlier call is still open after it.
 func (p *Publisher) Publish(ctx context.Context, c Change) (Result, *reply.Error) {
 	digest, refused := check(c)
 	if refused != nil {
@@ -237,7 +238,7 @@
 
 // unavailable is the answer to a store call without a usable answer.
 func (p *publication) unavailable(err error) *reply.Error {
-	return p.refuse(retryLater(reply.Refused(reply.ReasonStoreUnavailable, "the change was not published: %v", err)))
+	return p.refuse(retryLater(reply.Refused(reply.ReasonStoreUnavailable, "this call changed nothing, though an earlier one with the same id may have: %v", err)))
 }
 
 // refuse turns a refusal into unknown where an effect of this change cannot be ruled out.
--- a/internal/config/publish_test.go
+++ b/internal/config/publish_test.go
@@ -207,6 +207,8 @@
 			change := config.Change{ID: "second", Base: 1, Put: []model.Object{customer("clerks", 1)}}
 			_, refused := p.Publish(ctx, change)
 			Expect(refused.Outcome).To(Equal(reply.OutcomeUnknown))
+			_, refused = p.Lookup(ctx, "second")
+			Expect(refused.Outcome).To(Equal(reply.OutcomeUnknown), "the store cannot be read")
 			_, refused = other.Lookup(ctx, "second")
 			Expect(refused.Outcome).To(Equal(reply.OutcomeUnknown), "the write may still be on its way")
 			c.must(other, "third", 1, customer("judges", 1))
--- a/internal/config/publisher.go
+++ b/internal/config/publisher.go
@@ -68,7 +68,7 @@
 }
 
 // Lookup returns the result of a published change. It returns not-found when the change has certainly not taken effect
-// by the time of the answer, and in-doubt while its publication may still be under way.
+// by the time of the answer, and in-doubt while its publication may still be under way or the store cannot be read.
 func (p *Publisher) Lookup(ctx context.Context, id model.ChangeID) (Result, *reply.Error) {
 	if !model.ValidName(string(id)) {
 		return Result{}, reply.Refused(reply.ReasonMalformed, "change id %q is not in kebab case", id)
@@ -77,11 +77,11 @@
 	defer cancel()
 	now, err := p.newest(ctx)
 	if err != nil {
-		return Result{}, unreadable(err)
+		return Result{}, doubtful(id, err)
 	}
 	rec, _, err := p.readRecord(ctx, id, now.seen)
 	if err != nil {
-		return Result{}, unreadable(err)
+		return Result{}, doubtful(id, err)
 	}
 	if rec == nil {
 		return Result{}, reply.Refused(reply.ReasonNotFound, "change %q did not take effect: no publication of it got as far as the head", id)
@@ -89,13 +89,13 @@
 	if rec.Target > now.head.Revision {
 		// The record may be newer than the head that was read before it.
 		if now, err = p.newest(ctx); err != nil {
-			return Result{}, unreadable(err)
+			return Result{}, doubtful(id, err)
 		}
 	}
 	effect, found, err := p.effect(ctx, *rec, now)
 	switch {
 	case err != nil:
-		return Result{}, unreadable(err)
+		return Result{}, doubtful(id, err)
 	case found:
 		return Result{ChangeID: id, Revision: effect.Revision, Already: true, Changed: effect.Changed}, nil
 	case rec.Target > now.head.Revision:
@@ -137,6 +137,13 @@
 	return refused
 }
 
+// doubtful is the answer when it cannot be read whether a change took effect.
+func doubtful(id model.ChangeID, err error) *reply.Error {
+	unknown := reply.Unknown(reply.ReasonInDoubt, "it cannot be read whether change %q took effect: %v", id, err)
+	unknown.RetryAfter = model.Duration(time.Second)
+	return unknown
+}
+
 func (p *Publisher) wall() time.Time {
 	if p.Wall != nil {
 		return p.Wall().UTC()
