relay: silent sends do not hold all slots of an endpoint

When all slots of an endpoint are held by sends on connections found silent, no slot was free for the send in their place, and they waited until their deadlines. The silent send is cancelled then and its slot used. A new connection pool is taken when the connection budget changes, as the budget of a transport cannot change while it is used.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -24,6 +24,8 @@
 	// denied is set when a further send was refused by MaySend.
 	denied  bool
 	overdue *time.Timer
+	// replaced is the silent send that was cancelled to use its slot for another one.
+	replaced *attempt
 }
 
 // suspicion is the result of the probe after an overdue answer.
@@ -54,9 +56,7 @@
 		case <-c.overdue.C:
 			c.suspect(ctx)
 		case s := <-c.suspects:
-			if c.request.Idempotent && !s.attempt.ended {
-				c.again(ctx, s.reason, s.free, false, false)
-			}
+			c.replace(ctx, s)
 		case <-ctx.Done():
 			return c.giveUp(ctx)
 		}
@@ -122,6 +122,12 @@
 		count(c.relay.denied, deniedForbidden)
 		return c.fail(ctx, nil), true
 	}
+	if out.attempt == c.replaced {
+		if !c.again(ctx, retrySilent, true, true, false) {
+			return c.fail(ctx, nil), true
+		}
+		return Result{}, false
+	}
 	if !c.again(ctx, out.retryReason(), false, true, out.kind == kindNotRun || out.kind == kindNotSent) {
 		return c.fail(ctx, nil), true
 	}
@@ -213,6 +219,18 @@
 	}()
 }
 
+// replace sends an idempotent request again beside the overdue send. When that is on a connection found silent and no slot
+// is free, because silent sends hold them all, the overdue send is cancelled and its slot used.
+func (c *call) replace(ctx context.Context, s suspicion) {
+	if !c.request.Idempotent || s.attempt.ended || c.again(ctx, s.reason, s.free, false, false) {
+		return
+	}
+	if s.free && len(c.attempts) < MaxAttempts {
+		c.replaced = s.attempt
+		s.attempt.cancel()
+	}
+}
+
 // note keeps the error with the highest precedence: what ran precedes what may have run, which precedes what did not.
 func (c *call) note(err *reply.Error) {
 	if c.worst == nil || precedence(err.Outcome) >= precedence(c.worst.Outcome) {
--- /dev/null
+++ b/internal/relay/limits_test.go
@@ -0,0 +1,141 @@
+package relay_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+
+	"peridotgw.example/peridotgw/internal/fakeep"
+	"peridotgw.example/peridotgw/internal/metric"
+	"peridotgw.example/peridotgw/internal/relay"
+	"peridotgw.example/peridotgw/internal/route"
+	"peridotgw.example/peridotgw/model"
+	"peridotgw.example/peridotgw/reply"
+)
+
+// tail returns the 99th percentile of 300 urgent requests to 8 endpoints, one of which may be slow.
+func tail(slow bool, hedge bool) (p99 time.Duration) {
+	virtual(func() {
+		r := newRig(8)
+		defer r.close()
+		for _, endpoint := range r.endpoints {
+			endpoint.Service = func(model.RequestClassID) time.Duration { return 20 * time.Millisecond }
+		}
+		hedged := func(id string) *relay.Request {
+			request := check(id)
+			request.Hedge = hedge
+			return request
+		}
+		r.sendAll(200, hedged, func(model.RequestID, relay.Result, string) {})
+		if slow {
+			r.endpoints[0].Set(fakeep.Faults{SlowMs: 1000})
+		}
+		var times []time.Duration
+		for range 100 {
+			started := time.Now()
+			r.sendAll(3, hedged, func(model.RequestID, relay.Result, string) {})
+			times = append(times, time.Since(started))
+		}
+		slices.Sort(times)
+		p99 = times[len(times)*99/100]
+	})
+	return p99
+}
+
+var _ = Describe("hedging", func() {
+	It("keeps the tail within 3 times the healthy one with a slow endpoint; guards against waiting for it", func() {
+		Expect(tail(true, true)).To(BeNumerically("<=", 3*tail(false, true)))
+	})
+
+	It("the check reports a longer tail without hedging", func() {
+		Expect(tail(true, false)).To(BeNumerically(">", 3*tail(false, false)))
+	})
+})
+
+var _ = Describe("outcomes", func() {
+	It("are refused with the stated reason when sending is not allowed, and nothing is sent", func() {
+		virtual(func() {
+			r := newRig(1)
+			defer r.close()
+			r.relay.MaySend = func(_ model.DataCentreID, idempotent bool) *reply.Error {
+				Expect(idempotent).To(BeFalse())
+				return reply.Refused(reply.ReasonConfigStale, "the configuration is stale")
+			}
+			result, _ := r.send(tally("t"))
+			Expect(result.Err.Reason).To(Equal(reply.ReasonConfigStale))
+			Expect(r.runs()).To(BeEmpty())
+			Expect(r.table.Acquire(route.Ask{})).NotTo(BeNil(), "the slot was given back")
+		})
+	})
+
+	It("are refused after dial errors and the send goes elsewhere; guards against an unknown outcome without a connection", func() {
+		virtual(func() {
+			metrics := metric.New()
+			r := newRig(2, func(r *rig) {
+				r.relay.Metrics = metrics
+				r.relay.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+					if strings.HasPrefix(address, "ep-0") {
+						return nil, &net.OpError{Op: "dial", Net: network, Err: errors.New("no route")}
+					}
+					return r.network.Dial(ctx, network, address)
+				}
+			})
+			defer r.close()
+			r.sendAll(20, tally, func(_ model.RequestID, result relay.Result, _ string) { Expect(result.Err).To(BeNil()) })
+			Expect(testutil.ToFloat64(metrics.Retries.WithLabelValues("relay", "not-sent"))).To(BeNumerically(">", 0))
+		})
+	})
+
+	It("are failed when the answer is over the limit, as the request ran", func() {
+		virtual(func() {
+			r := newRig(1, func(r *rig) { r.relay.MaxAnswer = 10 })
+			defer r.close()
+			result, _ := r.send(tally("t"))
+			Expect(result.Err.Outcome).To(Equal(reply.OutcomeFailed))
+			Expect(r.runs()["t"]).To(Equal(1))
+		})
+	})
+
+	It("are unknown when the caller goes away while a request runs; guards against a false not-run", func() {
+		virtual(func() {
+			r := newRig(1)
+			defer r.close()
+			r.endpoints[0].Set(fakeep.Faults{SlowMs: 1000})
+			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			defer cancel()
+			result := r.relay.Send(ctx, tally("t"), r.table.Acquire(route.Ask{}))
+			Expect(result.Err.Outcome).To(Equal(reply.OutcomeUnknown))
+		})
+	})
+})
+
+var _ = DescribeTable("answers are verified", func(change func(http.Header), reason reply.Reason) {
+	header := http.Header{}
+	header.Set(reply.HeaderRequestID, "r")
+	header.Set(reply.HeaderAttempt, "2")
+	header.Set(reply.HeaderDigest, "44bc2cf5ad770999")
+	change(header)
+	err := relay.VerifyAnswer(&relay.Request{ID: "r"}, 2, header, []byte("abc"))
+	if reason == "" {
+		Expect(err).NotTo(HaveOccurred())
+		return
+	}
+	var mismatch *relay.MismatchError
+	Expect(errors.As(err, &mismatch)).To(BeTrue())
+	Expect(mismatch.Reason).To(Equal(reason))
+},
+	Entry("whole", func(http.Header) {}, reply.Reason("")),
+	Entry("endpoint that does not echo the attempt", func(h http.Header) { h.Del(reply.HeaderAttempt) }, reply.Reason("")),
+	Entry("other request", func(h http.Header) { h.Set(reply.HeaderRequestID, "x") }, reply.ReasonAnswerCrossed),
+	Entry("earlier attempt", func(h http.Header) { h.Set(reply.HeaderAttempt, "1") }, reply.ReasonAnswerCrossed),
+	Entry("other digest", func(h http.Header) { h.Set(reply.HeaderDigest, "0") }, reply.ReasonAnswerIncomplete),
+	Entry("no digest", func(h http.Header) { h.Del(reply.HeaderDigest) }, reply.ReasonAnswerIncomplete),
+)
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -32,6 +32,7 @@
 // pool holds the connections to one endpoint address.
 type pool struct {
 	transport *http.Transport
+	conns     int
 	open      atomic.Int32
 	usedAt    atomic.Int64
 	// dropBefore is the time before which connections were opened that are not used any more.
@@ -60,7 +61,7 @@
 }
 
 func (r *Relay) newPool(conns int) *pool {
-	p := &pool{}
+	p := &pool{conns: conns}
 	p.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
@@ -160,19 +161,26 @@
 	return p.transport.RoundTrip(request)
 }
 
+// pool returns the pool of an address. A change of the connection budget, which follows the live members, takes a new
+// pool; requests on the old one finish there.
 func (r *Relay) pool(address string, conns int) *pool {
+	conns = max(1, conns)
 	r.mu.RLock()
 	p := r.pools[address]
 	r.mu.RUnlock()
-	if p != nil {
+	if p != nil && p.conns == conns {
 		return p
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if p = r.pools[address]; p == nil {
-		p = r.newPool(max(1, conns))
-		r.pools[address] = p
+	if p = r.pools[address]; p != nil && p.conns == conns {
+		return p
+	}
+	if p != nil {
+		p.drop(time.Now())
 	}
+	p = r.newPool(conns)
+	r.pools[address] = p
 	return p
 }
 
@@ -183,7 +191,12 @@
 	if r.Do != nil {
 		return false
 	}
-	p := r.pool(a.pick.Address, a.pick.Conns)
+	r.mu.RLock()
+	p := r.pools[a.pick.Address]
+	r.mu.RUnlock()
+	if p == nil {
+		return false
+	}
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/relay/promise_test.go
+++ b/internal/relay/promise_test.go
@@ -161,6 +161,20 @@
 		})
 	})
 
+	It("frees the slots that silent sends hold, without retry budget; guards against an endpoint that is stuck until deadlines", func() {
+		virtual(func() {
+			r := newRig(1)
+			defer r.close()
+			r.endpoints[0].Service = func(model.RequestClassID) time.Duration { return 10 * time.Millisecond }
+			r.sendAll(100, check, func(model.RequestID, relay.Result, string) {})
+			r.endpoints[0].Set(fakeep.Faults{Silent: true})
+			r.relay.Allow = func(model.RequestClassID) bool { return false }
+			started := time.Now()
+			r.sendAll(8, check, func(_ model.RequestID, result relay.Result, _ string) { Expect(result.Err).To(BeNil()) })
+			Expect(time.Since(started)).To(BeNumerically("<", 520*time.Millisecond))
+		})
+	})
+
 	It("sends what must not be repeated on a new connection after a pause; guards against a doubt that was avoidable", func() {
 		virtual(func() {
 			r := newRig(1)
--- a/internal/relay/suite_test.go
+++ b/internal/relay/suite_test.go
@@ -53,7 +53,8 @@
 	mu        sync.Mutex
 }
 
-func newRig(endpoints int) *rig {
+// newRig starts a rig; fields of its relay are set by setUp, before it runs.
+func newRig(endpoints int, setUp ...func(*rig)) *rig {
 	r := &rig{network: fakeep.NewNetwork()}
 	probes := &http.Transport{DialContext: r.network.Dial, DisableKeepAlives: true}
 	r.table = &route.Table{Self: "a", DataCentre: "library", Trust: true, Do: probes.RoundTrip}
@@ -67,6 +68,9 @@
 		vms = append(vms, vmlist.VM{Name: name, Kind: vmlist.KindEndpoint, Address: name + ":80", DataCentre: "library", Slots: 8, Incarnation: "1"})
 	}
 	r.table.Update(vms)
+	for _, set := range setUp {
+		set(r)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 2)
 	go func() { ended <- r.relay.Run(ctx) }()
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -209,8 +209,12 @@
 		e.ownInFlight++
 	}
 	t.place(e)
+	conns := e.limit(t.connLimit)
+	if t.Choose != nil {
+		conns = t.connLimit
+	}
 	return &Pick{
-		Endpoint: e.id, Address: e.address, DataCentre: e.dataCentre, Conns: e.limit(t.connLimit),
+		Endpoint: e.id, Address: e.address, DataCentre: e.dataCentre, Conns: conns,
 		Borrowed: borrowed, table: t, endpoint: e, startedAt: now,
 	}
 }
--- /dev/null
+++ b/internal/vmlist/poller_test.go
@@ -0,0 +1,122 @@
+package vmlist_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"peridotgw.example/peridotgw/internal/fakevm"
+	"peridotgw.example/peridotgw/internal/vmlist"
+)
+
+var suite *testing.T
+
+func TestVMList(t *testing.T) {
+	suite = t
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "vmlist")
+}
+
+func vm(name string, kind vmlist.Kind) vmlist.VM {
+	return vmlist.VM{Name: name, Kind: kind, Address: name + ":80", DataCentre: "library", State: vmlist.StateLive, Incarnation: "1"}
+}
+
+func poller(handler http.Handler) *vmlist.Poller {
+	return &vmlist.Poller{URL: "http://vms", Do: func(r *http.Request) (*http.Response, error) {
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, r)
+		return recorder.Result(), r.Context().Err()
+	}}
+}
+
+var _ = Describe("poller", func() {
+	It("returns the entries by kind; guards against workers that get requests", func() {
+		p := poller(fakevm.New(vm("e", vmlist.KindEndpoint), vm("w", vmlist.KindWorker)))
+		Expect(p.Poll(context.Background())).To(Succeed())
+		Expect(p.VMs(vmlist.KindEndpoint)).To(Equal([]vmlist.VM{vm("e", vmlist.KindEndpoint)}))
+		Expect(p.VMs("")).To(HaveLen(2))
+	})
+
+	It("keeps the last list while the service is down, and states its age; guards against an empty table in an outage", func() {
+		synctest.Test(suite, func(*testing.T) {
+			defer GinkgoRecover()
+			list := fakevm.New(vm("e", vmlist.KindEndpoint))
+			p := poller(list)
+			var told atomic.Int32
+			p.Subscribe(func([]vmlist.VM) { told.Add(1) })
+			ctx, cancel := context.WithCancel(context.Background())
+			ended := make(chan error, 1)
+			go func() { ended <- p.Run(ctx) }()
+			time.Sleep(1500 * time.Millisecond)
+			list.SetFaults(fakevm.Faults{Down: true})
+			time.Sleep(10 * time.Second)
+			Expect(p.VMs("")).To(HaveLen(1))
+			Expect(told.Load()).To(BeEquivalentTo(2))
+			age, ok := p.Age()
+			Expect(ok).To(BeTrue())
+			Expect(age).To(Equal(10500 * time.Millisecond))
+			cancel()
+			Expect(<-ended).To(Succeed())
+		})
+	})
+
+	It("gives up a call after 2 s; guards against a service that hangs", func() {
+		synctest.Test(suite, func(*testing.T) {
+			defer GinkgoRecover()
+			p := &vmlist.Poller{URL: "http://vms", Do: func(r *http.Request) (*http.Response, error) {
+				<-r.Context().Done()
+				return nil, r.Context().Err()
+			}}
+			started := time.Now()
+			Expect(p.Poll(context.Background())).To(MatchError(context.DeadlineExceeded))
+			Expect(time.Since(started)).To(Equal(2 * time.Second))
+		})
+	})
+
+	DescribeTable("refuses an answer that cannot be used and keeps the last list", func(status int, body string) {
+		good := true
+		p := poller(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if good {
+				_, err := w.Write([]byte(`[{"name":"e","kind":"endpoint","address":"e:80","data-centre":"library"}]`))
+				Expect(err).NotTo(HaveOccurred())
+				return
+			}
+			w.WriteHeader(status)
+			_, err := w.Write([]byte(body))
+			Expect(err).NotTo(HaveOccurred())
+		}))
+		Expect(p.Poll(context.Background())).To(Succeed())
+		good = false
+		err := p.Poll(context.Background())
+		Expect(err).To(HaveOccurred())
+		var statusError *vmlist.StatusError
+		Expect(errors.As(err, &statusError)).To(Equal(status != http.StatusOK))
+		Expect(p.VMs(vmlist.KindEndpoint)).To(HaveLen(1))
+	},
+		Entry("status 503", 503, ""),
+		Entry("truncated JSON", 200, `[{"name":"e"`),
+		Entry("a name twice", 200, `[{"name":"e","address":"a","data-centre":"d"},{"name":"e","address":"b","data-centre":"d"}]`),
+	)
+
+	It("sees the list of the past while it lags; guards against a stand-in that does not lag", func() {
+		synctest.Test(suite, func(*testing.T) {
+			defer GinkgoRecover()
+			list := fakevm.New(vm("old", vmlist.KindEndpoint))
+			list.SetFaults(fakevm.Faults{LagMs: 5000})
+			time.Sleep(time.Second)
+			list.Put(vm("new", vmlist.KindEndpoint))
+			list.Remove("old")
+			Expect(list.VMs()).To(HaveExactElements(HaveField("Name", "old")))
+			time.Sleep(5 * time.Second)
+			Expect(list.VMs()).To(HaveExactElements(HaveField("Name", "new")))
+		})
+	})
+})
