relay: outcomes are checked over TCP with connections closed at any time

300 requests that must not be repeated go to endpoints that close idle connections after 2 ms, cut and cross answers and refuse; no refused one ran and none ran twice.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -172,7 +172,7 @@
 // budgeted takes a retry from the budget. A request that did not run holds no slot, so it can wait for the budget to grow
 // instead of being refused.
 func (c *call) budgeted(ctx context.Context, patient bool) bool {
-	limit := time.Now().Add(slotWait)
+	limit := time.Now().Add(budgetWait)
 	for {
 		if c.relay.allow(c.request.Class, c.class) {
 			return true
--- a/internal/relay/limits_test.go
+++ b/internal/relay/limits_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"time"
@@ -89,11 +92,54 @@
 				}
 			})
 			defer r.close()
-			r.sendAll(20, tally, func(_ model.RequestID, result relay.Result, _ string) { Expect(result.Err).To(BeNil()) })
+			done := 0
+			r.sendAll(20, tally, func(_ model.RequestID, result relay.Result, _ string) {
+				if result.Err == nil {
+					done++
+				}
+			})
+			Expect(done).To(Equal(20))
 			Expect(testutil.ToFloat64(metrics.Retries.WithLabelValues("relay", "not-sent"))).To(BeNumerically(">", 0))
 		})
 	})
 
+	It("are true over TCP with connections that the endpoint closes at any time; guards against races of the transport", func() {
+		r := newRig(3, func(r *rig) {
+			addresses := map[string]string{}
+			for i, endpoint := range r.endpoints {
+				server := httptest.NewUnstartedServer(endpoint)
+				server.Config.IdleTimeout = 2 * time.Millisecond
+				server.Start()
+				r.stops = append(r.stops, server.Close)
+				addresses[fmt.Sprintf("ep-%d:80", i)] = server.Listener.Addr().String()
+			}
+			r.relay.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+				return (&net.Dialer{}).DialContext(ctx, network, addresses[address])
+			}
+		})
+		defer r.close()
+		for i, endpoint := range r.endpoints {
+			random := rand.New(rand.NewPCG(seed, uint64(i)))
+			endpoint.Set(script(random, fakeep.Faults{}, fakeep.Faults{}, fakeep.Faults{}, fakeep.Faults{}, fakeep.Faults{},
+				fakeep.Faults{}, fakeep.Faults{SlowMs: 2}, fakeep.Faults{Refuse: true}, fakeep.Faults{CutBefore: true}, fakeep.Faults{Cut: true}, fakeep.Faults{Cross: true}))
+		}
+		outcomes := map[model.RequestID]reply.Outcome{}
+		r.sendAll(300, tally, func(id model.RequestID, result relay.Result, _ string) {
+			outcomes[id] = outcomeOf(result)
+			time.Sleep(time.Duration(len(outcomes)%4) * time.Millisecond)
+		})
+		runs := r.runs()
+		for id, outcome := range outcomes {
+			Expect(runs[id]).To(BeNumerically("<=", 1), string(id))
+			if outcome == reply.OutcomeRefused {
+				Expect(runs[id]).To(Equal(0), string(id))
+			}
+			if outcome == reply.OutcomeDone {
+				Expect(runs[id]).To(Equal(1), string(id))
+			}
+		}
+	})
+
 	It("are failed when the answer is over the limit, as the request ran", func() {
 		virtual(func() {
 			r := newRig(1, func(r *rig) { r.relay.MaxAnswer = 10 })
--- a/internal/relay/promise_test.go
+++ b/internal/relay/promise_test.go
@@ -170,7 +170,13 @@
 			r.endpoints[0].Set(fakeep.Faults{Silent: true})
 			r.relay.Allow = func(model.RequestClassID) bool { return false }
 			started := time.Now()
-			r.sendAll(8, check, func(_ model.RequestID, result relay.Result, _ string) { Expect(result.Err).To(BeNil()) })
+			done := 0
+			r.sendAll(8, check, func(_ model.RequestID, result relay.Result, _ string) {
+				if result.Err == nil {
+					done++
+				}
+			})
+			Expect(done).To(Equal(8))
 			Expect(time.Since(started)).To(BeNumerically("<", 520*time.Millisecond))
 		})
 	})
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -24,8 +24,10 @@
 	DefaultMaxAnswer = 8 << 20
 	// slotWait bounds how long a retry waits for a free slot.
 	slotWait = time.Second
-	// budgetPoll is how often a request that did not run looks for retry budget, for at most slotWait.
+	// A request that did not run looks for retry budget every budgetPoll for budgetWait: bursts of refusals by full endpoints
+	// end within a few service times, and a longer wait would only delay the refusal.
 	budgetPoll = 10 * time.Millisecond
+	budgetWait = 250 * time.Millisecond
 	// suspectProbe bounds the probe on a new connection after an overdue answer.
 	suspectProbe = 250 * time.Millisecond
 )
