route: a draining instance keeps its slots, and early marks of operators are kept

Members that drain are not live, so a draining instance had no slots left for the requests that still arrive until the balancer notices. It keeps its own slots for itself now. A mark of an operator for an endpoint that the VM list does not name yet takes effect when it does. Refusals that a later try may pass carry a retry hint from the front in any case.

--- a/internal/front/path_test.go
+++ b/internal/front/path_test.go
@@ -172,6 +172,7 @@
 			}
 			got := p.must(p.request("tally", "t-1", ""))
 			Expect(got.err.Reason).To(Equal(reply.ReasonStoreUnavailable))
+			Expect(got.header.Get("Retry-After")).To(Equal("1"))
 			Expect(p.endpoints[0].Runs()).To(BeEmpty())
 		})
 	})
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -11,6 +11,7 @@
 
 	"peridotgw.example/peridotgw/internal/queue"
 	"peridotgw.example/peridotgw/internal/relay"
+	"peridotgw.example/peridotgw/model"
 	"peridotgw.example/peridotgw/reply"
 )
 
@@ -193,6 +194,9 @@
 	if final.Revision == 0 {
 		final.Revision = c.revision
 	}
+	if final.Outcome == reply.OutcomeRefused && final.RetryAfter == 0 && final.Status() >= http.StatusTooManyRequests {
+		final.RetryAfter = model.Duration(time.Second)
+	}
 	s.head(w.Header(), c, result.Attempts)
 	if s.Record != nil {
 		s.Record("request", string(c.send.Customer)+"/"+string(c.send.ID), string(final.Outcome), string(final.Reason), map[string]string{
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -68,6 +68,10 @@
 	endpoints map[model.EndpointID]*endpoint
 	zones     []*zone
 	members   []model.InstanceID
+	// joined is set once self was a live member.
+	joined bool
+	// early holds marks of operators for endpoints that the VM list has not named yet.
+	early     map[model.EndpointID]string
 	revision  model.Revision
 	out       map[model.DataCentreID]bool
 	waiters   []*waiter
@@ -124,6 +128,10 @@
 	if !known {
 		e = &endpoint{id: id, slots: DefaultSlots, proven: t.Trust, incarnation: vm.Incarnation, past: map[model.Incarnation]bool{}, freeIndex: -1, counted: -1}
 		t.endpoints[id] = e
+		if source, marked := t.early[id]; marked {
+			delete(t.early, id)
+			t.mark(e, source)
+		}
 	}
 	if e.past[vm.Incarnation] {
 		return // The list still shows a process that has been replaced.
@@ -166,6 +174,9 @@
 	now := time.Now()
 	for _, id := range ids {
 		e, known := t.endpoints[id]
+		if !known && source == SourceOperator {
+			t.early[id] = source
+		}
 		if !known || (strings.HasPrefix(source, SourcePeer) && !e.changedAt.IsZero() && now.Sub(e.changedAt) < peerHold) {
 			continue
 		}
@@ -238,7 +249,7 @@
 	if t.endpoints != nil {
 		return
 	}
-	t.endpoints = map[model.EndpointID]*endpoint{}
+	t.endpoints, t.early = map[model.EndpointID]*endpoint{}, map[model.EndpointID]string{}
 	t.wake = make(chan struct{}, 1)
 	t.connLimit = ConnsPerEndpoint
 	t.counters = newCounters(t.Metrics)
@@ -258,11 +269,20 @@
 	return changed
 }
 
+// liveMembers returns the members that slots are dealt to. An instance that drains is no longer live for the others, but it
+// keeps its slots for itself: without them it could not serve what still arrives until the balancer notices. Endpoints
+// refuse what exceeds their slots meanwhile, which is retried elsewhere.
 func (t *Table) liveMembers() []model.InstanceID {
 	if t.Members == nil {
 		return []model.InstanceID{t.Self}
 	}
-	return t.Members()
+	members := t.Members()
+	if slices.Contains(members, t.Self) {
+		t.joined = true
+	} else if t.joined {
+		members = append(slices.Clone(members), t.Self)
+	}
+	return members
 }
 
 // refresh recomputes slot shares, data centres in service and the lists of free endpoints.
--- a/internal/route/table_test.go
+++ b/internal/route/table_test.go
@@ -63,6 +63,17 @@
 		Expect(total).To(Equal(50 * 8))
 	})
 
+	It("keeps its slots while it drains; guards against requests that a draining instance cannot serve any more", func() {
+		live := members(3)
+		table := newTable("i-0", func() []model.InstanceID { return live })
+		table.Update(endpoints(10, "library"))
+		before := table.Slots(nil)
+		live = live[1:]
+		table.Refresh()
+		Expect(before).To(BeNumerically(">", 0))
+		Expect(table.Slots(nil)).To(Equal(before))
+	})
+
 	It("has no slots when it is in no member list; guards against an instance that has not joined using others' slots", func() {
 		table := newTable("stranger", func() []model.InstanceID { return members(3) })
 		table.Update(endpoints(10, "library"))
@@ -222,6 +233,13 @@
 		Expect(drainSlots(table)).To(Equal(map[model.EndpointID]int{"library-0": 8}))
 	}, Entry("operator", route.SourceOperator), Entry("peer", route.SourcePeer))
 
+	It("are marked when an operator names them before the VM list does; guards against a mark that is lost", func() {
+		table := newTable("a", nil)
+		table.SetLeaving([]model.EndpointID{"library-0"}, route.SourceOperator)
+		table.Update(endpoints(1, "library"))
+		Expect(table.Usable(nil)).To(Equal(0))
+	})
+
 	It("return with a new incarnation only, and stale lists of the old one change nothing; guards against flapping", func() {
 		virtual(func() {
 			table := newTable("a", nil)
