--- a/internal/front/bench_test.go
+++ b/internal/front/bench_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -50,3 +51,27 @@
 	b.ReportMetric(float64(times[len(times)/2].Microseconds()), "p50-µs")
 	b.ReportMetric(float64(times[len(times)*99/100].Microseconds()), "p99-µs")
 }
+
+// BenchmarkCallers measures 24 callers at a time on 4 endpoints with 8 slots each.
+func BenchmarkCallers(b *testing.B) {
+	p := newPath(4, nil, "a")
+	defer p.close()
+	p.client.Transport = &http.Transport{MaxIdleConnsPerHost: 32}
+	gate := make(chan struct{}, 24)
+	var wrong atomic.Int64
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		gate <- struct{}{}
+		go func() {
+			defer func() { <-gate }()
+			id := "r-" + strconv.Itoa(i)
+			if got, err := p.do(p.request("check", id, "x")); err != nil || got.body != "answer to "+id+": x" {
+				wrong.Add(1)
+			}
+		}()
+	}
+	for range cap(gate) {
+		gate <- struct{}{}
+	}
+	b.ReportMetric(float64(wrong.Load()), "not-done")
+}
--- a/internal/front/path_test.go
+++ b/internal/front/path_test.go
@@ -177,6 +177,31 @@
 		})
 	})
 
+	It("hold no slot while they wait for an earlier request's outcome; guards against duplicates that block an endpoint", func() {
+		virtual(func() {
+			p := newPath(1, fakeep.NewNetwork(), "a")
+			defer p.close()
+			p.server.Claim = func(ctx context.Context, _ front.ClaimRequest) (*front.Claim, *front.StoredAnswer, *reply.Error) {
+				<-ctx.Done()
+				return nil, nil, reply.Unknown(reply.ReasonInDoubt, "the first request has no outcome yet")
+			}
+			var group sync.WaitGroup
+			for range 8 {
+				group.Go(func() {
+					if got, err := p.do(p.request("tally", "t-1", "")); err != nil || got.err.Reason != reply.ReasonInDoubt {
+						panic(got.body)
+					}
+				})
+			}
+			synctest.Wait()
+			started := time.Now()
+			Expect(p.must(p.request("check", "r-1", "")).status).To(Equal(http.StatusOK))
+			Expect(time.Since(started)).To(BeNumerically("<", time.Second))
+			group.Wait()
+			Expect(p.endpoints[0].Runs()["t-1"]).To(Equal(0))
+		})
+	})
+
 	It("release the claim when nothing ran, and keep it in doubt otherwise; guards against an id that is blocked or free wrongly", func() {
 		virtual(func() {
 			p := newPath(1, fakeep.NewNetwork(), "a")
