--- a/internal/fakewk/faults.go
+++ b/internal/fakewk/faults.go
@@ -47,6 +47,7 @@
 func (s *Server) wipe() {
 	for _, held := range s.tasks {
 		s.end(held, worker.TaskKilled)
+		s.past = append(s.past, held.run())
 	}
 	for _, held := range s.reservations {
 		held.timer.Stop()
--- a/internal/fakewk/server.go
+++ b/internal/fakewk/server.go
@@ -28,9 +28,11 @@
 	tokens       map[model.DataCentreID]model.Token
 	reservations map[model.ReservationID]*reservation
 	tasks        map[model.TaskID]*task
-	usage        []sample
-	faults       Faults
-	calls        map[string]int
+	// past are the tasks that a restart or their age made unknown.
+	past   []Run
+	usage  []sample
+	faults Faults
+	calls  map[string]int
 }
 
 type reservation struct {
@@ -119,13 +121,13 @@
 	Ended time.Time
 }
 
-// Runs returns every task that was started and is still known, ordered by its start.
+// Runs returns every task that was ever started, ordered by its start.
 func (s *Server) Runs() []Run {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	runs := make([]Run, 0, len(s.tasks))
+	runs := slices.Clone(s.past)
 	for _, held := range s.tasks {
-		runs = append(runs, Run{Task: held.Task, Started: held.started, Ended: held.ended})
+		runs = append(runs, held.run())
 	}
 	slices.SortFunc(runs, func(a, b Run) int {
 		if order := a.Started.Compare(b.Started); order != 0 {
@@ -136,6 +138,8 @@
 	return runs
 }
 
+func (t *task) run() Run { return Run{Task: t.Task, Started: t.started, Ended: t.ended} }
+
 // handle decodes a message, runs fn and answers its result or refusal.
 func handle[Req, Res any](w http.ResponseWriter, r *http.Request, fn func(Req) (Res, *worker.RefusedError)) {
 	var message Req
--- a/internal/fakewk/tasks.go
+++ b/internal/fakewk/tasks.go
@@ -110,6 +110,7 @@
 	now := time.Now()
 	for id, held := range s.tasks {
 		if held.State.Ended() && now.Sub(held.ended) > keepEnded {
+			s.past = append(s.past, held.run())
 			delete(s.tasks, id)
 		}
 	}
--- a/internal/sched/manager.go
+++ b/internal/sched/manager.go
@@ -223,10 +223,11 @@
 			token, err := m.Acquire(ctx, OwnerKey(dc))
 			if err == nil {
 				m.own(ctx, dc, token)
-				continue
+			} else {
+				m.Log.Debug().Err(err).Str("data-centre", string(dc)).Msg("sched: data centre is not acquired")
 			}
-			m.Log.Debug().Err(err).Str("data-centre", string(dc)).Msg("sched: data centre is not acquired")
 		}
+		// The pause also keeps a take-over that fails at once, because the store is down, from being repeated without rest.
 		if !m.tick(ctx) {
 			return
 		}
--- a/internal/sched/rig_test.go
+++ b/internal/sched/rig_test.go
@@ -179,6 +179,14 @@
 	r.peers = slices.DeleteFunc(slices.Clone(r.peers), func(p sched.Peer) bool { return p.Instance == id })
 }
 
+// join brings an instance back into the members.
+func (r *rig) join(id model.InstanceID, dc model.DataCentreID) {
+	r.leave(id)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.peers = append(r.peers, sched.Peer{Instance: id, DataCentre: dc})
+}
+
 // recorded returns the decisions that were recorded.
 func (r *rig) recorded() []string {
 	r.mu.Lock()
