sched: an ownership that was acquired again is used or released

Cause: when a lease ended and the key was acquired again just as the data centre became another instance's, the owner stopped without releasing the new token; nobody owned the data centre from then on. Conclusion: ownership is never kept without an owner.

--- a/internal/sched/manager.go
+++ b/internal/sched/manager.go
@@ -218,8 +218,16 @@
 		delete(m.runners, dc)
 		m.mu.Unlock()
 	}()
+	defer m.release(ctx, dc)
 	for !m.ended(ctx) {
-		if m.shouldTry(dc, time.Now()) {
+		token, held := m.Token(OwnerKey(dc))
+		switch {
+		case held && m.wants(dc):
+			// The key was acquired again after its lease had ended under an earlier owner.
+			m.own(ctx, dc, token)
+		case held:
+			m.release(ctx, dc)
+		case m.shouldTry(dc, time.Now()):
 			token, err := m.Acquire(ctx, OwnerKey(dc))
 			if err == nil {
 				m.own(ctx, dc, token)
@@ -288,12 +296,19 @@
 	}
 	m.keepUnstored(dc, owner.Unstored())
 	m.Log.Info().Err(ignoreCancel(err)).Str("data-centre", string(dc)).Msg("sched: data centre is no longer owned here")
-	if held, valid := m.Token(OwnerKey(dc)); !valid || held != token {
+	if held, valid := m.Token(OwnerKey(dc)); valid && held == token {
+		m.release(ctx, dc)
+	}
+}
+
+// release gives the data centre up, if this instance holds it.
+func (m *Manager) release(ctx context.Context, dc model.DataCentreID) {
+	if _, held := m.Token(OwnerKey(dc)); !held {
 		return
 	}
-	releaseCtx, releaseCancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
-	defer releaseCancel()
-	if err := m.Release(releaseCtx, OwnerKey(dc)); err != nil {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
+	defer cancel()
+	if err := m.Release(ctx, OwnerKey(dc)); err != nil {
 		m.Log.Warn().Err(err).Str("data-centre", string(dc)).Msg("sched: ownership is left to expire")
 	}
 }
--- a/internal/sched/rig_test.go
+++ b/internal/sched/rig_test.go
@@ -31,6 +31,8 @@
 	token map[string]model.Token
 	// paused instances still believe that they hold their keys.
 	paused map[model.InstanceID]map[string]model.Token
+	// down ends all holds and grants none.
+	down bool
 }
 
 var errHeld = errors.New("held by another instance")
@@ -38,7 +40,7 @@
 func (a *authority) acquire(id model.InstanceID, key string) (model.Token, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if holder, held := a.held[key]; held && holder != id {
+	if holder, held := a.held[key]; a.down || (held && holder != id) {
 		return 0, errHeld
 	}
 	a.next++
@@ -82,6 +84,14 @@
 	}
 }
 
+// outage ends all holds, and grants none until it is over.
+func (a *authority) outage(down bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.down = down
+	clear(a.held)
+}
+
 // resume ends the pauses of all instances.
 func (a *authority) resume() {
 	a.mu.Lock()
