sched: configuration changes keep bindings, disproved tokens are not used again

Cause: each configuration change bound all guarantees anew, which could leave a copy without a place; an owner whose token was seen to be superseded was started again with the same token for as long as its lease looked valid. Change: place.Reconfigure keeps the copies that did not change; the manager acquires anew after a higher token was seen. Conclusion: a take-over may still leave a guarantee unbound until a job ends; see the property specs of package place.

--- a/internal/place/bind.go
+++ b/internal/place/bind.go
@@ -184,6 +184,53 @@
 	return open
 }
 
+// Reconfigure applies another configuration. Copies of guarantees that are the same keep their places and jobs; the others
+// are bound anew around the work that cannot be stopped.
+func (c *Cluster) Reconfigure(set *model.Set) {
+	type key struct {
+		guarantee model.GuaranteeID
+		number    int
+	}
+	old := make(map[key]*bound, len(c.copies))
+	for _, b := range c.copies {
+		old[key{b.guarantee, b.number}] = b
+	}
+	shapes := c.set.Shapes
+	c.set = set
+	copies := copiesOf(set, c.dc)
+	for i, b := range copies {
+		kept := old[key{b.guarantee, b.number}]
+		if kept != nil && kept.customer == b.customer && kept.shape == b.shape && shapes[b.shape] == set.Shapes[b.shape] {
+			copies[i] = kept
+			delete(old, key{b.guarantee, b.number})
+		}
+	}
+	for _, b := range old {
+		c.unbind(b)
+	}
+	c.copies = copies
+	for _, id := range sortedIDs(c.loads) {
+		c.reclassify(c.loads[id])
+	}
+	c.Bind()
+}
+
+// reclassify applies a changed class to a job that is outside of guarantees.
+func (c *Cluster) reclassify(l *load) {
+	class := c.set.JobClasses[l.job.Class]
+	l.rank = class.Priority.Rank()
+	want := kindFirm
+	if stoppable(class) {
+		want = kindSoft
+	}
+	if l.kind == kindInside || l.kind == want {
+		return
+	}
+	c.apply(l, -1)
+	l.kind = want
+	c.apply(l, 1)
+}
+
 // Running is a job that runs already, as found by a new owner.
 type Running struct {
 	Job   Job
--- a/internal/place/cluster.go
+++ b/internal/place/cluster.go
@@ -229,6 +229,15 @@
 	return found
 }
 
+// Inside returns the guarantee of which a job takes a copy.
+func (c *Cluster) Inside(id model.JobID) (model.GuaranteeID, bool) {
+	l, found := c.loads[id]
+	if !found || l.copy == nil {
+		return "", false
+	}
+	return l.copy.guarantee, true
+}
+
 // On returns the jobs on a worker, ordered by id.
 func (c *Cluster) On(id model.WorkerID) []model.JobID {
 	n, found := c.nodes[id]
--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -55,14 +55,14 @@
 	}
 }
 
-// SetConfig applies a new configuration; bindings are made anew around the jobs that have places.
+// SetConfig applies a new configuration; guarantees that it does not change keep their binding.
 func (c *Core) SetConfig(set *model.Set) {
 	if set == c.set {
 		return
 	}
 	c.set = set
-	c.cluster = place.NewVariant(set, c.dc, c.options)
-	c.restore()
+	c.cluster.Reconfigure(set)
+	c.dirty = true
 }
 
 // restore gives the cluster all jobs that hold places.
--- a/internal/sched/manager.go
+++ b/internal/sched/manager.go
@@ -219,18 +219,25 @@
 		m.mu.Unlock()
 	}()
 	defer m.release(ctx, dc)
+	disproved := model.Token(0)
 	for !m.ended(ctx) {
 		token, held := m.Token(OwnerKey(dc))
 		switch {
+		case held && token == disproved:
+			// Another owner has a higher token, whatever this instance's clock says; only a new token helps.
+			m.release(ctx, dc)
+			if fresh, err := m.Acquire(ctx, OwnerKey(dc)); err == nil {
+				disproved = m.own(ctx, dc, fresh)
+			}
 		case held && m.wants(dc):
 			// The key was acquired again after its lease had ended under an earlier owner.
-			m.own(ctx, dc, token)
+			disproved = m.own(ctx, dc, token)
 		case held:
 			m.release(ctx, dc)
 		case m.shouldTry(dc, time.Now()):
 			token, err := m.Acquire(ctx, OwnerKey(dc))
 			if err == nil {
-				m.own(ctx, dc, token)
+				disproved = m.own(ctx, dc, token)
 			} else {
 				m.Log.Debug().Err(err).Str("data-centre", string(dc)).Msg("sched: data centre is not acquired")
 			}
@@ -279,8 +286,8 @@
 	return m.PeerSummaries()
 }
 
-// own runs the owner until the ownership is lost or handed over.
-func (m *Manager) own(ctx context.Context, dc model.DataCentreID, token model.Token) {
+// own runs the owner until the ownership is lost or handed over. It returns the token if a higher one was seen.
+func (m *Manager) own(ctx context.Context, dc model.DataCentreID, token model.Token) (disproved model.Token) {
 	owner := m.newOwner(dc, token)
 	owner.Inherited = m.takeUnstored(dc)
 	ownerCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -299,6 +306,11 @@
 	if held, valid := m.Token(OwnerKey(dc)); valid && held == token {
 		m.release(ctx, dc)
 	}
+	var lost *LostError
+	if errors.As(err, &lost) {
+		return token
+	}
+	return 0
 }
 
 // release gives the data centre up, if this instance holds it.
--- a/internal/sched/rig_test.go
+++ b/internal/sched/rig_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -142,6 +143,7 @@
 			}
 		}
 	}
+	slices.SortFunc(r.vms, func(a, b sched.WorkerVM) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	return r
 }
 
