--- a/internal/sched/manager.go
+++ b/internal/sched/manager.go
@@ -218,15 +218,31 @@
 		delete(m.runners, dc)
 		m.mu.Unlock()
 	}()
+	defer m.release(ctx, dc)
+	disproved := model.Token(0)
 	for !m.ended(ctx) {
-		if m.shouldTry(dc, time.Now()) {
+		token, held := m.Token(OwnerKey(dc))
+		switch {
+		case held && token == disproved:
+			// Another owner has a higher token, whatever this instance's clock says; only a new token helps.
+			m.release(ctx, dc)
+			if fresh, err := m.Acquire(ctx, OwnerKey(dc)); err == nil {
+				disproved = m.own(ctx, dc, fresh)
+			}
+		case held && m.wants(dc):
+			// The key was acquired again after its lease had ended under an earlier owner.
+			disproved = m.own(ctx, dc, token)
+		case held:
+			m.release(ctx, dc)
+		case m.shouldTry(dc, time.Now()):
 			token, err := m.Acquire(ctx, OwnerKey(dc))
 			if err == nil {
-				m.own(ctx, dc, token)
-				continue
+				disproved = m.own(ctx, dc, token)
+			} else {
+				m.Log.Debug().Err(err).Str("data-centre", string(dc)).Msg("sched: data centre is not acquired")
 			}
-			m.Log.Debug().Err(err).Str("data-centre", string(dc)).Msg("sched: data centre is not acquired")
 		}
+		// The pause also keeps a take-over that fails at once, because the store is down, from being repeated without rest.
 		if !m.tick(ctx) {
 			return
 		}
@@ -270,8 +286,8 @@
 	return m.PeerSummaries()
 }
 
-// own runs the owner until the ownership is lost or handed over.
-func (m *Manager) own(ctx context.Context, dc model.DataCentreID, token model.Token) {
+// own runs the owner until the ownership is lost or handed over. It returns the token if a higher one was seen.
+func (m *Manager) own(ctx context.Context, dc model.DataCentreID, token model.Token) (disproved model.Token) {
 	owner := m.newOwner(dc, token)
 	owner.Inherited = m.takeUnstored(dc)
 	ownerCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -287,12 +303,24 @@
 	}
 	m.keepUnstored(dc, owner.Unstored())
 	m.Log.Info().Err(ignoreCancel(err)).Str("data-centre", string(dc)).Msg("sched: data centre is no longer owned here")
-	if held, valid := m.Token(OwnerKey(dc)); !valid || held != token {
+	if held, valid := m.Token(OwnerKey(dc)); valid && held == token {
+		m.release(ctx, dc)
+	}
+	var lost *LostError
+	if errors.As(err, &lost) {
+		return token
+	}
+	return 0
+}
+
+// release gives the data centre up, if this instance holds it.
+func (m *Manager) release(ctx context.Context, dc model.DataCentreID) {
+	if _, held := m.Token(OwnerKey(dc)); !held {
 		return
 	}
-	releaseCtx, releaseCancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
-	defer releaseCancel()
-	if err := m.Release(releaseCtx, OwnerKey(dc)); err != nil {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
+	defer cancel()
+	if err := m.Release(ctx, OwnerKey(dc)); err != nil {
 		m.Log.Warn().Err(err).Str("data-centre", string(dc)).Msg("sched: ownership is left to expire")
 	}
 }
--- a/internal/sched/rig_test.go
+++ b/internal/sched/rig_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -31,6 +32,8 @@
 	token map[string]model.Token
 	// paused instances still believe that they hold their keys.
 	paused map[model.InstanceID]map[string]model.Token
+	// down ends all holds and grants none.
+	down bool
 }
 
 var errHeld = errors.New("held by another instance")
@@ -38,10 +41,11 @@
 func (a *authority) acquire(id model.InstanceID, key string) (model.Token, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if holder, held := a.held[key]; held && holder != id {
+	if holder, held := a.held[key]; a.down || (held && holder != id) {
 		return 0, errHeld
 	}
 	a.next++
+	delete(a.paused[id], key)
 	a.held[key], a.token[key] = id, a.next
 	return a.next, nil
 }
@@ -81,6 +85,21 @@
 	}
 }
 
+// outage ends all holds, and grants none until it is over.
+func (a *authority) outage(down bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.down = down
+	clear(a.held)
+}
+
+// resume ends the pauses of all instances.
+func (a *authority) resume() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	clear(a.paused)
+}
+
 // rig is a set of instances over one store and fake workers, under virtual time.
 type rig struct {
 	mu       sync.Mutex
@@ -124,6 +143,7 @@
 			}
 		}
 	}
+	slices.SortFunc(r.vms, func(a, b sched.WorkerVM) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	return r
 }
 
@@ -179,6 +199,14 @@
 	r.peers = slices.DeleteFunc(slices.Clone(r.peers), func(p sched.Peer) bool { return p.Instance == id })
 }
 
+// join brings an instance back into the members.
+func (r *rig) join(id model.InstanceID, dc model.DataCentreID) {
+	r.leave(id)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.peers = append(r.peers, sched.Peer{Instance: id, DataCentre: dc})
+}
+
 // recorded returns the decisions that were recorded.
 func (r *rig) recorded() []string {
 	r.mu.Lock()
