bench: measure job scheduling and the speed of decisions

The jobs driver gives seeded arrivals to one sched.Core per data centre in virtual time and compares the design with first fit and with a strict partition on both examples. The speed part times placement decisions, owner passes and the configuration at four fleet sizes.

--- /dev/null
+++ b/bench/internal/batch/measure.go
@@ -0,0 +1,195 @@
+package batch
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"golang.org/x/sync/errgroup"
+
+	"peridotgw.example/peridotgw/bench/internal/table"
+	"peridotgw.example/peridotgw/internal/place"
+	"peridotgw.example/peridotgw/model"
+)
+
+// Deployment is an example with its objects.
+type Deployment struct {
+	Name string
+	Set  *model.Set
+}
+
+// Variant is a placement policy.
+type Variant struct {
+	Name    string
+	Options place.Options
+}
+
+// Variants returns the design and its baselines; the design is first.
+func Variants() []Variant {
+	return []Variant{
+		{Name: "design"},
+		{Name: "first fit", Options: place.Options{FirstFit: true}},
+		{Name: "strict partition", Options: place.Options{NoLending: true}},
+	}
+}
+
+// parallel bounds the runs at a time, because the machine is shared.
+const parallel = 4
+
+// outcome is the results of one deployment by variant and seed.
+type outcome [][]*Result
+
+// Measure runs all variants over the same arrivals for each seed and returns one table per measure.
+func Measure(ctx context.Context, deployments []Deployment, workload Workload, seeds []uint64) ([]*table.Table, error) {
+	variants := Variants()
+	all := make([]outcome, len(deployments))
+	group, groupCtx := errgroup.WithContext(ctx)
+	group.SetLimit(parallel)
+	for d, deployment := range deployments {
+		all[d] = make(outcome, len(variants))
+		for v, variant := range variants {
+			all[d][v] = make([]*Result, len(seeds))
+			for s, seed := range seeds {
+				group.Go(func() error {
+					if err := groupCtx.Err(); err != nil {
+						return err
+					}
+					result, err := Run(deployment.Set, workload, seed, variant.Options)
+					all[d][v][s] = result
+					if err != nil {
+						return fmt.Errorf("%s, %s, seed %d: %w", deployment.Name, variant.Name, seed, err)
+					}
+					return nil
+				})
+			}
+		}
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	return report(deployments, variants, all), nil
+}
+
+func report(deployments []Deployment, variants []Variant, all []outcome) []*table.Table {
+	completion := table.New("Jobs: completion time by class", "deployment", "class", "policy", "jobs done",
+		"median s", "p99 s", "median / design", "p99 / design")
+	waits := table.New("Jobs: time until guaranteed shapes and urgent work start (bounds 6 s and 6.7 s)", "deployment", "policy",
+		"reclaims", "reclaim median s", "reclaim max s", "reclaims over 6 s", "urgent starts", "urgent median s", "urgent p99 s",
+		"urgent max s", "urgent over 6.7 s", "urgent without quota")
+	change := table.New("Jobs: fragmentation, and work while a data centre leaves and returns", "deployment", "policy",
+		"fragmentation mean", "fragmentation p95", "held / allowed", "useful / allowed", "lost / allowed", "useful / design", "lost in whole run, acc. hours")
+	broken := table.New("Jobs: promises broken, and ends", "deployment", "policy", "two jobs on one accelerator", "partial gangs",
+		"starts in a data centre that is out", "reclaims over 6 s", "submitted", "done", "failed", "never started", "preempted", "moved", "largest held / quota")
+	for d, deployment := range deployments {
+		for v, variant := range variants {
+			results := all[d][v]
+			addCompletion(completion, deployment, variant, results, all[d][0])
+			waits.Add(deployment.Name, variant.Name,
+				sum(results, func(r *Result) int { return int(r.Reclaim.TotalCount()) }),
+				over(results, at(reclaim, 50)), over(results, at(reclaim, 100)),
+				sum(results, func(r *Result) int { return r.Broken.NotReclaimed }),
+				sum(results, func(r *Result) int { return int(r.Urgent.TotalCount()) }),
+				over(results, at(urgent, 50)), over(results, at(urgent, 99)), over(results, at(urgent, 100)),
+				sum(results, func(r *Result) int { return r.UrgentLate }), sum(results, func(r *Result) int { return r.OverQuota }))
+			change.Add(deployment.Name, variant.Name,
+				over(results, func(r *Result) float64 { return r.Fragmentation.Mean() / 1000 }),
+				over(results, func(r *Result) float64 { return float64(r.Fragmentation.ValueAtQuantile(95)) / 1000 }),
+				over(results, func(r *Result) float64 { return r.Held / r.Allowed }),
+				over(results, func(r *Result) float64 { return r.Useful / r.Allowed }),
+				over(results, func(r *Result) float64 { return r.Lost / r.Allowed }),
+				ratio(results, all[d][0], func(r *Result) float64 { return r.Useful }),
+				over(results, func(r *Result) float64 { return r.LostAll / 3600 }))
+			broken.Add(deployment.Name, variant.Name, sum(results, func(r *Result) int { return r.Broken.TwiceUsed }),
+				sum(results, func(r *Result) int { return r.Broken.Partial }), sum(results, func(r *Result) int { return r.Broken.StartedOut }),
+				sum(results, func(r *Result) int { return r.Broken.NotReclaimed }), sum(results, func(r *Result) int { return r.Submitted }),
+				sum(results, func(r *Result) int { return r.Done }), sum(results, func(r *Result) int { return r.Failed }),
+				sum(results, stuck), sum(results, func(r *Result) int { return r.Preempted }),
+				sum(results, func(r *Result) int { return r.Moved }), over(results, func(r *Result) float64 { return r.OfQuota }))
+		}
+	}
+	noteStuck(broken, deployments, all)
+	completion.Note("Figures are the median (lowest..highest) over the seeds; ratios compare the same seed. Jobs that fail or never start have no completion time, so a policy that leaves jobs out looks better here.")
+	change.Note("Fragmentation is sampled every 5 s in each data centre in service, with the physically free accelerators of all variants; the window of the change ends 10 min after the return. Allowed is the capacity in service; work that cannot be moved runs on in the leaving data centre and counts as well.")
+	return []*table.Table{completion, waits, change, broken}
+}
+
+func stuck(r *Result) int {
+	total := 0
+	for _, count := range r.Stuck {
+		total += count
+	}
+	return total
+}
+
+// noteStuck names the jobs that the design never started.
+func noteStuck(t *table.Table, deployments []Deployment, all []outcome) {
+	for d, deployment := range deployments {
+		counts := map[string]int{}
+		for _, result := range all[d][0] {
+			for what, count := range result.Stuck {
+				counts[what] += count
+			}
+		}
+		for _, what := range sorted(counts) {
+			t.Note("%s, design: %d times %s never started.", deployment.Name, counts[what], what)
+		}
+	}
+}
+
+func addCompletion(t *table.Table, deployment Deployment, variant Variant, results, design []*Result) {
+	for _, class := range sorted(design[0].Completion) {
+		quantile := func(q float64) func(*Result) float64 {
+			return at(func(r *Result) *hdrhistogram.Histogram { return r.Completion[class] }, q)
+		}
+		t.Add(deployment.Name, string(class), variant.Name,
+			sum(results, func(r *Result) int {
+				if r.Completion[class] == nil {
+					return 0
+				}
+				return int(r.Completion[class].TotalCount())
+			}),
+			over(results, quantile(50)), over(results, quantile(99)),
+			ratio(results, design, quantile(50)), ratio(results, design, quantile(99)))
+	}
+}
+
+func reclaim(r *Result) *hdrhistogram.Histogram { return r.Reclaim }
+
+func urgent(r *Result) *hdrhistogram.Histogram { return r.Urgent }
+
+// at reads a quantile in seconds.
+func at(of func(*Result) *hdrhistogram.Histogram, quantile float64) func(*Result) float64 {
+	return func(r *Result) float64 {
+		if of(r) == nil {
+			return 0
+		}
+		return float64(of(r).ValueAtQuantile(quantile)) / 1000
+	}
+}
+
+func over(results []*Result, value func(*Result) float64) table.Spread {
+	values := make([]float64, 0, len(results))
+	for _, result := range results {
+		values = append(values, value(result))
+	}
+	return table.Over(values)
+}
+
+// ratio compares results with those of the design, seed by seed.
+func ratio(results, design []*Result, value func(*Result) float64) table.Spread {
+	values := make([]float64, 0, len(results))
+	for i, result := range results {
+		if base := value(design[i]); base > 0 {
+			values = append(values, value(result)/base)
+		}
+	}
+	return table.Over(values)
+}
+
+func sum(results []*Result, value func(*Result) int) int {
+	total := 0
+	for _, result := range results {
+		total += value(result)
+	}
+	return total
+}
--- a/bench/main.go
+++ b/bench/main.go
@@ -1,12 +1,171 @@
-// Command bench is part of peridotgw; see README.md.
+// Command bench measures peridotgw beside plain baselines and prints one table per measure; see README.md.
 package main
 
 import (
+	"context"
+	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"peridotgw.example/peridotgw/bench/internal/batch"
+	"peridotgw.example/peridotgw/bench/internal/speed"
+	"peridotgw.example/peridotgw/bench/internal/table"
+	"peridotgw.example/peridotgw/internal/object"
 )
 
+// runTimeout bounds a whole run.
+const runTimeout = 15 * time.Minute
+
+type options struct {
+	bin, examples, json string
+	only                []string
+	seeds               []uint64
+	quick               bool
+}
+
 func main() {
-	fmt.Fprintln(os.Stderr, "bench: not built yet")
-	os.Exit(1)
+	o := options{}
+	flag.StringVar(&o.bin, "bin", "bin", "`folder` with the programs")
+	flag.StringVar(&o.examples, "examples", "examples", "`folder` with the deployments")
+	flag.StringVar(&o.json, "json", "", "`file` for all results as JSON")
+	only := flag.String("only", strings.Join(partNames(), ","), "parts to run, separated by commas")
+	seeds := flag.String("seeds", "1,2,3,4,5", "seeds, separated by commas")
+	flag.BoolVar(&o.quick, "quick", false, "small sizes, to check the program itself")
+	flag.Parse()
+	err := o.parse(*only, *seeds, flag.Args())
+	if err == nil {
+		ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+		err = run(ctx, o)
+		stop()
+	}
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "bench: %v\n", err)
+		os.Exit(1)
+	}
+}
+
+func (o *options) parse(only, seeds string, rest []string) error {
+	if len(rest) > 0 {
+		return fmt.Errorf("argument %q is not expected", rest[0])
+	}
+	for name := range strings.SplitSeq(only, ",") {
+		if _, found := findPart(name); !found {
+			return fmt.Errorf("-only: %q is not a part; parts are %s", name, strings.Join(partNames(), ", "))
+		}
+		o.only = append(o.only, name)
+	}
+	for text := range strings.SplitSeq(seeds, ",") {
+		seed, err := strconv.ParseUint(strings.TrimSpace(text), 10, 64)
+		if err != nil {
+			return fmt.Errorf("-seeds: %q is not a whole number of 0 or more", text)
+		}
+		o.seeds = append(o.seeds, seed)
+	}
+	return nil
+}
+
+// part is a group of measures.
+type part struct {
+	name string
+	run  func(context.Context, options) ([]*table.Table, error)
+}
+
+func parts() []part {
+	return []part{
+		{"jobs", runJobs},
+		{"speed", runSpeed},
+	}
+}
+
+func partNames() []string {
+	var names []string
+	for _, p := range parts() {
+		names = append(names, p.name)
+	}
+	return names
+}
+
+func findPart(name string) (part, bool) {
+	for _, p := range parts() {
+		if p.name == name {
+			return p, true
+		}
+	}
+	return part{}, false
+}
+
+func run(ctx context.Context, o options) error {
+	ctx, cancel := context.WithTimeout(ctx, runTimeout)
+	defer cancel()
+	report := table.Report{Command: strings.Join(os.Args, " "), Seeds: o.seeds, Tables: []*table.Table{}}
+	fmt.Printf("command: %s\nseeds: %v\n", report.Command, o.seeds)
+	for _, name := range o.only {
+		p, _ := findPart(name)
+		began := time.Now()
+		tables, err := p.run(ctx, o)
+		if err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+		for _, t := range tables {
+			if err := t.Print(os.Stdout); err != nil {
+				return err
+			}
+		}
+		fmt.Printf("\n%s took %s\n", name, time.Since(began).Round(100*time.Millisecond))
+		report.Tables = append(report.Tables, tables...)
+	}
+	if o.json == "" {
+		return nil
+	}
+	return writeJSON(o.json, &report)
+}
+
+func writeJSON(path string, report *table.Report) error {
+	file, err := os.Create(path) //nolint:gosec // The path is the caller's choice.
+	if err != nil {
+		return fmt.Errorf("creating the results' file: %w", err)
+	}
+	if err := report.JSON(file); err != nil {
+		return err
+	}
+	if err := file.Close(); err != nil {
+		return fmt.Errorf("writing the results' file: %w", err)
+	}
+	return nil
+}
+
+func runJobs(ctx context.Context, o options) ([]*table.Table, error) {
+	var deployments []batch.Deployment
+	for _, name := range []string{"hollow-creek", "casco-limpio"} {
+		files, err := object.Load(filepath.Join(o.examples, name, "objects"))
+		if err != nil {
+			return nil, err
+		}
+		set, err := files.Set()
+		if err != nil {
+			return nil, err
+		}
+		deployments = append(deployments, batch.Deployment{Name: name, Set: set})
+	}
+	workload := batch.Default()
+	if o.quick {
+		workload = batch.Quick()
+	}
+	return batch.Measure(ctx, deployments, workload, o.seeds)
+}
+
+func runSpeed(ctx context.Context, o options) ([]*table.Table, error) {
+	sizes := speed.Sizes(o.quick)
+	placing, err := speed.Place(ctx, sizes)
+	if err != nil {
+		return nil, err
+	}
+	applying, err := speed.Apply(ctx, sizes)
+	return append(placing, applying...), err
 }
