bench: measure gangs, endpoint selection, queueing and the retry budget

The reserve step, the slot shares and the retry budget of the design had no figures beside their alternatives.

Gangs start on workers in memory under refusals, lost answers, hanging and dying members, with the reserve step and with start-and-undo. Completion times of jobs are now compared over the jobs that all policies completed, because a policy that never starts some jobs looked better.

--- a/bench/internal/batch/account.go
+++ b/bench/internal/batch/account.go
@@ -176,12 +176,7 @@
 		return
 	}
 	r.result.Done++
-	into, found := r.result.Completion[record.Spec.Class]
-	if !found {
-		into = histogram()
-		r.result.Completion[record.Spec.Class] = into
-	}
-	r.observe(into, r.clock.now.Sub(j.submittedAt))
+	r.result.Took[record.Spec.ID] = Took{Class: record.Spec.Class, Time: r.clock.now.Sub(j.submittedAt)}
 }
 
 // sample measures fragmentation, and what the capacity in service allows during the data-centre change. Samples end with
--- a/bench/internal/batch/measure.go
+++ b/bench/internal/batch/measure.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"golang.org/x/sync/errgroup"
@@ -71,7 +72,7 @@
 }
 
 func report(deployments []Deployment, variants []Variant, all []outcome) []*table.Table {
-	completion := table.New("Jobs: completion time by class", "deployment", "class", "policy", "jobs done",
+	completion := table.New("Jobs: completion time by class", "deployment", "class", "policy", "jobs compared",
 		"median s", "p99 s", "median / design", "p99 / design")
 	waits := table.New("Jobs: time until guaranteed shapes and urgent work start (bounds 6 s and 6.7 s)", "deployment", "policy",
 		"reclaims", "reclaim median s", "reclaim max s", "reclaims over 6 s", "urgent starts", "urgent median s", "urgent p99 s",
@@ -81,9 +82,10 @@
 	broken := table.New("Jobs: promises broken, and ends", "deployment", "policy", "two jobs on one accelerator", "partial gangs",
 		"starts in a data centre that is out", "reclaims over 6 s", "submitted", "done", "failed", "never started", "preempted", "moved", "largest held / quota")
 	for d, deployment := range deployments {
+		histograms := completions(all[d])
 		for v, variant := range variants {
 			results := all[d][v]
-			addCompletion(completion, deployment, variant, results, all[d][0])
+			addCompletion(completion, deployment, variant, histograms[v], histograms[0])
 			waits.Add(deployment.Name, variant.Name,
 				sum(results, func(r *Result) int { return int(r.Reclaim.TotalCount()) }),
 				over(results, at(reclaim, 50)), over(results, at(reclaim, 100)),
@@ -99,6 +101,9 @@
 				over(results, func(r *Result) float64 { return r.Lost / r.Allowed }),
 				ratio(results, all[d][0], func(r *Result) float64 { return r.Useful }),
 				over(results, func(r *Result) float64 { return r.LostAll / 3600 }))
+			noteWinner(change, deployment.Name+", fragmentation mean", variant, ratio(results, all[d][0], func(r *Result) float64 { return r.Fragmentation.Mean() }))
+			noteWinner(change, deployment.Name+", useful work (inverse)", variant, ratio(all[d][0], results, func(r *Result) float64 { return r.Useful }))
+			noteWinner(change, deployment.Name+", lost work in the whole run", variant, ratio(results, all[d][0], func(r *Result) float64 { return r.LostAll }))
 			broken.Add(deployment.Name, variant.Name, sum(results, func(r *Result) int { return r.Broken.TwiceUsed }),
 				sum(results, func(r *Result) int { return r.Broken.Partial }), sum(results, func(r *Result) int { return r.Broken.StartedOut }),
 				sum(results, func(r *Result) int { return r.Broken.NotReclaimed }), sum(results, func(r *Result) int { return r.Submitted }),
@@ -108,7 +113,7 @@
 		}
 	}
 	noteStuck(broken, deployments, all)
-	completion.Note("Figures are the median (lowest..highest) over the seeds; ratios compare the same seed. Jobs that fail or never start have no completion time, so a policy that leaves jobs out looks better here.")
+	completion.Note("Figures are the median (lowest..highest) over the seeds; ratios compare the same seed. Only jobs that all policies completed are compared, because a policy that leaves jobs out would look better; the last table counts those.")
 	change.Note("Fragmentation is sampled every 5 s in each data centre in service, with the physically free accelerators of all variants; the window of the change ends 10 min after the return. Allowed is the capacity in service; work that cannot be moved runs on in the leaving data centre and counts as well.")
 	return []*table.Table{completion, waits, change, broken}
 }
@@ -136,20 +141,63 @@
 	}
 }
 
-func addCompletion(t *table.Table, deployment Deployment, variant Variant, results, design []*Result) {
-	for _, class := range sorted(design[0].Completion) {
-		quantile := func(q float64) func(*Result) float64 {
-			return at(func(r *Result) *hdrhistogram.Histogram { return r.Completion[class] }, q)
-		}
-		t.Add(deployment.Name, string(class), variant.Name,
-			sum(results, func(r *Result) int {
-				if r.Completion[class] == nil {
-					return 0
+// byClass holds the completion times of one run.
+type byClass map[model.JobClassID]*hdrhistogram.Histogram
+
+// completions gives the completion times by variant and seed, of the jobs that were done under all variants of the seed.
+func completions(all outcome) [][]byClass {
+	histograms := make([][]byClass, len(all))
+	for v := range all {
+		histograms[v] = make([]byClass, len(all[v]))
+		for s, result := range all[v] {
+			into := byClass{}
+			histograms[v][s] = into
+			for id, took := range result.Took {
+				if slices.ContainsFunc(all, func(other []*Result) bool { return other[s].Took[id].Time == 0 }) {
+					continue
+				}
+				if into[took.Class] == nil {
+					into[took.Class] = histogram()
 				}
-				return int(r.Completion[class].TotalCount())
-			}),
-			over(results, quantile(50)), over(results, quantile(99)),
-			ratio(results, design, quantile(50)), ratio(results, design, quantile(99)))
+				// A run ends within the histogram's week.
+				if err := into[took.Class].RecordValue(max(1, took.Time.Milliseconds())); err != nil {
+					continue
+				}
+			}
+		}
+	}
+	return histograms
+}
+
+func addCompletion(t *table.Table, deployment Deployment, variant Variant, results, design []byClass) {
+	for _, class := range sorted(design[0]) {
+		count, quantiles, ratios := 0, map[float64][]float64{}, map[float64][]float64{}
+		for s := range results {
+			if results[s][class] == nil {
+				continue
+			}
+			count += int(results[s][class].TotalCount())
+			for _, q := range []float64{50, 99} {
+				value := float64(results[s][class].ValueAtQuantile(q)) / 1000
+				quantiles[q] = append(quantiles[q], value)
+				ratios[q] = append(ratios[q], value*1000/float64(design[s][class].ValueAtQuantile(q)))
+			}
+		}
+		t.Add(deployment.Name, string(class), variant.Name, count, table.Over(quantiles[50]), table.Over(quantiles[99]),
+			table.Over(ratios[50]), table.Over(ratios[99]))
+		for _, q := range []float64{50, 99} {
+			noteWinner(t, fmt.Sprintf("%s, %s, quantile %v", deployment.Name, class, q), variant, table.Over(ratios[q]))
+		}
+	}
+}
+
+// noteWinner says where a baseline is better than the design: in every seed, or only in the median of the seeds.
+func noteWinner(t *table.Table, what string, variant Variant, ratio table.Spread) {
+	switch {
+	case ratio.Max < 1:
+		t.Note("%s: %s is better than the design in every seed (%s of it).", what, variant.Name, ratio)
+	case ratio.Median < 0.98:
+		t.Note("%s: %s is better than the design in the median of the seeds, not in each (%s of it).", what, variant.Name, ratio)
 	}
 }
 
--- a/bench/internal/batch/run.go
+++ b/bench/internal/batch/run.go
@@ -34,9 +34,10 @@
 
 // Result is what one run of one variant measured. Times are in milliseconds.
 type Result struct {
-	Completion map[model.JobClassID]*hdrhistogram.Histogram
-	Urgent     *hdrhistogram.Histogram
-	Reclaim    *hdrhistogram.Histogram
+	// Took is the time from submission to the end of each job that was done.
+	Took    map[model.JobID]Took
+	Urgent  *hdrhistogram.Histogram
+	Reclaim *hdrhistogram.Histogram
 	// Fragmentation holds samples in parts per thousand, one per data centre in service and sample time.
 	Fragmentation *hdrhistogram.Histogram
 	// Allowed, Useful, Held and Lost are accelerator seconds while a data centre left and returned: what the capacity in
@@ -57,6 +58,12 @@
 	Broken  Broken
 }
 
+// Took is the completion time of one job.
+type Took struct {
+	Class model.JobClassID
+	Time  time.Duration
+}
+
 // job is what the driver knows about a job.
 type job struct {
 	arrival
@@ -146,8 +153,8 @@
 		centres: map[model.DataCentreID]*centre{}, order: sorted(set.DataCentres),
 		jobs: map[model.JobID]*job{}, queued: map[model.JobID]model.DataCentreID{}, held: map[model.CustomerID]float64{},
 		result: &Result{
-			Stuck:      map[string]int{},
-			Completion: map[model.JobClassID]*hdrhistogram.Histogram{}, Urgent: histogram(), Reclaim: histogram(), Fragmentation: histogram(),
+			Stuck: map[string]int{},
+			Took:  map[model.JobID]Took{}, Urgent: histogram(), Reclaim: histogram(), Fragmentation: histogram(),
 		},
 	}
 }
--- /dev/null
+++ b/bench/internal/gangs/gangs_test.go
@@ -0,0 +1,49 @@
+package gangs_test
+
+import (
+	"context"
+	"testing"
+
+	"peridotgw.example/peridotgw/bench/internal/gangs"
+)
+
+// Guards against an account that sees waste where there is none, or misses what a partial start takes.
+func TestAccount(t *testing.T) {
+	for _, undo := range []bool{false, true} {
+		calm, err := gangs.Run(context.Background(), gangs.Mix{Name: "none"}, 5, 1, undo)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if calm.Started != 5 || calm.Partial != 0 || calm.Wasted != 0 || calm.Reserved != 0 {
+			t.Errorf("undo %v, no faults: %+v, want 5 gangs started and nothing wasted", undo, calm)
+		}
+	}
+	undone, err := gangs.Run(context.Background(), gangs.Mix{Name: "refusals", Refuse: 0.5}, 5, 1, true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// A refusal that is the first answer ends the start before any other member runs.
+	if undone.Started != 0 || undone.Partial < 1 || undone.Wasted <= 0 {
+		t.Errorf("start and undo with refusals: %+v, want partial starts with waste and no whole gang", undone)
+	}
+	reserved, err := gangs.Run(context.Background(), gangs.Mix{Name: "refusals", Refuse: 0.5}, 5, 1, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if reserved.Started != 0 || reserved.Partial != 0 || reserved.Wasted != 0 || reserved.Reserved <= 0 {
+		t.Errorf("reserve first with refusals: %+v, want no partial start and reservations in vain", reserved)
+	}
+}
+
+// Guards against a dead worker that still applies the calls on their way to it: deaths would look harmless.
+func TestDeaths(t *testing.T) {
+	for _, undo := range []bool{false, true} {
+		result, err := gangs.Run(context.Background(), gangs.Mix{Name: "deaths", Die: 1}, 20, 1, undo)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if result.Started > 10 || result.Partial+result.Started > result.Gangs {
+			t.Errorf("undo %v: %d of %d gangs started whole although a member of each died, want at most half", undo, result.Started, result.Gangs)
+		}
+	}
+}
--- a/bench/main.go
+++ b/bench/main.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"peridotgw.example/peridotgw/bench/internal/batch"
+	"peridotgw.example/peridotgw/bench/internal/calls"
+	"peridotgw.example/peridotgw/bench/internal/gangs"
 	"peridotgw.example/peridotgw/bench/internal/speed"
 	"peridotgw.example/peridotgw/bench/internal/table"
 	"peridotgw.example/peridotgw/internal/object"
@@ -79,6 +81,8 @@
 func parts() []part {
 	return []part{
 		{"jobs", runJobs},
+		{"gangs", runGangs},
+		{"requests", runRequests},
 		{"speed", runSpeed},
 	}
 }
@@ -169,3 +173,15 @@
 	applying, err := speed.Apply(ctx, sizes)
 	return append(placing, applying...), err
 }
+
+func runGangs(ctx context.Context, o options) ([]*table.Table, error) {
+	count := 80
+	if o.quick {
+		count = 20
+	}
+	return gangs.Measure(ctx, count, o.seeds)
+}
+
+func runRequests(ctx context.Context, o options) ([]*table.Table, error) {
+	return calls.Measure(ctx, o.seeds, o.quick)
+}
