--- /dev/null
+++ b/bench/internal/batch/measure.go
@@ -0,0 +1,243 @@
+package batch
+
+import (
+	"context"
+	"fmt"
+	"slices"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"golang.org/x/sync/errgroup"
+
+	"peridotgw.example/peridotgw/bench/internal/table"
+	"peridotgw.example/peridotgw/internal/place"
+	"peridotgw.example/peridotgw/model"
+)
+
+// Deployment is an example with its objects.
+type Deployment struct {
+	Name string
+	Set  *model.Set
+}
+
+// Variant is a placement policy.
+type Variant struct {
+	Name    string
+	Options place.Options
+}
+
+// Variants returns the design and its baselines; the design is first.
+func Variants() []Variant {
+	return []Variant{
+		{Name: "design"},
+		{Name: "first fit", Options: place.Options{FirstFit: true}},
+		{Name: "strict partition", Options: place.Options{NoLending: true}},
+	}
+}
+
+// parallel bounds the runs at a time, because the machine is shared.
+const parallel = 4
+
+// outcome is the results of one deployment by variant and seed.
+type outcome [][]*Result
+
+// Measure runs all variants over the same arrivals for each seed and returns one table per measure.
+func Measure(ctx context.Context, deployments []Deployment, workload Workload, seeds []uint64) ([]*table.Table, error) {
+	variants := Variants()
+	all := make([]outcome, len(deployments))
+	group, groupCtx := errgroup.WithContext(ctx)
+	group.SetLimit(parallel)
+	for d, deployment := range deployments {
+		all[d] = make(outcome, len(variants))
+		for v, variant := range variants {
+			all[d][v] = make([]*Result, len(seeds))
+			for s, seed := range seeds {
+				group.Go(func() error {
+					if err := groupCtx.Err(); err != nil {
+						return err
+					}
+					result, err := Run(deployment.Set, workload, seed, variant.Options)
+					all[d][v][s] = result
+					if err != nil {
+						return fmt.Errorf("%s, %s, seed %d: %w", deployment.Name, variant.Name, seed, err)
+					}
+					return nil
+				})
+			}
+		}
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	return report(deployments, variants, all), nil
+}
+
+func report(deployments []Deployment, variants []Variant, all []outcome) []*table.Table {
+	completion := table.New("Jobs: completion time by class", "deployment", "class", "policy", "jobs compared",
+		"median s", "p99 s", "median / design", "p99 / design")
+	waits := table.New("Jobs: time until guaranteed shapes and urgent work start (bounds 6 s and 6.7 s)", "deployment", "policy",
+		"reclaims", "reclaim median s", "reclaim max s", "reclaims over 6 s", "urgent starts", "urgent median s", "urgent p99 s",
+		"urgent max s", "urgent over 6.7 s", "urgent without quota")
+	change := table.New("Jobs: fragmentation, and work while a data centre leaves and returns", "deployment", "policy",
+		"fragmentation mean", "fragmentation p95", "held / allowed", "useful / allowed", "lost / allowed", "useful / design", "lost in whole run, acc. hours")
+	broken := table.New("Jobs: promises broken, and ends", "deployment", "policy", "two jobs on one accelerator", "partial gangs",
+		"starts in a data centre that is out", "reclaims over 6 s", "submitted", "done", "failed", "never started", "preempted", "moved", "largest held / quota")
+	for d, deployment := range deployments {
+		histograms := completions(all[d])
+		for v, variant := range variants {
+			results := all[d][v]
+			addCompletion(completion, deployment, variant, histograms[v], histograms[0])
+			waits.Add(deployment.Name, variant.Name,
+				sum(results, func(r *Result) int { return int(r.Reclaim.TotalCount()) }),
+				over(results, at(reclaim, 50)), over(results, at(reclaim, 100)),
+				sum(results, func(r *Result) int { return r.Broken.NotReclaimed }),
+				sum(results, func(r *Result) int { return int(r.Urgent.TotalCount()) }),
+				over(results, at(urgent, 50)), over(results, at(urgent, 99)), over(results, at(urgent, 100)),
+				sum(results, func(r *Result) int { return r.UrgentLate }), sum(results, func(r *Result) int { return r.OverQuota }))
+			change.Add(deployment.Name, variant.Name,
+				over(results, func(r *Result) float64 { return r.Fragmentation.Mean() / 1000 }),
+				over(results, func(r *Result) float64 { return float64(r.Fragmentation.ValueAtQuantile(95)) / 1000 }),
+				over(results, func(r *Result) float64 { return r.Held / r.Allowed }),
+				over(results, func(r *Result) float64 { return r.Useful / r.Allowed }),
+				over(results, func(r *Result) float64 { return r.Lost / r.Allowed }),
+				ratio(results, all[d][0], func(r *Result) float64 { return r.Useful }),
+				over(results, func(r *Result) float64 { return r.LostAll / 3600 }))
+			noteWinner(change, deployment.Name+", fragmentation mean", variant, ratio(results, all[d][0], func(r *Result) float64 { return r.Fragmentation.Mean() }))
+			noteWinner(change, deployment.Name+", useful work (inverse)", variant, ratio(all[d][0], results, func(r *Result) float64 { return r.Useful }))
+			noteWinner(change, deployment.Name+", lost work in the whole run", variant, ratio(results, all[d][0], func(r *Result) float64 { return r.LostAll }))
+			broken.Add(deployment.Name, variant.Name, sum(results, func(r *Result) int { return r.Broken.TwiceUsed }),
+				sum(results, func(r *Result) int { return r.Broken.Partial }), sum(results, func(r *Result) int { return r.Broken.StartedOut }),
+				sum(results, func(r *Result) int { return r.Broken.NotReclaimed }), sum(results, func(r *Result) int { return r.Submitted }),
+				sum(results, func(r *Result) int { return r.Done }), sum(results, func(r *Result) int { return r.Failed }),
+				sum(results, stuck), sum(results, func(r *Result) int { return r.Preempted }),
+				sum(results, func(r *Result) int { return r.Moved }), over(results, func(r *Result) float64 { return r.OfQuota }))
+		}
+	}
+	noteStuck(broken, deployments, all)
+	completion.Note("Figures are the median (lowest..highest) over the seeds; ratios compare the same seed. Only jobs that all policies completed are compared, because a policy that leaves jobs out would look better; the last table counts those.")
+	change.Note("Fragmentation is sampled every 5 s in each data centre in service, with the physically free accelerators of all variants; the window of the change ends 10 min after the return. Allowed is the capacity in service; work that cannot be moved runs on in the leaving data centre and counts as well.")
+	return []*table.Table{completion, waits, change, broken}
+}
+
+func stuck(r *Result) int {
+	total := 0
+	for _, count := range r.Stuck {
+		total += count
+	}
+	return total
+}
+
+// noteStuck names the jobs that the design never started.
+func noteStuck(t *table.Table, deployments []Deployment, all []outcome) {
+	for d, deployment := range deployments {
+		counts := map[string]int{}
+		for _, result := range all[d][0] {
+			for what, count := range result.Stuck {
+				counts[what] += count
+			}
+		}
+		for _, what := range sorted(counts) {
+			t.Note("%s, design: %d times %s never started.", deployment.Name, counts[what], what)
+		}
+	}
+}
+
+// byClass holds the completion times of one run.
+type byClass map[model.JobClassID]*hdrhistogram.Histogram
+
+// completions gives the completion times by variant and seed, of the jobs that were done under all variants of the seed.
+func completions(all outcome) [][]byClass {
+	histograms := make([][]byClass, len(all))
+	for v := range all {
+		histograms[v] = make([]byClass, len(all[v]))
+		for s, result := range all[v] {
+			into := byClass{}
+			histograms[v][s] = into
+			for id, took := range result.Took {
+				if slices.ContainsFunc(all, func(other []*Result) bool { return other[s].Took[id].Time == 0 }) {
+					continue
+				}
+				if into[took.Class] == nil {
+					into[took.Class] = histogram()
+				}
+				// A run ends within the histogram's week.
+				if err := into[took.Class].RecordValue(max(1, took.Time.Milliseconds())); err != nil {
+					continue
+				}
+			}
+		}
+	}
+	return histograms
+}
+
+func addCompletion(t *table.Table, deployment Deployment, variant Variant, results, design []byClass) {
+	for _, class := range sorted(design[0]) {
+		count, quantiles, ratios := 0, map[float64][]float64{}, map[float64][]float64{}
+		for s := range results {
+			if results[s][class] == nil {
+				continue
+			}
+			count += int(results[s][class].TotalCount())
+			for _, q := range []float64{50, 99} {
+				value := float64(results[s][class].ValueAtQuantile(q)) / 1000
+				quantiles[q] = append(quantiles[q], value)
+				ratios[q] = append(ratios[q], value*1000/float64(design[s][class].ValueAtQuantile(q)))
+			}
+		}
+		t.Add(deployment.Name, string(class), variant.Name, count, table.Over(quantiles[50]), table.Over(quantiles[99]),
+			table.Over(ratios[50]), table.Over(ratios[99]))
+		for _, q := range []float64{50, 99} {
+			noteWinner(t, fmt.Sprintf("%s, %s, quantile %v", deployment.Name, class, q), variant, table.Over(ratios[q]))
+		}
+	}
+}
+
+// noteWinner says where a baseline is better than the design: in every seed, or only in the median of the seeds.
+func noteWinner(t *table.Table, what string, variant Variant, ratio table.Spread) {
+	switch {
+	case ratio.Max < 1:
+		t.Note("%s: %s is better than the design in every seed (%s of it).", what, variant.Name, ratio)
+	case ratio.Median < 0.98:
+		t.Note("%s: %s is better than the design in the median of the seeds, not in each (%s of it).", what, variant.Name, ratio)
+	}
+}
+
+func reclaim(r *Result) *hdrhistogram.Histogram { return r.Reclaim }
+
+func urgent(r *Result) *hdrhistogram.Histogram { return r.Urgent }
+
+// at reads a quantile in seconds.
+func at(of func(*Result) *hdrhistogram.Histogram, quantile float64) func(*Result) float64 {
+	return func(r *Result) float64 {
+		if of(r) == nil {
+			return 0
+		}
+		return float64(of(r).ValueAtQuantile(quantile)) / 1000
+	}
+}
+
+func over(results []*Result, value func(*Result) float64) table.Spread {
+	values := make([]float64, 0, len(results))
+	for _, result := range results {
+		values = append(values, value(result))
+	}
+	return table.Over(values)
+}
+
+// ratio compares results with those of the design, seed by seed.
+func ratio(results, design []*Result, value func(*Result) float64) table.Spread {
+	values := make([]float64, 0, len(results))
+	for i, result := range results {
+		if base := value(design[i]); base > 0 {
+			values = append(values, value(result)/base)
+		}
+	}
+	return table.Over(values)
+}
+
+func sum(results []*Result, value func(*Result) int) int {
+	total := 0
+	for _, result := range results {
+		total += value(result)
+	}
+	return total
+}
