--- a/demo/choice.go
+++ b/demo/choice.go
@@ -51,6 +51,17 @@
 	return best, rank >= 0
 }
 
+// checkpointableClass returns a class whose jobs keep their progress when they are moved.
+func (s *story) checkpointableClass() model.JobClassID {
+	set := s.deployment.set
+	for _, name := range slices.Sorted(maps.Keys(set.JobClasses)) {
+		if set.JobClasses[name].Checkpointable {
+			return name
+		}
+	}
+	return s.anyJobClass()
+}
+
 // otherCustomer returns the customer with the largest quota that is not the given one.
 func (s *story) otherCustomer(not model.CustomerID) model.CustomerID {
 	set := s.deployment.set
--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -1,13 +1,20 @@
 package daemon
 
 import (
+	"context"
 	"net/http"
+	"strconv"
 
+	"golang.org/x/time/rate"
+
+	"peridotgw.example/peridotgw/internal/audit"
 	"peridotgw.example/peridotgw/internal/config"
 	"peridotgw.example/peridotgw/internal/kernel"
 	"peridotgw.example/peridotgw/internal/member"
 	"peridotgw.example/peridotgw/internal/place"
 	"peridotgw.example/peridotgw/internal/route"
+	"peridotgw.example/peridotgw/model"
+	"peridotgw.example/peridotgw/reply"
 )
 
 // addConfiguration adds membership and the configuration.
@@ -33,6 +40,7 @@
 	})
 	d.Publisher = &config.Publisher{
 		Log: d.Log, Metrics: d.Metrics, Store: d.Store.WithRole(roleConfig), Follower: d.Follower, Check: place.Check,
+		Record: d.recordChange,
 	}
 	mux := http.NewServeMux()
 	d.Members.Register(mux)
@@ -56,3 +64,33 @@
 		d.Route.SetLeaving(report.Leaving, route.SourcePeer)
 	}
 }
+
+// recordChange notes each publication and its outcome.
+func (d *Daemon) recordChange(change config.Change, result config.Result, refused *reply.Error) {
+	inputs := map[string]string{
+		"by": change.By, "base": strconv.FormatUint(uint64(change.Base), 10),
+		"put": strconv.Itoa(len(change.Put)), "delete": strconv.Itoa(len(change.Delete)),
+	}
+	if refused != nil {
+		inputs["message"] = refused.Message
+		d.record(audit.KindChange, string(change.ID), string(refused.Outcome), string(refused.Reason), inputs)
+		return
+	}
+	inputs["revision"] = strconv.FormatUint(uint64(result.Revision), 10)
+	d.record(audit.KindChange, string(change.ID), "published", "", inputs)
+	for _, ref := range result.Changed {
+		if ref.Kind == model.KindDataCentre {
+			d.record(audit.KindDataCentre, ref.Name, "changed", string(change.ID), inputs)
+		}
+	}
+}
+
+// cleanConfiguration removes what old configurations left in the store.
+func (d *Daemon) cleanConfiguration(ctx context.Context, limiter *rate.Limiter) error {
+	cleaned, err := d.Publisher.Clean(ctx, config.DefaultKeep, limiter)
+	if cleaned != (config.Cleaned{}) {
+		d.Log.Info().Int("revisions", cleaned.Revisions).Int("segments", cleaned.Segments).Int("changes", cleaned.Changes).
+			Msg("config: old configurations removed")
+	}
+	return err
+}
--- a/internal/daemon/requests.go
+++ b/internal/daemon/requests.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 
 	"peridotgw.example/peridotgw/internal/claim"
 	"peridotgw.example/peridotgw/internal/front"
 	"peridotgw.example/peridotgw/internal/kernel"
+	"peridotgw.example/peridotgw/internal/member"
 	"peridotgw.example/peridotgw/internal/queue"
 	"peridotgw.example/peridotgw/internal/relay"
 	"peridotgw.example/peridotgw/internal/route"
@@ -34,7 +36,7 @@
 	d.Kernel.Add(kernel.Service{Name: ServiceRelay, Needs: []kernel.Name{ServiceRoute}, Value: d.Relay, Run: d.Relay.Run})
 	d.Claims = &claim.Book{
 		Store: d.Store.WithRole(roleClaim), Instance: settings.Instance, Incarnation: settings.Incarnation,
-		Log: d.Log, Metrics: d.Metrics,
+		Log: d.Log, Metrics: d.Metrics, Dead: d.isGone,
 	}
 	d.Kernel.Add(kernel.Service{Name: ServiceClaims, Needs: []kernel.Name{ServiceStore}, Value: d.Claims, Run: d.Claims.Run})
 	d.Front = &front.Server{
@@ -63,6 +65,16 @@
 	return ids
 }
 
+// isGone reports whether a process is no longer registered. Its claims then stay in doubt; a duplicate need not wait for
+// them until its deadline.
+func (d *Daemon) isGone(instance model.InstanceID, incarnation model.Incarnation) bool {
+	known := d.Members.Known()
+	registered := slices.ContainsFunc(known, func(m member.Member) bool {
+		return m.Instance == instance && m.Incarnation == incarnation
+	})
+	return len(known) > 0 && !registered
+}
+
 // claim ties the callers' API to the claims.
 func (d *Daemon) claim(
 	ctx context.Context, request front.ClaimRequest,
--- a/internal/daemon/tasks.go
+++ b/internal/daemon/tasks.go
@@ -42,7 +42,7 @@
 		Current: d.Follower.Current, MayStartTask: d.Follower.MayStartTask, MaySubmit: d.maySubmit,
 		Live: d.Tasks.live, Workers: d.Tasks.workers, PeerSummaries: d.Tasks.peerSummaries,
 		Acquire: d.Lease.Acquire, Token: d.Lease.Token, Release: d.Lease.Release,
-		Record: d.record, Nudge: d.Tasks.nudge,
+		Record: d.record, Nudge: d.Tasks.nudge, CleanOthers: d.cleanConfiguration,
 		Jobs: &jobs.Book{Store: d.Store.WithRole(roleJob)}, Worker: workers, Log: d.Log, Metrics: d.Metrics,
 	}
 	d.Tasks.Manager.Register(d.listeners.peerMux)
--- a/internal/sched/manager.go
+++ b/internal/sched/manager.go
@@ -45,6 +45,8 @@
 	Release func(ctx context.Context, key string) error
 	// Record keeps a decision on a subject other than a job.
 	Record func(subjectKind, subjectID, action, reason string, inputs map[string]string)
+	// CleanOthers removes what other parts no longer need, while this instance holds the janitor's role; nil removes nothing.
+	CleanOthers func(ctx context.Context, limiter *rate.Limiter) error
 	// Nudge tells the owner of a data centre, when that is another instance, that a record changed.
 	Nudge  func(ctx context.Context, dc model.DataCentreID)
 	Jobs   *jobs.Book
@@ -78,7 +80,8 @@
 	janitorEvery   = time.Hour
 	// janitorRate is the largest number of deletes per second.
 	janitorRate = 5
-	janitorKey  = "/owner/janitor"
+	// janitorKey is outside /owner/, so that a data centre of that name cannot take it.
+	janitorKey = "/role/janitor"
 )
 
 // OwnerKey is the key that holds the ownership of a data centre.
@@ -521,5 +524,8 @@
 			m.Log.Info().Str("data-centre", string(dc)).Int("records", removed).Msg("sched: old job records removed")
 		}
 	}
+	if m.CleanOthers != nil {
+		errs = append(errs, m.CleanOthers(ctx, limiter))
+	}
 	return errors.Join(append(errs, m.Release(ctx, janitorKey))...)
 }
