front: requests that meet a data centre going out are sent elsewhere

The route table learned of a revision only with its next selection. Ruled out: the refusal itself is right, nothing was sent. Change: front exchanges the slot up to 3 times, also for a claimed request; the route table is refreshed when a revision comes into effect. memnet adds the Content-Length that net/http adds, without which a refusal by a full endpoint counted as an incomplete answer. Conclusion: a data centre change costs callers no refusal while others have room.

--- a/internal/daemon/faults_test.go
+++ b/internal/daemon/faults_test.go
@@ -147,3 +147,33 @@
 	}
 	return count
 }
+
+var _ = Describe("Requests", func() {
+	// Guards against refusals of requests that other data centres can serve.
+	It("are served elsewhere while a data centre goes out of service and returns", func() {
+		with(3, func(r *rig) {
+			results := make(chan string, 3000)
+			sent := 0
+			for round := range 6 {
+				service := model.ServiceOut
+				if round%2 == 1 {
+					service = model.ServiceIn
+				}
+				go r.publish(r.instances[0], dataCentre("south", service))
+				for range 200 {
+					sent++
+					go func(i int) {
+						class := []model.RequestClassID{"check", "tally"}[i%2]
+						outcome, reason, message := r.request(r.instances[i%3], class, fmt.Sprintf("move-%d", i), 2*time.Second)
+						results <- fmt.Sprint(outcome, " ", reason, " ", message)
+					}(sent)
+					time.Sleep(2 * time.Millisecond)
+				}
+				time.Sleep(2 * time.Second)
+			}
+			for range sent {
+				Expect(<-results).To(HavePrefix(string(reply.OutcomeDone)))
+			}
+		})
+	})
+})
--- a/internal/daemon/requests.go
+++ b/internal/daemon/requests.go
@@ -24,6 +24,7 @@
 		Self: settings.Instance, DataCentre: settings.DataCentre, Do: send,
 	}
 	d.VMs.Subscribe(d.Route.Update)
+	d.Follower.Subscribe(func(*model.Set) { d.Route.Refresh() })
 	d.Kernel.Add(kernel.Service{
 		Name: ServiceRoute, Needs: []kernel.Name{ServiceConfig, ServiceVMs}, Value: d.Route, Run: d.Route.Run,
 	})
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -34,25 +34,57 @@
 	s.answer(w, c, result, stored)
 }
 
+// maxMoves bounds how often a request that met a data centre going out of service is given another slot.
+const maxMoves = 3
+
 // handle queues, claims and sends a request. The answer is either in the result or in stored.
 func (s *Server) handle(ctx context.Context, c *checked) (relay.Result, *StoredAnswer) {
-	ticket, refusal := s.Queue.Wait(ctx, c.item)
+	ticket, refusal := s.wait(ctx, c)
 	if refusal != nil {
 		return relay.Result{Err: refusal}, nil
 	}
-	if s.MaySend != nil {
-		if err := s.MaySend(ticket.Pick.DataCentre, c.send.Idempotent); err != nil {
-			ticket.Cancel()
-			return relay.Result{Err: err}, nil
-		}
-	}
 	if c.send.Idempotent {
 		return s.send(ctx, c, ticket), nil
 	}
 	return s.handleClaimed(ctx, c, ticket)
 }
 
+// wait queues a request until it has a slot in a data centre that it may be sent to. A slot that was chosen just before its
+// data centre went out of service is exchanged for another one.
+func (s *Server) wait(ctx context.Context, c *checked) (*queue.Ticket, *reply.Error) {
+	for moves := 0; ; moves++ {
+		ticket, refusal := s.Queue.Wait(ctx, c.item)
+		if refusal != nil || s.MaySend == nil {
+			return ticket, refusal
+		}
+		refusal = s.MaySend(ticket.Pick.DataCentre, c.send.Idempotent)
+		if refusal == nil {
+			return ticket, nil
+		}
+		ticket.Cancel()
+		if refusal.Reason != reply.ReasonDraining || moves == maxMoves {
+			return nil, refusal
+		}
+	}
+}
+
+// send sends a request that has a slot, and again with another slot when the data centre went out of service before
+// anything was sent.
 func (s *Server) send(ctx context.Context, c *checked, ticket *queue.Ticket) relay.Result {
+	for moves := 0; ; moves++ {
+		result := s.sendOnce(ctx, c, ticket)
+		unsent := result.Err != nil && result.Err.Reason == reply.ReasonDraining && result.Attempts == 0
+		if !unsent || moves == maxMoves {
+			return result
+		}
+		var refusal *reply.Error
+		if ticket, refusal = s.wait(ctx, c); refusal != nil {
+			return relay.Result{Err: refusal}
+		}
+	}
+}
+
+func (s *Server) sendOnce(ctx context.Context, c *checked, ticket *queue.Ticket) relay.Result {
 	started := time.Now()
 	result := s.Relay.Send(ctx, c.send, ticket.Pick)
 	if result.Err != nil && result.Err.Outcome == reply.OutcomeRefused {
@@ -91,7 +123,7 @@
 	}
 	if ticket == nil {
 		var refusal *reply.Error
-		if ticket, refusal = s.Queue.Wait(ctx, c.item); refusal != nil {
+		if ticket, refusal = s.wait(ctx, c); refusal != nil {
 			s.finish(ctx, c, got.claim, relay.Result{Err: refusal})
 			return relay.Result{Err: refusal}, nil
 		}
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -162,7 +163,14 @@
 	served.RequestURI = req.URL.RequestURI()
 	recorder := httptest.NewRecorder()
 	handler.ServeHTTP(recorder, served)
-	return recorder.Result()
+	if recorder.Header().Get("Content-Length") == "" {
+		// As net/http does for answers that fit its buffer.
+		recorder.Header().Set("Content-Length", strconv.Itoa(recorder.Body.Len()))
+	}
+	res = recorder.Result()
+	res.ContentLength = int64(recorder.Body.Len())
+	res.Header.Set("Content-Length", recorder.Header().Get("Content-Length"))
+	return res
 }
 
 func readBody(req *http.Request) ([]byte, error) {
