place: take-overs keep the bindings of guarantees

Change: copies that an order leaves out go first in the next, up to 8 more orders; job records name the guarantee of which the job takes a copy, so that a smaller job of the customer stays inside one.

--- a/internal/jobs/move.go
+++ b/internal/jobs/move.go
@@ -11,7 +11,8 @@
 // Move marks the record as moved to another data centre and completes the move. A crash between the steps leaves a
 // record in state moved, from which any owner completes it.
 func (b *Book) Move(ctx context.Context, record Record, to model.DataCentreID, note Note) (Record, error) {
-	record.State, record.MovedTo, record.Placement, record.Lent = StateMoved, to, nil, false
+	record.State, record.MovedTo, record.Placement = StateMoved, to, nil
+	record.Lent, record.Guarantee = false, ""
 	record.Note(note)
 	moved, err := b.Update(ctx, record)
 	if err != nil {
--- a/internal/jobs/record.go
+++ b/internal/jobs/record.go
@@ -111,6 +111,8 @@
 	Placement      []Placement        `json:"placement,omitempty"`
 	// Lent is true while the job runs on capacity that is bound to another customer's guarantee.
 	Lent bool `json:"lent,omitempty"`
+	// Guarantee is set while the job takes a copy of its customer's guarantee.
+	Guarantee model.GuaranteeID `json:"guarantee,omitempty"`
 	// Progress is the run time that the last checkpoint kept.
 	Progress model.Duration `json:"progress,omitempty"`
 	Attempts int            `json:"attempts,omitempty"`
--- a/internal/place/bind.go
+++ b/internal/place/bind.go
@@ -37,26 +37,31 @@
 	if len(open) == 0 {
 		return
 	}
-	// Best fit decreasing is a heuristic: when one order leaves a copy out, the next is tried, and the best result stays.
+	// Best fit decreasing is a heuristic: when an order leaves copies out, the next is tried, and then those that were
+	// left out go first. The best result stays.
 	var best [][]Slot
 	bestCount := -1
-	for _, order := range bindOrders() {
-		slices.SortStableFunc(open, func(a, b *bound) int {
-			return order(c.set.Shapes[a.shape], c.set.Shapes[b.shape])
-		})
-		count := c.bindAll(open)
-		if count > bestCount {
+	orders := bindOrders()
+	for try := range len(orders) + bindRetries {
+		if try < len(orders) {
+			slices.SortStableFunc(open, func(a, b *bound) int {
+				return orders[try](c.set.Shapes[a.shape], c.set.Shapes[b.shape])
+			})
+		}
+		left := c.bindAll(open)
+		if count := len(open) - len(left); count > bestCount {
 			bestCount, best = count, nil
 			for _, b := range c.copies {
 				best = append(best, b.slots)
 			}
 		}
-		if count == len(open) {
+		if len(left) == 0 {
 			return
 		}
 		for _, b := range open {
 			c.unbind(b)
 		}
+		open = append(left, slices.DeleteFunc(open, func(b *bound) bool { return slices.Contains(left, b) })...)
 	}
 	for i, b := range c.copies {
 		if len(b.slots) == 0 && len(best[i]) > 0 {
@@ -65,15 +70,21 @@
 	}
 }
 
-func (c *Cluster) bindAll(open []*bound) int {
-	count := 0
+// bindRetries bounds the orders that are tried after the fixed ones.
+const bindRetries = 8
+
+// bindAll binds the copies in order and returns those that found no place.
+func (c *Cluster) bindAll(open []*bound) []*bound {
+	var left []*bound
 	for _, b := range open {
-		if slots := c.bindingFor(c.set.Shapes[b.shape]); slots != nil {
-			c.bindAt(b, slots)
-			count++
+		slots := c.bindingFor(c.set.Shapes[b.shape])
+		if slots == nil {
+			left = append(left, b)
+			continue
 		}
+		c.bindAt(b, slots)
 	}
-	return count
+	return left
 }
 
 // bindOrders are the orders in which copies are tried; wide adjacencies come last because they fit anywhere.
@@ -103,17 +114,7 @@
 
 // bindingFor finds places for a copy: the rack with the least room left that takes it, and in it the fullest workers.
 func (c *Cluster) bindingFor(shape model.Shape) []Slot {
-	room := func(n *node) int {
-		if n.State != WorkerUsable {
-			return 0
-		}
-		// Work that cannot be stopped stays where it is; with a strict partition that is all work.
-		left := n.total - n.bound - n.firm
-		if c.options.NoLending {
-			left -= n.soft
-		}
-		return max(0, left)
-	}
+	room := c.bindRoom
 	var bestRack *cell
 	bestRoom := 0
 	if shape.Adjacency != model.AdjacencyAny {
@@ -140,6 +141,19 @@
 	return fill(all, shape, room, nil)
 }
 
+// bindRoom is what a binding may take on a worker. Work that cannot be stopped stays where it is; with a strict partition
+// that is all work.
+func (c *Cluster) bindRoom(n *node) int {
+	if n.State != WorkerUsable {
+		return 0
+	}
+	left := n.total - n.bound - n.firm
+	if c.options.NoLending {
+		left -= n.soft
+	}
+	return max(0, left)
+}
+
 // taskSum adds the tasks that fit into left accelerators; a worker shape must fit into one worker.
 func taskSum(shape model.Shape, tasks, left int) int {
 	fits := left / int(max(1, shape.AcceleratorsPerTask))
@@ -236,6 +250,8 @@
 	Job   Job
 	Slots []Slot
 	Lent  bool
+	// Guarantee is set for a job that takes a copy of a guarantee.
+	Guarantee model.GuaranteeID
 }
 
 // Restore replaces workers and jobs: copies of guarantees are first bound where their customers' jobs run, and the rest
@@ -251,16 +267,64 @@
 	slices.SortFunc(sorted, func(a, b Running) int {
 		return cmp.Or(cmp.Compare(a.Job.Order, b.Job.Order), cmp.Compare(a.Job.ID, b.Job.ID))
 	})
+	var smaller []Running
 	for _, r := range sorted {
 		plan := Plan{Slots: r.Slots, Lent: r.Lent}
 		if b := c.openCopy(r); b != nil {
 			plan.Guarantee, plan.Copy = b.guarantee, b.number
+		} else if r.Guarantee != "" {
+			smaller = append(smaller, r)
+			continue
+		}
+		c.Add(r.Job, plan)
+	}
+	// Jobs that take a part of a copy come last, so that the copy is bound around all other work.
+	for _, r := range smaller {
+		plan := Plan{Slots: r.Slots, Lent: r.Lent}
+		if b := c.bindAround(r); b != nil {
+			plan.Guarantee, plan.Copy = b.guarantee, b.number
 		}
 		c.Add(r.Job, plan)
 	}
 	c.Bind()
 }
 
+// bindAround binds an open copy of the job's guarantee so that it covers the places of the job, if that is possible.
+func (c *Cluster) bindAround(r Running) *bound {
+	at := slices.IndexFunc(c.copies, func(b *bound) bool {
+		return len(b.slots) == 0 && b.guarantee == r.Guarantee && b.customer == r.Job.Customer
+	})
+	uses := c.usesOf(r.Slots)
+	if at < 0 || len(uses) == 0 {
+		return nil
+	}
+	mine := make(map[*node]int, len(uses))
+	for _, u := range uses {
+		mine[u.node] = u.accels
+	}
+	b := c.copies[at]
+	shape := c.set.Shapes[b.shape]
+	nodes := uses[0].node.rack.nodes
+	if shape.Adjacency == model.AdjacencyAny {
+		nodes = nil
+		for _, rack := range c.racks {
+			nodes = append(nodes, rack.nodes...)
+		}
+	}
+	slots := fill(nodes, shape, c.bindRoom, func(a, b *node) int { return cmp.Compare(mine[b], mine[a]) })
+	covered := map[*node]int{}
+	for _, u := range c.usesOf(slots) {
+		covered[u.node] = u.accels
+	}
+	for n, accels := range mine {
+		if covered[n] < accels {
+			return nil
+		}
+	}
+	c.bindAt(b, slots)
+	return b
+}
+
 // openCopy returns a copy that is not bound yet and has the customer and shape of a job that is not on lent capacity.
 func (c *Cluster) openCopy(r Running) *bound {
 	if r.Lent {
--- a/internal/place/property_test.go
+++ b/internal/place/property_test.go
@@ -142,9 +142,16 @@
 	}
 }
 
+// takeOvers counts rebuilds, and those after which fewer guarantees were bound than before.
+type takeOvers struct{ all, worse int }
+
 // run makes random steps and returns the first broken promise.
-func run(t *rapid.T, options place.Options) error {
+func run(t *rapid.T, options place.Options, counts *takeOvers) error {
 	w := randomWorld(t, options)
+	defer func() {
+		counts.all += w.rebuilds
+		counts.worse += w.worse
+	}()
 	for range rapid.IntRange(1, 40).Draw(t, "steps") {
 		switch rapid.SampledFrom([]string{"submit", "submit", "submit", "end", "victims-end", "worker", "reconfigure", "rebuild"}).Draw(t, "step") {
 		case "submit":
@@ -192,7 +199,9 @@
 	next := place.NewVariant(w.set, "dc", options)
 	var running []place.Running
 	for _, id := range w.ids(false) {
-		running = append(running, place.Running{Job: w.jobs[id], Slots: w.running[id].Slots, Lent: w.running[id].Lent})
+		running = append(running, place.Running{
+			Job: w.jobs[id], Slots: w.running[id].Slots, Lent: w.running[id].Lent, Guarantee: w.running[id].Guarantee,
+		})
 	}
 	next.Restore(w.workers, running)
 	for id, plan := range w.running {
@@ -236,27 +245,30 @@
 const schedules = 1500
 
 // broken returns the first seed whose schedule breaks a promise, with the promise.
-func broken(options place.Options) (int, error) {
-	gen := rapid.Custom(func(t *rapid.T) error { return run(t, options) })
+func broken(options place.Options) (int, takeOvers, error) {
+	var counts takeOvers
+	gen := rapid.Custom(func(t *rapid.T) error { return run(t, options, &counts) })
 	for seed := range schedules {
 		if err := gen.Example(seed); err != nil {
-			return seed, err
+			return seed, counts, err
 		}
 	}
-	return 0, nil
+	return 0, counts, nil
 }
 
 var _ = Describe("Random clusters", func() {
 	// Guards against any order of submissions, ends, preemptions and failures that breaks P1 or gives an accelerator twice.
 	It("keep guaranteed shapes reclaimable, adjacency and single use", func() {
-		seed, err := broken(place.Options{})
+		seed, counts, err := broken(place.Options{})
 		Expect(err).NotTo(HaveOccurred(), "seed %d", seed)
-		GinkgoWriter.Printf("seeds 0 to %d hold\n", schedules-1)
+		// A take-over searches bindings anew by a heuristic. Losing one is reported to operators and must stay rare.
+		Expect(counts.worse*1000).To(BeNumerically("<=", counts.all), "%d of %d", counts.worse, counts.all)
+		GinkgoWriter.Printf("seeds 0 to %d hold; %d of %d take-overs bound fewer copies\n", schedules-1, counts.worse, counts.all)
 	})
 
 	// Guards against a property that cannot fail: without the lending rule it must report a broken promise.
 	It("are seen to break the promise when everything may use lent capacity", func() {
-		seed, err := broken(place.Options{LendToAll: true})
+		seed, _, err := broken(place.Options{LendToAll: true})
 		Expect(err).To(MatchError(ContainSubstring("cannot be placed")), "seed %d", seed)
 	})
 })
--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -70,7 +70,7 @@
 	var running []place.Running
 	for _, id := range c.ids() {
 		if e := c.entries[id]; e.holds() {
-			running = append(running, place.Running{Job: c.job(e), Slots: e.plan.Slots, Lent: e.plan.Lent})
+			running = append(running, place.Running{Job: c.job(e), Slots: e.plan.Slots, Lent: e.plan.Lent, Guarantee: e.record.Guarantee})
 		}
 	}
 	c.cluster.Restore(c.placed, running)
--- a/internal/sched/pass.go
+++ b/internal/sched/pass.go
@@ -275,7 +275,7 @@
 	record.Attempts++
 	record.Owner, record.Token, record.ConfigRevision = c.instance, c.token, c.set.Revision
 	record.Placement = placements(*record, c.token, e.plan.Slots)
-	record.Lent = e.plan.Lent
+	record.Lent, record.Guarantee = e.plan.Lent, e.plan.Guarantee
 	inputs := map[string]string{"tasks": fmt.Sprint(len(e.plan.Slots)), "waited": now.Sub(record.SubmittedAt).Round(time.Millisecond).String()}
 	if e.plan.Guarantee != "" {
 		inputs["guarantee"] = fmt.Sprintf("%s/%d", e.plan.Guarantee, e.plan.Copy)
--- a/internal/sched/results.go
+++ b/internal/sched/results.go
@@ -66,7 +66,7 @@
 		e.record = record
 	}
 	e.record.CancelRequested = e.record.CancelRequested || cancelled
-	e.record.Placement, e.record.Lent, e.record.State = nil, false, jobs.StateQueued
+	e.record.Placement, e.record.Lent, e.record.Guarantee, e.record.State = nil, false, "", jobs.StateQueued
 	c.note(e, now, "not-started", cause.Phase, map[string]string{"worker": string(cause.Worker), "cause": short(cause.Cause)})
 	c.requeue(e)
 	e.cause = ""
@@ -163,7 +163,7 @@
 
 // queueAgain writes the job back as queued, or moves it when the data centre is out of service.
 func (c *Core) queueAgain(e *entry, now time.Time) {
-	e.record.State, e.record.Placement, e.record.Lent = jobs.StateQueued, nil, false
+	e.record.Placement, e.record.Lent, e.record.Guarantee, e.record.State = nil, false, "", jobs.StateQueued
 	c.note(e, now, "queued", string(e.cause), map[string]string{"progress": e.record.Progress.String()})
 	e.cause, e.ran, e.message = "", false, ""
 	if c.out() && c.moveAway(e, now) {
