--- a/internal/place/bind.go
+++ b/internal/place/bind.go
@@ -61,7 +61,7 @@
 		for _, b := range open {
 			c.unbind(b)
 		}
-		open = append(left, slices.DeleteFunc(open, func(b *bound) bool { return slices.Contains(left, b) })...)
+		open = slices.Concat(left, slices.DeleteFunc(open, func(b *bound) bool { return slices.Contains(left, b) }))
 	}
 	for i, b := range c.copies {
 		if len(b.slots) == 0 && len(best[i]) > 0 {
