--- a/internal/sched/manager.go
+++ b/internal/sched/manager.go
@@ -4,20 +4,17 @@
 	"context"
 	"errors"
 	"maps"
-	"net/http"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
-	"golang.org/x/time/rate"
 
 	"peridotgw.example/peridotgw/internal/gang"
 	"peridotgw.example/peridotgw/internal/jobs"
 	"peridotgw.example/peridotgw/internal/metric"
 	"peridotgw.example/peridotgw/internal/place"
-	"peridotgw.example/peridotgw/internal/wire"
 	"peridotgw.example/peridotgw/internal/worker"
 	"peridotgw.example/peridotgw/model"
 	"peridotgw.example/peridotgw/reply"
@@ -75,10 +72,6 @@
 	// fallbackAfter is how long a data centre must be without an owner before the next candidate tries.
 	fallbackAfter  = 6 * time.Second
 	releaseTimeout = 3 * time.Second
-	janitorEvery   = time.Hour
-	// janitorRate is the largest number of deletes per second.
-	janitorRate = 5
-	janitorKey  = "/owner/janitor"
 )
 
 // OwnerKey is the key that holds the ownership of a data centre.
@@ -438,88 +431,3 @@
 	owner, found := m.owners[dc]
 	return owner, found
 }
-
-// ProcedureNudge tells the owner of a data centre of a new or cancelled job.
-const ProcedureNudge wire.Procedure = "/peer/nudge"
-
-// NudgeMessage names the data centre whose records changed.
-type NudgeMessage struct {
-	DataCentre model.DataCentreID `cbor:"1,keyasint"`
-}
-
-// NudgeAnswer reports whether the answering instance owns the data centre.
-type NudgeAnswer struct {
-	Owned bool `cbor:"1,keyasint"`
-}
-
-// Register serves nudges of other instances.
-func (m *Manager) Register(mux *http.ServeMux) {
-	wire.Handle(mux, ProcedureNudge, func(_ context.Context, message *NudgeMessage) (*NudgeAnswer, error) {
-		return &NudgeAnswer{Owned: m.Nudged(message.DataCentre)}, nil
-	})
-}
-
-// Nudged makes the owner's next pass due, if this instance owns the data centre.
-func (m *Manager) Nudged(dc model.DataCentreID) bool {
-	owner, found := m.Owned(dc)
-	if found {
-		owner.Wake()
-	}
-	return found
-}
-
-// SendNudge nudges the instance at a peer address.
-func SendNudge(ctx context.Context, caller *wire.Caller, address string, dc model.DataCentreID) error {
-	_, err := wire.Call[NudgeMessage, NudgeAnswer](ctx, caller, address, ProcedureNudge, &NudgeMessage{DataCentre: dc})
-	return err
-}
-
-func (m *Manager) nudge(ctx context.Context, dc model.DataCentreID) {
-	if !m.Nudged(dc) && m.Nudge != nil {
-		m.Nudge(ctx, dc)
-	}
-}
-
-// janitor removes records of jobs that ended long ago, while this instance holds the janitor's role.
-func (m *Manager) janitor(ctx context.Context) error {
-	limiter := rate.NewLimiter(janitorRate, 1)
-	ticker := time.NewTicker(janitorEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-		case <-m.stopping:
-			return nil
-		case <-ctx.Done():
-			return nil
-		}
-		if err := m.clean(ctx, limiter); err != nil {
-			m.Log.Warn().Err(err).Msg("sched: old job records are not removed")
-		}
-	}
-}
-
-func (m *Manager) clean(ctx context.Context, limiter *rate.Limiter) error {
-	set := m.Current()
-	if set == nil {
-		return nil
-	}
-	if _, err := m.Acquire(ctx, janitorKey); err != nil {
-		return nil //nolint:nilerr // Another instance holds the role.
-	}
-	wait := func(ctx context.Context) error {
-		if _, valid := m.Token(janitorKey); !valid {
-			return errNotValid
-		}
-		return limiter.Wait(ctx)
-	}
-	var errs []error
-	for _, dc := range slices.Sorted(maps.Keys(set.DataCentres)) {
-		removed, err := m.Jobs.Janitor(ctx, dc, time.Now(), wait)
-		errs = append(errs, err)
-		if removed > 0 {
-			m.Log.Info().Str("data-centre", string(dc)).Int("records", removed).Msg("sched: old job records removed")
-		}
-	}
-	return errors.Join(append(errs, m.Release(ctx, janitorKey))...)
-}
--- /dev/null
+++ b/internal/sched/nudge.go
@@ -0,0 +1,50 @@
+package sched
+
+import (
+	"context"
+	"net/http"
+
+	"peridotgw.example/peridotgw/internal/wire"
+	"peridotgw.example/peridotgw/model"
+)
+
+// ProcedureNudge tells the owner of a data centre of a new or cancelled job.
+const ProcedureNudge wire.Procedure = "/peer/nudge"
+
+// NudgeMessage names the data centre whose records changed.
+type NudgeMessage struct {
+	DataCentre model.DataCentreID `cbor:"1,keyasint"`
+}
+
+// NudgeAnswer reports whether the answering instance owns the data centre.
+type NudgeAnswer struct {
+	Owned bool `cbor:"1,keyasint"`
+}
+
+// Register serves nudges of other instances.
+func (m *Manager) Register(mux *http.ServeMux) {
+	wire.Handle(mux, ProcedureNudge, func(_ context.Context, message *NudgeMessage) (*NudgeAnswer, error) {
+		return &NudgeAnswer{Owned: m.Nudged(message.DataCentre)}, nil
+	})
+}
+
+// Nudged makes the owner's next pass due, if this instance owns the data centre.
+func (m *Manager) Nudged(dc model.DataCentreID) bool {
+	owner, found := m.Owned(dc)
+	if found {
+		owner.Wake()
+	}
+	return found
+}
+
+// SendNudge nudges the instance at a peer address.
+func SendNudge(ctx context.Context, caller *wire.Caller, address string, dc model.DataCentreID) error {
+	_, err := wire.Call[NudgeMessage, NudgeAnswer](ctx, caller, address, ProcedureNudge, &NudgeMessage{DataCentre: dc})
+	return err
+}
+
+func (m *Manager) nudge(ctx context.Context, dc model.DataCentreID) {
+	if !m.Nudged(dc) && m.Nudge != nil {
+		m.Nudge(ctx, dc)
+	}
+}
