front, route, relay: requests that meet a full endpoint queue again

Change: borrowing needs 3 free slots in the last report; a request that a full endpoint refused goes back to the queue, which decides by class, and takes only slots dealt to its instance. Conclusion: specs of the four packages pass.

--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -34,8 +34,9 @@
 	s.answer(w, c, result, stored)
 }
 
-// maxMoves bounds how often a request that met a data centre going out of service is given another slot.
-const maxMoves = 3
+// maxMoves bounds how often a request that did not run is given another slot, because its data centre went out of service or
+// its endpoint was full.
+const maxMoves = 4
 
 // handle queues, claims and sends a request. The answer is either in the result or in stored.
 func (s *Server) handle(ctx context.Context, c *checked) (relay.Result, *StoredAnswer) {
@@ -68,15 +69,19 @@
 	}
 }
 
-// send sends a request that has a slot, and again with another slot when the data centre went out of service before
-// anything was sent.
+// send sends a request that has a slot. When it did not run, because the data centre went out of service or the endpoint
+// was full, it is queued again: the queue decides by class who gets the next slot.
 func (s *Server) send(ctx context.Context, c *checked, ticket *queue.Ticket) relay.Result {
 	for moves := 0; ; moves++ {
 		result := s.sendOnce(ctx, c, ticket)
 		unsent := result.Err != nil && result.Err.Reason == reply.ReasonDraining && result.Attempts == 0
-		if !unsent || moves == maxMoves {
+		if !unsent && !result.Full || moves == maxMoves {
 			return result
 		}
+		if result.Full {
+			c.item.OwnOnly = true
+			s.countRequeue()
+		}
 		var refusal *reply.Error
 		if ticket, refusal = s.wait(ctx, c); refusal != nil {
 			return relay.Result{Err: refusal}
@@ -245,3 +250,9 @@
 	}
 	header.Set(reply.HeaderAttempts, strconv.Itoa(attempts))
 }
+
+func (s *Server) countRequeue() {
+	if s.Metrics != nil {
+		s.Metrics.Retries.WithLabelValues("front", "endpoint-full").Inc()
+	}
+}
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -36,6 +36,8 @@
 	Weight   int
 	Timeout  time.Duration
 	Deadline time.Time
+	// OwnOnly keeps the request off borrowed slots, after an endpoint refused it because it was full.
+	OwnOnly bool
 	// DataCentres that may serve the request; none means all.
 	DataCentres []model.DataCentreID
 }
@@ -183,7 +185,7 @@
 			return nil
 		}
 	}
-	pick := q.Acquire(route.Ask{DataCentres: item.DataCentres})
+	pick := q.Acquire(route.Ask{DataCentres: item.DataCentres, OwnOnly: item.OwnOnly})
 	if pick == nil {
 		return nil
 	}
@@ -228,7 +230,7 @@
 			e.ready <- result{err: expired(e.item)}
 			continue
 		}
-		pick := q.Acquire(route.Ask{DataCentres: e.item.DataCentres})
+		pick := q.Acquire(route.Ask{DataCentres: e.item.DataCentres, OwnOnly: e.item.OwnOnly})
 		if pick == nil {
 			return false
 		}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -40,6 +40,8 @@
 	status  int
 	reason  reply.Reason
 	message string
+	// full is true for a refusal of an endpoint whose slots were all busy.
+	full bool
 }
 
 // repeatable reports whether the request may be sent again after this outcome.
@@ -228,7 +230,10 @@
 	case answer.StatusCode == http.StatusServiceUnavailable && answer.Header.Get(reply.HeaderNotRun) == "true":
 		buffers.Put(buffer)
 		a.pick.Done(route.VerdictRefused, report)
-		return outcome{kind: kindNotRun, reason: reply.ReasonOverload, message: fmt.Sprintf("endpoint %s refused before running", a.pick.Endpoint)}
+		return outcome{
+			kind: kindNotRun, reason: reply.ReasonOverload, full: report.Present && report.Busy >= int(report.Slots),
+			message: fmt.Sprintf("endpoint %s refused before running", a.pick.Endpoint),
+		}
 	case answer.StatusCode >= http.StatusOK && answer.StatusCode < http.StatusMultipleChoices:
 		a.pick.Done(route.VerdictAnswered, report)
 		return outcome{kind: kindDone, answer: &Answer{
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -118,6 +118,12 @@
 	if c.inFlight > 0 {
 		return Result{}, false
 	}
+	if out.full {
+		// A retry here would overtake requests of higher classes that wait for the same slots.
+		result := c.fail(ctx, nil)
+		result.Full = result.Err.Outcome == reply.OutcomeRefused
+		return result, true
+	}
 	if !out.repeatable(c.request.Idempotent) {
 		count(c.relay.denied, deniedForbidden)
 		return c.fail(ctx, nil), true
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -76,6 +76,8 @@
 	Answer   *Answer
 	Err      *reply.Error
 	Attempts int
+	// Full is true when the request did not run because its endpoint had no free slot; the caller may queue it again.
+	Full bool
 }
 
 // Relay sends requests; its exported fields are set before the first call.
--- a/internal/route/endpoint.go
+++ b/internal/route/endpoint.go
@@ -76,10 +76,14 @@
 	return max(e.inFlight, e.reportedBusy+e.sentSince)
 }
 
-// lendable reports whether a recent report shows a free slot.
+// lendMargin is how many slots a report must show free. Other instances act on the same reports, and what they borrow is
+// missing to the instance that the slots are dealt to: with 1, 2.2% of urgent requests were refused at 85% load.
+const lendMargin = 3
+
+// lendable reports whether a recent report shows free slots.
 func (e *endpoint) lendable(now time.Time, connLimit int) bool {
 	// A report may not count sends that were still on their way, so the own requests in flight bound it too.
-	return now.Sub(e.reportedAt) < reportAge && e.load(now) < int(e.slots) && e.inFlight < e.limit(connLimit)
+	return now.Sub(e.reportedAt) < reportAge && e.load(now)+lendMargin <= int(e.slots) && e.inFlight < e.limit(connLimit)
 }
 
 // share counts the slots of an endpoint that rendezvous hashing gives to self.
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -14,6 +14,8 @@
 	DataCentres []model.DataCentreID
 	// Avoid names endpoints that this request was already sent to; they are taken only when no other is free.
 	Avoid []model.EndpointID
+	// OwnOnly takes only slots that are dealt to this instance, where there are any.
+	OwnOnly bool
 	// OnlyOthers leaves the endpoints of Avoid out altogether.
 	OnlyOthers bool
 }
@@ -109,6 +111,7 @@
 	if t.Choose != nil {
 		return t.acquireByRule(ask, now)
 	}
+	borrow := !ask.OwnOnly || !t.ownsSlots(ask.DataCentres)
 	for _, avoid := range [][]model.EndpointID{ask.Avoid, nil} {
 		for _, z := range t.zones {
 			if !permitted(ask.DataCentres, z.id) {
@@ -118,7 +121,7 @@
 				return t.take(e, false, now)
 			}
 		}
-		if e := t.chooseBorrowed(ask.DataCentres, avoid, now); e != nil {
+		if e := t.chooseBorrowed(ask.DataCentres, avoid, now); e != nil && borrow {
 			return t.take(e, true, now)
 		}
 		if len(ask.Avoid) == 0 || ask.OnlyOthers {
@@ -128,6 +131,11 @@
 	return nil
 }
 
+// ownsSlots reports whether any slot in the data centres is dealt to this instance.
+func (t *Table) ownsSlots(allowed []model.DataCentreID) bool {
+	return slices.ContainsFunc(t.zones, func(z *zone) bool { return z.slots > 0 && permitted(allowed, z.id) })
+}
+
 // chooseOwn takes the less loaded of two random endpoints with a free own slot.
 func chooseOwn(free []*endpoint, avoid []model.EndpointID, now time.Time) *endpoint {
 	if len(avoid) > 0 {
