bench: measure the hop of an instance and idle fleets

The hop assembles front, queue, route table and relay in one process over loopback and alternates with direct calls of the same endpoints. Fleets of 3, 6, 9 and 18 real peridotd processes run beside the stand-ins; /metrics and /proc are read twice.

--- a/bench/main.go
+++ b/bench/main.go
@@ -15,6 +15,7 @@
 
 	"peridotgw.example/peridotgw/bench/internal/batch"
 	"peridotgw.example/peridotgw/bench/internal/calls"
+	"peridotgw.example/peridotgw/bench/internal/fleet"
 	"peridotgw.example/peridotgw/bench/internal/gangs"
 	"peridotgw.example/peridotgw/bench/internal/speed"
 	"peridotgw.example/peridotgw/bench/internal/table"
@@ -84,6 +85,7 @@
 		{"gangs", runGangs},
 		{"requests", runRequests},
 		{"speed", runSpeed},
+		{"fleet", runFleet},
 	}
 }
 
@@ -171,7 +173,20 @@
 		return nil, err
 	}
 	applying, err := speed.Apply(ctx, sizes)
-	return append(placing, applying...), err
+	if err != nil {
+		return nil, err
+	}
+	hop, err := speed.Hop(ctx, o.quick)
+	return append(append(hop, placing...), applying...), err
+}
+
+func runFleet(ctx context.Context, o options) ([]*table.Table, error) {
+	// Owners' watches wait for 30 s and count when they end.
+	sizes, window := []int{3, 6, 9, 18}, 32*time.Second
+	if o.quick {
+		sizes, window = []int{3}, 2*time.Second
+	}
+	return fleet.Measure(ctx, o.bin, filepath.Join(o.examples, "hollow-creek"), sizes, window)
 }
 
 func runGangs(ctx context.Context, o options) ([]*table.Table, error) {
