bench: name the causes of late urgent starts and keep results on errors

A table that says how many urgent starts were late does not tell why, and a wrong -json path or a failing part lost the results of a whole run.

Late urgent starts are counted by shape, data centre and the reason in the job's record. The results' file is opened before the run and gets what there is, also when a part fails.

--- a/bench/internal/batch/account.go
+++ b/bench/internal/batch/account.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -47,6 +48,7 @@
 		r.observe(r.result.Urgent, waited)
 		if waited > urgentBound {
 			r.result.UrgentLate++
+			r.result.Late[fmt.Sprintf("%s in %s: %s", record.Spec.Shape, c.id, reasonOf(record))]++
 		}
 	}
 	if j.reclaims {
@@ -57,6 +59,16 @@
 	}
 }
 
+// reasonOf names the last reason for waiting in a record.
+func reasonOf(record jobs.Record) string {
+	for _, note := range slices.Backward(record.History) {
+		if note.Action == "blocked" {
+			return note.Reason
+		}
+	}
+	return "no reason noted"
+}
+
 // copyOf names the copy of a guarantee that a placement takes.
 func copyOf(record jobs.Record) string {
 	for _, note := range slices.Backward(record.History) {
--- a/bench/internal/batch/measure.go
+++ b/bench/internal/batch/measure.go
@@ -112,7 +112,8 @@
 				sum(results, func(r *Result) int { return r.Moved }), over(results, func(r *Result) float64 { return r.OfQuota }))
 		}
 	}
-	noteStuck(broken, deployments, all)
+	noteCounts(broken, "%s, design: %d times %s never started.", deployments, all, func(r *Result) map[string]int { return r.Stuck })
+	noteCounts(waits, "%s, design: %d urgent starts over 6.7 s of %s.", deployments, all, func(r *Result) map[string]int { return r.Late })
 	completion.Note("Figures are the median (lowest..highest) over the seeds; ratios compare the same seed. Only jobs that all policies completed are compared, because a policy that leaves jobs out would look better; the last table counts those.")
 	change.Note("Fragmentation is sampled every 5 s in each data centre in service, with the physically free accelerators of all variants; the window of the change ends 10 min after the return. Allowed is the capacity in service; work that cannot be moved runs on in the leaving data centre and counts as well.")
 	return []*table.Table{completion, waits, change, broken}
@@ -126,17 +127,17 @@
 	return total
 }
 
-// noteStuck names the jobs that the design never started.
-func noteStuck(t *table.Table, deployments []Deployment, all []outcome) {
+// noteCounts adds up counts of the design over the seeds and notes each.
+func noteCounts(t *table.Table, format string, deployments []Deployment, all []outcome, of func(*Result) map[string]int) {
 	for d, deployment := range deployments {
 		counts := map[string]int{}
 		for _, result := range all[d][0] {
-			for what, count := range result.Stuck {
+			for what, count := range of(result) {
 				counts[what] += count
 			}
 		}
 		for _, what := range sorted(counts) {
-			t.Note("%s, design: %d times %s never started.", deployment.Name, counts[what], what)
+			t.Note(format, deployment.Name, counts[what], what)
 		}
 	}
 }
--- a/bench/internal/batch/run.go
+++ b/bench/internal/batch/run.go
@@ -50,6 +50,8 @@
 	Done, Failed     int
 	// Stuck counts the jobs that could not start although nothing else ran, by class, shape and data centre.
 	Stuck map[string]int
+	// Late counts urgent starts over the bound by shape, data centre and the reason that the record names.
+	Late map[string]int
 	// UrgentLate counts urgent starts over the bound, and OverQuota urgent jobs of customers without enough quota left,
 	// which are not in Urgent.
 	UrgentLate, OverQuota int
@@ -153,8 +155,8 @@
 		centres: map[model.DataCentreID]*centre{}, order: sorted(set.DataCentres),
 		jobs: map[model.JobID]*job{}, queued: map[model.JobID]model.DataCentreID{}, held: map[model.CustomerID]float64{},
 		result: &Result{
-			Stuck: map[string]int{},
-			Took:  map[model.JobID]Took{}, Urgent: histogram(), Reclaim: histogram(), Fragmentation: histogram(),
+			Late: map[string]int{}, Stuck: map[string]int{},
+			Took: map[model.JobID]Took{}, Urgent: histogram(), Reclaim: histogram(), Fragmentation: histogram(),
 		},
 	}
 }
--- a/bench/main.go
+++ b/bench/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"os"
@@ -106,10 +107,19 @@
 	return part{}, false
 }
 
-func run(ctx context.Context, o options) error {
+func run(ctx context.Context, o options) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, runTimeout)
 	defer cancel()
 	report := table.Report{Command: strings.Join(os.Args, " "), Seeds: o.seeds, Tables: []*table.Table{}}
+	if o.json != "" {
+		// The file is opened before the run, so that a wrong path does not cost the results; it gets what there is, also
+		// when a part fails.
+		file, createErr := os.Create(o.json)
+		if createErr != nil {
+			return fmt.Errorf("creating the results' file: %w", createErr)
+		}
+		defer func() { err = errors.Join(err, report.JSON(file), file.Close()) }()
+	}
 	fmt.Printf("command: %s\nseeds: %v\n", report.Command, o.seeds)
 	for _, name := range o.only {
 		p, _ := findPart(name)
@@ -118,30 +128,13 @@
 		if err != nil {
 			return fmt.Errorf("%s: %w", name, err)
 		}
+		report.Tables = append(report.Tables, tables...)
 		for _, t := range tables {
 			if err := t.Print(os.Stdout); err != nil {
 				return err
 			}
 		}
 		fmt.Printf("\n%s took %s\n", name, time.Since(began).Round(100*time.Millisecond))
-		report.Tables = append(report.Tables, tables...)
-	}
-	if o.json == "" {
-		return nil
-	}
-	return writeJSON(o.json, &report)
-}
-
-func writeJSON(path string, report *table.Report) error {
-	file, err := os.Create(path) //nolint:gosec // The path is the caller's choice.
-	if err != nil {
-		return fmt.Errorf("creating the results' file: %w", err)
-	}
-	if err := report.JSON(file); err != nil {
-		return err
-	}
-	if err := file.Close(); err != nil {
-		return fmt.Errorf("writing the results' file: %w", err)
 	}
 	return nil
 }
