--- a/bench/main.go
+++ b/bench/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"os"
@@ -15,6 +16,7 @@
 
 	"peridotgw.example/peridotgw/bench/internal/batch"
 	"peridotgw.example/peridotgw/bench/internal/calls"
+	"peridotgw.example/peridotgw/bench/internal/fleet"
 	"peridotgw.example/peridotgw/bench/internal/gangs"
 	"peridotgw.example/peridotgw/bench/internal/speed"
 	"peridotgw.example/peridotgw/bench/internal/table"
@@ -84,6 +86,7 @@
 		{"gangs", runGangs},
 		{"requests", runRequests},
 		{"speed", runSpeed},
+		{"fleet", runFleet},
 	}
 }
 
@@ -104,10 +107,19 @@
 	return part{}, false
 }
 
-func run(ctx context.Context, o options) error {
+func run(ctx context.Context, o options) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, runTimeout)
 	defer cancel()
 	report := table.Report{Command: strings.Join(os.Args, " "), Seeds: o.seeds, Tables: []*table.Table{}}
+	if o.json != "" {
+		// The file is opened before the run, so that a wrong path does not cost the results; it gets what there is, also
+		// when a part fails.
+		file, createErr := os.Create(o.json)
+		if createErr != nil {
+			return fmt.Errorf("creating the results' file: %w", createErr)
+		}
+		defer func() { err = errors.Join(err, report.JSON(file), file.Close()) }()
+	}
 	fmt.Printf("command: %s\nseeds: %v\n", report.Command, o.seeds)
 	for _, name := range o.only {
 		p, _ := findPart(name)
@@ -116,30 +128,13 @@
 		if err != nil {
 			return fmt.Errorf("%s: %w", name, err)
 		}
+		report.Tables = append(report.Tables, tables...)
 		for _, t := range tables {
 			if err := t.Print(os.Stdout); err != nil {
 				return err
 			}
 		}
 		fmt.Printf("\n%s took %s\n", name, time.Since(began).Round(100*time.Millisecond))
-		report.Tables = append(report.Tables, tables...)
-	}
-	if o.json == "" {
-		return nil
-	}
-	return writeJSON(o.json, &report)
-}
-
-func writeJSON(path string, report *table.Report) error {
-	file, err := os.Create(path) //nolint:gosec // The path is the caller's choice.
-	if err != nil {
-		return fmt.Errorf("creating the results' file: %w", err)
-	}
-	if err := report.JSON(file); err != nil {
-		return err
-	}
-	if err := file.Close(); err != nil {
-		return fmt.Errorf("writing the results' file: %w", err)
 	}
 	return nil
 }
@@ -171,7 +166,20 @@
 		return nil, err
 	}
 	applying, err := speed.Apply(ctx, sizes)
-	return append(placing, applying...), err
+	if err != nil {
+		return nil, err
+	}
+	hop, err := speed.Hop(ctx, o.quick)
+	return append(append(hop, placing...), applying...), err
+}
+
+func runFleet(ctx context.Context, o options) ([]*table.Table, error) {
+	// Owners' watches wait for 30 s and count when they end.
+	sizes, window := []int{3, 6, 9, 18}, 32*time.Second
+	if o.quick {
+		sizes, window = []int{3}, 2*time.Second
+	}
+	return fleet.Measure(ctx, o.bin, filepath.Join(o.examples, "hollow-creek"), sizes, window)
 }
 
 func runGangs(ctx context.Context, o options) ([]*table.Table, error) {
