bench: requests refused by a full endpoint queue again, as in front

Cause: the driver calls queue and relay directly, so it did not show what front does with a full endpoint's refusal. Change: the driver queues such requests again, for every selection rule.

--- a/bench/internal/calls/run.go
+++ b/bench/internal/calls/run.go
@@ -215,25 +215,46 @@
 func (r *run) one(ctx context.Context, to *instance, c class, customer model.CustomerID, n int) {
 	arrived := time.Now()
 	deadline := arrived.Add(c.timeout)
-	ticket, refused := to.queue.Wait(ctx, &queue.Item{
+	item := &queue.Item{
 		Class: c.id, Customer: customer, Priority: c.priority, Limit: c.limit, Timeout: c.timeout, Deadline: deadline,
-	})
-	result := relay.Result{Err: refused}
-	if refused == nil {
-		sent := time.Now()
-		result = to.relay.Send(ctx, &relay.Request{
-			ID: model.RequestID(fmt.Sprintf("r%d", n)), Class: c.id, Customer: customer, Idempotent: c.idempotent, Hedge: c.hedge, Deadline: deadline,
-		}, ticket.Pick)
-		if result.Err != nil && result.Err.Outcome == reply.OutcomeRefused {
-			ticket.Cancel()
-		} else {
-			ticket.Done(time.Since(sent))
+	}
+	request := &relay.Request{
+		ID: model.RequestID(fmt.Sprintf("r%d", n)), Class: c.id, Customer: customer, Idempotent: c.idempotent, Hedge: c.hedge, Deadline: deadline,
+	}
+	result, attempts := relay.Result{}, 0
+	// A full endpoint's refusal goes back to the queue, as package front does it.
+	for range maxMoves + 1 {
+		result = r.send(ctx, to, item, request)
+		attempts += result.Attempts
+		if !result.Full {
+			break
 		}
+		item.OwnOnly = true
 	}
+	result.Attempts = attempts
 	r.end(c.id, result, arrived)
 	result.Answer.Free()
 }
 
+// maxMoves is that of package front.
+const maxMoves = 4
+
+// send queues a request and sends it once it has a slot.
+func (r *run) send(ctx context.Context, to *instance, item *queue.Item, request *relay.Request) relay.Result {
+	ticket, refused := to.queue.Wait(ctx, item)
+	if refused != nil {
+		return relay.Result{Err: refused}
+	}
+	sent := time.Now()
+	result := to.relay.Send(ctx, request, ticket.Pick)
+	if result.Err != nil && result.Err.Outcome == reply.OutcomeRefused {
+		ticket.Cancel()
+	} else {
+		ticket.Done(time.Since(sent))
+	}
+	return result
+}
+
 // end accounts one request.
 func (r *run) end(id model.RequestClassID, result relay.Result, arrived time.Time) {
 	took := time.Since(arrived)
