sched, place: no job waits for racks that it can never get

A job that cannot be stopped went to data centres whose unbound part can never take it, since place.Fits counts bound accelerators too; and a large job kept its hold on racks that had lost the room for it, which blocked small jobs for good. Change: FitsJob counts bound accelerators only for work that may use them, at submission and in the choice of a data centre; a hold ends when its racks do not fit any more.

--- a/internal/place/check.go
+++ b/internal/place/check.go
@@ -88,3 +88,22 @@
 	}
 	return shape.Tasks > 0 && tasks >= int(shape.Tasks)
 }
+
+// FitsJob reports whether a job could be placed in the declared racks of a data centre if no other job ran. Work that cannot
+// be stopped gets no accelerator that is bound to a guarantee, unless it fills a copy of its own customer's.
+func FitsJob(set *model.Set, dc model.DataCentreID, job Job) bool {
+	if !Fits(set, dc, job.Shape) {
+		return false
+	}
+	if stoppable(set.JobClasses[job.Class]) {
+		return true
+	}
+	for _, g := range set.Guarantees {
+		if g.Customer == job.Customer && g.DataCentre == dc && g.Shape == job.Shape && g.Count > 0 {
+			return true
+		}
+	}
+	cluster := NewCluster(set, dc)
+	cluster.SetWorkers(Declared(set, dc))
+	return cluster.Possible(job)
+}
--- a/internal/place/hold.go
+++ b/internal/place/hold.go
@@ -42,6 +42,24 @@
 	return false
 }
 
+// HoldFits reports whether the held racks can still take the job that holds them; workers that fail and bindings that move
+// take room from them.
+func (c *Cluster) HoldFits(job Job) bool {
+	shape, class := c.set.Shapes[job.Shape], c.set.JobClasses[job.Class]
+	m := modeFirm
+	if stoppable(class) {
+		m = modeSoft
+	}
+	loose := 0
+	for r := range c.held {
+		fits := r.mayFit(shape, m, nil)
+		if loose += fits; fits >= int(shape.Tasks) {
+			return true
+		}
+	}
+	return shape.Adjacency == model.AdjacencyAny && loose >= int(shape.Tasks)
+}
+
 // Possible reports whether a job could be placed, without the workers that it avoids, if no other job ran.
 func (c *Cluster) Possible(job Job) bool {
 	shape, class := c.set.Shapes[job.Shape], c.set.JobClasses[job.Class]
--- a/internal/place/plan_test.go
+++ b/internal/place/plan_test.go
@@ -113,6 +113,31 @@
 		Expect(holder).To(BeEmpty(), "the hold ends when the job is placed")
 	})
 
+	// Guards against a hold that blocks a data centre for good, because its racks lost the room for the job that holds them.
+	It("shows that a hold does not fit any more when its rack loses workers", func() {
+		set := county(1, 6)
+		c := cluster(set, place.Options{})
+		put(c, job("firm", "b", "firm", "half"))
+		large := job("large", "a", "firm", "rack")
+		Expect(c.Hold(large)).To(BeTrue())
+		Expect(c.HoldFits(large)).To(BeTrue())
+		workers := place.Declared(set, "dc")
+		workers[0].State = place.WorkerClosed
+		c.SetWorkers(workers)
+		Expect(c.HoldFits(large)).To(BeFalse())
+	})
+
+	// Guards against work that waits for ever in a data centre whose free part can never take it.
+	DescribeTable("counts bound racks only for work that may use them", func(customer model.CustomerID, class model.JobClassID, want bool) {
+		set := county(1, 6)
+		guarantee(set, "g", "a", "rack", 1)
+		Expect(place.FitsJob(set, "dc", job("j", customer, class, "rack"))).To(Equal(want))
+	},
+		Entry("another customer's work that can be stopped", model.CustomerID("b"), model.JobClassID("soft"), true),
+		Entry("another customer's work that cannot be stopped", model.CustomerID("b"), model.JobClassID("firm"), false),
+		Entry("the customer's own work", model.CustomerID("a"), model.JobClassID("firm"), true),
+	)
+
 	// Guards against reasons that do not tell an operator what to change.
 	DescribeTable("explains why a job is blocked", func(prepare func(*model.Set, *place.Cluster), class model.JobClassID, shape model.ShapeID, want place.BlockReason) {
 		set := county(2, 6)
--- a/internal/sched/pass.go
+++ b/internal/sched/pass.go
@@ -316,7 +316,7 @@
 // hold lets the oldest blocked large job hold racks.
 func (c *Core) hold(queue []*entry, now time.Time) {
 	holder, _ := c.cluster.Holder()
-	if e, found := c.entries[holder]; holder != "" && found && e.phase != phaseRunning {
+	if e, found := c.entries[holder]; holder != "" && found && e.phase != phaseRunning && c.cluster.HoldFits(c.job(e)) {
 		return
 	}
 	var oldest *entry
--- a/internal/sched/results.go
+++ b/internal/sched/results.go
@@ -267,7 +267,7 @@
 	var best model.DataCentreID
 	bestLoad := 0.0
 	for _, dc := range Allowed(set, spec) {
-		if dc == exclude || set.DataCentres[dc].Service != model.ServiceIn || !place.Fits(set, dc, spec.Shape) {
+		if dc == exclude || set.DataCentres[dc].Service != model.ServiceIn || !fits(set, dc, spec) {
 			continue
 		}
 		if dc == spec.DataCentre {
@@ -280,6 +280,10 @@
 	return best, best != ""
 }
 
+func fits(set *model.Set, dc model.DataCentreID, spec jobs.Spec) bool {
+	return place.FitsJob(set, dc, place.Job{ID: spec.ID, Customer: spec.Customer, Class: spec.Class, Shape: spec.Shape})
+}
+
 // Allowed lists the data centres in which the job's class may run, in order.
 func Allowed(set *model.Set, spec jobs.Spec) []model.DataCentreID {
 	listed := set.JobClasses[spec.Class].DataCentres
--- a/internal/sched/submit.go
+++ b/internal/sched/submit.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"peridotgw.example/peridotgw/internal/jobs"
-	"peridotgw.example/peridotgw/internal/place"
 	"peridotgw.example/peridotgw/internal/store"
 	"peridotgw.example/peridotgw/model"
 	"peridotgw.example/peridotgw/reply"
@@ -135,8 +134,9 @@
 	if spec.DataCentre != "" && !slices.Contains(allowed, spec.DataCentre) {
 		return reply.Refused(reply.ReasonNotAllowed, "job class %q may not run in data centre %q", spec.Class, spec.DataCentre)
 	}
-	if !slices.ContainsFunc(allowed, func(dc model.DataCentreID) bool { return place.Fits(set, dc, spec.Shape) }) {
-		return reply.Refused(reply.ReasonNeverFits, "shape %q (%d tasks of %d accelerators, adjacency %s) fits no data centre that may run class %q",
+	if !slices.ContainsFunc(allowed, func(dc model.DataCentreID) bool { return fits(set, dc, spec) }) {
+		return reply.Refused(reply.ReasonNeverFits,
+			"shape %q (%d tasks of %d accelerators, adjacency %s) fits no data centre that may run class %q, beside the guarantees there",
 			spec.Shape, shape.Tasks, shape.AcceleratorsPerTask, shape.Adjacency, spec.Class)
 	}
 	if quota := set.Customers[spec.Customer].QuotaAccelerators; quota > 0 && shape.Accelerators() > quota {
