eris: wrap and create errors with the declared library

Cause: the convention names eris, while most packages still wrapped with fmt.Errorf and created one-off errors with errors.New, so that errors carried no stack trace.

Texts are the same.

--- a/client/target.go
+++ b/client/target.go
@@ -14,6 +14,8 @@
 	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"peridotgw.example/peridotgw/model"
 	"peridotgw.example/peridotgw/reply"
 )
@@ -168,7 +170,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	if err := ctx.Err(); err != nil {
-		return answer{}, fmt.Errorf("sending to %s: %w", address, err)
+		return answer{}, eris.Wrapf(err, "sending to %s", address)
 	}
 	target := strings.TrimRight(address, "/") + c.path
 	if len(c.query) > 0 {
@@ -176,7 +178,7 @@
 	}
 	request, err := http.NewRequestWithContext(ctx, c.method, target, bytes.NewReader(c.body))
 	if err != nil {
-		return answer{}, fmt.Errorf("building call: %w", err)
+		return answer{}, eris.Wrap(err, "building call")
 	}
 	for name, values := range c.header {
 		request.Header[name] = values
@@ -184,7 +186,7 @@
 	if !c.deadline.IsZero() {
 		left := time.Until(c.deadline).Milliseconds()
 		if left < 1 {
-			return answer{}, fmt.Errorf("sending to %s: %w", address, context.DeadlineExceeded)
+			return answer{}, eris.Wrapf(context.DeadlineExceeded, "sending to %s", address)
 		}
 		request.Header.Set(reply.HeaderTimeout, strconv.FormatInt(left, 10))
 	}
@@ -226,7 +228,7 @@
 func classify(address string, err error) error {
 	var network *net.OpError
 	if errors.As(err, &network) && network.Op == "dial" {
-		return fmt.Errorf("connecting to %s: %w", address, err)
+		return eris.Wrapf(err, "connecting to %s", address)
 	}
 	return lost(reply.ReasonAnswerLost, "no answer came from %s: %v", address, err)
 }
@@ -254,7 +256,7 @@
 	}
 	if err := json.Unmarshal(got.body, &value); err != nil {
 		if c.reads {
-			return value, fmt.Errorf("decoding answer of %s %s: %w", c.method, c.path, err)
+			return value, eris.Wrapf(err, "decoding answer of %s %s", c.method, c.path)
 		}
 		return value, reply.Unknown(reply.ReasonAnswerIncomplete, "the answer cannot be decoded: %v", err)
 	}
--- a/internal/audit/batch.go
+++ b/internal/audit/batch.go
@@ -11,6 +11,8 @@
 	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"peridotgw.example/peridotgw/internal/store"
 	"peridotgw.example/peridotgw/model"
 )
@@ -50,7 +52,7 @@
 	case l.turn <- struct{}{}:
 		defer func() { <-l.turn }()
 	case <-ctx.Done():
-		return false, fmt.Errorf("waiting for another write: %w", ctx.Err())
+		return false, eris.Wrap(ctx.Err(), "waiting for another write")
 	}
 	if l.unsent == nil {
 		next, err := l.compose(limit)
@@ -89,7 +91,7 @@
 	})
 	value, err := json.Marshal(written)
 	if err != nil {
-		return nil, fmt.Errorf("encoding a batch of events: %w", err)
+		return nil, eris.Wrap(err, "encoding a batch of events")
 	}
 	at := time.Now()
 	return &batch{at: at, key: l.nextKey(at), value: value}, nil
@@ -117,10 +119,10 @@
 		case errors.As(err, &gone):
 			l.bucket.id = 0
 		default:
-			return fmt.Errorf("writing a batch of events: %w", err)
+			return eris.Wrap(err, "writing a batch of events")
 		}
 	}
-	return fmt.Errorf("writing a batch of events: no free key in %d tries", keyTries)
+	return eris.Errorf("writing a batch of events: no free key in %d tries", keyTries)
 }
 
 func (l *Log) nextKey(now time.Time) string {
@@ -143,6 +145,6 @@
 	case <-timer.C:
 		return nil
 	case <-ctx.Done():
-		return fmt.Errorf("waiting for the next write: %w", ctx.Err())
+		return eris.Wrap(ctx.Err(), "waiting for the next write")
 	}
 }
--- a/internal/audit/bucket.go
+++ b/internal/audit/bucket.go
@@ -3,10 +3,11 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"strconv"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"peridotgw.example/peridotgw/internal/store"
 	"peridotgw.example/peridotgw/model"
 )
@@ -28,7 +29,7 @@
 	if l.bucket.id == 0 || now.Sub(l.bucket.granted) >= bucketTime {
 		granted, err := l.Store.Grant(ctx, KeepFor+bucketTime)
 		if err != nil {
-			return 0, fmt.Errorf("granting the lease of events: %w", err)
+			return 0, eris.Wrap(err, "granting the lease of events")
 		}
 		l.bucket.id, l.bucket.granted, l.bucket.marked = granted.ID, now, 0
 	}
@@ -49,7 +50,7 @@
 		if errors.As(err, &gone) {
 			l.bucket.id = 0
 		}
-		return fmt.Errorf("marking the writer of events: %w", err)
+		return eris.Wrap(err, "marking the writer of events")
 	}
 	return nil
 }
--- a/internal/audit/explain.go
+++ b/internal/audit/explain.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
 	"peridotgw.example/peridotgw/internal/store"
@@ -87,7 +88,7 @@
 	for hour := hourOf(to); hour >= hourOf(from); hour-- {
 		listing, err := l.Store.List(ctx, markPrefix(hour))
 		if err != nil {
-			return nil, fmt.Errorf("listing the writers of events: %w", err)
+			return nil, eris.Wrap(err, "listing the writers of events")
 		}
 		for _, entry := range listing.Entries {
 			instance, err := writer(entry.Key)
@@ -132,7 +133,7 @@
 	digits := fmt.Sprintf("%013d", part.start.UnixMilli())[:sliceDigits]
 	listing, err := l.Store.List(ctx, store.Prefix("audit", string(part.instance))+digits)
 	if err != nil {
-		return nil, fmt.Errorf("listing events of instance %q: %w", part.instance, err)
+		return nil, eris.Wrapf(err, "listing events of instance %q", part.instance)
 	}
 	var events []Event
 	first := batchKey(part.instance, from, 0)
@@ -142,7 +143,7 @@
 		}
 		var written content
 		if err := json.Unmarshal(entry.Value, &written); err != nil {
-			return events, fmt.Errorf("decoding events %q: %w", entry.Key, err)
+			return events, eris.Wrapf(err, "decoding events %q", entry.Key)
 		}
 		events = append(events, matching(written.Events, s)...)
 	}
--- a/internal/claim/bucket.go
+++ b/internal/claim/bucket.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"peridotgw.example/peridotgw/internal/store"
 )
 
@@ -25,7 +26,7 @@
 	case turn <- struct{}{}:
 		defer func() { <-turn }()
 	case <-ctx.Done():
-		return 0, fmt.Errorf("waiting for the lease of claims: %w", ctx.Err())
+		return 0, eris.Wrap(ctx.Err(), "waiting for the lease of claims")
 	}
 	if b.buckets.id != 0 && time.Since(b.buckets.granted) < bucketTime {
 		return b.buckets.id, nil
@@ -34,7 +35,7 @@
 	granted, err := b.Store.Grant(ctx, KeepFor+bucketTime)
 	b.countWrite("grant", err)
 	if err != nil {
-		return 0, fmt.Errorf("granting the lease of claims: %w", err)
+		return 0, eris.Wrap(err, "granting the lease of claims")
 	}
 	b.buckets.id, b.buckets.granted = granted.ID, now
 	return granted.ID, nil
--- a/internal/claim/finish.go
+++ b/internal/claim/finish.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"strconv"
 
+	"github.com/rotisserie/eris"
+
 	"peridotgw.example/peridotgw/internal/store"
 )
 
@@ -66,7 +68,7 @@
 		c.book.countEnd(last.State, c.writes)
 	}
 	if err != nil {
-		return fmt.Errorf("ending claim %q as %s: %w", c.key, last.State, err)
+		return eris.Wrapf(err, "ending claim %q as %s", c.key, last.State)
 	}
 	return nil
 }
--- a/internal/claim/record.go
+++ b/internal/claim/record.go
@@ -2,9 +2,10 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"strconv"
 
+	"github.com/rotisserie/eris"
+
 	"peridotgw.example/peridotgw/internal/store"
 	"peridotgw.example/peridotgw/model"
 	"peridotgw.example/peridotgw/reply"
@@ -44,7 +45,7 @@
 func (r record) encode() ([]byte, error) {
 	value, err := json.Marshal(r)
 	if err != nil {
-		return nil, fmt.Errorf("encoding claim: %w", err)
+		return nil, eris.Wrap(err, "encoding claim")
 	}
 	return value, nil
 }
@@ -55,7 +56,7 @@
 		return record{State: stateReleased}, nil
 	}
 	if err := json.Unmarshal(entry.Value, &r); err != nil {
-		return r, fmt.Errorf("decoding claim %q: %w", entry.Key, err)
+		return r, eris.Wrapf(err, "decoding claim %q", entry.Key)
 	}
 	return r, nil
 }
--- a/internal/claim/retry.go
+++ b/internal/claim/retry.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 
+	"github.com/rotisserie/eris"
+
 	"peridotgw.example/peridotgw/internal/store"
 )
 
@@ -38,7 +40,7 @@
 			return err
 		}
 	}
-	c.abandon(errors.New("no writes left"))
+	c.abandon(eris.New("no writes left"))
 	return nil
 }
 
--- a/internal/config/follow.go
+++ b/internal/config/follow.go
@@ -3,9 +3,10 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"peridotgw.example/peridotgw/internal/store"
 	"peridotgw.example/peridotgw/model"
 )
@@ -71,7 +72,7 @@
 		f.counts.refused("stale-read")
 		return err
 	case err != nil:
-		return fmt.Errorf("reading head: %w", err)
+		return eris.Wrap(err, "reading head")
 	}
 	h, err := decodeHead(entry.Value)
 	if err != nil {
--- a/internal/config/head.go
+++ b/internal/config/head.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"peridotgw.example/peridotgw/model"
 )
 
@@ -89,7 +91,7 @@
 func decodeHead(data []byte) (head, error) {
 	var h head
 	if err := json.Unmarshal(data, &h); err != nil {
-		return head{}, fmt.Errorf("decoding head: %w", err)
+		return head{}, eris.Wrap(err, "decoding head")
 	}
 	if h.Revision == 0 {
 		return head{}, errNoRevision
@@ -121,13 +123,13 @@
 		}
 		var s segment
 		if err := json.Unmarshal(data, &s); err != nil {
-			return nil, fmt.Errorf("decoding segment %s: %w", hash, err)
+			return nil, eris.Wrapf(err, "decoding segment %s", hash)
 		}
 		objects = append(objects, s.Objects...)
 	}
 	set, err := model.FromObjects(objects)
 	if err != nil {
-		return nil, fmt.Errorf("assembling revision %d: %w", h.Revision, err)
+		return nil, eris.Wrapf(err, "assembling revision %d", h.Revision)
 	}
 	set.Revision, set.ChangeID = h.Revision, h.ChangeID
 	return set, nil
@@ -137,7 +139,7 @@
 func split(set *model.Set, previous head, changed map[model.Kind]bool) (map[model.Kind]string, map[string][]byte, error) {
 	objects, err := set.Objects()
 	if err != nil {
-		return nil, nil, fmt.Errorf("encoding objects: %w", err)
+		return nil, nil, eris.Wrap(err, "encoding objects")
 	}
 	byKind := map[model.Kind][]model.Object{}
 	for _, object := range objects {
@@ -151,7 +153,7 @@
 		}
 		data, err := json.Marshal(segment{Revision: set.Revision, ChangeID: set.ChangeID, Objects: part})
 		if err != nil {
-			return nil, nil, fmt.Errorf("encoding segment of kind %s: %w", kind, err)
+			return nil, nil, eris.Wrapf(err, "encoding segment of kind %s", kind)
 		}
 		hash := hashOf(data)
 		hashes[kind], fresh[hash] = hash, data
--- a/internal/config/janitor.go
+++ b/internal/config/janitor.go
@@ -5,11 +5,11 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"slices"
 	"strconv"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"golang.org/x/time/rate"
 
 	"peridotgw.example/peridotgw/internal/store"
@@ -43,10 +43,10 @@
 	}
 	c := &cleaner{Publisher: p, limit: limit, now: now, before: p.wall().Add(-cmp.Or(keep, DefaultKeep))}
 	if err := c.history(ctx); err != nil {
-		return c.done, fmt.Errorf("cleaning history: %w", err)
+		return c.done, eris.Wrap(err, "cleaning history")
 	}
 	if err := c.changes(ctx); err != nil {
-		return c.done, fmt.Errorf("cleaning change records: %w", err)
+		return c.done, eris.Wrap(err, "cleaning change records")
 	}
 	return c.done, nil
 }
@@ -153,12 +153,12 @@
 	for _, start := range nameStarts {
 		listing, err := c.Store.List(ctx, changePrefix+string(start))
 		if err != nil {
-			return fmt.Errorf("listing change records: %w", err)
+			return eris.Wrap(err, "listing change records")
 		}
 		for _, entry := range listing.Entries {
 			var rec record
 			if err := json.Unmarshal(entry.Value, &rec); err != nil {
-				return fmt.Errorf("decoding change record %s: %w", entry.Key, err)
+				return eris.Wrapf(err, "decoding change record %s", entry.Key)
 			}
 			if rec.Target >= c.oldest || rec.At.After(c.before) {
 				continue
@@ -178,7 +178,7 @@
 // remove deletes a key; one that is gone already is no error.
 func (c *cleaner) remove(ctx context.Context, key string, version store.Version, count *int) error {
 	if err := c.limit.Wait(ctx); err != nil {
-		return fmt.Errorf("waiting to delete %s: %w", key, err)
+		return eris.Wrapf(err, "waiting to delete %s", key)
 	}
 	err := again(ctx, func() error { return c.Store.Delete(ctx, key, version) })
 	var missing *store.NotFoundError
@@ -186,7 +186,7 @@
 		return nil
 	}
 	if err != nil {
-		return fmt.Errorf("deleting %s: %w", key, err)
+		return eris.Wrapf(err, "deleting %s", key)
 	}
 	*count++
 	return nil
@@ -204,7 +204,7 @@
 	}
 	revision, err := strconv.ParseUint(string(entry.Value), 10, 64)
 	if err != nil {
-		return fmt.Errorf("decoding %s: %w", oldestKey, err)
+		return eris.Wrapf(err, "decoding %s", oldestKey)
 	}
 	c.oldest, c.version = model.Revision(revision), entry.Version
 	return nil
@@ -214,7 +214,7 @@
 	value := []byte(strconv.FormatUint(uint64(c.oldest), 10))
 	entry, err := c.Store.Put(ctx, oldestKey, value, c.version, 0)
 	if err != nil {
-		return fmt.Errorf("writing %s: %w", oldestKey, err)
+		return eris.Wrapf(err, "writing %s", oldestKey)
 	}
 	c.version = entry.Version
 	return nil
--- a/internal/config/peer.go
+++ b/internal/config/peer.go
@@ -3,9 +3,10 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"peridotgw.example/peridotgw/internal/member"
 	"peridotgw.example/peridotgw/internal/wire"
 	"peridotgw.example/peridotgw/model"
@@ -124,7 +125,7 @@
 		return err
 	}
 	if h.Revision < wanted && f.Current() == nil {
-		return fmt.Errorf("peer %s has revision %d, not %d: %w", peer, h.Revision, wanted, errNoSnapshot)
+		return eris.Wrapf(errNoSnapshot, "peer %s has revision %d, not %d", peer, h.Revision, wanted)
 	}
 	segments := map[string][]byte{}
 	for _, hash := range h.hashes() {
--- a/internal/config/publish.go
+++ b/internal/config/publish.go
@@ -5,9 +5,10 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"slices"
 
+	"github.com/rotisserie/eris"
+
 	"peridotgw.example/peridotgw/internal/store"
 	"peridotgw.example/peridotgw/model"
 	"peridotgw.example/peridotgw/reply"
@@ -149,22 +150,22 @@
 	if rec == nil || rec.Target != wanted.Target || !slices.Equal(rec.Segments, wanted.Segments) {
 		data, err := json.Marshal(wanted)
 		if err != nil {
-			return fmt.Errorf("encoding change record: %w", err)
+			return eris.Wrap(err, "encoding change record")
 		}
 		if err := p.put(ctx, changeKey(p.change.ID), data, version); err != nil {
-			return fmt.Errorf("writing change record: %w", err)
+			return eris.Wrap(err, "writing change record")
 		}
 	}
 	for _, hash := range hashes {
 		if err := p.put(ctx, segmentPrefix+hash, plan.fresh[hash], 0); err != nil {
-			return fmt.Errorf("writing segment: %w", err)
+			return eris.Wrap(err, "writing segment")
 		}
 	}
 	if now.head.Revision == 0 {
 		return nil
 	}
 	if err := p.put(ctx, historyKey(now.head.Revision), now.raw, 0); err != nil {
-		return fmt.Errorf("writing history: %w", err)
+		return eris.Wrap(err, "writing history")
 	}
 	return nil
 }
--- a/internal/config/read.go
+++ b/internal/config/read.go
@@ -4,11 +4,12 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"maps"
 	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"peridotgw.example/peridotgw/internal/store"
 	"peridotgw.example/peridotgw/model"
 )
@@ -35,7 +36,7 @@
 		return err
 	})
 	if err != nil {
-		return observed{}, fmt.Errorf("proving reads current: %w", err)
+		return observed{}, eris.Wrap(err, "proving reads current")
 	}
 	return p.readHead(ctx, lease.Revision)
 }
@@ -52,7 +53,7 @@
 		return observed{seen: missing.Revision}, nil
 	}
 	if err != nil {
-		return observed{}, fmt.Errorf("reading head: %w", err)
+		return observed{}, eris.Wrap(err, "reading head")
 	}
 	return observe(entry)
 }
@@ -76,7 +77,7 @@
 		return nil, 0, nil
 	}
 	if err != nil {
-		return nil, 0, fmt.Errorf("reading change record: %w", err)
+		return nil, 0, eris.Wrap(err, "reading change record")
 	}
 	rec, err := decodeRecord(entry.Value)
 	return rec, entry.Version, err
@@ -85,7 +86,7 @@
 func decodeRecord(data []byte) (*record, error) {
 	var rec record
 	if err := json.Unmarshal(data, &rec); err != nil {
-		return nil, fmt.Errorf("decoding change record: %w", err)
+		return nil, eris.Wrap(err, "decoding change record")
 	}
 	return &rec, nil
 }
@@ -98,7 +99,7 @@
 	}
 	h, err := p.headAt(ctx, rec.Target, now)
 	if err != nil {
-		return head{}, false, fmt.Errorf("reading revision %d: %w", rec.Target, err)
+		return head{}, false, eris.Wrapf(err, "reading revision %d", rec.Target)
 	}
 	return h, h.ChangeID == rec.ChangeID && h.Digest == rec.Digest, nil
 }
@@ -158,7 +159,7 @@
 			return nil, &MissingSegmentError{Revision: h.Revision, Hash: hash}
 		}
 		if err != nil {
-			return nil, fmt.Errorf("reading segment %s: %w", hash, err)
+			return nil, eris.Wrapf(err, "reading segment %s", hash)
 		}
 		segments[hash] = entry.Value
 	}
--- a/internal/fakekv/do.go
+++ b/internal/fakekv/do.go
@@ -3,9 +3,10 @@
 import (
 	"bytes"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
+
+	"github.com/rotisserie/eris"
 )
 
 // ErrAnswerLost is what Do returns when the handler breaks the connection.
@@ -53,7 +54,7 @@
 	}
 	body, err := io.ReadAll(r.Body)
 	if err = errors.Join(err, r.Body.Close()); err != nil {
-		return nil, fmt.Errorf("reading the request: %w", err)
+		return nil, eris.Wrap(err, "reading the request")
 	}
 	sent.Body = io.NopCloser(bytes.NewReader(body))
 	return sent, nil
--- a/internal/fakewk/network.go
+++ b/internal/fakewk/network.go
@@ -2,10 +2,11 @@
 
 import (
 	"errors"
-	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"sync"
+
+	"github.com/rotisserie/eris"
 )
 
 // Network calls handlers by their address without sockets, so that tests can run under virtual time.
@@ -42,7 +43,7 @@
 	cut := n.cut[req.URL.Host]
 	n.mu.Unlock()
 	if !found {
-		return nil, fmt.Errorf("no handler at %s", req.URL.Host)
+		return nil, eris.Errorf("no handler at %s", req.URL.Host)
 	}
 	if cut {
 		<-req.Context().Done()
--- a/internal/front/drain.go
+++ b/internal/front/drain.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 // DefaultLinger is how long connections that are idle when accepting stops stay open: a caller that sends on one of them
@@ -55,7 +56,7 @@
 		shut = func(ctx context.Context, server *http.Server) error { return server.Shutdown(ctx) }
 	}
 	if err := shut(ctx, server); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-		return fmt.Errorf("draining callers: %w", err)
+		return eris.Wrap(err, "draining callers")
 	}
 	return nil
 }
@@ -63,7 +64,7 @@
 // finishInFlight waits for handlers, and for outcomes of claims that are still being written.
 func (s *Server) finishInFlight(ctx context.Context) error {
 	if err := s.inFlight.wait(ctx); err != nil {
-		return fmt.Errorf("draining callers: %w", err)
+		return eris.Wrap(err, "draining callers")
 	}
 	return nil
 }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -4,13 +4,13 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
 	"peridotgw.example/peridotgw/internal/metric"
@@ -139,13 +139,13 @@
 	select {
 	case err := <-ended:
 		if !accepting.stopping.Load() && !errors.Is(err, http.ErrServerClosed) {
-			return fmt.Errorf("serving callers: %w", err)
+			return eris.Wrap(err, "serving callers")
 		}
 		<-ctx.Done()
 	case <-ctx.Done():
 	}
 	if err := server.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
-		return fmt.Errorf("closing the callers' listener: %w", err)
+		return eris.Wrap(err, "closing the callers' listener")
 	}
 	return nil
 }
--- a/internal/gang/driver.go
+++ b/internal/gang/driver.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
@@ -142,7 +143,7 @@
 	starting.State = jobs.StateStarting
 	if !d.StartAndUndo && time.Until(deadline) < d.Times.MinLeft {
 		d.ReleaseAll(ctx, record)
-		cause := fmt.Errorf("%v left of the reservations, %v needed", time.Until(deadline), d.Times.MinLeft)
+		cause := eris.Errorf("%v left of the reservations, %v needed", time.Until(deadline), d.Times.MinLeft)
 		return record, &NotStartedError{Job: record.Spec.ID, Phase: "time-left", Cause: cause}
 	}
 	stored, err := d.Record(ctx, starting)
--- a/internal/gang/recover.go
+++ b/internal/gang/recover.go
@@ -3,10 +3,11 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"peridotgw.example/peridotgw/internal/jobs"
 	"peridotgw.example/peridotgw/internal/worker"
 	"peridotgw.example/peridotgw/model"
@@ -27,7 +28,7 @@
 	sentAt := time.Now()
 	live, least, err := d.inspect(ctx, stored)
 	if err == nil && !live {
-		err = fmt.Errorf("a reservation or task of the gang is gone")
+		err = eris.New("a reservation or task of the gang is gone")
 	}
 	if err != nil {
 		return stored, d.undo(ctx, stored, err)
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
 	"peridotgw.example/peridotgw/internal/store"
@@ -55,7 +56,7 @@
 	key := Key(record.DataCentre, record.Spec.ID)
 	value, err := json.Marshal(record)
 	if err != nil {
-		return Record{}, fmt.Errorf("encoding job record %q: %w", key, err)
+		return Record{}, eris.Wrapf(err, "encoding job record %q", key)
 	}
 	maybe := false
 	for attempt := 1; ; attempt++ {
@@ -70,13 +71,13 @@
 		}
 		var unavailable *store.UnavailableError
 		if !errors.As(err, &unavailable) {
-			return Record{}, fmt.Errorf("writing job record %q: %w", key, err)
+			return Record{}, eris.Wrapf(err, "writing job record %q", key)
 		}
 		// One send in doubt leaves the whole write in doubt, whatever the later sends say.
 		maybe = maybe || unavailable.MaybeApplied
 		unavailable.MaybeApplied = maybe
 		if !maybe || attempt == writeAttempts || ctx.Err() != nil {
-			return Record{}, fmt.Errorf("writing job record %q: %w", key, err)
+			return Record{}, eris.Wrapf(err, "writing job record %q", key)
 		}
 	}
 }
@@ -101,7 +102,7 @@
 func (b *Book) Get(ctx context.Context, dc model.DataCentreID, id model.JobID) (Record, error) {
 	entry, err := b.Store.Get(ctx, Key(dc, id), 0)
 	if err != nil {
-		return Record{}, fmt.Errorf("reading job record: %w", err)
+		return Record{}, eris.Wrap(err, "reading job record")
 	}
 	return decode(entry)
 }
@@ -125,7 +126,7 @@
 func (b *Book) ListAt(ctx context.Context, dc model.DataCentreID) (Page, error) {
 	listing, err := b.Store.List(ctx, Prefix(dc))
 	if err != nil {
-		return Page{}, fmt.Errorf("listing job records: %w", err)
+		return Page{}, eris.Wrap(err, "listing job records")
 	}
 	return b.page(dc, listing), nil
 }
@@ -134,7 +135,7 @@
 func (b *Book) Watch(ctx context.Context, dc model.DataCentreID, after store.Revision, wait time.Duration) (Page, error) {
 	listing, err := b.Store.Watch(ctx, Prefix(dc), after, wait)
 	if err != nil {
-		return Page{}, fmt.Errorf("watching job records: %w", err)
+		return Page{}, eris.Wrap(err, "watching job records")
 	}
 	return b.page(dc, listing), nil
 }
@@ -166,7 +167,7 @@
 	err := b.Store.Delete(ctx, Key(record.DataCentre, record.Spec.ID), record.Version)
 	var gone *store.NotFoundError
 	if err != nil && !errors.As(err, &gone) {
-		return fmt.Errorf("removing job record: %w", err)
+		return eris.Wrap(err, "removing job record")
 	}
 	return nil
 }
--- a/internal/jobs/identity.go
+++ b/internal/jobs/identity.go
@@ -3,7 +3,8 @@
 import (
 	"context"
 	"errors"
-	"fmt"
+
+	"github.com/rotisserie/eris"
 
 	"peridotgw.example/peridotgw/internal/store"
 	"peridotgw.example/peridotgw/model"
@@ -24,7 +25,7 @@
 		}
 		var unavailable *store.UnavailableError
 		if !errors.As(err, &unavailable) || !unavailable.MaybeApplied || attempt == writeAttempts || ctx.Err() != nil {
-			return "", false, fmt.Errorf("claiming job id: %w", err)
+			return "", false, eris.Wrap(err, "claiming job id")
 		}
 	}
 }
@@ -40,7 +41,7 @@
 		err = b.Store.Delete(ctx, IDKey(id), entry.Version)
 	}
 	if err != nil && !errors.As(err, &gone) {
-		return fmt.Errorf("removing claim of job id: %w", err)
+		return eris.Wrap(err, "removing claim of job id")
 	}
 	return nil
 }
--- a/internal/jobs/record.go
+++ b/internal/jobs/record.go
@@ -2,11 +2,12 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net/url"
 	"reflect"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"peridotgw.example/peridotgw/internal/store"
 	"peridotgw.example/peridotgw/model"
 	"peridotgw.example/peridotgw/reply"
@@ -158,7 +159,7 @@
 func decode(entry store.Entry) (Record, error) {
 	var record Record
 	if err := json.Unmarshal(entry.Value, &record); err != nil {
-		return Record{}, fmt.Errorf("decoding job record %q: %w", entry.Key, err)
+		return Record{}, eris.Wrapf(err, "decoding job record %q", entry.Key)
 	}
 	record.Version = entry.Version
 	return record, nil
--- a/internal/jsonc/document.go
+++ b/internal/jsonc/document.go
@@ -13,6 +13,7 @@
 	"strings"
 	"unicode/utf8"
 
+	"github.com/rotisserie/eris"
 	"github.com/tailscale/hujson"
 )
 
@@ -39,14 +40,14 @@
 func Open(path string) (*Document, error) {
 	file, err := os.Open(path)
 	if err != nil {
-		return nil, fmt.Errorf("reading file: %w", err)
+		return nil, eris.Wrap(err, "reading file")
 	}
 	source, err := io.ReadAll(io.LimitReader(file, MaxFileBytes+1))
 	if closeErr := file.Close(); err == nil {
 		err = closeErr
 	}
 	if err != nil {
-		return nil, fmt.Errorf("reading file: %w", err)
+		return nil, eris.Wrap(err, "reading file")
 	}
 	if len(source) > MaxFileBytes {
 		return nil, &Error{Path: path, Problems: []Problem{{Message: fmt.Sprintf("the file is larger than %d bytes", MaxFileBytes)}}}
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 )
@@ -99,7 +100,7 @@
 		}
 		group.Go(func() error {
 			if err := service.Run(groupCtx); err != nil && !errors.Is(err, context.Canceled) {
-				return fmt.Errorf("running service %q: %w", service.Name, err)
+				return eris.Wrapf(err, "running service %q", service.Name)
 			}
 			return nil
 		})
@@ -124,7 +125,7 @@
 			continue
 		}
 		if err := service.Stop(stopCtx); err != nil {
-			errs = append(errs, fmt.Errorf("stopping service %q: %w", service.Name, err))
+			errs = append(errs, eris.Wrapf(err, "stopping service %q", service.Name))
 		}
 		k.Log.Debug().Str("service", string(service.Name)).Msg("kernel: service stopped")
 	}
--- a/internal/lease/owner.go
+++ b/internal/lease/owner.go
@@ -4,7 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
+
+	"github.com/rotisserie/eris"
 
 	"peridotgw.example/peridotgw/internal/store"
 	"peridotgw.example/peridotgw/model"
@@ -39,7 +40,7 @@
 	}
 	value, err := json.Marshal(Record{Instance: h.Instance, Incarnation: h.Incarnation})
 	if err != nil {
-		return 0, fmt.Errorf("encoding ownership of %q: %w", key, err)
+		return 0, eris.Wrapf(err, "encoding ownership of %q", key)
 	}
 	return h.acquire(ctx, key, value, id)
 }
@@ -79,7 +80,7 @@
 		case doubt != nil:
 			return 0, h.doubt(key, id, doubt)
 		default:
-			return 0, fmt.Errorf("acquiring %q: %w", key, err)
+			return 0, eris.Wrapf(err, "acquiring %q", key)
 		}
 	}
 	if doubt != nil {
@@ -129,7 +130,7 @@
 func (h *Holder) free(ctx context.Context, key string, version store.Version, id store.LeaseID) error {
 	value, err := json.Marshal(Record{})
 	if err != nil {
-		return fmt.Errorf("encoding release of %q: %w", key, err)
+		return eris.Wrapf(err, "encoding release of %q", key)
 	}
 	for range writeTries {
 		_, err = h.Store.Put(ctx, key, value, version, id)
@@ -154,7 +155,7 @@
 	}
 	var record Record
 	if err := json.Unmarshal(entry.Value, &record); err != nil {
-		return Record{}, fmt.Errorf("decoding ownership of %q: %w", entry.Key, err)
+		return Record{}, eris.Wrapf(err, "decoding ownership of %q", entry.Key)
 	}
 	return record, nil
 }
--- a/internal/lease/renew.go
+++ b/internal/lease/renew.go
@@ -6,6 +6,7 @@
 	"errors"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
 	"peridotgw.example/peridotgw/internal/store"
@@ -180,7 +181,7 @@
 		state.version, state.lease, state.written = entry.Version, id, value
 		return nil
 	}
-	return &DoubtError{Key: key, Cause: errors.New("key changes while it is written")}
+	return &DoubtError{Key: key, Cause: eris.New("key changes while it is written")}
 }
 
 func (h *Holder) count(reason string) {
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -5,13 +5,13 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"net/http"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
@@ -221,7 +221,7 @@
 func (t *Table) Refresh(ctx context.Context) error {
 	listing, err := t.Store.List(ctx, Prefix)
 	if err != nil {
-		return fmt.Errorf("listing members: %w", err)
+		return eris.Wrap(err, "listing members")
 	}
 	known := map[model.InstanceID]Member{}
 	for _, entry := range listing.Entries {
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 // Host names one side of a path; a server's host is the address in its URL.
@@ -179,7 +181,7 @@
 	}
 	body, err := io.ReadAll(req.Body)
 	if err := errors.Join(err, req.Body.Close()); err != nil {
-		return nil, fmt.Errorf("reading request body: %w", err)
+		return nil, eris.Wrap(err, "reading request body")
 	}
 	return body, nil
 }
--- a/internal/object/files.go
+++ b/internal/object/files.go
@@ -9,6 +9,8 @@
 	"slices"
 	"strings"
 
+	"github.com/rotisserie/eris"
+
 	"peridotgw.example/peridotgw/internal/jsonc"
 	"peridotgw.example/peridotgw/model"
 )
@@ -63,7 +65,7 @@
 	for _, path := range paths {
 		info, err := os.Stat(path)
 		if err != nil {
-			return nil, fmt.Errorf("reading objects: %w", err)
+			return nil, eris.Wrap(err, "reading objects")
 		}
 		if !info.IsDir() {
 			names = append(names, path)
@@ -71,7 +73,7 @@
 		}
 		entries, err := os.ReadDir(path)
 		if err != nil {
-			return nil, fmt.Errorf("reading objects: %w", err)
+			return nil, eris.Wrap(err, "reading objects")
 		}
 		before := len(names)
 		for _, entry := range entries {
@@ -80,7 +82,7 @@
 			}
 		}
 		if len(names) == before {
-			return nil, fmt.Errorf("directory %s has no file that ends in .json, .jsonc or .hujson", path)
+			return nil, eris.Errorf("directory %s has no file that ends in .json, .jsonc or .hujson", path)
 		}
 	}
 	return names, nil
@@ -170,7 +172,7 @@
 func (f *Files) Set() (*model.Set, error) {
 	set, err := model.FromObjects(f.Objects)
 	if err != nil {
-		return nil, fmt.Errorf("building set: %w", err)
+		return nil, eris.Wrap(err, "building set")
 	}
 	return set, nil
 }
--- a/internal/route/doc.go
+++ b/internal/route/doc.go
@@ -3,4 +3,6 @@
 // The slots of each endpoint are dealt to the live instances by rendezvous hashing, so that together they stay within an
 // endpoint's slots without coordination per request. An instance whose own slots are all busy borrows from endpoints
 // that lately reported a free slot.
+//
+// Errors here are wrapped with fmt.Errorf: eris records a stack trace per error, which costs time on the path of each request.
 package route
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 	"golang.org/x/time/rate"
 
@@ -167,7 +168,7 @@
 	o.fence(ctx)
 	page, err := o.Jobs.ListAt(ctx, o.DataCentre)
 	if err != nil {
-		return 0, fmt.Errorf("taking over data centre %q: %w", o.DataCentre, err)
+		return 0, eris.Wrapf(err, "taking over data centre %q", o.DataCentre)
 	}
 	for _, record := range page.Records {
 		o.core.Seen(record, time.Now())
--- a/internal/simnet/net.go
+++ b/internal/simnet/net.go
@@ -2,11 +2,12 @@
 
 import (
 	"errors"
-	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"sync"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 // Net connects hosts; it may be used concurrently.
@@ -76,7 +77,7 @@
 	cut := c.net.cuts[link{c.from, req.URL.Host}]
 	c.net.mu.Unlock()
 	if handler == nil {
-		return nil, fmt.Errorf("sending to %s: %w", req.URL.Host, errNoHost)
+		return nil, eris.Wrapf(errNoHost, "sending to %s", req.URL.Host)
 	}
 	timer := time.NewTimer(latency)
 	defer timer.Stop()
@@ -88,7 +89,7 @@
 	case <-arrived:
 		return handler, nil
 	case <-req.Context().Done():
-		return nil, fmt.Errorf("sending to %s: %w", req.URL.Host, req.Context().Err())
+		return nil, eris.Wrapf(req.Context().Err(), "sending to %s", req.URL.Host)
 	}
 }
 
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"net/url"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"peridotgw.example/peridotgw/internal/metric"
 )
 
@@ -148,7 +149,7 @@
 func (c *Client) Grant(ctx context.Context, ttl time.Duration) (Lease, error) {
 	body, err := json.Marshal(Lease{TTLMs: ttl.Milliseconds()})
 	if err != nil {
-		return Lease{}, fmt.Errorf("encoding lease: %w", err)
+		return Lease{}, eris.Wrap(err, "encoding lease")
 	}
 	var lease Lease
 	err = c.call(ctx, request{op: "grant", method: http.MethodPost, path: "/v1/leases", body: body, timeout: c.timeout()}, &lease)
--- a/internal/store/send.go
+++ b/internal/store/send.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -13,6 +12,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 const (
@@ -101,7 +102,7 @@
 
 func (c *Client) decode(status int, body []byte, r request, into any) error {
 	undecodable := func(err error) error {
-		return c.unavailable(r, true, 0, fmt.Errorf("decoding answer: %w", err))
+		return c.unavailable(r, true, 0, eris.Wrap(err, "decoding answer"))
 	}
 	switch status {
 	case http.StatusOK:
--- a/internal/vmlist/poller.go
+++ b/internal/vmlist/poller.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 )
 
@@ -113,7 +114,7 @@
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, p.URL+"/v1/vms", http.NoBody)
 	if err != nil {
-		return nil, fmt.Errorf("building the VM list call: %w", err)
+		return nil, eris.Wrap(err, "building the VM list call")
 	}
 	do := p.Do
 	if do == nil {
@@ -121,18 +122,18 @@
 	}
 	answer, err := do(request)
 	if err != nil {
-		return nil, fmt.Errorf("calling the VM list: %w", err)
+		return nil, eris.Wrap(err, "calling the VM list")
 	}
 	defer func() {
 		if closeErr := answer.Body.Close(); err == nil && closeErr != nil {
-			err = fmt.Errorf("closing the VM list's answer: %w", closeErr)
+			err = eris.Wrap(closeErr, "closing the VM list's answer")
 		}
 	}()
 	if answer.StatusCode != http.StatusOK {
 		return nil, &StatusError{Status: answer.StatusCode}
 	}
 	if err := json.NewDecoder(io.LimitReader(answer.Body, maxListBytes)).Decode(&vms); err != nil {
-		return nil, fmt.Errorf("decoding the VM list: %w", err)
+		return nil, eris.Wrap(err, "decoding the VM list")
 	}
 	return check(vms)
 }
@@ -142,7 +143,7 @@
 	seen := make(map[string]bool, len(vms))
 	for _, vm := range vms {
 		if seen[vm.Name] {
-			return nil, fmt.Errorf("VM list names %q twice", vm.Name)
+			return nil, eris.Errorf("VM list names %q twice", vm.Name)
 		}
 		seen[vm.Name] = true
 	}
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -1,9 +1,8 @@
 package wire
 
 import (
-	"fmt"
-
 	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
 )
 
 // CodecName is the name of the codec in content types.
@@ -19,7 +18,7 @@
 func (Codec) Marshal(message any) ([]byte, error) {
 	data, err := cbor.Marshal(message)
 	if err != nil {
-		return nil, fmt.Errorf("encoding %T: %w", message, err)
+		return nil, eris.Wrapf(err, "encoding %T", message)
 	}
 	return data, nil
 }
@@ -27,7 +26,7 @@
 // Unmarshal decodes data into message.
 func (Codec) Unmarshal(data []byte, message any) error {
 	if err := cbor.Unmarshal(data, message); err != nil {
-		return fmt.Errorf("decoding %T: %w", message, err)
+		return eris.Wrapf(err, "decoding %T", message)
 	}
 	return nil
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/rotisserie/eris"
 )
 
 // Procedure is the path of a remote procedure, such as "/peer/exchange".
@@ -49,7 +49,7 @@
 		connect.WithCodec(Codec{}), connect.WithReadMaxBytes(MaxMessageBytes))
 	res, err := client.CallUnary(ctx, connect.NewRequest(req))
 	if err != nil {
-		return nil, fmt.Errorf("calling %s at %s: %w", procedure, address, err)
+		return nil, eris.Wrapf(err, "calling %s at %s", procedure, address)
 	}
 	return res.Msg, nil
 }
--- a/internal/worker/client.go
+++ b/internal/worker/client.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
 	"peridotgw.example/peridotgw/internal/metric"
@@ -144,17 +145,17 @@
 	switch res.StatusCode {
 	case http.StatusOK:
 		if err := json.Unmarshal(body, &answer); err != nil {
-			return answer, unknown(fmt.Errorf("decoding answer: %w", err))
+			return answer, unknown(eris.Wrap(err, "decoding answer"))
 		}
 		return answer, nil
 	case http.StatusConflict, http.StatusServiceUnavailable:
 		refused := &RefusedError{Address: address, Op: op, Reason: RefusedOther}
 		if err := json.Unmarshal(body, refused); err != nil {
-			return answer, unknown(fmt.Errorf("decoding refusal: %w", err))
+			return answer, unknown(eris.Wrap(err, "decoding refusal"))
 		}
 		return answer, refused
 	default:
-		return answer, unknown(fmt.Errorf("status %d: %.200s", res.StatusCode, body))
+		return answer, unknown(eris.Errorf("status %d: %.200s", res.StatusCode, body))
 	}
 }
 
@@ -164,7 +165,7 @@
 	}
 	body, err := json.Marshal(message)
 	if err != nil {
-		return nil, fmt.Errorf("encoding %s: %w", op, err)
+		return nil, eris.Wrapf(err, "encoding %s", op)
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/"+op, bytes.NewReader(body))
 	if err != nil {
--- a/model/duration.go
+++ b/model/duration.go
@@ -2,8 +2,9 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 // Duration is a time.Duration that is written in JSON as a string such as "1.5s".
@@ -24,11 +25,11 @@
 func (d *Duration) UnmarshalJSON(data []byte) error {
 	var text string
 	if err := json.Unmarshal(data, &text); err != nil {
-		return fmt.Errorf("duration %s is not a string with a unit, such as \"5s\"", data)
+		return eris.Errorf("duration %s is not a string with a unit, such as \"5s\"", data)
 	}
 	parsed, err := time.ParseDuration(text)
 	if err != nil {
-		return fmt.Errorf("duration %q: %w", text, err)
+		return eris.Wrapf(err, "duration %q", text)
 	}
 	*d = Duration(parsed)
 	return nil
--- a/model/set.go
+++ b/model/set.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"slices"
 	"strings"
+
+	"github.com/rotisserie/eris"
 )
 
 // Set is one complete configuration. A published Set is never changed.
@@ -80,7 +82,7 @@
 	case KindRequestClass:
 		err = put(s.RequestClasses, object)
 	default:
-		err = fmt.Errorf("unknown kind %q", object.Kind)
+		err = eris.Errorf("unknown kind %q", object.Kind)
 	}
 	if err != nil {
 		return &DecodeError{Ref: object.Ref(), Cause: err}
@@ -167,7 +169,7 @@
 	decoder := json.NewDecoder(bytes.NewReader(object.Spec))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&value); err != nil {
-		return fmt.Errorf("decoding spec: %w", err)
+		return eris.Wrap(err, "decoding spec")
 	}
 	into[K(object.Name)] = value
 	return nil
--- a/peridotctl/config.go
+++ b/peridotctl/config.go
@@ -3,10 +3,11 @@
 import (
 	"context"
 	"flag"
-	"fmt"
 	"slices"
 	"strings"
 
+	"github.com/rotisserie/eris"
+
 	"peridotgw.example/peridotgw/client"
 	"peridotgw.example/peridotgw/internal/object"
 	"peridotgw.example/peridotgw/model"
@@ -72,7 +73,7 @@
 	if change.Base == 0 {
 		current, err := s.operator.Status(ctx)
 		if err != nil {
-			return fmt.Errorf("reading the current revision: %w", err)
+			return eris.Wrap(err, "reading the current revision")
 		}
 		change.Base = current.Revision
 	}
--- a/peridotctl/diff.go
+++ b/peridotctl/diff.go
@@ -8,6 +8,8 @@
 	"maps"
 	"slices"
 
+	"github.com/rotisserie/eris"
+
 	"peridotgw.example/peridotgw/client"
 	"peridotgw.example/peridotgw/model"
 )
@@ -61,7 +63,7 @@
 func compare(old, updated []model.Object, all bool) ([]difference, error) {
 	before, err := canonical(old)
 	if err != nil {
-		return nil, fmt.Errorf("decoding the configuration: %w", err)
+		return nil, eris.Wrap(err, "decoding the configuration")
 	}
 	after, err := canonical(updated)
 	if err != nil {
--- a/peridotctl/jobs.go
+++ b/peridotctl/jobs.go
@@ -4,9 +4,10 @@
 	"context"
 	"encoding/json"
 	"flag"
-	"fmt"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"peridotgw.example/peridotgw/client"
 	"peridotgw.example/peridotgw/internal/jsonc"
 	"peridotgw.example/peridotgw/model"
@@ -89,7 +90,7 @@
 	for _, id := range ids {
 		record, err := call(ctx, model.JobID(id))
 		if err != nil {
-			err = fmt.Errorf("job %s: %w", id, err)
+			err = eris.Wrapf(err, "job %s", id)
 			if first != nil {
 				s.printError(s.format, err)
 				continue
--- a/peridotctl/operate.go
+++ b/peridotctl/operate.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"peridotgw.example/peridotgw/client"
 	"peridotgw.example/peridotgw/model"
 	"peridotgw.example/peridotgw/reply"
@@ -166,7 +168,7 @@
 			rows := [][]string{{"ENDPOINT", "STATE"}}
 			for _, endpoint := range args {
 				if err := s.operator.Leaving(ctx, model.EndpointID(endpoint)); err != nil {
-					return fmt.Errorf("endpoint %s: %w", endpoint, err)
+					return eris.Wrapf(err, "endpoint %s", endpoint)
 				}
 				rows = append(rows, []string{endpoint, "leaving"})
 			}
--- a/peridotctl/print.go
+++ b/peridotctl/print.go
@@ -7,6 +7,8 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"peridotgw.example/peridotgw/client"
 )
 
@@ -16,18 +18,18 @@
 		encoder := json.NewEncoder(s.out)
 		encoder.SetIndent("", "  ")
 		if err := encoder.Encode(value); err != nil {
-			return fmt.Errorf("writing output: %w", err)
+			return eris.Wrap(err, "writing output")
 		}
 		return nil
 	}
 	table := tabwriter.NewWriter(s.out, 0, 4, 2, ' ', 0)
 	for _, row := range rows {
 		if _, err := fmt.Fprintln(table, strings.Join(row, "\t")); err != nil {
-			return fmt.Errorf("writing output: %w", err)
+			return eris.Wrap(err, "writing output")
 		}
 	}
 	if err := table.Flush(); err != nil {
-		return fmt.Errorf("writing output: %w", err)
+		return eris.Wrap(err, "writing output")
 	}
 	return nil
 }
--- a/reply/reply.go
+++ b/reply/reply.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"peridotgw.example/peridotgw/model"
 )
 
@@ -146,7 +148,7 @@
 	}
 	w.WriteHeader(e.Status())
 	if err := json.NewEncoder(w).Encode(e); err != nil {
-		return fmt.Errorf("writing error answer: %w", err)
+		return eris.Wrap(err, "writing error answer")
 	}
 	return nil
 }
--- a/standin/fleet.go
+++ b/standin/fleet.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"net/http"
 	"slices"
 	"strconv"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
 	"peridotgw.example/peridotgw/model"
@@ -85,7 +85,7 @@
 		var config net.ListenConfig
 		listener, err := config.Listen(ctx, "tcp", net.JoinHostPort(host, strconv.Itoa(at)))
 		if err != nil {
-			return fmt.Errorf("listening for %s: %w", m.Name, err)
+			return eris.Wrapf(err, "listening for %s", m.Name)
 		}
 		m.Address = listener.Addr().String()
 		f.served = append(f.served, &service{machine: m, handler: handler, listener: listener})
@@ -183,7 +183,7 @@
 		}
 		group.Go(func() error {
 			if err := server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
-				return fmt.Errorf("serving %s: %w", s.Name, err)
+				return eris.Wrapf(err, "serving %s", s.Name)
 			}
 			return nil
 		})
--- a/standin/main.go
+++ b/standin/main.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 )
 
@@ -66,7 +67,7 @@
 	if _, err := fmt.Printf("ready control=%s store=%s vm-list=%s served=%d\n",
 		fleet.url(kindControl), fleet.url(kindStore), fleet.url(kindVMList), len(fleet.served)); err != nil {
 		fleet.close()
-		return fmt.Errorf("writing ready line: %w", err)
+		return eris.Wrap(err, "writing ready line")
 	}
 	return fleet.serve(ctx)
 }
