--- a/internal/config/publish_test.go
+++ b/internal/config/publish_test.go
@@ -157,13 +157,13 @@
 			p.Store.Do = func(r *http.Request) (*http.Response, error) {
 				res, err := do(r)
 				// The instance loses the store together with the answer.
-				c.net.Cut("op", kvHost, err != nil)
+				c.net.Partition("op", kvHost, err != nil)
 				return res, err
 			}
 			_, refused := p.Publish(ctx, change)
 			Expect(refused.Outcome).To(Equal(reply.OutcomeUnknown))
 			Expect(refused.Reason).To(Equal(reply.ReasonAnswerLost))
-			c.net.Cut("op", kvHost, false)
+			c.net.Partition("op", kvHost, false)
 			p.Store.Do = do
 			result, refused := p.Publish(ctx, change)
 			Expect(refused).To(BeNil())
@@ -200,7 +200,7 @@
 			do := p.Store.Do
 			p.Store.Do = func(r *http.Request) (*http.Response, error) {
 				if r.Method == http.MethodPut && r.URL.Path == "/v1/kv/config/head" {
-					c.net.Cut("op", kvHost, true)
+					c.net.Partition("op", kvHost, true)
 				}
 				return do(r)
 			}
--- a/internal/config/random_test.go
+++ b/internal/config/random_test.go
@@ -13,6 +13,7 @@
 
 	"peridotgw.example/peridotgw/internal/config"
 	"peridotgw.example/peridotgw/internal/fakekv"
+	"peridotgw.example/peridotgw/internal/memnet"
 	"peridotgw.example/peridotgw/model"
 	"peridotgw.example/peridotgw/reply"
 )
@@ -118,7 +119,7 @@
 		case "stale", "fresh":
 			c.kv.Set(fakekv.Faults{StaleReads: e.kind == "stale"})
 		case "cut", "heal":
-			c.net.Cut(id, kvHost, e.kind == "cut")
+			c.net.Partition(memnet.Host(id), kvHost, e.kind == "cut")
 		case "lose-watches":
 			c.loseWatches.Store(!c.loseWatches.Load())
 		}
--- a/internal/config/rig_test.go
+++ b/internal/config/rig_test.go
@@ -17,7 +17,7 @@
 	"peridotgw.example/peridotgw/internal/config"
 	"peridotgw.example/peridotgw/internal/fakekv"
 	"peridotgw.example/peridotgw/internal/member"
-	"peridotgw.example/peridotgw/internal/simnet"
+	"peridotgw.example/peridotgw/internal/memnet"
 	"peridotgw.example/peridotgw/internal/store"
 	"peridotgw.example/peridotgw/internal/wire"
 	"peridotgw.example/peridotgw/model"
@@ -40,7 +40,7 @@
 type cluster struct {
 	ctx       context.Context
 	kv        *fakekv.Server
-	net       *simnet.Net
+	net       *memnet.Net
 	instances map[string]*instance
 	// loseWatches makes all watches fail, so that only reads and peers carry revisions.
 	loseWatches atomic.Bool
@@ -63,8 +63,9 @@
 }
 
 func newCluster(ctx context.Context, ids ...string) *cluster {
-	c := &cluster{ctx: ctx, kv: fakekv.New(), net: simnet.New(time.Millisecond), instances: map[string]*instance{}}
-	c.net.Host(kvHost, c.kv)
+	c := &cluster{ctx: ctx, kv: fakekv.New(), net: memnet.New(), instances: map[string]*instance{}}
+	c.net.Latency = time.Millisecond
+	c.net.Serve(kvHost, c.kv)
 	for _, id := range ids {
 		c.instances[id] = nil
 	}
@@ -80,7 +81,7 @@
 }
 
 func (c *cluster) client(host string) *store.Client {
-	do := c.net.From(host).Do
+	do := c.net.Transport(memnet.Host(host)).RoundTrip
 	return &store.Client{BaseURL: "http://" + kvHost, Timeout: store.DefaultTimeout, Do: func(r *http.Request) (*http.Response, error) {
 		if c.loseWatches.Load() && r.URL.Path == "/v1/watch" {
 			return nil, errNoWatch
@@ -101,7 +102,7 @@
 		former.stop()
 	}
 	client := c.client(id)
-	caller := &wire.Caller{HTTP: c.net.From(id)}
+	caller := &wire.Caller{HTTP: c.net.Client(memnet.Host(id))}
 	ctx, cancel := context.WithCancel(c.ctx)
 	i := &instance{id: id, lease: &lease{store: client}}
 	i.members = &member.Table{
@@ -121,7 +122,7 @@
 	mux := http.NewServeMux()
 	i.members.Register(mux)
 	i.follower.Register(mux)
-	c.net.Host(id, mux)
+	c.net.Serve(memnet.Host(id), mux)
 	var running sync.WaitGroup
 	for _, run := range []func(context.Context) error{i.members.Run, i.follower.Run, i.lease.run} {
 		running.Go(func() { _ = run(ctx) })
--- a/internal/member/table_test.go
+++ b/internal/member/table_test.go
@@ -16,8 +16,8 @@
 
 	"peridotgw.example/peridotgw/internal/fakekv"
 	"peridotgw.example/peridotgw/internal/member"
+	"peridotgw.example/peridotgw/internal/memnet"
 	"peridotgw.example/peridotgw/internal/metric"
-	"peridotgw.example/peridotgw/internal/simnet"
 	"peridotgw.example/peridotgw/internal/store"
 	"peridotgw.example/peridotgw/internal/wire"
 	"peridotgw.example/peridotgw/model"
@@ -29,7 +29,7 @@
 type group struct {
 	ctx    context.Context
 	kv     *fakekv.Server
-	net    *simnet.Net
+	net    *memnet.Net
 	tables map[string]*member.Table
 	// mute makes the calls of instance a reach nobody, while it still answers.
 	mute bool
@@ -40,9 +40,10 @@
 
 func newGroup(ctx context.Context, latency time.Duration) *group {
 	g := &group{
-		ctx: ctx, kv: fakekv.New(), net: simnet.New(latency), tables: map[string]*member.Table{}, reports: map[string][]member.Report{},
+		ctx: ctx, kv: fakekv.New(), net: memnet.New(), tables: map[string]*member.Table{}, reports: map[string][]member.Report{},
 	}
-	g.net.Host(kvHost, g.kv)
+	g.net.Latency = latency
+	g.net.Serve(kvHost, g.kv)
 	return g
 }
 
@@ -51,11 +52,11 @@
 	from := id
 	if g.mute && id == "a" {
 		from = "nowhere"
-		g.net.Cut(from, "b", true)
+		g.net.Partition(memnet.Host(from), "b", true)
 	}
-	client := &store.Client{BaseURL: "http://" + kvHost, Timeout: store.DefaultTimeout, Do: g.net.From(id).Do}
+	client := &store.Client{BaseURL: "http://" + kvHost, Timeout: store.DefaultTimeout, Do: g.net.Transport(memnet.Host(id)).RoundTrip}
 	t := &member.Table{
-		Store: client, Caller: &wire.Caller{HTTP: g.net.From(from)}, Metrics: metric.New(),
+		Store: client, Caller: &wire.Caller{HTTP: g.net.Client(memnet.Host(from))}, Metrics: metric.New(),
 		Self:  member.Member{Instance: model.InstanceID(id), Incarnation: "one", PeerAddress: id},
 		Local: func() member.Report { return report },
 		Keep: func(key string, value func() []byte) {
@@ -73,7 +74,7 @@
 	}
 	mux := http.NewServeMux()
 	t.Register(mux)
-	g.net.Host(id, mux)
+	g.net.Serve(memnet.Host(id), mux)
 	g.tables[id] = t
 	go func() { _ = t.Run(g.ctx) }()
 	return t
@@ -115,7 +116,7 @@
 			Expect(ids(a.Live())).To(Equal("a c"))
 			Expect(ids(b.Live())).To(Equal("a c"), "a draining instance takes no work of its own either")
 
-			g.net.Cut("a", "c", true)
+			g.net.Partition("a", "c", true)
 			time.Sleep(member.LiveWithin + 2*time.Second)
 			Expect(ids(a.Live())).To(Equal("a"))
 			Expect(ids(a.Known())).To(Equal("a b c"))
@@ -124,7 +125,7 @@
 			time.Sleep(time.Minute)
 			Expect(ids(a.Known())).To(Equal("a b c"), "an outage of the store removes nobody")
 			g.kv.Set(fakekv.Faults{})
-			kv := &store.Client{BaseURL: "http://" + kvHost, Timeout: time.Second, Do: g.net.From("op").Do}
+			kv := &store.Client{BaseURL: "http://" + kvHost, Timeout: time.Second, Do: g.net.Transport("op").RoundTrip}
 			Expect(kv.Delete(ctx, member.Prefix+"c", 1)).To(Succeed())
 			time.Sleep(2 * time.Second)
 			Expect(ids(a.Known())).To(Equal("a b"))
@@ -164,10 +165,10 @@
 			}
 			time.Sleep(2 * time.Second)
 			hang := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
-			g.net.Host("b", hang)
-			g.net.Host("c", hang)
-			g.net.Cut("b", "a", true)
-			g.net.Cut("c", "a", true)
+			g.net.Serve("b", hang)
+			g.net.Serve("c", hang)
+			g.net.Partition("b", "a", true)
+			g.net.Partition("c", "a", true)
 			for range 100 {
 				time.Sleep(100 * time.Millisecond)
 				Expect(ids(g.tables["a"].Live())).To(ContainSubstring("d"))
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -27,6 +27,8 @@
 	Cut bool
 	// Silent drops calls: nothing answers until the caller gives up.
 	Silent bool
+	// SilentAnswers drops answers, also those of calls that were sent before the fault was set.
+	SilentAnswers bool
 	// Delay is the time that a call takes to reach the server.
 	Delay time.Duration
 	// LoseAnswers delivers this many calls and breaks the connection in place of the answer.
@@ -53,6 +55,9 @@
 
 // Net connects hosts; it may be used concurrently.
 type Net struct {
+	// Latency is the time that each request and each answer takes, besides the delay of a fault; it is set before use.
+	Latency time.Duration
+
 	mu       sync.Mutex
 	handlers map[Host]http.Handler
 	faults   map[path]*Fault
@@ -81,6 +86,13 @@
 	n.faults[path{from, to}] = &fault
 }
 
+// Partition drops all messages between two hosts, in both directions, until it is called with false.
+func (n *Net) Partition(a, b Host, apart bool) {
+	fault := Fault{Silent: apart, SilentAnswers: apart}
+	n.SetFault(a, b, fault)
+	n.SetFault(b, a, fault)
+}
+
 // Transport returns the http.RoundTripper of a host.
 func (n *Net) Transport(from Host) http.RoundTripper {
 	return roundTripper(func(req *http.Request) (*http.Response, error) { return n.roundTrip(from, req) })
@@ -111,7 +123,7 @@
 	if fault.Cut || handler == nil {
 		return nil, &CutError{From: from, To: to}
 	}
-	if err := sleep(ctx, fault.Delay); err != nil {
+	if err := sleep(ctx, n.Latency+fault.Delay); err != nil {
 		return nil, err
 	}
 	answers := make(chan *http.Response, 1)
@@ -123,28 +135,54 @@
 		if res == nil || lose {
 			return nil, &LostError{From: from, To: to}
 		}
+		if err := n.answer(ctx, from, to); err != nil {
+			return nil, err
+		}
 		return res, nil
 	}
 }
 
-// find returns the handler of a host and the first fault set for the path, exact hosts before AnyHost.
+// answer takes an answer back over the path of its call.
+func (n *Net) answer(ctx context.Context, from, to Host) error {
+	if n.dropsAnswers(from, to) {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return sleep(ctx, n.Latency)
+}
+
+func (n *Net) dropsAnswers(from, to Host) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	fault := n.fault(from, to)
+	return fault != nil && fault.SilentAnswers
+}
+
+// find returns the handler of a host and the fault of the path, and whether the answer is to be lost.
 func (n *Net) find(from, to Host) (handler http.Handler, fault Fault, lose bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	handler = n.handlers[to]
+	set := n.fault(from, to)
+	if set == nil {
+		return handler, Fault{}, false
+	}
+	fault = *set
+	if set.LoseAnswers > 0 {
+		set.LoseAnswers--
+		lose = true
+	}
+	return handler, fault, lose
+}
+
+// fault returns the first fault set for the path, exact hosts before AnyHost, or nil. The caller holds mu.
+func (n *Net) fault(from, to Host) *Fault {
 	for _, p := range []path{{from, to}, {from, AnyHost}, {AnyHost, to}} {
-		set, found := n.faults[p]
-		if !found {
-			continue
-		}
-		fault = *set
-		if set.LoseAnswers > 0 {
-			set.LoseAnswers--
-			lose = true
+		if set, found := n.faults[p]; found {
+			return set
 		}
-		return handler, fault, lose
 	}
-	return handler, Fault{}, false
+	return nil
 }
 
 // serve runs the handler and returns nil when it breaks the connection.
--- a/internal/opsapi/server_test.go
+++ b/internal/opsapi/server_test.go
@@ -20,9 +20,9 @@
 	"peridotgw.example/peridotgw/internal/config"
 	"peridotgw.example/peridotgw/internal/fakekv"
 	"peridotgw.example/peridotgw/internal/member"
+	"peridotgw.example/peridotgw/internal/memnet"
 	"peridotgw.example/peridotgw/internal/metric"
 	"peridotgw.example/peridotgw/internal/opsapi"
-	"peridotgw.example/peridotgw/internal/simnet"
 	"peridotgw.example/peridotgw/internal/store"
 	"peridotgw.example/peridotgw/internal/wire"
 	"peridotgw.example/peridotgw/model"
@@ -46,13 +46,14 @@
 
 func newSite(ctx context.Context) *site {
 	s := &site{ctx: ctx, kv: fakekv.New()}
-	network := simnet.New(time.Millisecond)
-	network.Host("kv", s.kv)
-	s.store = &store.Client{BaseURL: "http://kv", Timeout: store.DefaultTimeout, Do: network.From("a").Do}
+	network := memnet.New()
+	network.Latency = time.Millisecond
+	network.Serve("kv", s.kv)
+	s.store = &store.Client{BaseURL: "http://kv", Timeout: store.DefaultTimeout, Do: network.Transport("a").RoundTrip}
 	tables := map[string]*member.Table{}
 	for _, id := range []string{"a", "b"} {
 		t := &member.Table{
-			Store: s.store, Caller: &wire.Caller{HTTP: network.From(id)},
+			Store: s.store, Caller: &wire.Caller{HTTP: network.Client(memnet.Host(id))},
 			Self: member.Member{Instance: model.InstanceID(id), Incarnation: "one", PeerAddress: id},
 			Keep: func(key string, value func() []byte) {
 				_, err := s.store.Put(ctx, key, value(), 0, 0)
@@ -61,7 +62,7 @@
 		}
 		mux := http.NewServeMux()
 		t.Register(mux)
-		network.Host(id, mux)
+		network.Serve(memnet.Host(id), mux)
 		tables[id] = t
 	}
 	tables["b"].Local = func() member.Report {
