memnet, fakekv: memnet.Do serves the specs of fakekv.Do

Cause: fakekv.Do repeated memnet's calls of a handler: copies of the request, lost answers, handlers that go on after the caller gave up.

Change: memnet.Do calls one handler whatever the host; the specs of store, lease, claim, audit and fakekv use it. memnet sends no call whose context has ended, and an answer names its request, as both were with fakekv.Do. The spec of a lost answer checks the error and its two hosts. The doc comment of fakeep.Network says why it stays apart.

--- a/internal/audit/suite_test.go
+++ b/internal/audit/suite_test.go
@@ -14,6 +14,7 @@
 
 	"peridotgw.example/peridotgw/internal/audit"
 	"peridotgw.example/peridotgw/internal/fakekv"
+	"peridotgw.example/peridotgw/internal/memnet"
 	"peridotgw.example/peridotgw/internal/metric"
 	"peridotgw.example/peridotgw/internal/store"
 	"peridotgw.example/peridotgw/model"
@@ -43,7 +44,7 @@
 
 func start(ctx context.Context, kv *fakekv.Server, instance model.InstanceID) *audit.Log {
 	l := &audit.Log{
-		Store:    &store.Client{BaseURL: "http://store", Timeout: store.DefaultTimeout, Do: fakekv.Do(kv), Breaker: &store.Breaker{}},
+		Store:    &store.Client{BaseURL: "http://store", Timeout: store.DefaultTimeout, Do: memnet.Do(kv), Breaker: &store.Breaker{}},
 		Instance: instance, Metrics: metric.New(),
 	}
 	go func() {
--- a/internal/claim/suite_test.go
+++ b/internal/claim/suite_test.go
@@ -12,6 +12,7 @@
 
 	"peridotgw.example/peridotgw/internal/claim"
 	"peridotgw.example/peridotgw/internal/fakekv"
+	"peridotgw.example/peridotgw/internal/memnet"
 	"peridotgw.example/peridotgw/internal/metric"
 	"peridotgw.example/peridotgw/internal/store"
 	"peridotgw.example/peridotgw/model"
@@ -44,7 +45,7 @@
 func book(ctx context.Context, handler http.Handler, instance model.InstanceID, incarnation model.Incarnation) *claim.Book {
 	b := &claim.Book{
 		Store: &store.Client{
-			BaseURL: "http://store", Timeout: store.DefaultTimeout, Do: fakekv.Do(handler), Breaker: &store.Breaker{},
+			BaseURL: "http://store", Timeout: store.DefaultTimeout, Do: memnet.Do(handler), Breaker: &store.Breaker{},
 			Instance: string(instance),
 		},
 		Instance: instance, Incarnation: incarnation, Metrics: metric.New(),
--- a/internal/fakeep/network.go
+++ b/internal/fakeep/network.go
@@ -9,7 +9,8 @@
 	"time"
 )
 
-// Network connects clients to handlers by in-memory pipes, so that whole exchanges run in virtual time.
+// Network connects clients to handlers by in-memory pipes, so that whole exchanges run in virtual time. It stays apart from
+// memnet, which calls handlers without connections: pipes show clients that keep, reuse and lose real connections.
 type Network struct {
 	mu        sync.Mutex
 	listeners map[string]*pipes
--- a/internal/fakekv/suite_test.go
+++ b/internal/fakekv/suite_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"peridotgw.example/peridotgw/internal/fakekv"
+	"peridotgw.example/peridotgw/internal/memnet"
 	"peridotgw.example/peridotgw/internal/store"
 )
 
@@ -37,9 +38,11 @@
 	It("turns a broken connection into an error after the write was applied", virtual(func() {
 		kv := fakekv.New()
 		kv.Set(fakekv.Faults{LoseAnswers: 1})
-		client := &store.Client{BaseURL: "http://store", Timeout: time.Second, Do: fakekv.Do(kv)}
+		client := &store.Client{BaseURL: "http://store", Timeout: time.Second, Do: memnet.Do(kv)}
 		_, err := client.Put(context.Background(), "/a", []byte("x"), 0, 0)
-		Expect(err).To(MatchError(fakekv.ErrAnswerLost))
+		var lost *memnet.LostError
+		Expect(errors.As(err, &lost)).To(BeTrue())
+		Expect(lost).To(Equal(&memnet.LostError{From: "client", To: "store"}))
 		entry, err := client.Get(context.Background(), "/a", 0)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(string(entry.Value)).To(Equal("x"))
@@ -47,7 +50,7 @@
 
 	It("returns when the caller's time ends, while the handler goes on", virtual(func() {
 		applied := false
-		do := fakekv.Do(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		do := memnet.Do(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 			time.Sleep(3 * time.Second)
 			applied = true
 		}))
@@ -68,7 +71,7 @@
 var _ = Describe("LapseLeases", func() {
 	It("keeps the leases of claims and records, which no pause outlasts", virtual(func() {
 		kv := fakekv.New()
-		client := &store.Client{BaseURL: "http://store", Timeout: time.Second, Do: fakekv.Do(kv)}
+		client := &store.Client{BaseURL: "http://store", Timeout: time.Second, Do: memnet.Do(kv)}
 		ctx := context.Background()
 		for key, ttl := range map[string]time.Duration{"/short": 5 * time.Second, "/long": time.Hour} {
 			lease, err := client.Grant(ctx, ttl)
--- a/internal/lease/suite_test.go
+++ b/internal/lease/suite_test.go
@@ -12,6 +12,7 @@
 
 	"peridotgw.example/peridotgw/internal/fakekv"
 	"peridotgw.example/peridotgw/internal/lease"
+	"peridotgw.example/peridotgw/internal/memnet"
 	"peridotgw.example/peridotgw/internal/store"
 	"peridotgw.example/peridotgw/model"
 )
@@ -45,7 +46,7 @@
 }
 
 func start(ctx context.Context, kv http.Handler, instance model.InstanceID, change func(*lease.Holder)) *process {
-	do := fakekv.Do(kv)
+	do := memnet.Do(kv)
 	p := &process{pause: make(chan struct{}, 1)}
 	running := func() {
 		p.pause <- struct{}{}
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -18,7 +18,7 @@
 // Host names one side of a path; a server's host is the address in its URL.
 type Host string
 
-// AnyHost stands for all hosts in a fault.
+// AnyHost stands for all hosts.
 const AnyHost Host = "*"
 
 // Fault is what happens to calls on a path; the zero value is a healthy path.
@@ -68,7 +68,16 @@
 	return &Net{handlers: map[Host]http.Handler{}, faults: map[path]*Fault{}}
 }
 
-// Serve makes handler answer at host; nil removes the host, as when its process dies.
+// Do returns a function that calls handler whatever the host of the request, for clients with a function field of this kind.
+// When the request's context ends first, the handler goes on by itself, as on a server.
+func Do(handler http.Handler) func(*http.Request) (*http.Response, error) {
+	n := New()
+	n.Serve(AnyHost, handler)
+	return n.Transport("client").RoundTrip
+}
+
+// Serve makes handler answer at host; nil removes the host, as when its process dies. A handler at AnyHost answers for
+// hosts without one.
 func (n *Net) Serve(host Host, handler http.Handler) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -111,6 +120,9 @@
 func (n *Net) roundTrip(from Host, req *http.Request) (*http.Response, error) {
 	to := Host(req.URL.Host)
 	ctx := req.Context()
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
 	body, err := readBody(req)
 	if err != nil {
 		return nil, err
@@ -163,6 +175,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	handler = n.handlers[to]
+	if handler == nil {
+		handler = n.handlers[AnyHost]
+	}
 	set := n.fault(from, to)
 	if set == nil {
 		return handler, Fault{}, false
@@ -208,6 +223,7 @@
 		recorder.Header().Set("Content-Length", strconv.Itoa(recorder.Body.Len()))
 	}
 	res = recorder.Result()
+	res.Request = req
 	res.ContentLength = int64(recorder.Body.Len())
 	res.Header.Set("Content-Length", recorder.Header().Get("Content-Length"))
 	return res
--- a/internal/store/suite_test.go
+++ b/internal/store/suite_test.go
@@ -9,7 +9,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"peridotgw.example/peridotgw/internal/fakekv"
+	"peridotgw.example/peridotgw/internal/memnet"
 	"peridotgw.example/peridotgw/internal/store"
 )
 
@@ -32,7 +32,7 @@
 }
 
 func clientOf(handler http.Handler) *store.Client {
-	return &store.Client{BaseURL: "http://store", Role: "test", Timeout: store.DefaultTimeout, Do: fakekv.Do(handler)}
+	return &store.Client{BaseURL: "http://store", Role: "test", Timeout: store.DefaultTimeout, Do: memnet.Do(handler)}
 }
 
 func withBreaker(handler http.Handler) *store.Client {
