memnet, fakewk: specs of workers use memnet

Cause: the specs of jobs, gang, sched and fakewk had a network of their own in fakewk.

Change: they use memnet; hosts that were cut are silent paths from any host, as before, and no assertion changed. Calls now return when their context ends while the handler goes on. fakewk.Network stays for the measurements of gangs; its doc comment says how it differs.

--- a/internal/fakewk/network.go
+++ b/internal/fakewk/network.go
@@ -10,6 +10,7 @@
 )
 
 // Network calls handlers by their address without sockets, so that tests can run under virtual time.
+// It stays apart from memnet, because it calls handlers in the goroutine of the caller, as the measurements of gangs do.
 type Network struct {
 	mu       sync.Mutex
 	handlers map[string]http.Handler
--- a/internal/fakewk/server_test.go
+++ b/internal/fakewk/server_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"peridotgw.example/peridotgw/internal/fakewk"
+	"peridotgw.example/peridotgw/internal/memnet"
 	"peridotgw.example/peridotgw/internal/worker"
 	"peridotgw.example/peridotgw/model"
 )
@@ -15,9 +16,9 @@
 var _ = Describe("A worker and its client", func() {
 	ctx := context.Background()
 	setup := func() (*fakewk.Server, *worker.Client) {
-		fake, network := fakewk.New("w", 8), fakewk.NewNetwork()
-		network.Add("w", fake)
-		return fake, &worker.Client{Timeout: 2 * time.Second, Do: network.Do}
+		fake, network := fakewk.New("w", 8), memnet.New()
+		network.Serve("w", fake)
+		return fake, &worker.Client{Timeout: 2 * time.Second, Do: network.Transport("client").RoundTrip}
 	}
 	reserve := func(c *worker.Client, id model.ReservationID, n model.Accelerators, token model.Token) error {
 		_, err := c.Reserve(ctx, "w", worker.Reserve{Reservation: id, Job: model.JobID(id), DataCentre: "dc", Token: token, Accelerators: n, TTLMs: 15000})
--- a/internal/gang/driver_test.go
+++ b/internal/gang/driver_test.go
@@ -13,6 +13,7 @@
 	"peridotgw.example/peridotgw/internal/fakewk"
 	"peridotgw.example/peridotgw/internal/gang"
 	"peridotgw.example/peridotgw/internal/jobs"
+	"peridotgw.example/peridotgw/internal/memnet"
 	"peridotgw.example/peridotgw/internal/store"
 	"peridotgw.example/peridotgw/internal/worker"
 	"peridotgw.example/peridotgw/model"
@@ -23,7 +24,7 @@
 type fixture struct {
 	driver  *gang.Driver
 	workers []*fakewk.Server
-	network *fakewk.Network
+	network *memnet.Net
 	stored  jobs.Record
 	// recordErr is returned by writes of a state.
 	recordErr map[jobs.State]error
@@ -32,11 +33,11 @@
 }
 
 func newFixture(workers int) *fixture {
-	f := &fixture{network: fakewk.NewNetwork(), recordErr: map[jobs.State]error{}}
+	f := &fixture{network: memnet.New(), recordErr: map[jobs.State]error{}}
 	for i := range workers {
 		fake := fakewk.New(model.WorkerID(fmt.Sprint("w", i)), 8)
 		f.workers = append(f.workers, fake)
-		f.network.Add(string(fake.ID), fake)
+		f.network.Serve(memnet.Host(fake.ID), fake)
 	}
 	f.driver = f.newDriver()
 	return f
@@ -44,7 +45,7 @@
 
 func (f *fixture) newDriver() *gang.Driver {
 	return &gang.Driver{
-		Worker:   &worker.Client{Timeout: 2 * time.Second, Do: f.network.Do},
+		Worker:   &worker.Client{Timeout: 2 * time.Second, Do: f.network.Transport("driver").RoundTrip},
 		Address:  func(id model.WorkerID) (string, bool) { return string(id), true },
 		MayStart: func() *reply.Error { return nil },
 		Times:    gang.DefaultTimes(),
--- a/internal/jobs/book_test.go
+++ b/internal/jobs/book_test.go
@@ -13,16 +13,16 @@
 	. "github.com/onsi/gomega"
 
 	"peridotgw.example/peridotgw/internal/fakekv"
-	"peridotgw.example/peridotgw/internal/fakewk"
 	"peridotgw.example/peridotgw/internal/jobs"
+	"peridotgw.example/peridotgw/internal/memnet"
 	"peridotgw.example/peridotgw/internal/store"
 	"peridotgw.example/peridotgw/model"
 )
 
 func newBook() (*jobs.Book, *fakekv.Server) {
-	kv, network := fakekv.New(), fakewk.NewNetwork()
-	network.Add("kv", kv)
-	return &jobs.Book{Store: &store.Client{BaseURL: "http://kv", Timeout: time.Second, Do: network.Do}}, kv
+	kv, network := fakekv.New(), memnet.New()
+	network.Serve("kv", kv)
+	return &jobs.Book{Store: &store.Client{BaseURL: "http://kv", Timeout: time.Second, Do: network.Transport("jobs").RoundTrip}}, kv
 }
 
 func record(dc model.DataCentreID, id model.JobID) jobs.Record {
--- a/internal/sched/chaos_test.go
+++ b/internal/sched/chaos_test.go
@@ -153,7 +153,7 @@
 				m.Cancel(context.Background(), ids[s.n%len(ids)])
 			}
 		case "cut":
-			r.network.Cut(vm.Address, true)
+			r.silence(vm.Address, true)
 		case "store-lose":
 			r.kv.Set(fakekv.Faults{LoseAnswers: 1 + s.n%4, LosePrefix: "/job/"})
 		case "store-down":
@@ -179,7 +179,7 @@
 		case "return":
 			r.join("b", "library")
 		default:
-			r.network.Cut(vm.Address, false)
+			r.silence(vm.Address, false)
 			r.workers[vm.ID].Set(faults[s.what])
 		}
 		w.sleep(s.after)
@@ -190,7 +190,7 @@
 	r.leases.resume()
 	for id, fake := range r.workers {
 		fake.Set(fakewk.Faults{})
-		r.network.Cut(string(id), false)
+		r.silence(string(id), false)
 	}
 	w.sleep(8 * time.Minute)
 	w.once("tally")
--- a/internal/sched/preempt_test.go
+++ b/internal/sched/preempt_test.go
@@ -188,7 +188,7 @@
 			within(3*time.Second, "job runs", r.state(m, "j", jobs.StateRunning))
 			time.Sleep(12 * time.Second)
 			lost := r.get(m, "j").Placement[2].Worker
-			r.network.Cut(string(lost), true)
+			r.silence(string(lost), true)
 			time.Sleep(5*time.Second + lossDetected + gangStops)
 			for id, fake := range r.workers {
 				for _, run := range fake.Runs() {
@@ -199,7 +199,7 @@
 			}
 			time.Sleep(10 * time.Second)
 			Expect(r.get(m, "j").State).To(Equal(want))
-			r.network.Cut(string(lost), false)
+			r.silence(string(lost), false)
 			time.Sleep(10 * time.Second)
 			r.submit(m, jobs.Spec{ID: "k", Customer: "board", Class: "tally", Shape: "rack", RunTime: longRun})
 			within(10*time.Second, "the returned worker is used", r.state(m, "k", jobs.StateRunning))
--- a/internal/sched/rig_test.go
+++ b/internal/sched/rig_test.go
@@ -16,6 +16,7 @@
 	"peridotgw.example/peridotgw/internal/fakekv"
 	"peridotgw.example/peridotgw/internal/fakewk"
 	"peridotgw.example/peridotgw/internal/jobs"
+	"peridotgw.example/peridotgw/internal/memnet"
 	"peridotgw.example/peridotgw/internal/place"
 	"peridotgw.example/peridotgw/internal/sched"
 	"peridotgw.example/peridotgw/internal/store"
@@ -105,7 +106,7 @@
 	mu       sync.Mutex
 	set      *model.Set
 	kv       *fakekv.Server
-	network  *fakewk.Network
+	network  *memnet.Net
 	workers  map[model.WorkerID]*fakewk.Server
 	vms      []sched.WorkerVM
 	leases   *authority
@@ -122,13 +123,13 @@
 
 func newRig(set *model.Set) *rig {
 	r := &rig{
-		set: set, kv: fakekv.New(), network: fakewk.NewNetwork(), workers: map[model.WorkerID]*fakewk.Server{},
+		set: set, kv: fakekv.New(), network: memnet.New(), workers: map[model.WorkerID]*fakewk.Server{},
 		leases: &authority{
 			held: map[string]model.InstanceID{}, token: map[string]model.Token{}, paused: map[model.InstanceID]map[string]model.Token{},
 		},
 		managers: map[model.InstanceID]*sched.Manager{}, killed: map[model.InstanceID]bool{}, tuning: sched.DefaultTuning(),
 	}
-	r.network.Add("kv", r.kv)
+	r.network.Serve("kv", r.kv)
 	r.mayStart = r.inService
 	for dc, spec := range set.DataCentres {
 		for _, rack := range spec.Racks {
@@ -136,7 +137,7 @@
 				id := model.WorkerID(fmt.Sprintf("%s-%s-%d", dc, rack.Name, i))
 				fake := fakewk.New(id, rack.AcceleratorsPerWorker)
 				r.workers[id] = fake
-				r.network.Add(string(id), fake)
+				r.network.Serve(memnet.Host(id), fake)
 				r.vms = append(r.vms, sched.WorkerVM{
 					ID: id, Address: string(id), DataCentre: dc, Rack: rack.Name, Accelerators: rack.AcceleratorsPerWorker,
 				})
@@ -147,6 +148,11 @@
 	return r
 }
 
+// silence makes all calls to a host hang until they time out, or restores it.
+func (r *rig) silence(host string, silent bool) {
+	r.network.SetFault(memnet.AnyHost, memnet.Host(host), memnet.Fault{Silent: silent})
+}
+
 func (r *rig) inService(dc model.DataCentreID) *reply.Error {
 	if r.current().DataCentres[dc].Service != model.ServiceIn {
 		return reply.Refused(reply.ReasonDraining, "data centre %q is out of service", dc)
@@ -182,7 +188,7 @@
 		if r.dead(id) {
 			return nil, errKilled
 		}
-		return r.network.Do(req)
+		return r.network.Transport("instance").RoundTrip(req)
 	}
 }
 
