clock: one wait that ends with its context

Cause: config, member, memnet, audit, daemon, gang and fakewk each had the same timer and select.

Change: clock.Sleep serves them.

--- a/internal/audit/batch.go
+++ b/internal/audit/batch.go
@@ -13,6 +13,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"peridotgw.example/peridotgw/internal/clock"
 	"peridotgw.example/peridotgw/internal/store"
 	"peridotgw.example/peridotgw/model"
 )
@@ -136,15 +137,5 @@
 }
 
 func sleep(ctx context.Context, wait time.Duration) error {
-	if wait <= 0 {
-		return nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return eris.Wrap(ctx.Err(), "waiting for the next write")
-	}
+	return eris.Wrap(clock.Sleep(ctx, wait), "waiting for the next write")
 }
--- a/internal/config/follow.go
+++ b/internal/config/follow.go
@@ -7,6 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"peridotgw.example/peridotgw/internal/clock"
 	"peridotgw.example/peridotgw/internal/store"
 	"peridotgw.example/peridotgw/model"
 )
@@ -117,7 +118,7 @@
 		listing, err := f.Store.Watch(ctx, headKey, after, watchWait)
 		if err != nil {
 			f.Log.Debug().Err(err).Msg("config: watch ended")
-			if err := sleep(ctx, readEvery); err != nil {
+			if err := clock.Sleep(ctx, readEvery); err != nil {
 				return err
 			}
 			continue
--- a/internal/config/peer.go
+++ b/internal/config/peer.go
@@ -7,6 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"peridotgw.example/peridotgw/internal/clock"
 	"peridotgw.example/peridotgw/internal/member"
 	"peridotgw.example/peridotgw/internal/wire"
 	"peridotgw.example/peridotgw/model"
@@ -78,7 +79,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case peer := <-f.behind:
-			if err := sleep(ctx, peerPause); err != nil {
+			if err := clock.Sleep(ctx, peerPause); err != nil {
 				return err
 			}
 			if f.upToDate() {
--- a/internal/config/publish.go
+++ b/internal/config/publish.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"peridotgw.example/peridotgw/internal/clock"
 	"peridotgw.example/peridotgw/internal/store"
 	"peridotgw.example/peridotgw/model"
 	"peridotgw.example/peridotgw/reply"
@@ -209,7 +210,7 @@
 		}
 		p.Log.Warn().Err(err).Str("change", string(p.change.ID)).
 			Bool("maybe-applied", maybe).Msg("config: head not written")
-		if sleep(ctx, pause) != nil {
+		if clock.Sleep(ctx, pause) != nil {
 			return Result{}, nil, p.unavailable(err)
 		}
 		pause = min(2*pause, maxRetryPause)
--- a/internal/config/read.go
+++ b/internal/config/read.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"peridotgw.example/peridotgw/internal/clock"
 	"peridotgw.example/peridotgw/internal/store"
 	"peridotgw.example/peridotgw/model"
 )
@@ -193,22 +194,11 @@
 		if err == nil || attempt == attempts || !repeatable {
 			return err
 		}
-		if sleep(ctx, pause) != nil {
+		if clock.Sleep(ctx, pause) != nil {
 			return err
 		}
 		pause = min(2*pause, maxRetryPause)
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 func sortedKeys[K ~string, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
--- a/internal/daemon/health.go
+++ b/internal/daemon/health.go
@@ -4,10 +4,10 @@
 	"context"
 	"net/http"
 	"sync/atomic"
-	"time"
 
 	"github.com/rotisserie/eris"
 
+	"peridotgw.example/peridotgw/internal/clock"
 	"peridotgw.example/peridotgw/internal/config"
 )
 
@@ -56,12 +56,5 @@
 	d.Health.SetDraining()
 	d.Members.SetDraining()
 	d.Front.SetDraining()
-	timer := time.NewTimer(d.Settings.Limits.BalancerDelay.Std())
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return eris.Wrap(ctx.Err(), "waiting for the balancer")
-	}
+	return eris.Wrap(clock.Sleep(ctx, d.Settings.Limits.BalancerDelay.Std()), "waiting for the balancer")
 }
--- a/internal/fakewk/faults.go
+++ b/internal/fakewk/faults.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"peridotgw.example/peridotgw/internal/clock"
 	"peridotgw.example/peridotgw/internal/worker"
 	"peridotgw.example/peridotgw/model"
 )
@@ -114,17 +115,7 @@
 }
 
 func wait(r *http.Request, delay time.Duration) bool {
-	if delay <= 0 {
-		return true
-	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-r.Context().Done():
-		return false
-	}
+	return clock.Sleep(r.Context(), delay) == nil
 }
 
 // discard is a ResponseWriter for answers that are lost.
--- a/internal/gang/driver.go
+++ b/internal/gang/driver.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"peridotgw.example/peridotgw/internal/clock"
 	"peridotgw.example/peridotgw/internal/jobs"
 	"peridotgw.example/peridotgw/internal/metric"
 	"peridotgw.example/peridotgw/internal/store"
@@ -304,11 +305,7 @@
 		if d.Metrics != nil {
 			d.Metrics.Retries.WithLabelValues("gang", "no-answer").Inc()
 		}
-		timer := time.NewTimer(d.Times.Retry)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
+		if clock.Sleep(ctx, d.Times.Retry) != nil {
 			return err
 		}
 	}
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"peridotgw.example/peridotgw/internal/clock"
 	"peridotgw.example/peridotgw/internal/metric"
 	"peridotgw.example/peridotgw/internal/store"
 	"peridotgw.example/peridotgw/internal/wire"
@@ -255,7 +256,7 @@
 		listing, err := t.Store.Watch(ctx, Prefix, after, wait)
 		if err != nil {
 			t.Log.Debug().Err(err).Msg("member: watch ended")
-			if err := sleep(ctx, pause); err != nil {
+			if err := clock.Sleep(ctx, pause); err != nil {
 				return err
 			}
 			continue
@@ -307,17 +308,6 @@
 	return r
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 // Register serves the exchange to other instances.
 func (t *Table) Register(mux *http.ServeMux) {
 	inner := http.NewServeMux()
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"peridotgw.example/peridotgw/internal/clock"
 )
 
 // Host names one side of a path; a server's host is the address in its URL.
@@ -135,7 +137,7 @@
 	if fault.Cut || handler == nil {
 		return nil, &CutError{From: from, To: to}
 	}
-	if err := sleep(ctx, n.Latency+fault.Delay); err != nil {
+	if err := clock.Sleep(ctx, n.Latency+fault.Delay); err != nil {
 		return nil, err
 	}
 	answers := make(chan *http.Response, 1)
@@ -160,7 +162,7 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	return sleep(ctx, n.Latency)
+	return clock.Sleep(ctx, n.Latency)
 }
 
 func (n *Net) dropsAnswers(from, to Host) bool {
@@ -239,17 +241,3 @@
 	}
 	return body, nil
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
