--- a/internal/audit/batch.go
+++ b/internal/audit/batch.go
@@ -11,6 +11,9 @@
 	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
+
+	"peridotgw.example/peridotgw/internal/clock"
 	"peridotgw.example/peridotgw/internal/store"
 	"peridotgw.example/peridotgw/model"
 )
@@ -50,7 +53,7 @@
 	case l.turn <- struct{}{}:
 		defer func() { <-l.turn }()
 	case <-ctx.Done():
-		return false, fmt.Errorf("waiting for another write: %w", ctx.Err())
+		return false, eris.Wrap(ctx.Err(), "waiting for another write")
 	}
 	if l.unsent == nil {
 		next, err := l.compose(limit)
@@ -89,7 +92,7 @@
 	})
 	value, err := json.Marshal(written)
 	if err != nil {
-		return nil, fmt.Errorf("encoding a batch of events: %w", err)
+		return nil, eris.Wrap(err, "encoding a batch of events")
 	}
 	at := time.Now()
 	return &batch{at: at, key: l.nextKey(at), value: value}, nil
@@ -117,10 +120,10 @@
 		case errors.As(err, &gone):
 			l.bucket.id = 0
 		default:
-			return fmt.Errorf("writing a batch of events: %w", err)
+			return eris.Wrap(err, "writing a batch of events")
 		}
 	}
-	return fmt.Errorf("writing a batch of events: no free key in %d tries", keyTries)
+	return eris.Errorf("writing a batch of events: no free key in %d tries", keyTries)
 }
 
 func (l *Log) nextKey(now time.Time) string {
@@ -134,15 +137,5 @@
 }
 
 func sleep(ctx context.Context, wait time.Duration) error {
-	if wait <= 0 {
-		return nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return fmt.Errorf("waiting for the next write: %w", ctx.Err())
-	}
+	return eris.Wrap(clock.Sleep(ctx, wait), "waiting for the next write")
 }
--- a/internal/config/follow.go
+++ b/internal/config/follow.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
+	"github.com/rotisserie/eris"
+
+	"peridotgw.example/peridotgw/internal/clock"
 	"peridotgw.example/peridotgw/internal/store"
 	"peridotgw.example/peridotgw/model"
 )
@@ -71,7 +73,7 @@
 		f.counts.refused("stale-read")
 		return err
 	case err != nil:
-		return fmt.Errorf("reading head: %w", err)
+		return eris.Wrap(err, "reading head")
 	}
 	h, err := decodeHead(entry.Value)
 	if err != nil {
@@ -116,7 +118,7 @@
 		listing, err := f.Store.Watch(ctx, headKey, after, watchWait)
 		if err != nil {
 			f.Log.Debug().Err(err).Msg("config: watch ended")
-			if err := sleep(ctx, readEvery); err != nil {
+			if err := clock.Sleep(ctx, readEvery); err != nil {
 				return err
 			}
 			continue
--- a/internal/fakewk/network.go
+++ b/internal/fakewk/network.go
@@ -2,13 +2,15 @@
 
 import (
 	"errors"
-	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"sync"
+
+	"github.com/rotisserie/eris"
 )
 
 // Network calls handlers by their address without sockets, so that tests can run under virtual time.
+// It stays apart from memnet, because it calls handlers in the goroutine of the caller, as the measurements of gangs do.
 type Network struct {
 	mu       sync.Mutex
 	handlers map[string]http.Handler
@@ -42,7 +44,7 @@
 	cut := n.cut[req.URL.Host]
 	n.mu.Unlock()
 	if !found {
-		return nil, fmt.Errorf("no handler at %s", req.URL.Host)
+		return nil, eris.Errorf("no handler at %s", req.URL.Host)
 	}
 	if cut {
 		<-req.Context().Done()
--- a/internal/gang/driver.go
+++ b/internal/gang/driver.go
@@ -6,9 +6,11 @@
 	"fmt"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"peridotgw.example/peridotgw/internal/clock"
 	"peridotgw.example/peridotgw/internal/jobs"
 	"peridotgw.example/peridotgw/internal/metric"
 	"peridotgw.example/peridotgw/internal/store"
@@ -142,7 +144,7 @@
 	starting.State = jobs.StateStarting
 	if !d.StartAndUndo && time.Until(deadline) < d.Times.MinLeft {
 		d.ReleaseAll(ctx, record)
-		cause := fmt.Errorf("%v left of the reservations, %v needed", time.Until(deadline), d.Times.MinLeft)
+		cause := eris.Errorf("%v left of the reservations, %v needed", time.Until(deadline), d.Times.MinLeft)
 		return record, &NotStartedError{Job: record.Spec.ID, Phase: "time-left", Cause: cause}
 	}
 	stored, err := d.Record(ctx, starting)
@@ -303,11 +305,7 @@
 		if d.Metrics != nil {
 			d.Metrics.Retries.WithLabelValues("gang", "no-answer").Inc()
 		}
-		timer := time.NewTimer(d.Times.Retry)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
+		if clock.Sleep(ctx, d.Times.Retry) != nil {
 			return err
 		}
 	}
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -5,16 +5,17 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"net/http"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"peridotgw.example/peridotgw/internal/clock"
 	"peridotgw.example/peridotgw/internal/metric"
 	"peridotgw.example/peridotgw/internal/store"
 	"peridotgw.example/peridotgw/internal/wire"
@@ -221,7 +222,7 @@
 func (t *Table) Refresh(ctx context.Context) error {
 	listing, err := t.Store.List(ctx, Prefix)
 	if err != nil {
-		return fmt.Errorf("listing members: %w", err)
+		return eris.Wrap(err, "listing members")
 	}
 	known := map[model.InstanceID]Member{}
 	for _, entry := range listing.Entries {
@@ -255,7 +256,7 @@
 		listing, err := t.Store.Watch(ctx, Prefix, after, wait)
 		if err != nil {
 			t.Log.Debug().Err(err).Msg("member: watch ended")
-			if err := sleep(ctx, pause); err != nil {
+			if err := clock.Sleep(ctx, pause); err != nil {
 				return err
 			}
 			continue
@@ -307,17 +308,6 @@
 	return r
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 // Register serves the exchange to other instances.
 func (t *Table) Register(mux *http.ServeMux) {
 	inner := http.NewServeMux()
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -11,12 +11,16 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/rotisserie/eris"
+
+	"peridotgw.example/peridotgw/internal/clock"
 )
 
 // Host names one side of a path; a server's host is the address in its URL.
 type Host string
 
-// AnyHost stands for all hosts in a fault.
+// AnyHost stands for all hosts.
 const AnyHost Host = "*"
 
 // Fault is what happens to calls on a path; the zero value is a healthy path.
@@ -25,6 +29,8 @@
 	Cut bool
 	// Silent drops calls: nothing answers until the caller gives up.
 	Silent bool
+	// SilentAnswers drops answers, also those of calls that were sent before the fault was set.
+	SilentAnswers bool
 	// Delay is the time that a call takes to reach the server.
 	Delay time.Duration
 	// LoseAnswers delivers this many calls and breaks the connection in place of the answer.
@@ -51,6 +57,9 @@
 
 // Net connects hosts; it may be used concurrently.
 type Net struct {
+	// Latency is the time that each request and each answer takes, besides the delay of a fault; it is set before use.
+	Latency time.Duration
+
 	mu       sync.Mutex
 	handlers map[Host]http.Handler
 	faults   map[path]*Fault
@@ -61,7 +70,16 @@
 	return &Net{handlers: map[Host]http.Handler{}, faults: map[path]*Fault{}}
 }
 
-// Serve makes handler answer at host; nil removes the host, as when its process dies.
+// Do returns a function that calls handler whatever the host of the request, for clients with a function field of this kind.
+// When the request's context ends first, the handler goes on by itself, as on a server.
+func Do(handler http.Handler) func(*http.Request) (*http.Response, error) {
+	n := New()
+	n.Serve(AnyHost, handler)
+	return n.Transport("client").RoundTrip
+}
+
+// Serve makes handler answer at host; nil removes the host, as when its process dies. A handler at AnyHost answers for
+// hosts without one.
 func (n *Net) Serve(host Host, handler http.Handler) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -79,6 +97,13 @@
 	n.faults[path{from, to}] = &fault
 }
 
+// Partition drops all messages between two hosts, in both directions, until it is called with false.
+func (n *Net) Partition(a, b Host, apart bool) {
+	fault := Fault{Silent: apart, SilentAnswers: apart}
+	n.SetFault(a, b, fault)
+	n.SetFault(b, a, fault)
+}
+
 // Transport returns the http.RoundTripper of a host.
 func (n *Net) Transport(from Host) http.RoundTripper {
 	return roundTripper(func(req *http.Request) (*http.Response, error) { return n.roundTrip(from, req) })
@@ -97,6 +122,9 @@
 func (n *Net) roundTrip(from Host, req *http.Request) (*http.Response, error) {
 	to := Host(req.URL.Host)
 	ctx := req.Context()
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
 	body, err := readBody(req)
 	if err != nil {
 		return nil, err
@@ -109,7 +137,7 @@
 	if fault.Cut || handler == nil {
 		return nil, &CutError{From: from, To: to}
 	}
-	if err := sleep(ctx, fault.Delay); err != nil {
+	if err := clock.Sleep(ctx, n.Latency+fault.Delay); err != nil {
 		return nil, err
 	}
 	answers := make(chan *http.Response, 1)
@@ -121,28 +149,57 @@
 		if res == nil || lose {
 			return nil, &LostError{From: from, To: to}
 		}
+		if err := n.answer(ctx, from, to); err != nil {
+			return nil, err
+		}
 		return res, nil
 	}
 }
 
-// find returns the handler of a host and the first fault set for the path, exact hosts before AnyHost.
+// answer takes an answer back over the path of its call.
+func (n *Net) answer(ctx context.Context, from, to Host) error {
+	if n.dropsAnswers(from, to) {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return clock.Sleep(ctx, n.Latency)
+}
+
+func (n *Net) dropsAnswers(from, to Host) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	fault := n.fault(from, to)
+	return fault != nil && fault.SilentAnswers
+}
+
+// find returns the handler of a host and the fault of the path, and whether the answer is to be lost.
 func (n *Net) find(from, to Host) (handler http.Handler, fault Fault, lose bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	handler = n.handlers[to]
+	if handler == nil {
+		handler = n.handlers[AnyHost]
+	}
+	set := n.fault(from, to)
+	if set == nil {
+		return handler, Fault{}, false
+	}
+	fault = *set
+	if set.LoseAnswers > 0 {
+		set.LoseAnswers--
+		lose = true
+	}
+	return handler, fault, lose
+}
+
+// fault returns the first fault set for the path, exact hosts before AnyHost, or nil. The caller holds mu.
+func (n *Net) fault(from, to Host) *Fault {
 	for _, p := range []path{{from, to}, {from, AnyHost}, {AnyHost, to}} {
-		set, found := n.faults[p]
-		if !found {
-			continue
+		if set, found := n.faults[p]; found {
+			return set
 		}
-		fault = *set
-		if set.LoseAnswers > 0 {
-			set.LoseAnswers--
-			lose = true
-		}
-		return handler, fault, lose
 	}
-	return handler, Fault{}, false
+	return nil
 }
 
 // serve runs the handler and returns nil when it breaks the connection.
@@ -168,6 +225,7 @@
 		recorder.Header().Set("Content-Length", strconv.Itoa(recorder.Body.Len()))
 	}
 	res = recorder.Result()
+	res.Request = req
 	res.ContentLength = int64(recorder.Body.Len())
 	res.Header.Set("Content-Length", recorder.Header().Get("Content-Length"))
 	return res
@@ -179,21 +237,7 @@
 	}
 	body, err := io.ReadAll(req.Body)
 	if err := errors.Join(err, req.Body.Close()); err != nil {
-		return nil, fmt.Errorf("reading request body: %w", err)
+		return nil, eris.Wrap(err, "reading request body")
 	}
 	return body, nil
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/vmlist/poller.go
+++ b/internal/vmlist/poller.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 )
 
@@ -126,7 +127,7 @@
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, p.URL+"/v1/vms", http.NoBody)
 	if err != nil {
-		return list{}, fmt.Errorf("building the VM list call: %w", err)
+		return list{}, eris.Wrap(err, "building the VM list call")
 	}
 	if known.etag != "" {
 		request.Header.Set("If-None-Match", known.etag)
@@ -137,11 +138,11 @@
 	}
 	answer, err := do(request)
 	if err != nil {
-		return list{}, fmt.Errorf("calling the VM list: %w", err)
+		return list{}, eris.Wrap(err, "calling the VM list")
 	}
 	defer func() {
 		if closeErr := answer.Body.Close(); err == nil && closeErr != nil {
-			err = fmt.Errorf("closing the VM list's answer: %w", closeErr)
+			err = eris.Wrap(closeErr, "closing the VM list's answer")
 		}
 	}()
 	switch {
@@ -152,7 +153,7 @@
 	}
 	var vms []VM
 	if err := json.NewDecoder(io.LimitReader(answer.Body, maxListBytes)).Decode(&vms); err != nil {
-		return list{}, fmt.Errorf("decoding the VM list: %w", err)
+		return list{}, eris.Wrap(err, "decoding the VM list")
 	}
 	vms, err = check(vms)
 	return list{vms: vms, etag: answer.Header.Get("ETag")}, err
@@ -163,7 +164,7 @@
 	seen := make(map[string]bool, len(vms))
 	for _, vm := range vms {
 		if seen[vm.Name] {
-			return nil, fmt.Errorf("VM list names %q twice", vm.Name)
+			return nil, eris.Errorf("VM list names %q twice", vm.Name)
 		}
 		seen[vm.Name] = true
 	}
