faults: the wait for probed endpoints names its cause

The wait at the start of each spec with processes is needed because /readyz succeeds before an endpoint was probed; the comment now says so.

Conclusion: the specs find a fault of readiness, which is not mended here.

--- a/faults/rig_test.go
+++ b/faults/rig_test.go
@@ -123,7 +123,7 @@
 	for _, one := range r.instances {
 		Eventually(func() bool { return isReady(one) }, "20s", "100ms").Should(BeTrue(), "%s is ready", one.id)
 	}
-	// Endpoints serve once they were probed, which each instance does for itself.
+	// Each instance serves once it has probed an endpoint; /readyz does not tell this.
 	for _, one := range r.instances {
 		Eventually(func() error {
 			return send(http.DefaultClient, one.url("callers"), "scan", client.NewRequestID()).err
