front: what a claim keeps of a result has a function of its own

Cause: finish built the stored answer and recorded it in the background; wait did not say what it waits for.

Change: toStore builds the stored answer and says why the body is copied; wait is waitForSlot. Behaviour is the same.

Conclusion: all specs pass.

--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -39,7 +39,7 @@
 
 // handle queues, claims and sends a request. The answer is either in the result or in stored.
 func (s *Server) handle(ctx context.Context, c *checked) (relay.Result, *StoredAnswer) {
-	ticket, refusal := s.wait(ctx, c)
+	ticket, refusal := s.waitForSlot(ctx, c)
 	if refusal != nil {
 		return relay.Result{Err: refusal}, nil
 	}
@@ -49,9 +49,9 @@
 	return s.handleClaimed(ctx, c, ticket)
 }
 
-// wait queues a request until it has a slot in a data centre that it may be sent to. A slot that was chosen just before its
+// waitForSlot queues a request until it has a slot in a data centre that it may be sent to. A slot that was chosen just before its
 // data centre went out of service is exchanged for another one.
-func (s *Server) wait(ctx context.Context, c *checked) (*queue.Ticket, *reply.Error) {
+func (s *Server) waitForSlot(ctx context.Context, c *checked) (*queue.Ticket, *reply.Error) {
 	for moves := 0; ; moves++ {
 		ticket, refusal := s.Queue.Wait(ctx, c.item)
 		if refusal != nil || s.MaySend == nil {
@@ -78,7 +78,7 @@
 			return result
 		}
 		var refusal *reply.Error
-		if ticket, refusal = s.wait(ctx, c); refusal != nil {
+		if ticket, refusal = s.waitForSlot(ctx, c); refusal != nil {
 			return relay.Result{Err: refusal}
 		}
 	}
@@ -123,7 +123,7 @@
 	}
 	if ticket == nil {
 		var refusal *reply.Error
-		if ticket, refusal = s.wait(ctx, c); refusal != nil {
+		if ticket, refusal = s.waitForSlot(ctx, c); refusal != nil {
 			s.finish(ctx, c, got.claim, relay.Result{Err: refusal})
 			return relay.Result{Err: refusal}, nil
 		}
@@ -157,14 +157,7 @@
 // finish records the outcome of a claimed request, or removes the claim of one that did not run, while the caller already
 // gets the answer.
 func (s *Server) finish(ctx context.Context, c *checked, claim *Claim, result relay.Result) {
-	stored := StoredAnswer{Outcome: reply.OutcomeDone}
-	switch {
-	case result.Err != nil:
-		stored = StoredAnswer{Outcome: result.Err.Outcome, Reason: result.Err.Reason}
-	case result.Answer != nil:
-		stored.Status, stored.ContentType = result.Answer.Status, result.Answer.ContentType
-		stored.Body, stored.BodyKept = slices.Clone(result.Answer.Body), true
-	}
+	stored := toStore(result)
 	s.inFlight.begin()
 	go func() {
 		defer s.inFlight.end()
@@ -182,6 +175,20 @@
 	}()
 }
 
+// toStore returns what a claim keeps of a result. The body is copied, because the answer's buffer is used again once the
+// caller has it.
+func toStore(result relay.Result) StoredAnswer {
+	stored := StoredAnswer{Outcome: reply.OutcomeDone}
+	switch {
+	case result.Err != nil:
+		stored = StoredAnswer{Outcome: result.Err.Outcome, Reason: result.Err.Reason}
+	case result.Answer != nil:
+		stored.Status, stored.ContentType = result.Answer.Status, result.Answer.ContentType
+		stored.Body, stored.BodyKept = slices.Clone(result.Answer.Body), true
+	}
+	return stored
+}
+
 // storedResult is the result of a duplicate.
 func storedResult(stored *StoredAnswer) relay.Result {
 	switch {
