relay: the outcome of an unverified answer has a function of its own

Cause: judge was the longest function of the package and mixed the check of an answer with the meaning of its status.

Change: unverified turns a failed check into an outcome; judge has a doc comment. Behaviour is the same.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -209,6 +209,7 @@
 	return route.VerdictBroken
 }
 
+// judge gives the slot back and turns a complete answer into an outcome; an answer that is not verified counts as unknown.
 func (a *attempt) judge(answer *http.Response, report route.Report, buffer *[]byte) outcome {
 	verify := a.relay.Verify
 	if verify == nil {
@@ -217,12 +218,7 @@
 	if err := verify(a.request, a.number, answer.Header, *buffer); err != nil {
 		buffers.Put(buffer)
 		a.pick.Done(route.VerdictBroken, report)
-		reason := reply.ReasonAnswerCrossed
-		var mismatch *MismatchError
-		if errors.As(err, &mismatch) {
-			reason = mismatch.Reason
-		}
-		return outcome{kind: kindUnknown, reason: reason, message: fmt.Sprintf("endpoint %s: %v", a.pick.Endpoint, err)}
+		return a.unverified(err)
 	}
 	switch {
 	case answer.StatusCode == http.StatusServiceUnavailable && answer.Header.Get(reply.HeaderNotRun) == "true":
@@ -249,6 +245,15 @@
 	}
 }
 
+func (a *attempt) unverified(err error) outcome {
+	reason := reply.ReasonAnswerCrossed
+	var mismatch *MismatchError
+	if errors.As(err, &mismatch) {
+		reason = mismatch.Reason
+	}
+	return outcome{kind: kindUnknown, reason: reason, message: fmt.Sprintf("endpoint %s: %v", a.pick.Endpoint, err)}
+}
+
 var errTooLarge = errors.New("the answer is larger than the limit")
 
 func (a *attempt) readBody(answer *http.Response) (*[]byte, error) {
