--- a/demo/story.go
+++ b/demo/story.go
@@ -39,7 +39,6 @@
 	operator   *client.Operator
 	load       *load
 	broken     []string
-	lines      []string
 	results    []sent
 	counters   *counters
 }
@@ -49,9 +48,7 @@
 }
 
 func (s *story) say(format string, args ...any) {
-	line := fmt.Sprintf("  "+format, args...)
-	fmt.Println(line)
-	s.lines = append(s.lines, line)
+	fmt.Printf("  "+format+"\n", args...)
 }
 
 func (s *story) breach(promise, format string, args ...any) {
--- a/internal/daemon/tasks.go
+++ b/internal/daemon/tasks.go
@@ -46,6 +46,7 @@
 		Jobs: &jobs.Book{Store: d.Store.WithRole(roleJob)}, Worker: workers, Log: d.Log, Metrics: d.Metrics,
 	}
 	d.Tasks.Manager.Register(d.listeners.peerMux)
+	d.Metrics.Registry.MustRegister(newCollector(d))
 	d.Kernel.Add(kernel.Service{
 		Name: ServiceSched, Needs: []kernel.Name{ServiceConfig, ServiceVMs, ServiceAudit, ServiceLease},
 		Value: d.Tasks.Manager, Run: d.Tasks.Manager.Run, Stop: d.Tasks.Manager.Stop,
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -22,6 +22,8 @@
 	Outcomes *prometheus.CounterVec
 	// StoreCalls counts calls to the store, by role, operation and result.
 	StoreCalls *prometheus.CounterVec
+	// GangStops counts gangs that were stopped, by cause.
+	GangStops *prometheus.CounterVec
 	// PeerBytes counts bytes between instances, by procedure and direction.
 	PeerBytes *prometheus.CounterVec
 }
@@ -33,6 +35,7 @@
 	set.Retries = set.Counter("retries_total", "Repeated sends and calls.", "part", "reason")
 	set.Outcomes = set.Counter("outcomes_total", "Finished requests.", "class", "outcome")
 	set.StoreCalls = set.Counter("store_calls_total", "Calls to the key-value service.", "role", "op", "result")
+	set.GangStops = set.Counter("gang_stops_total", "Gangs that were stopped.", "cause")
 	set.PeerBytes = set.Counter("peer_bytes_total", "Bytes of message bodies between instances.", "procedure", "direction")
 	set.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return set
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -58,7 +58,9 @@
 	addr   map[model.WorkerID]string
 	sum    Summary
 	frag   float64
-	queued map[queueKey]int
+	// unbound is the number of guaranteed copies that cannot be bound.
+	unbound int
+	queued  map[queueKey]int
 }
 
 type queueKey struct {
@@ -142,6 +144,13 @@
 	return o.frag
 }
 
+// Unbound returns the number of guaranteed copies that cannot be bound to usable workers, as of the last pass.
+func (o *Owner) Unbound() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.unbound
+}
+
 // Queued returns the number of queued jobs of a customer in a class as of the last pass.
 func (o *Owner) Queued(customer model.CustomerID, class model.JobClassID) int {
 	o.mu.Lock()
@@ -256,6 +265,7 @@
 	}
 	o.mu.Lock()
 	o.sum, o.frag, o.queued = o.core.Summary(), o.core.Fragmentation(), o.core.queueLengths()
+	o.unbound = len(o.core.Unbound())
 	o.mu.Unlock()
 }
 
@@ -365,6 +375,9 @@
 			return func(now time.Time) { o.core.Started(id, stored, err, now) }
 		})
 	case ActionStop:
+		if o.Metrics != nil {
+			o.Metrics.GangStops.WithLabelValues(string(action.Cause)).Inc()
+		}
 		o.spawn(ctx, func(ctx context.Context) func(time.Time) {
 			outcome := o.gang.Stop(context.WithoutCancel(ctx), record, action.Mode, action.Within)
 			return func(now time.Time) { o.core.Stopped(id, outcome, now) }
