demo: explain a refused request; sched: moves name their revision

Cause: when no request was refused, the demo had no request to explain, and the note of a move had revision 0. Change: the demo sends one id again with another body and explains the refusal; the note names the configuration revision. Conclusion: make demo prints the story of one job and one request each time.

--- a/demo/choice.go
+++ b/demo/choice.go
@@ -62,6 +62,17 @@
 	return s.anyJobClass()
 }
 
+// claimedClass returns a request class whose requests must not be repeated.
+func (s *story) claimedClass() (model.RequestClassID, bool) {
+	set := s.deployment.set
+	for _, name := range slices.Sorted(maps.Keys(set.RequestClasses)) {
+		if !set.RequestClasses[name].Idempotent {
+			return name, true
+		}
+	}
+	return "", false
+}
+
 // otherCustomer returns the customer with the largest quota that is not the given one.
 func (s *story) otherCustomer(not model.CustomerID) model.CustomerID {
 	set := s.deployment.set
--- a/demo/story.go
+++ b/demo/story.go
@@ -11,6 +11,7 @@
 
 	"peridotgw.example/peridotgw/client"
 	"peridotgw.example/peridotgw/model"
+	"peridotgw.example/peridotgw/reply"
 )
 
 // Bounds of docs/design.md, section 10.
@@ -41,6 +42,11 @@
 	broken     []string
 	results    []sent
 	counters   *counters
+	// reused is a request whose id was used for another body, so that there is a refusal to explain.
+	reused struct {
+		customer model.CustomerID
+		id       model.RequestID
+	}
 }
 
 func newStory(d *deployment) *story {
@@ -70,7 +76,7 @@
 	s.load = startLoad(ctx, d)
 	s.load.phase.Store(phaseHealthy)
 	for _, step := range []func(context.Context) error{
-		s.gangRunsComplete, s.shapeHandedBack, s.dataCentreOutAndIn, s.gracefulStop, s.kill,
+		s.gangRunsComplete, s.shapeHandedBack, s.dataCentreOutAndIn, s.gracefulStop, s.kill, s.refusal,
 	} {
 		if err := step(ctx); err != nil {
 			s.results = s.load.stop()
@@ -314,6 +320,29 @@
 	return nil
 }
 
+// refusal sends the id of a request that must not be repeated again with another body, and checks that it is refused.
+func (s *story) refusal(ctx context.Context) error {
+	s.reused.customer, s.reused.id = s.otherCustomer(""), client.NewRequestID()
+	class, found := s.claimedClass()
+	address, ok := s.load.balancer.choose()
+	if !ok || !found {
+		return eris.New("no instance is ready, or no request class is claimed")
+	}
+	caller := &client.Caller{Target: client.Target{Addresses: []string{address}}, Customer: s.reused.customer}
+	request := client.Request{Class: class, ID: s.reused.id, Body: []byte("first")}
+	if _, err := caller.Do(ctx, request); err != nil {
+		return eris.Wrap(err, "sending a request that must not be repeated")
+	}
+	request.Body = []byte("second")
+	_, err := caller.Do(ctx, request)
+	outcome, reason, message := classify(err)
+	if outcome != reply.OutcomeRefused {
+		s.breach("P6", "request %s with another body was %s", s.reused.id, outcome)
+	}
+	s.say("request %s sent again with another body was %s (%s): %s", s.reused.id, outcome, reason, message)
+	return nil
+}
+
 func (s *story) ownerToKill(status client.Status) (*instance, model.DataCentreID, bool) {
 	for _, one := range slices.Backward(s.deployment.instances) {
 		for _, dc := range status.DataCentres {
--- a/demo/summary.go
+++ b/demo/summary.go
@@ -77,22 +77,17 @@
 	printEvents(events)
 }
 
-// explainRequest prints the record of the first request that did not end well.
+// explainRequest prints the record of the request that was refused.
 func (s *story) explainRequest(ctx context.Context) {
-	for _, r := range s.results {
-		if r.outcome != reply.OutcomeRefused && r.outcome != reply.OutcomeUnknown && r.outcome != reply.OutcomeFailed {
-			continue
-		}
-		for customer := range s.deployment.set.Customers {
-			events, err := s.operator.ExplainRequest(ctx, customer, r.id)
-			if err == nil && len(events) > 0 {
-				fmt.Printf("  explain request %s of %s:\n", r.id, customer)
-				printEvents(events)
-				return
-			}
-		}
+	// Decisions are written to the store once a second.
+	time.Sleep(settle)
+	events, err := s.operator.ExplainRequest(ctx, s.reused.customer, s.reused.id)
+	if err != nil || len(events) == 0 {
+		s.breach("record", "request %s cannot be explained: %v, %d events", s.reused.id, err, len(events))
+		return
 	}
-	fmt.Println("  explain request: every request was done, so none has a recorded decision")
+	fmt.Printf("  explain request %s of %s:\n", s.reused.id, s.reused.customer)
+	printEvents(events)
 }
 
 func printEvents(events []client.Event) {
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -404,6 +404,9 @@
 		note := jobs.Note{At: time.Now().UTC(), Instance: o.Instance, Action: "moved", Reason: string(CauseDrain), Inputs: map[string]string{
 			"from": string(o.DataCentre), "to": string(action.To),
 		}}
+		if set := o.Config(); set != nil {
+			note.Revision = set.Revision
+		}
 		if !o.Valid() {
 			return func(now time.Time) { o.core.Moved(action.Job, errNotValid, now) }
 		}
