daemon: the spec of a planned stop waits until the instance has ended

Cause: go test -race reported that the spec read Run's error while Run could still be writing it, so an error of the last steps could go unseen. Change: the rig closes a channel when Run has returned, and the spec waits for it within the bound of a graceful stop; the check itself is unchanged.

--- a/internal/daemon/promises_test.go
+++ b/internal/daemon/promises_test.go
@@ -288,6 +288,7 @@
 				next := r.owner("south")
 				return next != nil && next != owner
 			})
+			Eventually(owner.done).WithTimeout(boundStop).Should(BeClosed())
 			Expect(owner.err).NotTo(HaveOccurred())
 		})
 	})
--- a/internal/daemon/rig_test.go
+++ b/internal/daemon/rig_test.go
@@ -49,7 +49,9 @@
 	*daemon.Daemon
 	id     string
 	cancel context.CancelFunc
-	err    error
+	// done is closed when Run has returned err.
+	done chan struct{}
+	err  error
 }
 
 // newRig starts the stand-ins of two data centres, each with a rack of two workers with four accelerators and two endpoints.
@@ -89,7 +91,7 @@
 	settings.OperatorTokens = []params.Operator{{Name: "spec", Token: token}}
 	d, cleanup, err := daemon.New(settings, zerolog.Nop(), r.net.Transport(memnet.Host(id)))
 	Expect(err).NotTo(HaveOccurred())
-	n := &node{Daemon: d, id: id}
+	n := &node{Daemon: d, id: id, done: make(chan struct{})}
 	r.net.Serve(memnet.Host(id+".callers"), d.Front.Handler())
 	r.net.Serve(memnet.Host(id+".peers"), d.PeerHandler())
 	r.net.Serve(memnet.Host(id+".operators"), d.Ops.Handler())
@@ -98,6 +100,7 @@
 	r.running.Go(func() {
 		defer cleanup()
 		n.err = d.Run(ctx)
+		close(n.done)
 	})
 	r.instances = append(r.instances, n)
 	return n
