memnet: a declared length of an answer stays as it is

Cause: serve replaced every answer's length by that of its body, so an answer shorter than its declared length would have passed for a whole one; the header was also set on a recorder that had already been read. Change: the length is filled in only where the handler declared none. Figures: the specs of memnet, daemon, config, member, jobs, gang and store pass. Conclusion: no spec relied on the replaced length.

--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -220,14 +220,13 @@
 	served.RequestURI = req.URL.RequestURI()
 	recorder := httptest.NewRecorder()
 	handler.ServeHTTP(recorder, served)
-	if recorder.Header().Get("Content-Length") == "" {
-		// As net/http does for answers that fit its buffer.
-		recorder.Header().Set("Content-Length", strconv.Itoa(recorder.Body.Len()))
-	}
 	res = recorder.Result()
 	res.Request = req
-	res.ContentLength = int64(recorder.Body.Len())
-	res.Header.Set("Content-Length", recorder.Header().Get("Content-Length"))
+	if res.ContentLength < 0 {
+		// As net/http does for answers that fit its buffer. A length that the handler declared stays, even if it is wrong.
+		res.ContentLength = int64(recorder.Body.Len())
+		res.Header.Set("Content-Length", strconv.Itoa(recorder.Body.Len()))
+	}
 	return res
 }
 
