demo: the printed lines set the token file that peridotctl reads

Cause: 'make up' printed PERIDOT_TOKEN, which peridotctl does not read, so the printed commands ended with a usage error. Change: the token is written beside the settings, and its path is printed.

--- a/demo/deploy.go
+++ b/demo/deploy.go
@@ -141,10 +141,16 @@
 	if err != nil {
 		return "", eris.Wrap(err, "encoding settings")
 	}
+	if err := os.WriteFile(d.tokenFile(), []byte(operatorToken), 0o600); err != nil {
+		return "", eris.Wrap(err, "writing the operators' token")
+	}
 	path := filepath.Join(d.logs, string(id)+".jsonc")
 	return path, eris.Wrap(os.WriteFile(path, data, 0o600), "writing settings")
 }
 
+// tokenFile is where peridotctl finds the operators' token.
+func (d *deployment) tokenFile() string { return filepath.Join(d.logs, "operator-token") }
+
 func (d *deployment) publish(ctx context.Context) error {
 	operator, done := d.operator()
 	defer done()
@@ -237,6 +243,6 @@
 	ready := d.instances[0].process.ready
 	fmt.Printf("  curl -i -H 'Peridot-Customer: %s' -H 'Peridot-Request-Id: try-1' -H 'Peridot-Timeout-Ms: 2000' -d hello http://%s/v1/requests/%s\n",
 		customer, ready["callers"], class)
-	fmt.Printf("  export PERIDOT_ADDRESS=http://%s PERIDOT_TOKEN=%s\n", ready["operators"], operatorToken)
+	fmt.Printf("  export PERIDOT_ADDRESS=http://%s PERIDOT_TOKEN_FILE=%s\n", ready["operators"], d.tokenFile())
 	fmt.Printf("  %s/peridotctl status\n  %s/peridotctl get\n", d.options.bin, d.options.bin)
 }
