platform, chief, node: the whole path on the users' platform

Cause: the users' platform speaks its own protocol, and no machine is set aside for control. Change: platform/ translates settings, store, worker calls, job calls and the operator's configuration; kv follows prefixes, elect keeps one leader under a store lease, chief schedules for one term, intake accepts jobs, node assembles an instance, and 'peridotd -platform' runs it.

--- /dev/null
+++ b/internal/agent/doc.go
@@ -0,0 +1,2 @@
+// Package agent describes the orders to workers and their errors; the adapter provides the calls.
+package agent
--- /dev/null
+++ b/internal/chief/plan.go
@@ -0,0 +1,369 @@
+package chief
+
+import (
+	"sort"
+	"time"
+
+	"peridotgw.example/peridotgw/internal/clock"
+	"peridotgw.example/peridotgw/internal/work"
+)
+
+const (
+	// remoteAfter is how long, in parts of its estimate, a task waits for its data's rack or for one rack.
+	remoteAfter = 0.5
+	// lateFactor of the objective is when a job earns nothing more.
+	lateFactor = 3
+)
+
+// pass is one planning pass over all waiting tasks.
+type pass struct {
+	c       *Chief
+	now     clock.Instant
+	today   time.Time
+	config  *work.Config
+	workers []*worker // that may get starts
+	racks   map[work.Label][]*worker
+	hidden  bool // a worker may hold runs of an earlier term that nobody has seen
+}
+
+// plan starts what can be started, most urgent first, and stops what must make way.
+func (c *Chief) plan() {
+	config := c.Config()
+	if config == nil || !c.ready || !c.Valid() {
+		return
+	}
+	began := time.Now()
+	p := &pass{c: c, now: c.Now(), today: c.Clock(), config: config, racks: map[work.Label][]*worker{}}
+	p.survey()
+	for _, j := range p.ordered() {
+		p.job(j)
+	}
+	c.Observe.Plan(time.Since(began))
+}
+
+// survey lists the workers that may get starts.
+func (p *pass) survey() {
+	for _, w := range p.c.workers {
+		w.soon = w.free().Add(w.leaving)
+		if w.roster && !w.visited && !p.c.lapsed(w, p.now) {
+			p.hidden = true
+		}
+		if !w.listed || !w.visited || w.info.Draining || w.missed > 0 || p.now < w.restTill || !p.c.enrolled(w) || p.c.Out(w.info.Zone) {
+			continue
+		}
+		p.workers = append(p.workers, w)
+	}
+	sort.Slice(p.workers, func(i, j int) bool { return p.workers[i].info.ID < p.workers[j].info.ID })
+	for _, w := range p.workers {
+		rack := w.info.Rack()
+		p.racks[rack] = append(p.racks[rack], w)
+	}
+}
+
+// ordered returns the jobs that may start tasks: by priority, then those that can still be in time, then by deadline.
+func (p *pass) ordered() []*job {
+	type ranked struct {
+		job      *job
+		priority int
+		late     bool
+	}
+	var list []ranked
+	for _, j := range p.c.live {
+		queue := p.config.Queue(j.spec.Queue)
+		priority := fallbackPriority
+		if queue != nil {
+			priority = queue.Priority
+		}
+		objective := j.deadline.Sub(j.spec.Due(0))
+		list = append(list, ranked{j, priority, p.today.Sub(j.spec.Due(0)) > lateFactor*objective})
+	}
+	sort.SliceStable(list, func(a, b int) bool {
+		if list[a].priority != list[b].priority {
+			return list[a].priority < list[b].priority
+		}
+		if list[a].late != list[b].late {
+			return !list[a].late
+		}
+		return list[a].job.deadline.Before(list[b].job.deadline)
+	})
+	jobs := make([]*job, len(list))
+	for i := range list {
+		jobs[i] = list[i].job
+	}
+	return jobs
+}
+
+const fallbackPriority = 100
+
+func (p *pass) job(j *job) {
+	if j.inherited && p.hidden {
+		return
+	}
+	for k, units := range j.units {
+		if p.today.Before(j.spec.Due(k)) && !j.spec.First.IsZero() {
+			p.c.later(min(j.spec.Due(k).Sub(p.today), tickEvery), func() { p.c.dirty = true })
+			return
+		}
+		for _, u := range units {
+			if u.left > 0 && p.after(units, u) {
+				p.unit(u)
+			}
+		}
+	}
+}
+
+// after reports whether all steps before a unit are done.
+func (p *pass) after(units []*unit, u *unit) bool {
+	for _, before := range u.step.After {
+		if units[before].left > 0 {
+			return false
+		}
+	}
+	if u.waiting == 0 {
+		u.waiting = p.now
+	}
+	return true
+}
+
+func (p *pass) unit(u *unit) {
+	if u.step.Gang {
+		p.gang(u)
+		return
+	}
+	for n := range u.tasks {
+		t := &u.tasks[n]
+		if t.done || t.active != nil || p.now < t.after {
+			continue
+		}
+		if !p.single(u, t) {
+			return
+		}
+	}
+	u.waiting = 0
+}
+
+// single starts one task, and reports whether it was placed.
+func (p *pass) single(u *unit, t *task) bool {
+	if w := p.best(u, p.workers, p.mayLeave(u)); w != nil {
+		p.c.start(t, w, nextNumber(u.job, t.last), nil)
+		w.soon = w.soon.Sub(u.step.Room())
+		return true
+	}
+	if p.priority(u) == 0 {
+		return p.preempt(u, p.workers, 1)
+	}
+	return false
+}
+
+func (p *pass) priority(u *unit) int {
+	if queue := p.config.Queue(u.job.spec.Queue); queue != nil {
+		return queue.Priority
+	}
+	return fallbackPriority
+}
+
+// mayLeave reports whether a unit's tasks have waited long enough to run away from their data or on several racks.
+func (p *pass) mayLeave(u *unit) bool {
+	return p.now.Sub(u.waiting) > time.Duration(remoteAfter*float64(u.step.Estimate))
+}
+
+// fits reports whether a worker may take one more task of a unit now.
+func (p *pass) fits(u *unit, w *worker, room work.Room) bool {
+	return p.allowed(u, w) && w.free().Holds(room) && w.soon.Holds(room)
+}
+
+// allowed reports whether a worker may ever run a unit's tasks.
+func (p *pass) allowed(u *unit, w *worker) bool {
+	return w.info.Pool == u.job.spec.Pool && w.info.Has(u.step.Label) && (u.step.PerWorker == 0 || u.perRun[w] < u.step.PerWorker)
+}
+
+// best returns the worker that fits most tightly, near the data if it can be.
+func (p *pass) best(u *unit, among []*worker, remote bool) *worker {
+	room := u.step.Room()
+	near := u.step.DataRack
+	if near != "" {
+		if w := p.tightest(u, p.racks[near], room); w != nil || !remote {
+			return w
+		}
+	}
+	return p.tightest(u, among, room)
+}
+
+func (p *pass) tightest(u *unit, among []*worker, room work.Room) *worker {
+	var best *worker
+	bestScore := 0.0
+	for _, w := range among {
+		if !p.fits(u, w, room) {
+			continue
+		}
+		if score := p.score(u, w, room); best == nil || score < bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// score is lower for workers that are left with less unused room.
+func (p *pass) score(u *unit, w *worker, room work.Room) float64 {
+	left := w.soon.Sub(room)
+	score := float64(left.GPU) + float64(left.CPU)/float64(max(1, w.info.Capacity.CPU))
+	if u.step.Lasts {
+		score = -score // Spread what stays.
+	}
+	if u.step.Fills && w.serving() || u.step.TailTarget > 0 && w.filling() {
+		score += apartScore
+	}
+	return score
+}
+
+// apartScore keeps work that fills away from work that serves, as long as there is another worker.
+const apartScore = 1000
+
+func (w *worker) serving() bool {
+	for _, r := range w.runs {
+		if r.task != nil && r.task.unit.step.TailTarget > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (w *worker) filling() bool {
+	for _, r := range w.runs {
+		if r.task != nil && r.task.unit.step.Fills {
+			return true
+		}
+	}
+	return false
+}
+
+// gang starts all members at once, or none.
+func (p *pass) gang(u *unit) {
+	if u.group != nil || p.now < u.tasks[0].after {
+		return
+	}
+	for n := range u.tasks {
+		if u.tasks[n].active != nil {
+			return
+		}
+	}
+	places := p.gangPlaces(u)
+	if places == nil {
+		if p.priority(u) == 0 {
+			p.preemptGang(u)
+		}
+		return
+	}
+	g := &group{unit: u, members: map[*run]bool{}}
+	for n := range u.tasks {
+		g.number = max(g.number, nextNumber(u.job, u.tasks[n].last))
+	}
+	u.group = g
+	for n := range u.tasks {
+		p.c.start(&u.tasks[n], places[n], g.number, g)
+		places[n].soon = places[n].soon.Sub(u.step.Room())
+	}
+	u.waiting = 0
+}
+
+// gangPlaces returns a worker for each member, or nil.
+func (p *pass) gangPlaces(u *unit) []*worker {
+	if near := u.step.DataRack; near != "" {
+		if places := p.spread(u, p.racks[near], fitsNow); places != nil {
+			return places
+		}
+	}
+	if u.step.SameRack {
+		if places := p.oneRack(u, fitsNow); places != nil {
+			return places
+		}
+	}
+	if (u.step.DataRack != "" || u.step.SameRack) && !p.mayLeave(u) {
+		return nil
+	}
+	return p.spread(u, p.workers, fitsNow)
+}
+
+// oneRack returns places within the rack that is left with the least room.
+func (p *pass) oneRack(u *unit, fit fit) []*worker {
+	var best []*worker
+	bestLeft := 0.0
+	for _, rack := range p.racks {
+		places := p.spread(u, rack, fit)
+		if places == nil {
+			continue
+		}
+		left := 0.0
+		for _, w := range rack {
+			left += w.soon.Cores()
+		}
+		if best == nil || left < bestLeft {
+			best, bestLeft = places, left
+		}
+	}
+	return best
+}
+
+// fit returns the room of a worker that counts.
+type fit func(*worker) work.Room
+
+// fitsNow is the room that is free and not promised.
+func fitsNow(w *worker) work.Room {
+	free := w.free()
+	return work.Room{CPU: min(free.CPU, w.soon.CPU), Memory: min(free.Memory, w.soon.Memory), GPU: min(free.GPU, w.soon.GPU)}
+}
+
+// fitsSoon is the room that is free once all stops are done, and not promised.
+func fitsSoon(w *worker) work.Room { return w.soon }
+
+// spread returns a worker for each member among some workers, filling those with the least room first, or nil.
+func (p *pass) spread(u *unit, among []*worker, fit fit) []*worker {
+	room := u.step.Room()
+	type option struct {
+		worker *worker
+		count  int
+	}
+	var options []option
+	total := 0
+	for _, w := range among {
+		if !p.allowed(u, w) {
+			continue
+		}
+		count := times(fit(w), room, len(u.tasks))
+		if u.step.PerWorker > 0 {
+			count = min(count, u.step.PerWorker-u.perRun[w])
+		}
+		if count > 0 {
+			options = append(options, option{w, count})
+			total += count
+		}
+	}
+	if total < len(u.tasks) {
+		return nil
+	}
+	sort.SliceStable(options, func(i, j int) bool {
+		return fit(options[i].worker).GPU < fit(options[j].worker).GPU
+	})
+	places := make([]*worker, 0, len(u.tasks))
+	for _, o := range options {
+		for range min(o.count, len(u.tasks)-len(places)) {
+			places = append(places, o.worker)
+		}
+	}
+	return places
+}
+
+// times returns how often need fits into room, at most limit.
+func times(room, need work.Room, limit int) int {
+	count := limit
+	if need.CPU > 0 {
+		count = min(count, room.CPU/need.CPU)
+	}
+	if need.Memory > 0 {
+		count = min(count, room.Memory/need.Memory)
+	}
+	if need.GPU > 0 {
+		count = min(count, int(room.GPU/need.GPU))
+	}
+	return max(count, 0)
+}
--- /dev/null
+++ b/internal/chief/preempt.go
@@ -0,0 +1,237 @@
+package chief
+
+import (
+	"sort"
+	"time"
+
+	"peridotgw.example/peridotgw/internal/work"
+	"peridotgw.example/peridotgw/model"
+)
+
+// spreadReclaim is the part of the reclaim bound after which urgent work no longer waits for a single rack.
+const spreadReclaim = 0.4
+
+// guaranteed reports whether a job is within its tenant's guarantee: all urgent work of the tenant needs no more.
+func (p *pass) guaranteed(j *job) bool {
+	tenant, found := p.config.Tenants[j.spec.Tenant]
+	if !found {
+		return false
+	}
+	var need model.Accelerators
+	for _, other := range p.c.live {
+		if other.spec.Tenant != j.spec.Tenant {
+			continue
+		}
+		if queue := p.config.Queue(other.spec.Queue); queue != nil && queue.Priority == 0 {
+			need += other.widest()
+		}
+	}
+	return need <= tenant.Guaranteed
+}
+
+// widest returns the accelerators that a job's widest step needs.
+func (j *job) widest() model.Accelerators {
+	var widest model.Accelerators
+	for i := range j.spec.Steps {
+		widest = max(widest, j.spec.Steps[i].Need.GPU*model.Accelerators(j.spec.Steps[i].Count))
+	}
+	return widest
+}
+
+// preempt makes room for one task of a unit on one worker, and reports whether room is promised.
+func (p *pass) preempt(u *unit, among []*worker, count int) bool {
+	room := u.step.Room()
+	for _, w := range among {
+		if p.allowed(u, w) && w.soon.Holds(room) {
+			w.soon = w.soon.Sub(room) // Stops under way make enough room.
+			return true
+		}
+	}
+	if !p.guaranteed(u.job) {
+		return false
+	}
+	var best *worker
+	var victims []*run
+	cost := 0.0
+	for _, w := range among {
+		if !p.allowed(u, w) {
+			continue
+		}
+		chosen, c, ok := p.victims(u, w, count)
+		if ok && (best == nil || c < cost) {
+			best, victims, cost = w, chosen, c
+		}
+	}
+	if best == nil {
+		return false
+	}
+	p.evict(u, victims)
+	best.soon = best.soon.Sub(room)
+	return true
+}
+
+// preemptGang makes room for all members of a gang.
+func (p *pass) preemptGang(u *unit) {
+	waited := p.now.Sub(u.waiting)
+	patience := time.Duration(spreadReclaim * float64(p.c.Limits.Reclaim))
+	if places := p.placesSoon(u, waited < patience); places != nil {
+		for _, w := range places {
+			w.soon = w.soon.Sub(u.step.Room())
+		}
+		return
+	}
+	if !p.guaranteed(u.job) {
+		return
+	}
+	var victims []*run
+	if u.step.SameRack {
+		victims = p.rackVictims(u)
+	}
+	if victims == nil {
+		victims, _ = p.clear(u, p.workers)
+	}
+	if victims == nil {
+		return
+	}
+	p.evict(u, victims)
+	if places := p.placesSoon(u, u.step.SameRack); places != nil {
+		for _, w := range places {
+			w.soon = w.soon.Sub(u.step.Room())
+		}
+	}
+}
+
+// placesSoon returns places in room that is free or being freed.
+func (p *pass) placesSoon(u *unit, rackOnly bool) []*worker {
+	if u.step.SameRack {
+		if places := p.oneRack(u, fitsSoon); places != nil || rackOnly {
+			return places
+		}
+	}
+	return p.spread(u, p.workers, fitsSoon)
+}
+
+// rackVictims returns the cheapest runs whose end makes room for a gang in one rack, or nil.
+func (p *pass) rackVictims(u *unit) []*run {
+	var best []*run
+	bestCost := 0.0
+	for _, rack := range p.racks {
+		if victims, cost := p.clear(u, rack); victims != nil && (best == nil || cost < bestCost) {
+			best, bestCost = victims, cost
+		}
+	}
+	return best
+}
+
+// clear returns runs whose end makes room for a gang among some workers, cheapest workers first, or nil.
+func (p *pass) clear(u *unit, among []*worker) ([]*run, float64) {
+	type option struct {
+		victims []*run
+		cost    float64
+	}
+	room := u.step.Room()
+	need := len(u.tasks)
+	var options []option
+	for _, w := range among {
+		if !p.allowed(u, w) {
+			continue
+		}
+		have := times(w.soon, room, need)
+		need -= have
+		if victims, cost, ok := p.victims(u, w, have+1); ok {
+			options = append(options, option{victims, cost})
+		}
+	}
+	sort.SliceStable(options, func(i, j int) bool { return options[i].cost < options[j].cost })
+	victims := []*run{}
+	total := 0.0
+	for _, o := range options {
+		if need <= 0 {
+			break
+		}
+		victims = append(victims, o.victims...)
+		total += o.cost
+		need--
+	}
+	if need > 0 {
+		return nil, 0
+	}
+	return victims, total
+}
+
+// victims returns the cheapest runs of a worker whose end makes room for count tasks of a unit.
+func (p *pass) victims(u *unit, w *worker, count int) ([]*run, float64, bool) {
+	need := u.step.Room()
+	target := work.Room{CPU: need.CPU * count, Memory: need.Memory * count, GPU: need.GPU * model.Accelerators(count)}
+	if !w.info.Capacity.Holds(target) {
+		return nil, 0, false
+	}
+	var candidates []*run
+	for _, r := range w.runs {
+		if p.mayEvict(u, r) {
+			candidates = append(candidates, r)
+		}
+	}
+	sort.Slice(candidates, func(i, j int) bool { return p.cost(candidates[i]) < p.cost(candidates[j]) })
+	room, total := w.soon, 0.0
+	var chosen []*run
+	for _, r := range candidates {
+		if room.Holds(target) {
+			break
+		}
+		chosen = append(chosen, r)
+		room = room.Add(r.room)
+		total += p.cost(r)
+	}
+	return chosen, total, room.Holds(target)
+}
+
+// mayEvict reports whether a run may make way for a unit.
+func (p *pass) mayEvict(u *unit, r *run) bool {
+	return r.phase != stopping && r.task != nil && !r.task.unit.step.Lasts && p.priority(r.task.unit) > p.priority(u)
+}
+
+// cost is the work in core-seconds that a stop throws away, of a whole gang where the run belongs to one.
+func (p *pass) cost(r *run) float64 {
+	u := r.task.unit
+	members := 1
+	if r.group != nil {
+		members = len(r.group.members)
+	}
+	lost := r.age(p.now)
+	if u.step.Checkpoints {
+		lost = min(lost, p.c.Limits.Restore+time.Second)
+	}
+	return float64(members) * u.step.Need.Cores() * (lost.Seconds() + evictionSeconds)
+}
+
+// evictionSeconds is added to what a stop throws away, so that few runs are stopped.
+const evictionSeconds = 0.5
+
+func (p *pass) evict(u *unit, victims []*run) {
+	for _, r := range victims {
+		why := "makes way for " + string(u.job.spec.ID)
+		if r.phase == stopping {
+			continue
+		}
+		before := r.worker.leaving
+		p.c.stop(r, why)
+		r.worker.soon = r.worker.soon.Add(r.worker.leaving.Sub(before))
+		if r.group != nil {
+			p.evictGroup(r.group, why)
+		}
+	}
+}
+
+func (p *pass) evictGroup(g *group, why string) {
+	if g.ending {
+		return
+	}
+	g.ending = true
+	for r := range g.members {
+		if r.phase != stopping {
+			p.c.stop(r, why)
+			r.worker.soon = r.worker.soon.Add(r.room)
+		}
+	}
+}
--- /dev/null
+++ b/internal/chief/types.go
@@ -0,0 +1,138 @@
+package chief
+
+import (
+	"time"
+
+	"peridotgw.example/peridotgw/internal/clock"
+	"peridotgw.example/peridotgw/internal/work"
+	"peridotgw.example/peridotgw/model"
+)
+
+// phase is how far a run is.
+type phase int
+
+const (
+	starting phase = iota // the order is on its way or its result is unknown
+	running
+	stopping // a stop is on its way or its result is unknown
+)
+
+// runKey names one run.
+type runKey struct {
+	task   work.TaskID
+	number work.RunNumber
+}
+
+// run is what may be present on a worker. It takes room until it is certain that it has ended.
+type run struct {
+	key     runKey
+	task    *task // nil for a run that nobody wants
+	worker  *worker
+	room    work.Room
+	phase   phase
+	group   *group // of a gang
+	created clock.Instant
+	// answered is when the last order for the run was acknowledged; 0 while that is open.
+	answered clock.Instant
+	percent  int
+	moved    clock.Instant // when percent last changed
+	saved    work.Checkpoint
+	load     int
+	pace     int // share of its speed, in percent
+	why      string
+}
+
+// group is one run of a gang.
+type group struct {
+	unit    *unit
+	number  work.RunNumber
+	members map[*run]bool
+	ending  bool // the rest is being stopped
+}
+
+// task is one task of a unit.
+type task struct {
+	unit     *unit
+	index    int
+	done     bool
+	failures int
+	last     work.RunNumber
+	saved    work.Checkpoint
+	active   *run
+	after    clock.Instant // no start before
+	failedOn model.WorkerID
+	counted  work.RunNumber // the last failed run that is counted
+}
+
+func (t *task) id() work.TaskID { return work.TaskID{StepID: t.unit.id, Index: t.index} }
+
+// unit is one occurrence of one step.
+type unit struct {
+	job      *job
+	id       work.StepID
+	step     *work.Step
+	tasks    []task
+	left     int // tasks that have not ended done
+	failures int // of the gang
+	counted  work.RunNumber
+	waiting  clock.Instant
+	began    bool
+	group    *group
+	perRun   map[*worker]int // active runs by worker
+	advice   advice
+}
+
+// job is a job in memory.
+type job struct {
+	spec      *work.Job
+	revision  uint64 // of its creation
+	units     [][]*unit
+	left      int // units that are not complete
+	began     bool
+	cancelled bool
+	state     work.State // as decided
+	shown     work.State // as durable
+	ended     time.Time
+	why       string
+	deadline  time.Time // by which it should be complete
+	dirty     bool
+	inherited bool // runs of an earlier term may be present on workers that were not seen yet
+	known     clock.Instant
+	finished  clock.Instant
+}
+
+// worker is one incarnation of a worker.
+type worker struct {
+	info     work.WorkerInfo
+	listed   bool // in the registry
+	roster   bool // may have runs of an earlier term
+	runs     map[runKey]*run
+	used     work.Room // by all runs
+	leaving  work.Room // part of used that is being stopped
+	visited  bool      // seen in this term
+	born     int64
+	looking  bool
+	lookAt   clock.Instant // no look before
+	missed   int           // calls in a row without an answer
+	restTill clock.Instant // no starts before
+	handled  work.EndNumber
+	acked    work.EndNumber // durable
+	clock    work.WorkerClock
+	clockAt  clock.Instant
+	until    work.WorkerClock // longest lease that was sent
+	failures int              // failed runs in a row
+	rests    int              // quarantines in a row
+	slowness float64
+	gone     bool
+	soon     work.Room // scratch of a planning pass: free once all stops are done, without what is promised
+}
+
+func (w *worker) free() work.Room { return w.info.Capacity.Sub(w.used) }
+
+// advice is what the advice service said about a unit.
+type advice struct {
+	asking  bool
+	tickets map[model.WorkerID]string
+	expires clock.Instant
+	retry   clock.Instant
+}
--- /dev/null
+++ b/internal/kv/kv.go
@@ -0,0 +1,142 @@
+package kv
+
+import (
+	"context"
+	"fmt"
+	"time"
+)
+
+// Revision is the store's change counter.
+type Revision uint64
+
+// LeaseID names a lease; 0 is no lease.
+type LeaseID uint64
+
+// MaxTxnEntries is the number of expectations, writes and removals that one transaction may hold together.
+const MaxTxnEntries = 32
+
+// Item is one key with its value.
+type Item struct {
+	Key      string
+	Value    []byte
+	Revision Revision // of its last change
+	Created  Revision // of its creation
+	Lease    LeaseID
+}
+
+// Event is one change; of a removed item only Key and Revision are set.
+type Event struct {
+	Item
+	Removed bool
+}
+
+// Expect is a condition of a transaction; revision 0 means that the key must not exist.
+type Expect struct {
+	Key      string
+	Revision Revision
+}
+
+// Write sets one key.
+type Write struct {
+	Key   string
+	Value []byte
+	Lease LeaseID
+}
+
+// Txn is an atomic change of at most MaxTxnEntries entries.
+type Txn struct {
+	Expect []Expect
+	Writes []Write
+	Remove []string
+}
+
+// Page is a part of a prefix; the next page starts after the last key.
+type Page struct {
+	Items []Item
+	More  bool
+	At    Revision // of the store when it answered
+}
+
+// Changes are the events after a revision, in order.
+type Changes struct {
+	Events []Event
+	At     Revision // where the next watch continues
+}
+
+// Store holds the calls of the platform's store; all may be used concurrently.
+// Errors are RefusedError, DoubtError, ConflictError, CompactedError or NoLeaseError.
+type Store struct {
+	Get   func(ctx context.Context, key string) (item Item, found bool, err error)
+	Range func(ctx context.Context, prefix, after string) (Page, error)
+	// Watch answers as soon as there is an event after a revision, or without events after wait.
+	Watch func(ctx context.Context, prefix string, after Revision, wait time.Duration) (Changes, error)
+	Txn   func(ctx context.Context, txn Txn) (Revision, error)
+	// Grant creates a lease and returns the lifetime that applies.
+	Grant func(ctx context.Context, ttl time.Duration) (LeaseID, time.Duration, error)
+	Keep  func(ctx context.Context, id LeaseID) (time.Duration, error)
+	End   func(ctx context.Context, id LeaseID) error
+}
+
+// RefusedError reports a call that certainly changed nothing.
+type RefusedError struct {
+	Op     string
+	Status int // of the answer; 0 when no connection was made
+	Cause  error
+}
+
+// Error names the call and the cause.
+func (e *RefusedError) Error() string {
+	if e.Cause != nil {
+		return fmt.Sprintf("store refused %s: %v", e.Op, e.Cause)
+	}
+	return fmt.Sprintf("store refused %s with status %d", e.Op, e.Status)
+}
+
+// Unwrap returns the cause.
+func (e *RefusedError) Unwrap() error { return e.Cause }
+
+// DoubtError reports a call whose result is unknown: it may have been executed, or may be executed later.
+type DoubtError struct {
+	Op    string
+	Cause error
+}
+
+// Error names the call and the cause.
+func (e *DoubtError) Error() string { return fmt.Sprintf("result of %s is unknown: %v", e.Op, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *DoubtError) Unwrap() error { return e.Cause }
+
+// ConflictError reports a transaction whose conditions did not hold.
+type ConflictError struct {
+	Items []Item // the expected keys that exist, as they are
+}
+
+// Error counts the items.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("conditions of the transaction do not hold (%d existing items)", len(e.Items))
+}
+
+// Item returns the item with a key, if it exists.
+func (e *ConflictError) Item(key string) (Item, bool) {
+	for _, item := range e.Items {
+		if item.Key == key {
+			return item, true
+		}
+	}
+	return Item{}, false
+}
+
+// CompactedError reports a watch from a revision whose history is gone.
+type CompactedError struct{ After Revision }
+
+// Error names the revision.
+func (e *CompactedError) Error() string {
+	return fmt.Sprintf("history after revision %d is gone", e.After)
+}
+
+// NoLeaseError reports a lease that does not exist any more.
+type NoLeaseError struct{ ID LeaseID }
+
+// Error names the lease.
+func (e *NoLeaseError) Error() string { return fmt.Sprintf("lease %d does not exist", e.ID) }
--- /dev/null
+++ b/internal/node/meters.go
@@ -0,0 +1,57 @@
+package node
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"peridotgw.example/peridotgw/internal/chief"
+	"peridotgw.example/peridotgw/internal/metric"
+	"peridotgw.example/peridotgw/internal/work"
+)
+
+// meters are the metrics of an instance.
+type meters struct {
+	set     *metric.Set
+	calls   *prometheus.HistogramVec
+	answers *prometheus.CounterVec
+	orders  *prometheus.CounterVec
+	ends    *prometheus.CounterVec
+	plans   *prometheus.HistogramVec
+	waits   *prometheus.HistogramVec
+}
+
+func newMeters() *meters {
+	set := metric.New()
+	latency := []float64{0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5}
+	return &meters{
+		set:     set,
+		calls:   set.Histogram("call_seconds", "Time of callers' calls.", latency, "call"),
+		answers: set.Counter("call_answers_total", "Answers to callers.", "call", "status"),
+		orders:  set.Counter("worker_orders_total", "Orders to workers and looks at them.", "kind", "result"),
+		ends:    set.Counter("run_ends_total", "Runs that are over.", "how"),
+		plans:   set.Histogram("plan_seconds", "Time of a planning pass.", []float64{0.0001, 0.0005, 0.001, 0.005, 0.02, 0.1}),
+		waits:   set.Histogram("job_wait_seconds", "Time from a job's arrival to its first start.", latency, "queue"),
+	}
+}
+
+func (m *meters) storeCall(op, result string) {
+	m.set.StoreCalls.WithLabelValues("node", op, result).Inc()
+}
+
+func (m *meters) call(call string, status int, took time.Duration) {
+	m.calls.WithLabelValues(call).Observe(took.Seconds())
+	m.answers.WithLabelValues(call, strconv.Itoa(status)).Inc()
+}
+
+func (m *meters) observer() chief.Observer {
+	return chief.Observer{
+		Order: func(kind, result string) { m.orders.WithLabelValues(kind, result).Inc() },
+		Ended: func(how work.How) { m.ends.WithLabelValues(string(how)).Inc() },
+		Plan:  func(took time.Duration) { m.plans.WithLabelValues().Observe(took.Seconds()) },
+		Started: func(queue work.QueueName, waited time.Duration) {
+			m.waits.WithLabelValues(string(queue)).Observe(waited.Seconds())
+		},
+	}
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,187 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"peridotgw.example/peridotgw/internal/agent"
+	"peridotgw.example/peridotgw/internal/chief"
+	"peridotgw.example/peridotgw/internal/clock"
+	"peridotgw.example/peridotgw/internal/elect"
+	"peridotgw.example/peridotgw/internal/intake"
+	"peridotgw.example/peridotgw/internal/kv"
+	"peridotgw.example/peridotgw/internal/wire"
+	"peridotgw.example/peridotgw/platform"
+)
+
+const (
+	peerTimeout     = time.Second
+	headerTimeout   = 3 * time.Second
+	idleTimeout     = 60 * time.Second
+	shutdownReserve = 2200 * time.Millisecond // of the grace time, for what is still being answered
+	shutdownLimit   = 1500 * time.Millisecond
+	maxHeaderBytes  = 16 << 10
+)
+
+// Node is one instance on the platform. Fields are set before Run.
+type Node struct {
+	Settings *platform.Settings
+	Log      zerolog.Logger
+
+	rules     *Rules
+	store     *kv.Store
+	workers   *agent.Calls
+	elector   *elect.Elector
+	desk      *intake.Desk
+	caller    *wire.Caller
+	meters    *meters
+	chief     atomic.Pointer[chief.Chief]
+	closing   atomic.Bool
+	relayTurn atomic.Uint32
+}
+
+// New returns an instance, and a function that closes its connections.
+func New(settings *platform.Settings, log zerolog.Logger) (*Node, func()) {
+	n := &Node{Settings: settings, Log: log, rules: &Rules{Log: log}, meters: newMeters()}
+	store, closeStore := platform.NewStore(settings.Store, n.meters.storeCall)
+	workers, closeWorkers := platform.NewWorkers()
+	client, closePeers := platform.NewClient(2)
+	client.Timeout = peerTimeout
+	n.store, n.workers, n.caller = store, workers, &wire.Caller{HTTP: client}
+	n.elector = &elect.Elector{
+		Store: store, Self: elect.Node{ID: settings.Node, Address: settings.Peers}, Share: settings.CPUShare, Log: log,
+		Now: clock.Boot, Lead: n.lead,
+	}
+	n.desk = &intake.Desk{Store: store, Owner: n.owner(), Log: log, Now: time.Now, Relay: n.relay}
+	return n, func() {
+		closeStore()
+		closeWorkers()
+		closePeers()
+	}
+}
+
+// Run serves until ctx ends, then stops by plan: it leaves the balancer's rotation, hands the scheduling over, answers
+// what is open, and returns.
+func (n *Node) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	servers, err := n.listen()
+	if err != nil {
+		return err
+	}
+	group, work := errgroup.WithContext(work)
+	for _, s := range servers {
+		group.Go(func() error { return s.serve() })
+	}
+	config := &kv.Follower{Store: n.store, Prefix: platform.OperatorPrefix, Log: n.Log, OnReset: n.rules.reset, OnEvents: n.rules.events}
+	group.Go(func() error { return config.Run(work) })
+	group.Go(func() error { return n.elector.Run(work) })
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+			n.shutDown(servers)
+		case <-work.Done():
+		}
+		stop()
+		return nil
+	})
+	n.Log.Info().Str("zone", string(n.Settings.Zone)).Str("callers", n.Settings.Callers).Msg("node: started")
+	err = group.Wait()
+	if errors.Is(err, context.Canceled) || errors.Is(err, http.ErrServerClosed) {
+		err = nil
+	}
+	n.Log.Info().Err(err).Msg("node: stopped")
+	return err
+}
+
+// shutDown ends the service of this instance within the time that the platform grants.
+func (n *Node) shutDown(servers []*server) {
+	n.Log.Info().Msg("node: stopping")
+	n.closing.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), n.Settings.Bounds.Grace-shutdownReserve)
+	n.elector.Retire(ctx)
+	<-ctx.Done() // New connections arrive until the balancer has noticed.
+	cancel()
+	ctx, cancel = context.WithTimeout(context.Background(), shutdownLimit)
+	defer cancel()
+	for _, s := range servers {
+		if err := s.http.Shutdown(ctx); err != nil {
+			n.Log.Warn().Err(err).Str("address", s.http.Addr).Msg("node: listener closed with open calls")
+		}
+	}
+	n.elector.Leave(ctx)
+}
+
+// lead schedules for one term.
+func (n *Node) lead(ctx context.Context, term elect.Term) error {
+	b := &n.Settings.Bounds
+	c := &chief.Chief{
+		Store: n.store, Workers: n.workers, Term: term, Log: n.Log, Now: clock.Boot, Clock: time.Now,
+		Limits: chief.Limits{
+			MaxLease: b.MaxLease, StopTimeout: b.StopTimeout, GangTimeout: b.GangTimeout, Early: b.Early, StatusFor: b.StatusFor,
+			Reclaim: b.Reclaim, Remote: b.Remote, Restore: b.Restore,
+		},
+		Config: n.rules.Config, Out: n.rules.Out,
+		Valid: func() bool { return n.elector.Valid(term) }, Deposed: func() { n.elector.Deposed(term) },
+		Registry: platform.RegistryPrefix, DecodeWorker: platform.DecodeWorker, Observe: n.meters.observer(),
+	}
+	n.chief.Store(c)
+	defer n.chief.CompareAndSwap(c, nil)
+	return c.Run(ctx)
+}
+
+type server struct {
+	http     *http.Server
+	listener net.Listener
+}
+
+func (s *server) serve() error {
+	err := s.http.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return eris.Wrapf(err, "serving %s", s.http.Addr)
+}
+
+func (n *Node) listen() ([]*server, error) {
+	front := &platform.Front{
+		Log: n.Log, Config: n.rules.Config, Jobs: n.desk, Closing: n.closing.Load, Observe: n.meters.call,
+	}
+	ready := http.NewServeMux()
+	ready.HandleFunc("GET /readyz", n.ready)
+	peers := http.NewServeMux()
+	n.register(peers)
+	metrics := http.NewServeMux()
+	metrics.Handle("GET /metrics", n.meters.set.Handler())
+	var servers []*server
+	for _, s := range []struct {
+		address string
+		handler http.Handler
+	}{{n.Settings.Peers, peers}, {n.Settings.Metrics, metrics}, {n.Settings.Ready, ready}, {n.Settings.Callers, front}} {
+		listener, err := net.Listen("tcp", s.address) //nolint:noctx // listening does not block
+		if err != nil {
+			return nil, eris.Wrapf(err, "listening on %s", s.address)
+		}
+		servers = append(servers, &server{listener: listener, http: &http.Server{
+			Addr: s.address, Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		}})
+	}
+	return servers, nil
+}
+
+// ready answers the balancer's probe.
+func (n *Node) ready(w http.ResponseWriter, _ *http.Request) {
+	if n.closing.Load() || n.rules.Config() == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/internal/node/peers.go
@@ -0,0 +1,217 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"peridotgw.example/peridotgw/internal/elect"
+	"peridotgw.example/peridotgw/internal/intake"
+	"peridotgw.example/peridotgw/internal/wire"
+	"peridotgw.example/peridotgw/internal/work"
+	"peridotgw.example/peridotgw/model"
+)
+
+// Procedures between instances.
+const (
+	procState   wire.Procedure = "/peer/job-state"
+	procPending wire.Procedure = "/peer/pending"
+	procChange  wire.Procedure = "/peer/change"
+)
+
+const (
+	relayRetryAfter = time.Second
+	relayPeers      = 2 // that one change is offered to at a time
+	relayLimit      = 800 * time.Millisecond
+)
+
+var (
+	errNoOwner  = errors.New("no instance schedules")          //nolint:gochecknoglobals // a constant error
+	errNotOwner = errors.New("the instance does not schedule") //nolint:gochecknoglobals // a constant error
+	errNoPeer   = errors.New("no other instance is known")     //nolint:gochecknoglobals // a constant error
+)
+
+type stateQuery struct {
+	ID model.JobID `cbor:"1,keyasint"`
+}
+
+type stateAnswer struct {
+	State work.State `cbor:"1,keyasint,omitempty"`
+	Found bool       `cbor:"2,keyasint,omitempty"`
+	Owner bool       `cbor:"3,keyasint,omitempty"`
+}
+
+type pendingQuery struct{}
+
+type pendingAnswer struct {
+	Counts map[work.QueueName]int `cbor:"1,keyasint,omitempty"`
+	Owner  bool                   `cbor:"2,keyasint,omitempty"`
+}
+
+// verdict is the result of a change at another instance.
+type verdict string
+
+const (
+	verdictDone    verdict = "done"
+	verdictRefused verdict = "refused"
+	verdictUnknown verdict = "unknown-job"
+	verdictDoubt   verdict = "doubt"
+)
+
+type changeAnswer struct {
+	Verdict verdict `cbor:"1,keyasint"`
+	Message string  `cbor:"2,keyasint,omitempty"`
+}
+
+// register serves the procedures.
+func (n *Node) register(mux *http.ServeMux) {
+	wire.Handle(mux, procState, func(_ context.Context, q *stateQuery) (*stateAnswer, error) {
+		chief := n.chief.Load()
+		if chief == nil {
+			return &stateAnswer{}, nil
+		}
+		state, found := chief.State(q.ID)
+		return &stateAnswer{State: state, Found: found, Owner: true}, nil
+	})
+	wire.Handle(mux, procPending, func(context.Context, *pendingQuery) (*pendingAnswer, error) {
+		counts, owner := n.ownPending()
+		return &pendingAnswer{Counts: counts, Owner: owner}, nil
+	})
+	wire.Handle(mux, procChange, func(ctx context.Context, change *intake.Change) (*changeAnswer, error) {
+		err := n.desk.Apply(ctx, *change)
+		return toAnswer(err), nil
+	})
+}
+
+func toAnswer(err error) *changeAnswer {
+	var refused *intake.RefusedError
+	var unknown *intake.UnknownJobError
+	switch {
+	case err == nil:
+		return &changeAnswer{Verdict: verdictDone}
+	case errors.As(err, &refused):
+		return &changeAnswer{Verdict: verdictRefused, Message: refused.Error()}
+	case errors.As(err, &unknown):
+		return &changeAnswer{Verdict: verdictUnknown}
+	}
+	return &changeAnswer{Verdict: verdictDoubt, Message: err.Error()}
+}
+
+func (n *Node) ownPending() (map[work.QueueName]int, bool) {
+	chief := n.chief.Load()
+	if chief == nil {
+		return nil, false
+	}
+	return chief.Pending()
+}
+
+// owner answers for jobs from the memory of the instance that schedules.
+func (n *Node) owner() intake.Owner {
+	return intake.Owner{State: n.ownerState, Pending: n.ownerPending}
+}
+
+// leader returns the address of another instance that schedules.
+func (n *Node) leader() (string, error) {
+	leader, found := n.elector.Leader()
+	if !found || leader.ID == n.Settings.Node {
+		return "", errNoOwner
+	}
+	return leader.Address, nil
+}
+
+func (n *Node) ownerState(ctx context.Context, id model.JobID) (work.State, bool, error) {
+	if chief := n.chief.Load(); chief != nil {
+		state, found := chief.State(id)
+		return state, found, nil
+	}
+	address, err := n.leader()
+	if err != nil {
+		return "", false, err
+	}
+	answer, err := wire.Call[stateQuery, stateAnswer](ctx, n.caller, address, procState, &stateQuery{ID: id})
+	if err != nil {
+		return "", false, err
+	}
+	if !answer.Owner {
+		return "", false, errNotOwner
+	}
+	return answer.State, answer.Found, nil
+}
+
+func (n *Node) ownerPending(ctx context.Context) (map[work.QueueName]int, error) {
+	if counts, owner := n.ownPending(); owner {
+		return counts, nil
+	}
+	address, err := n.leader()
+	if err != nil {
+		return nil, err
+	}
+	answer, err := wire.Call[pendingQuery, pendingAnswer](ctx, n.caller, address, procPending, &pendingQuery{})
+	if err != nil {
+		return nil, err
+	}
+	if !answer.Owner {
+		return nil, errNotOwner
+	}
+	return answer.Counts, nil
+}
+
+// relay has another instance carry out a change that the store does not take from this one.
+func (n *Node) relay(ctx context.Context, change intake.Change) error {
+	peers := n.relayPeers()
+	if len(peers) == 0 {
+		return &intake.RefusedError{Cause: errNoPeer, RetryAfter: relayRetryAfter}
+	}
+	var doubt, last error
+	for _, peer := range peers {
+		err := n.relayTo(ctx, peer, change)
+		var unknown *intake.UnknownJobError
+		if err == nil || errors.As(err, &unknown) {
+			return err
+		}
+		var refused *intake.RefusedError
+		if !errors.As(err, &refused) {
+			doubt = err
+		}
+		last = err
+	}
+	if doubt != nil {
+		return doubt
+	}
+	return last
+}
+
+// relayPeers returns the peers to try, a different first one each time.
+func (n *Node) relayPeers() []elect.Node {
+	peers := n.elector.Peers()
+	if len(peers) <= relayPeers {
+		return peers
+	}
+	first := int(n.relayTurn.Add(relayPeers)) % len(peers)
+	chosen := make([]elect.Node, 0, relayPeers)
+	for i := range relayPeers {
+		chosen = append(chosen, peers[(first+i)%len(peers)])
+	}
+	return chosen
+}
+
+func (n *Node) relayTo(ctx context.Context, peer elect.Node, change intake.Change) error {
+	ctx, cancel := context.WithTimeout(ctx, relayLimit)
+	defer cancel()
+	answer, err := wire.Call[intake.Change, changeAnswer](ctx, n.caller, peer.Address, procChange, &change)
+	if err != nil {
+		return err
+	}
+	switch answer.Verdict {
+	case verdictDone:
+		return nil
+	case verdictUnknown:
+		return &intake.UnknownJobError{ID: change.Cancel}
+	case verdictRefused:
+		return &intake.RefusedError{Cause: eris.New(answer.Message), RetryAfter: relayRetryAfter}
+	}
+	return eris.New(answer.Message)
+}
--- /dev/null
+++ b/internal/work/config.go
@@ -0,0 +1,93 @@
+package work
+
+import (
+	"strings"
+	"time"
+
+	"peridotgw.example/peridotgw/model"
+)
+
+// ConfigVersion numbers the operators' configurations; it rises in uneven steps.
+type ConfigVersion int64
+
+// Queue is where jobs of one kind are submitted.
+type Queue struct {
+	Name        QueueName
+	Host        string
+	Prefix      string
+	Pool        PoolName
+	Priority    int // 0 comes first
+	MaxAttempts int
+	Stretch     float64       // of the chain of work that a job may take
+	Latency     time.Duration // that a job may take on top
+	Anonymous   bool
+	Advice      *Advice
+}
+
+// Advice says that another service decides which workers may run a step.
+type Advice struct {
+	Decision  time.Duration
+	PerWorker time.Duration
+	Valid     time.Duration
+}
+
+// Pool is a set of workers.
+type Pool struct {
+	Name           PoolName
+	GuardsCapacity bool // workers refuse what does not fit
+	Standby        bool // machines are off
+}
+
+// Tenant owns keys and a guarantee.
+type Tenant struct {
+	Name       model.CustomerID
+	Keys       []string
+	Guaranteed model.Accelerators
+}
+
+// Config is the operators' configuration.
+type Config struct {
+	Version      ConfigVersion
+	Queues       []Queue
+	Pools        map[PoolName]Pool
+	Tenants      map[model.CustomerID]Tenant
+	MaxBodyBytes int64
+
+	byName map[QueueName]*Queue
+	byKey  map[string]model.CustomerID
+}
+
+// Index prepares the look-ups; it is called once, before the configuration is shared.
+func (c *Config) Index() {
+	c.byName = make(map[QueueName]*Queue, len(c.Queues))
+	for i := range c.Queues {
+		c.byName[c.Queues[i].Name] = &c.Queues[i]
+	}
+	c.byKey = map[string]model.CustomerID{}
+	for name := range c.Tenants {
+		for _, key := range c.Tenants[name].Keys {
+			c.byKey[key] = name
+		}
+	}
+}
+
+// Queue returns a queue by name, or nil.
+func (c *Config) Queue(name QueueName) *Queue { return c.byName[name] }
+
+// Match returns the queue of a host with the longest prefix that path begins with, or nil.
+func (c *Config) Match(host, path string) *Queue {
+	var best *Queue
+	for i := range c.Queues {
+		q := &c.Queues[i]
+		if q.Host == host && strings.HasPrefix(path, q.Prefix) && (best == nil || len(q.Prefix) > len(best.Prefix)) {
+			best = q
+		}
+	}
+	return best
+}
+
+// TenantOf returns the owner of a key.
+func (c *Config) TenantOf(key string) (model.CustomerID, bool) {
+	tenant, found := c.byKey[key]
+	return tenant, found
+}
--- a/peridotd/main.go
+++ b/peridotd/main.go
@@ -28,8 +28,12 @@
 
 func main() {
 	check := flag.Bool("check", false, "check the settings and exit")
+	onPlatform := flag.Bool("platform", false, "run on the users' platform, with the settings file that it provides")
 	flag.Usage = usage
 	flag.Parse()
+	if *onPlatform {
+		os.Exit(runOnPlatform(*check))
+	}
 	if flag.NArg() != 1 {
 		usage()
 		os.Exit(exitUsage)
@@ -42,6 +46,7 @@
 
 Usage:
     peridotd [-check] settings.jsonc
+    peridotd [-check] -platform
 
 Example:
     peridotd --check examples/hollow-creek/entry-1.jsonc
