--- a/internal/kv/follow.go
+++ b/internal/kv/follow.go
@@ -13,7 +13,8 @@
 )
 
 const (
-	watchWait      = 20 * time.Second
+	// watchWait bounds how long a change stays unseen: a watch that waits hears nothing of changes whose history is dropped.
+	watchWait      = time.Second
 	rangeTimeout   = 2 * time.Second
 	followRetryMin = 80 * time.Millisecond
 	followRetryMax = 500 * time.Millisecond
