--- a/internal/chief/jobs.go
+++ b/internal/chief/jobs.go
@@ -17,6 +17,9 @@
 		c.readySince = c.Now()
 		c.ready = true
 		c.Log.Info().Int("jobs", len(c.jobs)).Int("live", len(c.live)).Int("workers", len(c.workers)).Msg("chief: jobs loaded")
+		for _, w := range c.workers {
+			c.wake(w)
+		}
 	}
 	c.dirty = true
 }
--- a/internal/chief/workers.go
+++ b/internal/chief/workers.go
@@ -180,7 +180,8 @@
 
 // wanted reports whether a worker should be looked at now.
 func (c *Chief) wanted(w *worker) bool {
-	return !w.gone && (!w.visited || len(w.runs) > 0 || w.handled > w.acked || w.missed > 0 && w.listed)
+	// Ends and runs mean nothing before the jobs are loaded.
+	return c.ready && !w.gone && (!w.visited || len(w.runs) > 0 || w.handled > w.acked || w.missed > 0 && w.listed)
 }
 
 // wake starts a look if one is due.
