chief: leases of silent workers run out

Ruled out: missing notice of the registry, the entries' removal was logged. Change: looks at a silent worker carry no lease; workers that drain get leases of 3 s.

--- a/internal/chief/workers.go
+++ b/internal/chief/workers.go
@@ -18,11 +18,12 @@
 	lookRetry = 200 * time.Millisecond
 	// unackedPause delays a look whose answer would come at once, because ends are not durable yet.
 	unackedPause = 60 * time.Millisecond
+	// drainLease is short, so that the end of a worker that leaves is certain soon after it falls silent.
+	drainLease = 3 * time.Second
 	// slowClock is the speed of the slowest clock of a worker.
 	slowClock   = 0.98
 	lapseMargin = 250 * time.Millisecond
-	// unlistedFor is how long a worker is kept that is neither registered nor reached and holds nothing.
-	missedLimit = 2
+	missedLimit = 2 // calls in a row without an answer, after which a worker counts as silent
 )
 
 func (c *Chief) registryReset(items []kv.Item) {
@@ -134,7 +135,11 @@
 	if w.clockAt == 0 {
 		return 0
 	}
-	until := w.clock + work.WorkerClock((now.Sub(w.clockAt) + c.Limits.MaxLease).Milliseconds())
+	lease := c.Limits.MaxLease
+	if w.info.Draining {
+		lease = min(lease, drainLease)
+	}
+	until := w.clock + work.WorkerClock((now.Sub(w.clockAt) + lease).Milliseconds())
 	w.until = max(w.until, until)
 	return until
 }
@@ -190,7 +195,11 @@
 	if w.looking || now < w.lookAt || !c.wanted(w) || !c.Valid() {
 		return
 	}
-	order := agent.LookOrder{Token: c.Term.Token, Seen: w.acked, Until: c.lease(w, now)}
+	order := agent.LookOrder{Token: c.Term.Token, Seen: w.acked}
+	if w.missed == 0 {
+		// A look without an answer may be executed later: leases of a silent worker must run out.
+		order.Until = c.lease(w, now)
+	}
 	if w.visited && w.missed == 0 && len(w.runs) > 0 && w.handled == w.acked {
 		order.Wait = lookWait
 	}
