--- a/internal/chief/chief.go
+++ b/internal/chief/chief.go
@@ -74,6 +74,7 @@
 	planned    clock.Instant
 	readySince clock.Instant
 	adviceBusy int
+	history    map[work.QueueName]*history
 
 	mu      sync.Mutex
 	answers map[model.JobID]work.State
@@ -98,6 +99,7 @@
 	c.cancels = map[model.JobID]bool{}
 	c.answers = map[model.JobID]work.State{}
 	c.pending = map[work.QueueName]int{}
+	c.history = map[work.QueueName]*history{}
 	group, ctx := errgroup.WithContext(ctx)
 	c.ctx = ctx
 	if err := c.load(ctx); err != nil {
--- a/internal/chief/health.go
+++ b/internal/chief/health.go
@@ -16,6 +16,9 @@
 	stuckAfter = 2 * time.Second
 	stuckSteps = 12
 	stuckRest  = 6 * time.Second
+	// leftOverAfter is how long the members of a gang may take to end after the first has ended done.
+	leftOverAfter = time.Second
+	fullPercent   = 100
 )
 
 // judge keeps the record of a worker. A task that has failed elsewhere says nothing about this worker.
@@ -42,11 +45,15 @@
 		return
 	}
 	for _, r := range w.runs {
-		if r.phase != running || r.task == nil || r.pace < fullPace || r.task.unit.step.Lasts || !r.together() {
+		if r.phase == running && r.task != nil && r.task.done && now.Sub(r.task.unit.finished) > leftOverAfter {
+			c.stop(r, "task is done")
+		}
+		// A member at its end waits for the rest of its gang.
+		if r.phase != running || r.task == nil || r.percent >= fullPercent || r.pace < fullPace || r.task.unit.step.Lasts || !r.together() {
 			continue
 		}
 		// A percent of the work takes a hundredth of the estimate, several times longer away from the data or on a slow worker.
-		limit := max(stuckAfter, stuckSteps*r.task.unit.step.Estimate/100)
+		limit := max(stuckAfter, stuckSteps*c.estimate(r.task.unit)/100)
 		if now.Sub(max(r.moved, r.created)) < limit {
 			continue
 		}
--- a/internal/chief/jobs.go
+++ b/internal/chief/jobs.go
@@ -208,7 +208,8 @@
 	for _, units := range j.units {
 		for _, u := range units {
 			for n := range u.tasks {
-				if r := u.tasks[n].active; r != nil {
+				// The members of a gang of which one has ended done end by themselves.
+				if r := u.tasks[n].active; r != nil && !u.tasks[n].done {
 					c.stop(r, "job is "+string(state))
 				}
 			}
@@ -287,9 +288,11 @@
 		u.left--
 	}
 	u.job.dirty = true
+	c.learn(u, r)
 	if u.left > 0 {
 		return
 	}
+	u.finished = c.Now()
 	u.job.left--
 	if u.job.left == 0 && !u.job.state.Final() {
 		c.finishJob(u.job, work.StateCompleted, "all tasks are done")
--- a/internal/chief/orders.go
+++ b/internal/chief/orders.go
@@ -51,7 +51,7 @@
 	u := t.unit
 	r := &run{
 		key: runKey{t.id(), number}, task: t, worker: w, room: u.step.Room(), group: g,
-		created: now, moved: now, pace: fullPace, saved: t.saved,
+		created: now, moved: now, pace: fullPace, saved: t.saved, fresh: t.saved == "",
 	}
 	if g != nil {
 		g.members[r] = true
--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -9,8 +9,10 @@
 )
 
 const (
-	// remoteAfter is how long, in parts of its estimate, a task waits for its data's rack or for one rack.
-	remoteAfter = 0.5
+	// leaveAfter is the least time that a task waits for its data's rack, and a gang for a single rack.
+	leaveAfter = 2 * time.Second
+	// unheardLimit is how long after a term's start an unlisted worker may still come back with ends of earlier terms.
+	unheardLimit = 15 * time.Second
 	// lateFactor of the objective is when a job earns nothing more.
 	lateFactor = 3
 )
@@ -24,6 +26,7 @@
 	workers []*worker // that may get starts
 	racks   map[work.Label][]*worker
 	hidden  bool // a worker may hold runs of an earlier term that nobody has seen
+	unheard bool // a worker may list ends of an earlier term that nobody has seen
 }
 
 // plan starts what can be started, most urgent first, and stops what must make way.
@@ -45,8 +48,9 @@
 func (p *pass) survey() {
 	for _, w := range p.c.workers {
 		w.soon = w.free().Add(w.leaving)
-		if w.roster && !w.visited && !p.c.lapsed(w, p.now) {
-			p.hidden = true
+		if w.roster && !w.visited {
+			p.hidden = p.hidden || !p.c.lapsed(w, p.now)
+			p.unheard = p.unheard || w.listed || p.now.Sub(p.c.Term.Since) < unheardLimit
 		}
 		if !w.listed || !w.visited || w.info.Draining || w.missed > 0 || p.now < w.restTill || !p.c.enrolled(w) || p.c.Out(w.info.Zone) {
 			continue
@@ -132,7 +136,7 @@
 	}
 	for n := range u.tasks {
 		t := &u.tasks[n]
-		if t.done || t.active != nil || p.now < t.after {
+		if t.done || t.active != nil || p.now < t.after || p.lastTry(u, t, t.failures) {
 			continue
 		}
 		if !p.single(u, t) {
@@ -142,6 +146,16 @@
 	u.waiting = 0
 }
 
+// lastTry reports whether one more failure ends the job while a failure that nobody has heard of may be listed by a worker
+// that does not answer: the task would then be started once too often.
+func (p *pass) lastTry(u *unit, t *task, failures int) bool {
+	if u.step.Lasts || failures+1 < p.c.maxAttempts(u.job) {
+		return false
+	}
+	silent := t.lostOn != nil && t.lostOn.missed > 0 && !t.lostOn.gone
+	return silent || u.job.inherited && p.unheard
+}
+
 // single starts one task, and reports whether it was placed.
 func (p *pass) single(u *unit, t *task) bool {
 	if w := p.best(u, p.workers, p.mayLeave(u)); w != nil {
@@ -162,9 +176,11 @@
 	return fallbackPriority
 }
 
-// mayLeave reports whether a unit's tasks have waited long enough to run away from their data or on several racks.
+// mayLeave reports whether a unit's tasks have waited long enough to run away from their data or on several racks. They take
+// several times longer there: until the wait makes up for that, waiting is better.
 func (p *pass) mayLeave(u *unit) bool {
-	return p.now.Sub(u.waiting) > time.Duration(remoteAfter*float64(u.step.Estimate))
+	longer := (p.c.Limits.Remote - 1) * float64(p.c.estimate(u))
+	return p.now.Sub(u.waiting) > max(time.Duration(longer), leaveAfter)
 }
 
 // fits reports whether a worker may take one more task of a unit now.
@@ -243,7 +259,7 @@
 		return
 	}
 	for n := range u.tasks {
-		if u.tasks[n].active != nil {
+		if u.tasks[n].active != nil || p.lastTry(u, &u.tasks[n], u.failures) {
 			return
 		}
 	}
--- a/internal/chief/types.go
+++ b/internal/chief/types.go
@@ -37,6 +37,7 @@
 	percent  int
 	moved    clock.Instant // when percent last changed
 	saved    work.Checkpoint
+	fresh    bool // started without a checkpoint
 	load     int
 	pace     int // share of its speed, in percent
 	why      string
@@ -62,6 +63,7 @@
 	after    clock.Instant // no start before
 	failedOn model.WorkerID
 	counted  work.RunNumber // the last failed run that is counted
+	lostOn   *worker        // where a run was given up whose end is not known
 }
 
 func (t *task) id() work.TaskID { return work.TaskID{StepID: t.unit.id, Index: t.index} }
@@ -76,8 +78,8 @@
 	failures int // of the gang
 	counted  work.RunNumber
 	waiting  clock.Instant
-	began    bool
 	group    *group
+	finished clock.Instant
 	perRun   map[*worker]int // active runs by worker
 	advice   advice
 }
--- a/internal/chief/workers.go
+++ b/internal/chief/workers.go
@@ -165,6 +165,11 @@
 func (c *Chief) checkWorker(w *worker, now clock.Instant) {
 	if len(w.runs) > 0 && w.missed >= missedLimit && c.lapsed(w, now) {
 		c.Log.Warn().Str("worker", string(w.info.ID)).Int("runs", len(w.runs)).Msg("chief: leases lapsed on a worker that does not answer")
+		for _, r := range w.runs {
+			if r.task != nil {
+				r.task.lostOn = w
+			}
+		}
 		c.dropRuns(w, "lease lapsed on a worker that does not answer")
 	}
 	if !w.listed && c.readyFor(now) && (len(w.runs) == 0 && w.handled == w.acked && (w.visited || c.lapsed(w, now))) && c.settled(now) {
