--- a/internal/chief/chief.go
+++ b/internal/chief/chief.go
@@ -65,7 +65,7 @@
 	workers map[model.WorkerID]*worker
 	// roster is what the store holds of the workers that may have runs.
 	roster     roster
-	orphans    map[model.JobID]work.Progress // progress read before its job
+	orphans    map[model.JobID]stored // progress read before its job
 	cancels    map[model.JobID]bool
 	writing    bool
 	writeAfter clock.Instant
@@ -90,12 +90,18 @@
 	Started func(queue work.QueueName, waited time.Duration)
 }
 
+// stored is a progress record as it was read.
+type stored struct {
+	progress work.Progress
+	revision kv.Revision
+}
+
 // Run schedules until ctx ends or the term is over.
 func (c *Chief) Run(ctx context.Context) error {
 	c.posts = make(chan func(), postQueue)
 	c.jobs = map[model.JobID]*job{}
 	c.workers = map[model.WorkerID]*worker{}
-	c.orphans = map[model.JobID]work.Progress{}
+	c.orphans = map[model.JobID]stored{}
 	c.cancels = map[model.JobID]bool{}
 	c.answers = map[model.JobID]work.State{}
 	c.pending = map[work.QueueName]int{}
@@ -208,7 +214,7 @@
 			c.Log.Error().Err(err).Str("key", item.Key).Msg("chief: progress record ignored")
 			continue
 		}
-		c.orphans[model.JobID(item.Key[len(work.ProgressPrefix):])] = progress
+		c.orphans[model.JobID(item.Key[len(work.ProgressPrefix):])] = stored{progress, item.Revision}
 	}
 	return nil
 }
--- a/internal/chief/jobs.go
+++ b/internal/chief/jobs.go
@@ -78,9 +78,10 @@
 		j.left += len(units)
 	}
 	c.jobs[spec.ID] = j
-	if progress, found := c.orphans[spec.ID]; found {
+	if record, found := c.orphans[spec.ID]; found {
 		delete(c.orphans, spec.ID)
-		c.restore(j, progress)
+		j.record = record.revision
+		c.restore(j, record.progress)
 	}
 	if !j.state.Final() {
 		c.live = append(c.live, j)
--- a/internal/chief/persist.go
+++ b/internal/chief/persist.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"strings"
 	"time"
 
 	"peridotgw.example/peridotgw/internal/kv"
@@ -53,8 +55,8 @@
 	b.build(c)
 	c.writing = true
 	go func() {
-		err := c.write(b.txns)
-		c.post(func() { c.written(b, err) })
+		revisions, err := c.write(b.txns)
+		c.post(func() { c.written(b, revisions, err) })
 	}()
 }
 
@@ -70,11 +72,14 @@
 			c.Log.Error().Err(err).Str("job", string(j.spec.ID)).Msg("chief: progress not encoded")
 			continue
 		}
-		if len(txn.Writes)+len(txn.Expect) >= kv.MaxTxnEntries || bytes+len(value) > recordBytes && len(txn.Writes) > 0 {
+		if len(txn.Writes)+len(txn.Expect)+2 > kv.MaxTxnEntries || bytes+len(value) > recordBytes && len(txn.Writes) > 0 {
 			b.txns = append(b.txns, txn)
 			txn, bytes = kv.Txn{Expect: []kv.Expect{c.Term.Proof}}, 0
 		}
-		txn.Writes = append(txn.Writes, kv.Write{Key: work.ProgressKey(j.spec.ID), Value: value})
+		// A write without an answer may be executed seconds later: the record's revision keeps it from replacing a newer one.
+		key := work.ProgressKey(j.spec.ID)
+		txn.Expect = append(txn.Expect, kv.Expect{Key: key, Revision: j.record})
+		txn.Writes = append(txn.Writes, kv.Write{Key: key, Value: value})
 		bytes += len(value)
 	}
 	if len(txn.Writes) > 0 {
@@ -82,20 +87,46 @@
 	}
 }
 
-func (c *Chief) write(txns []kv.Txn) error {
+// write executes transactions in order and returns the revisions of those before the first error.
+func (c *Chief) write(txns []kv.Txn) ([]kv.Revision, error) {
+	var revisions []kv.Revision
 	for _, txn := range txns {
 		ctx, cancel := context.WithTimeout(c.ctx, persistLimit)
-		_, err := c.Store.Txn(ctx, txn)
+		revision, err := c.Store.Txn(ctx, txn)
 		cancel()
 		if err != nil {
-			return err
+			return revisions, err
 		}
+		revisions = append(revisions, revision)
 	}
-	return nil
+	return revisions, nil
 }
 
-func (c *Chief) written(b batch, err error) {
+// advance notes the revisions of the records that were written, or of those that a conflict has shown.
+func (c *Chief) advance(txns []kv.Txn, revisions []kv.Revision, err error) {
+	for i, revision := range revisions {
+		for _, write := range txns[i].Writes {
+			c.noteRecord(write.Key, revision)
+		}
+	}
+	var conflict *kv.ConflictError
+	if errors.As(err, &conflict) {
+		for _, item := range conflict.Items {
+			c.noteRecord(item.Key, item.Revision)
+		}
+	}
+}
+
+func (c *Chief) noteRecord(key string, revision kv.Revision) {
+	id, found := strings.CutPrefix(key, work.ProgressPrefix)
+	if j := c.jobs[model.JobID(id)]; found && j != nil {
+		j.record = max(j.record, revision)
+	}
+}
+
+func (c *Chief) written(b batch, revisions []kv.Revision, err error) {
 	c.writing = false
+	c.advance(b.txns, revisions, err)
 	if err != nil {
 		for _, j := range b.jobs {
 			j.dirty = true
@@ -134,7 +165,7 @@
 	}
 	c.writing = true
 	go func() {
-		err := c.write([]kv.Txn{txn})
+		_, err := c.write([]kv.Txn{txn})
 		c.post(func() {
 			c.writing = false
 			if err != nil {
--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -38,6 +38,7 @@
 	began := time.Now()
 	p := &pass{c: c, now: c.Now(), today: c.Clock(), config: config, racks: map[work.Label][]*worker{}}
 	p.survey()
+	p.holds()
 	for _, j := range p.ordered() {
 		p.job(j)
 	}
@@ -130,20 +131,29 @@
 }
 
 func (p *pass) unit(u *unit) {
+	p.release(u)
 	if u.step.Gang {
 		p.gang(u)
-		return
+	} else {
+		p.singles(u)
 	}
+	p.keep(u)
+}
+
+// singles starts the waiting tasks of a unit, and makes room for the rest if the unit may.
+func (p *pass) singles(u *unit) {
 	for n := range u.tasks {
 		t := &u.tasks[n]
 		if t.done || t.active != nil || p.now < t.after || p.lastTry(u, t, t.failures) {
 			continue
 		}
 		if !p.single(u, t) {
+			p.claimRoom(u)
 			return
 		}
+		u.hold = nil // What else was cleared is claimed again for the rest.
 	}
-	u.waiting = 0
+	u.waiting, u.hold = 0, nil
 }
 
 // lastTry reports whether one more failure ends the job while a failure that nobody has heard of may be listed by a worker
@@ -163,9 +173,6 @@
 		w.soon = w.soon.Sub(u.step.Room())
 		return true
 	}
-	if p.priority(u) == 0 {
-		return p.preempt(u, p.workers, 1)
-	}
 	return false
 }
 
@@ -265,16 +272,17 @@
 	}
 	places := p.gangPlaces(u)
 	if places == nil {
-		if p.priority(u) == 0 {
-			p.preemptGang(u)
-		}
+		places = p.heldPlaces(u)
+	}
+	if places == nil {
+		p.claimRoom(u)
 		return
 	}
 	g := &group{unit: u, members: map[*run]bool{}}
 	for n := range u.tasks {
 		g.number = max(g.number, nextNumber(u.job, u.tasks[n].last))
 	}
-	u.group = g
+	u.group, u.hold = g, nil
 	for n := range u.tasks {
 		p.c.start(&u.tasks[n], places[n], g.number, g)
 		places[n].soon = places[n].soon.Sub(u.step.Room())
@@ -285,27 +293,27 @@
 // gangPlaces returns a worker for each member, or nil.
 func (p *pass) gangPlaces(u *unit) []*worker {
 	if near := u.step.DataRack; near != "" {
-		if places := p.spread(u, p.racks[near], fitsNow); places != nil {
+		if places := p.spread(u, p.racks[near], len(u.tasks), fitsNow); places != nil {
 			return places
 		}
 	}
 	if u.step.SameRack {
-		if places := p.oneRack(u, fitsNow); places != nil {
+		if places := p.oneRack(u, len(u.tasks), fitsNow); places != nil {
 			return places
 		}
 	}
 	if (u.step.DataRack != "" || u.step.SameRack) && !p.mayLeave(u) {
 		return nil
 	}
-	return p.spread(u, p.workers, fitsNow)
+	return p.spread(u, p.workers, len(u.tasks), fitsNow)
 }
 
 // oneRack returns places within the rack that is left with the least room.
-func (p *pass) oneRack(u *unit, fit fit) []*worker {
+func (p *pass) oneRack(u *unit, need int, fit fit) []*worker {
 	var best []*worker
 	bestLeft := 0.0
 	for _, rack := range p.racks {
-		places := p.spread(u, rack, fit)
+		places := p.spread(u, rack, need, fit)
 		if places == nil {
 			continue
 		}
@@ -332,8 +340,8 @@
 // fitsSoon is the room that is free once all stops are done, and not promised.
 func fitsSoon(w *worker) work.Room { return w.soon }
 
-// spread returns a worker for each member among some workers, filling those with the least room first, or nil.
-func (p *pass) spread(u *unit, among []*worker, fit fit) []*worker {
+// spread returns a worker for each of a number of tasks among some workers, filling those with the least room first, or nil.
+func (p *pass) spread(u *unit, among []*worker, need int, fit fit) []*worker {
 	room := u.step.Room()
 	type option struct {
 		worker *worker
@@ -345,7 +353,7 @@
 		if !p.allowed(u, w) {
 			continue
 		}
-		count := times(fit(w), room, len(u.tasks))
+		count := times(fit(w), room, need)
 		if u.step.PerWorker > 0 {
 			count = min(count, u.step.PerWorker-u.perRun[w])
 		}
@@ -354,15 +362,15 @@
 			total += count
 		}
 	}
-	if total < len(u.tasks) {
+	if total < need {
 		return nil
 	}
 	sort.SliceStable(options, func(i, j int) bool {
 		return fit(options[i].worker).GPU < fit(options[j].worker).GPU
 	})
-	places := make([]*worker, 0, len(u.tasks))
+	places := make([]*worker, 0, need)
 	for _, o := range options {
-		for range min(o.count, len(u.tasks)-len(places)) {
+		for range min(o.count, need-len(places)) {
 			places = append(places, o.worker)
 		}
 	}
--- a/internal/chief/preempt.go
+++ b/internal/chief/preempt.go
@@ -38,99 +38,35 @@
 	return widest
 }
 
-// preempt makes room for one task of a unit on one worker, and reports whether room is promised.
-func (p *pass) preempt(u *unit, among []*worker, count int) bool {
-	room := u.step.Room()
-	for _, w := range among {
-		if p.allowed(u, w) && w.soon.Holds(room) {
-			w.soon = w.soon.Sub(room) // Stops under way make enough room.
-			return true
-		}
-	}
-	if !p.guaranteed(u.job) {
-		return false
-	}
-	var best *worker
-	var victims []*run
-	cost := 0.0
-	for _, w := range among {
-		if !p.allowed(u, w) {
-			continue
-		}
-		chosen, c, ok := p.victims(u, w, count)
-		if ok && (best == nil || c < cost) {
-			best, victims, cost = w, chosen, c
-		}
-	}
-	if best == nil {
-		return false
-	}
-	p.evict(u, victims)
-	best.soon = best.soon.Sub(room)
-	return true
-}
-
-// preemptGang makes room for all members of a gang.
-func (p *pass) preemptGang(u *unit) {
-	waited := p.now.Sub(u.waiting)
-	patience := time.Duration(spreadReclaim * float64(p.c.Limits.Reclaim))
-	if places := p.placesSoon(u, waited < patience); places != nil {
-		for _, w := range places {
-			w.soon = w.soon.Sub(u.step.Room())
-		}
-		return
-	}
-	if !p.guaranteed(u.job) {
-		return
-	}
-	var victims []*run
-	if u.step.SameRack {
-		victims = p.rackVictims(u)
-	}
-	if victims == nil {
-		victims, _ = p.clear(u, p.workers)
-	}
-	if victims == nil {
-		return
-	}
-	p.evict(u, victims)
-	if places := p.placesSoon(u, u.step.SameRack); places != nil {
-		for _, w := range places {
-			w.soon = w.soon.Sub(u.step.Room())
-		}
-	}
-}
-
-// placesSoon returns places in room that is free or being freed.
-func (p *pass) placesSoon(u *unit, rackOnly bool) []*worker {
+// placesSoon returns places for a number of tasks in room that is free or being freed.
+func (p *pass) placesSoon(u *unit, need int, rackOnly bool) []*worker {
 	if u.step.SameRack {
-		if places := p.oneRack(u, fitsSoon); places != nil || rackOnly {
+		if places := p.oneRack(u, need, fitsSoon); places != nil || rackOnly {
 			return places
 		}
 	}
-	return p.spread(u, p.workers, fitsSoon)
+	return p.spread(u, p.workers, need, fitsSoon)
 }
 
-// rackVictims returns the cheapest runs whose end makes room for a gang in one rack, or nil.
-func (p *pass) rackVictims(u *unit) []*run {
+// rackVictims returns the cheapest runs whose end makes room for a number of tasks in one rack, or nil.
+func (p *pass) rackVictims(u *unit, need int) []*run {
 	var best []*run
 	bestCost := 0.0
 	for _, rack := range p.racks {
-		if victims, cost := p.clear(u, rack); victims != nil && (best == nil || cost < bestCost) {
+		if victims, cost := p.clear(u, rack, need); victims != nil && (best == nil || cost < bestCost) {
 			best, bestCost = victims, cost
 		}
 	}
 	return best
 }
 
-// clear returns runs whose end makes room for a gang among some workers, cheapest workers first, or nil.
-func (p *pass) clear(u *unit, among []*worker) ([]*run, float64) {
+// clear returns runs whose end makes room for a number of tasks among some workers, cheapest workers first, or nil.
+func (p *pass) clear(u *unit, among []*worker, need int) ([]*run, float64) {
 	type option struct {
 		victims []*run
 		cost    float64
 	}
 	room := u.step.Room()
-	need := len(u.tasks)
 	var options []option
 	for _, w := range among {
 		if !p.allowed(u, w) {
--- a/internal/chief/roster.go
+++ b/internal/chief/roster.go
@@ -84,7 +84,7 @@
 		return
 	}
 	c.roster.writing = true
-	txn := kv.Txn{Expect: []kv.Expect{c.Term.Proof}, Writes: []kv.Write{{Key: rosterKey, Value: value}}}
+	txn := kv.Txn{Expect: []kv.Expect{c.Term.Proof, {Key: rosterKey, Revision: c.roster.revision}}, Writes: []kv.Write{{Key: rosterKey, Value: value}}}
 	go func() {
 		ctx, cancel := context.WithTimeout(c.ctx, rosterLimit)
 		defer cancel()
@@ -97,6 +97,12 @@
 	c.roster.writing = false
 	c.roster.retry = err != nil
 	if err != nil {
+		var conflict *kv.ConflictError
+		if errors.As(err, &conflict) {
+			if item, found := conflict.Item(rosterKey); found {
+				c.roster.revision = item.Revision
+			}
+		}
 		c.writeFailed("roster", err)
 		return
 	}
--- a/internal/chief/types.go
+++ b/internal/chief/types.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"peridotgw.example/peridotgw/internal/clock"
+	"peridotgw.example/peridotgw/internal/kv"
 	"peridotgw.example/peridotgw/internal/work"
 	"peridotgw.example/peridotgw/model"
 )
@@ -80,8 +81,11 @@
 	waiting  clock.Instant
 	group    *group
 	finished clock.Instant
-	perRun   map[*worker]int // active runs by worker
-	advice   advice
+	// hold is the room that is kept for waiting tasks, one entry a task, while runs there are being stopped.
+	hold      []*worker
+	holdSince clock.Instant
+	perRun    map[*worker]int // active runs by worker
+	advice    advice
 }
 
 // job is a job in memory.
@@ -98,7 +102,8 @@
 	why       string
 	deadline  time.Time // by which it should be complete
 	dirty     bool
-	inherited bool // runs of an earlier term may be present on workers that were not seen yet
+	record    kv.Revision // of the stored progress; 0 while there is none
+	inherited bool        // runs of an earlier term may be present on workers that were not seen yet
 	known     clock.Instant
 	finished  clock.Instant
 }
