--- a/internal/chief/hold.go
+++ b/internal/chief/hold.go
@@ -73,7 +73,7 @@
 	return u.hold
 }
 
-// claimRoom makes room for urgent work that is within its tenant's guarantee, and holds it.
+// claimRoom makes room for urgent work and holds it.
 func (p *pass) claimRoom(u *unit) {
 	if p.priority(u) != 0 || len(u.hold) > 0 {
 		return
@@ -88,17 +88,17 @@
 		p.take(u, places)
 		return
 	}
-	if !p.guaranteed(u.job) {
-		return
-	}
 	var victims []*run
+	cost := 0.0
 	if u.step.SameRack {
-		victims = p.rackVictims(u, need)
+		victims, cost = p.rackVictims(u, need)
 	}
 	if victims == nil {
-		victims, _ = p.clear(u, p.workers, need)
+		victims, cost = p.clear(u, p.workers, need)
 	}
-	if victims == nil {
+	// Beyond its tenant's guarantee, urgent work stops others only where less work is lost than it does itself.
+	own := float64(need) * u.step.Need.Cores() * p.c.estimate(u).Seconds()
+	if victims == nil || cost > own && !p.guaranteed(u.job) {
 		return
 	}
 	p.evict(u, victims)
--- a/internal/chief/preempt.go
+++ b/internal/chief/preempt.go
@@ -49,7 +49,7 @@
 }
 
 // rackVictims returns the cheapest runs whose end makes room for a number of tasks in one rack, or nil.
-func (p *pass) rackVictims(u *unit, need int) []*run {
+func (p *pass) rackVictims(u *unit, need int) ([]*run, float64) {
 	var best []*run
 	bestCost := 0.0
 	for _, rack := range p.racks {
@@ -57,7 +57,7 @@
 			best, bestCost = victims, cost
 		}
 	}
-	return best
+	return best, bestCost
 }
 
 // clear returns runs whose end makes room for a number of tasks among some workers, cheapest workers first, or nil.
--- a/internal/work/progress.go
+++ b/internal/work/progress.go
@@ -1,6 +1,7 @@
 package work
 
 import (
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -56,9 +57,18 @@
 	p.Done[index/8] |= 1 << (index % 8)
 }
 
+// records encodes times to the microsecond; the library's default drops fractions of a second.
+var records = sync.OnceValues(func() (cbor.EncMode, error) { //nolint:gochecknoglobals // built once, never changed
+	return cbor.EncOptions{Time: cbor.TimeUnixMicro}.EncMode()
+})
+
 // Encode returns a record as stored.
 func Encode[T any](value T) ([]byte, error) {
-	content, err := cbor.Marshal(value)
+	mode, err := records()
+	if err != nil {
+		return nil, eris.Wrap(err, "preparing the encoding")
+	}
+	content, err := mode.Marshal(value)
 	return content, eris.Wrap(err, "encoding a record")
 }
 
