--- a/internal/chief/hold.go
+++ b/internal/chief/hold.go
@@ -9,6 +9,8 @@
 // holdLimit is how long room is kept for tasks that cannot start there after all.
 const holdLimit = 2500 * time.Millisecond
 
+const noticeEvery = time.Second
+
 // holds keeps the room that was cleared for waiting units from everyone else, and drops what cannot be used any more.
 func (p *pass) holds() {
 	usable := make(map[*worker]bool, len(p.workers))
@@ -99,13 +101,32 @@
 	// Beyond its tenant's guarantee, urgent work stops others only where less work is lost than it does itself.
 	own := float64(need) * u.step.Need.Cores() * p.c.estimate(u).Seconds()
 	if victims == nil || cost > own && !p.guaranteed(u.job) {
+		p.noRoom(u, victims != nil, cost)
 		return
 	}
 	p.evict(u, victims)
 	p.take(u, p.placesSoon(u, need, false))
 }
 
-func (p *pass) take(u *unit, places []*worker) { u.hold, u.holdSince = places, p.now }
+func (p *pass) take(u *unit, places []*worker) {
+	u.hold, u.holdSince = places, p.now
+	workers := make([]string, len(places))
+	for i, w := range places {
+		workers[i] = string(w.info.ID)
+	}
+	p.c.Log.Info().Str("step", u.id.String()).Strs("workers", workers).Dur("waited", p.now.Sub(u.waiting)).
+		Bool("guaranteed", p.guaranteed(u.job)).Msg("chief: room held")
+}
+
+// noRoom logs, once in a while, that urgent work can get no room.
+func (p *pass) noRoom(u *unit, possible bool, cost float64) {
+	if p.now.Sub(u.noticed) < noticeEvery {
+		return
+	}
+	u.noticed = p.now
+	p.c.Log.Info().Str("step", u.id.String()).Dur("waited", p.now.Sub(u.waiting)).Bool("guaranteed", p.guaranteed(u.job)).
+		Bool("possible", possible).Float64("lost-core-seconds", cost).Int("workers", len(p.workers)).Msg("chief: no room for urgent work")
+}
 
 // patience is how long urgent work waits for room in a single rack that stops under way will free.
 func (p *pass) patience() time.Duration {
--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -6,6 +6,7 @@
 
 	"peridotgw.example/peridotgw/internal/clock"
 	"peridotgw.example/peridotgw/internal/work"
+	"peridotgw.example/peridotgw/model"
 )
 
 const (
@@ -25,8 +26,9 @@
 	config  *work.Config
 	workers []*worker // that may get starts
 	racks   map[work.Label][]*worker
-	hidden  bool // a worker may hold runs of an earlier term that nobody has seen
-	unheard bool // a worker may list ends of an earlier term that nobody has seen
+	hidden  bool                                    // a worker may hold runs of an earlier term that nobody has seen
+	needs   map[model.CustomerID]model.Accelerators // of urgent jobs that are not over, by tenant
+	unheard bool                                    // a worker may list ends of an earlier term that nobody has seen
 }
 
 // plan starts what can be started, most urgent first, and stops what must make way.
@@ -38,6 +40,7 @@
 	began := time.Now()
 	p := &pass{c: c, now: c.Now(), today: c.Clock(), config: config, racks: map[work.Label][]*worker{}}
 	p.survey()
+	p.sumNeeds()
 	p.holds()
 	for _, j := range p.ordered() {
 		p.job(j)
@@ -65,11 +68,13 @@
 	}
 }
 
-// ordered returns the jobs that may start tasks: by priority, then those that can still be in time, then by deadline.
+// ordered returns the jobs that may start tasks: by priority, guaranteed ones first, then those that can still be in time, then
+// by deadline.
 func (p *pass) ordered() []*job {
 	type ranked struct {
 		job      *job
 		priority int
+		lent     bool // beyond the tenant's guarantee
 		late     bool
 	}
 	var list []ranked
@@ -80,12 +85,15 @@
 			priority = queue.Priority
 		}
 		objective := j.deadline.Sub(j.spec.Due(0))
-		list = append(list, ranked{j, priority, p.today.Sub(j.spec.Due(0)) > lateFactor*objective})
+		list = append(list, ranked{j, priority, priority == 0 && !p.guaranteed(j), p.today.Sub(j.spec.Due(0)) > lateFactor*objective})
 	}
 	sort.SliceStable(list, func(a, b int) bool {
 		if list[a].priority != list[b].priority {
 			return list[a].priority < list[b].priority
 		}
+		if list[a].lent != list[b].lent {
+			return !list[a].lent
+		}
 		if list[a].late != list[b].late {
 			return !list[a].late
 		}
--- a/internal/chief/preempt.go
+++ b/internal/chief/preempt.go
@@ -11,22 +11,20 @@
 // spreadReclaim is the part of the reclaim bound after which urgent work no longer waits for a single rack.
 const spreadReclaim = 0.4
 
+// sumNeeds adds up what the urgent jobs of each tenant need.
+func (p *pass) sumNeeds() {
+	p.needs = map[model.CustomerID]model.Accelerators{}
+	for _, j := range p.c.live {
+		if queue := p.config.Queue(j.spec.Queue); queue != nil && queue.Priority == 0 {
+			p.needs[j.spec.Tenant] += j.widest()
+		}
+	}
+}
+
 // guaranteed reports whether a job is within its tenant's guarantee: all urgent work of the tenant needs no more.
 func (p *pass) guaranteed(j *job) bool {
 	tenant, found := p.config.Tenants[j.spec.Tenant]
-	if !found {
-		return false
-	}
-	var need model.Accelerators
-	for _, other := range p.c.live {
-		if other.spec.Tenant != j.spec.Tenant {
-			continue
-		}
-		if queue := p.config.Queue(other.spec.Queue); queue != nil && queue.Priority == 0 {
-			need += other.widest()
-		}
-	}
-	return need <= tenant.Guaranteed
+	return found && p.needs[j.spec.Tenant] <= tenant.Guaranteed
 }
 
 // widest returns the accelerators that a job's widest step needs.
@@ -124,7 +122,11 @@
 
 // mayEvict reports whether a run may make way for a unit.
 func (p *pass) mayEvict(u *unit, r *run) bool {
-	return r.phase != stopping && r.task != nil && !r.task.unit.step.Lasts && p.priority(r.task.unit) > p.priority(u)
+	if r.phase == stopping || r.task == nil || r.task.unit.step.Lasts {
+		return false
+	}
+	own, other := p.priority(u), p.priority(r.task.unit)
+	return other > own || own == 0 && other == 0 && p.guaranteed(u.job) && !p.guaranteed(r.task.unit.job)
 }
 
 // cost is the work in core-seconds that a stop throws away, of a whole gang where the run belongs to one.
--- a/internal/chief/types.go
+++ b/internal/chief/types.go
@@ -84,6 +84,7 @@
 	// hold is the room that is kept for waiting tasks, one entry a task, while runs there are being stopped.
 	hold      []*worker
 	holdSince clock.Instant
+	noticed   clock.Instant
 	perRun    map[*worker]int // active runs by worker
 	advice    advice
 }
