--- a/internal/chief/jobs.go
+++ b/internal/chief/jobs.go
@@ -239,6 +239,9 @@
 	if saved != "" {
 		c.keepCheckpoint(u, t, saved)
 	}
+	if r.group != nil {
+		delete(r.group.members, r)
+	}
 	switch how {
 	case work.EndedDone:
 		c.taskDone(u, t, r)
@@ -249,11 +252,8 @@
 			c.breakGroup(r.group, "member ended: "+string(how))
 		}
 	}
-	if r.group != nil {
-		delete(r.group.members, r)
-		if len(r.group.members) == 0 && u.group == r.group {
-			u.group = nil
-		}
+	if r.group != nil && len(r.group.members) == 0 && u.group == r.group {
+		u.group = nil
 	}
 	if u.waiting == 0 {
 		u.waiting = c.Now()
--- a/internal/chief/learn.go
+++ b/internal/chief/learn.go
@@ -20,7 +20,7 @@
 
 // learn notes the time of a run that has ended done, if it did all of the work at its usual speed.
 func (c *Chief) learn(u *unit, r *run) {
-	if r.saved != "" && !r.fresh || u.step.SameRack && r.group != nil && !r.group.oneRack() {
+	if r.saved != "" && !r.fresh || u.step.SameRack && r.group != nil && !r.group.within(r.worker.info.Rack()) {
 		return
 	}
 	if near := u.step.DataRack; near != "" && r.worker.info.Rack() != near {
@@ -45,15 +45,10 @@
 	return u.step.Estimate
 }
 
-// oneRack reports whether all members are in one rack.
-func (g *group) oneRack() bool {
-	var rack work.Label
+// within reports whether all members that are left are in one rack.
+func (g *group) within(rack work.Label) bool {
 	for r := range g.members {
-		own := r.worker.info.Rack()
-		if rack == "" {
-			rack = own
-		}
-		if own != rack {
+		if r.worker.info.Rack() != rack {
 			return false
 		}
 	}
--- a/internal/chief/orders.go
+++ b/internal/chief/orders.go
@@ -193,7 +193,7 @@
 
 // stop has a run ended. Its room stays taken until the end is certain.
 func (c *Chief) stop(r *run, why string) {
-	if r.phase == stopping {
+	if _, present := r.worker.runs[r.key]; !present || r.phase == stopping {
 		return
 	}
 	r.phase, r.why, r.answered = stopping, why, 0
