--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 
 const (
 	peerTimeout     = time.Second
+	peerConns       = 2
 	headerTimeout   = 3 * time.Second
 	idleTimeout     = 60 * time.Second
 	shutdownReserve = 2200 * time.Millisecond // of the grace time, for what is still being answered
@@ -51,11 +52,12 @@
 // New returns an instance, and a function that closes its connections.
 func New(settings *platform.Settings, log zerolog.Logger) (*Node, func()) {
 	n := &Node{Settings: settings, Log: log, rules: &Rules{Log: log}, meters: newMeters()}
-	store, closeStore := platform.NewStore(settings.Store, n.meters.storeCall)
-	workers, closeWorkers := platform.NewWorkers()
-	client, closePeers := platform.NewClient(2)
-	client.Timeout = peerTimeout
-	n.store, n.workers, n.caller = store, workers, &wire.Caller{HTTP: client}
+	storeClient, closeStore := platform.NewClient(platform.StoreConns)
+	workerClient, closeWorkers := platform.NewClient(platform.WorkerConns)
+	peerClient, closePeers := platform.NewClient(peerConns)
+	peerClient.Timeout = peerTimeout
+	store := platform.NewStore(storeClient, settings.Store, n.meters.storeCall)
+	n.store, n.workers, n.caller = store, platform.NewWorkers(workerClient), &wire.Caller{HTTP: peerClient}
 	n.elector = &elect.Elector{
 		Store: store, Self: elect.Node{ID: settings.Node, Address: settings.Peers}, Share: settings.CPUShare, Log: log,
 		Now: clock.Boot, Lead: n.lead,
