--- a/internal/chief/chief.go
+++ b/internal/chief/chief.go
@@ -54,8 +54,8 @@
 	// Registry is the prefix of the workers' entries, DecodeWorker reads one.
 	Registry     string
 	DecodeWorker func(key string, value []byte) (work.WorkerInfo, error)
-	// Advise asks which workers may run a step, and returns their tickets; nil without the service.
-	Advise  func(ctx context.Context, step work.StepID, workers []model.WorkerID) (map[model.WorkerID]string, time.Duration, error)
+	// Advise asks the advice service; nil without one.
+	Advise  Adviser
 	Observe Observer
 
 	posts   chan func()
@@ -71,9 +71,8 @@
 	writeAfter clock.Instant
 	ready      bool
 	dirty      bool
-	planned    clock.Instant
 	readySince clock.Instant
-	adviceBusy int
+	advising   bool
 	history    map[work.QueueName]*history
 
 	mu      sync.Mutex
@@ -113,13 +112,13 @@
 	}
 	jobs := &kv.Follower{
 		Store: c.Store, Prefix: work.JobPrefix, Log: c.Log,
-		OnReset:  func(items []kv.Item) { c.post(func() { c.jobItems(items) }) },
-		OnEvents: func(events []kv.Event) { c.post(func() { c.jobEvents(events) }) },
+		OnReset:  func(items []kv.Item) { c.post(func() { c.jobItems(items) }) },     //nolint:contextcheck // calls end with the term
+		OnEvents: func(events []kv.Event) { c.post(func() { c.jobEvents(events) }) }, //nolint:contextcheck // calls end with the term
 	}
 	registry := &kv.Follower{
 		Store: c.Store, Prefix: c.Registry, Log: c.Log, Pause: registryPause,
-		OnReset:  func(items []kv.Item) { c.post(func() { c.registryReset(items) }) },
-		OnEvents: func(events []kv.Event) { c.post(func() { c.registryEvents(events) }) },
+		OnReset:  func(items []kv.Item) { c.post(func() { c.registryReset(items) }) },     //nolint:contextcheck // calls end with the term
+		OnEvents: func(events []kv.Event) { c.post(func() { c.registryEvents(events) }) }, //nolint:contextcheck // calls end with the term
 	}
 	group.Go(func() error { return jobs.Run(ctx) })
 	group.Go(func() error { return registry.Run(ctx) })
@@ -154,14 +153,14 @@
 			fn()
 			c.drain()
 		case <-ticker.C:
-			c.tick()
+			c.tick() //nolint:contextcheck // calls end with the term
 		}
 		if c.dirty {
 			c.dirty = false
-			c.plan()
+			c.plan() //nolint:contextcheck // calls end with the term
 			c.publish()
 		}
-		c.persist()
+		c.persist() //nolint:contextcheck // calls end with the term
 	}
 }
 
--- a/internal/chief/jobs.go
+++ b/internal/chief/jobs.go
@@ -140,7 +140,7 @@
 	}
 	for k, units := range j.units {
 		for i, u := range units {
-			if step, any := u.progress(); any {
+			if step, found := u.progress(); found {
 				if p.Steps[k] == nil {
 					p.Steps[k] = map[int]work.StepProgress{}
 				}
@@ -151,7 +151,7 @@
 	return p
 }
 
-func (u *unit) progress() (step work.StepProgress, any bool) {
+func (u *unit) progress() (step work.StepProgress, found bool) {
 	if u.left == 0 {
 		return work.StepProgress{All: true}, true
 	}
@@ -159,7 +159,7 @@
 		t := &u.tasks[n]
 		if t.done {
 			step.SetDone(n)
-			any = true
+			found = true
 		}
 		failures, counted := t.failures, t.counted
 		if u.step.Gang && n == 0 {
@@ -170,10 +170,10 @@
 				step.Failures, step.Counted = map[int]int{}, map[int]work.RunNumber{}
 			}
 			step.Failures[n], step.Counted[n] = failures, counted
-			any = true
+			found = true
 		}
 	}
-	return step, any
+	return step, found
 }
 
 // deadline returns when a job should be complete by its queue's target.
--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -139,6 +139,9 @@
 }
 
 func (p *pass) unit(u *unit) {
+	if !p.advise(u) {
+		return
+	}
 	p.release(u)
 	if u.step.Gang {
 		p.gang(u)
@@ -205,7 +208,8 @@
 
 // allowed reports whether a worker may ever run a unit's tasks.
 func (p *pass) allowed(u *unit, w *worker) bool {
-	return w.info.Pool == u.job.spec.Pool && w.info.Has(u.step.Label) && (u.step.PerWorker == 0 || u.perRun[w] < u.step.PerWorker)
+	return w.info.Pool == u.job.spec.Pool && w.info.Has(u.step.Label) && (u.step.PerWorker == 0 || u.perRun[w] < u.step.PerWorker) &&
+		p.advised(u, w)
 }
 
 // best returns the worker that fits most tightly, near the data if it can be.
--- a/internal/chief/types.go
+++ b/internal/chief/types.go
@@ -92,7 +92,6 @@
 // job is a job in memory.
 type job struct {
 	spec      *work.Job
-	revision  uint64 // of its creation
 	units     [][]*unit
 	left      int // units that are not complete
 	began     bool
@@ -121,6 +120,7 @@
 	born     int64
 	looking  bool
 	lookAt   clock.Instant // no look before
+	paceAt   clock.Instant // no change of pace before
 	missed   int           // calls in a row without an answer
 	restTill clock.Instant // no starts before
 	handled  work.EndNumber
@@ -130,7 +130,6 @@
 	until    work.WorkerClock // longest lease that was sent
 	failures int              // failed runs in a row
 	rests    int              // quarantines in a row
-	slowness float64
 	gone     bool
 	soon     work.Room // scratch of a planning pass: free once all stops are done, without what is promised
 }
@@ -139,8 +138,8 @@
 
 // advice is what the advice service said about a unit.
 type advice struct {
-	asking  bool
-	tickets map[model.WorkerID]string
+	tickets map[model.WorkerID]string // of the workers that may run the step
+	asked   map[model.WorkerID]bool
 	expires clock.Instant
 	retry   clock.Instant
 }
--- a/internal/chief/workers.go
+++ b/internal/chief/workers.go
@@ -215,11 +215,11 @@
 		defer cancel()
 		sent := c.Now()
 		report, err := c.Workers.Look(ctx, target, order)
-		c.post(func() { c.looked(w, order, sent, report, err) })
+		c.post(func() { c.looked(w, sent, report, err) })
 	}()
 }
 
-func (c *Chief) looked(w *worker, order agent.LookOrder, sent clock.Instant, report work.Report, err error) {
+func (c *Chief) looked(w *worker, sent clock.Instant, report work.Report, err error) {
 	now := c.Now()
 	w.looking = false
 	if w.gone {
@@ -246,6 +246,7 @@
 		c.endListed(w, end)
 	}
 	c.compare(w, sent, report.Running)
+	c.checkPace(w)
 	w.lookAt = now
 	if w.handled > w.acked {
 		w.lookAt = now.Add(unackedPause)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -40,6 +40,7 @@
 	rules     *Rules
 	store     *kv.Store
 	workers   *agent.Calls
+	advise    chief.Adviser
 	elector   *elect.Elector
 	desk      *intake.Desk
 	caller    *wire.Caller
@@ -57,6 +58,8 @@
 	peerClient, closePeers := platform.NewClient(peerConns)
 	peerClient.Timeout = peerTimeout
 	store := platform.NewStore(storeClient, settings.Store, n.meters.storeCall)
+	adviceClient, closeAdvice := platform.NewClient(platform.AdviceConns)
+	n.advise = platform.NewAdviser(adviceClient, settings.Advice)
 	n.store, n.workers, n.caller = store, platform.NewWorkers(workerClient), &wire.Caller{HTTP: peerClient}
 	n.elector = &elect.Elector{
 		Store: store, Self: elect.Node{ID: settings.Node, Address: settings.Peers}, Share: settings.CPUShare, Log: log,
@@ -67,6 +70,7 @@
 		closeStore()
 		closeWorkers()
 		closePeers()
+		closeAdvice()
 	}
 }
 
@@ -89,7 +93,7 @@
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
-			n.shutDown(servers)
+			n.shutDown(servers) //nolint:contextcheck // The context of the service has ended.
 		case <-work.Done():
 		}
 		stop()
@@ -133,7 +137,7 @@
 		},
 		Config: n.rules.Config, Out: n.rules.Out,
 		Valid: func() bool { return n.elector.Valid(term) }, Deposed: func() { n.elector.Deposed(term) },
-		Registry: platform.RegistryPrefix, DecodeWorker: platform.DecodeWorker, Observe: n.meters.observer(),
+		Registry: platform.RegistryPrefix, DecodeWorker: platform.DecodeWorker, Advise: n.advise, Observe: n.meters.observer(),
 	}
 	n.chief.Store(c)
 	defer n.chief.CompareAndSwap(c, nil)
