chief: slow workers are told by the siblings of their tasks

A first try compared progress with estimates: these are off by up to two times, most workers counted as slow, and work was moved without end. Urgent work is the last to be stopped for other urgent work.

--- a/internal/chief/chief.go
+++ b/internal/chief/chief.go
@@ -73,6 +73,7 @@
 	dirty      bool
 	readySince clock.Instant
 	advising   bool
+	rated      clock.Instant
 	history    map[work.QueueName]*history
 
 	mu      sync.Mutex
@@ -181,6 +182,7 @@
 	for _, w := range c.workers {
 		c.checkWorker(w, now)
 	}
+	c.rateWorkers(now)
 	c.clean(now)
 	c.dirty = true
 }
--- a/internal/chief/preempt.go
+++ b/internal/chief/preempt.go
@@ -140,12 +140,19 @@
 	if u.step.Checkpoints {
 		lost = min(lost, p.c.Limits.Restore+time.Second)
 	}
-	return float64(members) * u.step.Need.Cores() * (lost.Seconds() + evictionSeconds)
+	cost := float64(members) * u.step.Need.Cores() * (lost.Seconds() + evictionSeconds)
+	if p.priority(u) == 0 {
+		cost *= urgentFactor
+	}
+	return cost
 }
 
 // evictionSeconds is added to what a stop throws away, so that few runs are stopped.
 const evictionSeconds = 0.5
 
+// urgentFactor makes urgent work the last to be stopped.
+const urgentFactor = 8
+
 func (p *pass) evict(u *unit, victims []*run) {
 	for _, r := range victims {
 		why := "makes way for " + string(u.job.spec.ID)
--- a/internal/chief/types.go
+++ b/internal/chief/types.go
@@ -34,14 +34,18 @@
 	group   *group // of a gang
 	created clock.Instant
 	// answered is when the last order for the run was acknowledged; 0 while that is open.
-	answered clock.Instant
-	percent  int
-	moved    clock.Instant // when percent last changed
-	saved    work.Checkpoint
-	fresh    bool // started without a checkpoint
-	load     int
-	pace     int // share of its speed, in percent
-	why      string
+	answered      clock.Instant
+	percent       int
+	moved         clock.Instant // when percent last changed
+	rate          float64       // progress in percent a second, between the last two listings that were far enough apart
+	rated         clock.Instant
+	listed        clock.Instant // the later of these two
+	listedPercent int
+	saved         work.Checkpoint
+	fresh         bool // started without a checkpoint
+	load          int
+	pace          int // share of its speed, in percent
+	why           string
 }
 
 // group is one run of a gang.
@@ -130,6 +134,8 @@
 	until    work.WorkerClock // longest lease that was sent
 	failures int              // failed runs in a row
 	rests    int              // quarantines in a row
+	slow     float64          // how many times slower its tasks are than their siblings; 0 for as usual
+	slowSeen int              // rounds in a row that have shown it slow
 	gone     bool
 	soon     work.Room // scratch of a planning pass: free once all stops are done, without what is promised
 }
--- a/internal/chief/workers.go
+++ b/internal/chief/workers.go
@@ -393,6 +393,7 @@
 		r.percent, r.moved = item.Percent, now
 	}
 	r.saved, r.load = item.Saved, item.Load
+	r.observeRate(item.Percent, now)
 	if r.task != nil && item.Saved != "" && r.task.active == r {
 		c.keepCheckpoint(r.task.unit, r.task, item.Saved)
 	}
