elect: a leader that the store refuses hands over through a peer

Cause: after the store had turned the leader away, work waited 2.5 s for its lease to end, and up to 2.1 s more in the queue. Change: after 0.6 s without the store the leader asks a peer to end its term; the lease lasts 2 s.

--- a/internal/elect/elect.go
+++ b/internal/elect/elect.go
@@ -24,10 +24,12 @@
 	leaderKey  = Prefix + "leader"
 	nodePrefix = Prefix + "node/"
 
-	leaseTTL  = 2500 * time.Millisecond
-	keepEvery = 600 * time.Millisecond
+	leaseTTL  = 2 * time.Second
+	keepEvery = 450 * time.Millisecond
 	retryWait = 150 * time.Millisecond
 	callLimit = 700 * time.Millisecond
+	// yieldAfter is how long a leader's calls to the store may fail before it offers the leadership to the others.
+	yieldAfter = 600 * time.Millisecond
 	// validShare is the part of the lease's time for which the leadership counts as proved.
 	validShare = 0.9
 	// campaignSpread keeps the instances from claiming the leadership all at once.
@@ -61,8 +63,11 @@
 	Now   func() clock.Instant
 	// Lead works while this instance leads; its context ends with the term.
 	Lead func(ctx context.Context, term Term) error
+	// Yield has another instance remove the leadership from the store, which may serve that one; nil for none.
+	Yield func(ctx context.Context, term Term) error
 
 	mu         sync.Mutex
+	proved     clock.Instant // last success of a renewal
 	lease      kv.LeaseID
 	validUntil clock.Instant
 	registered bool
@@ -214,6 +219,7 @@
 		wait := keepEvery
 		if err := e.refresh(ctx); err != nil {
 			e.Log.Debug().Err(err).Msg("elect: lease not refreshed")
+			e.offer(ctx)
 			wait = retryWait
 		}
 		if err := clock.Sleep(ctx, wait); err != nil {
@@ -256,6 +262,39 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.validUntil = max(e.validUntil, sent.Add(time.Duration(validShare*float64(ttl))))
+	e.proved = e.Now()
+}
+
+// offer hands the leadership over when the store does not serve this instance any more but may serve others.
+func (e *Elector) offer(ctx context.Context) {
+	e.mu.Lock()
+	term, since := e.term, e.Now().Sub(e.proved)
+	e.mu.Unlock()
+	if term == nil || e.Yield == nil || since < yieldAfter {
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	if err := e.Yield(callCtx, *term); err != nil {
+		e.Log.Warn().Err(err).Dur("store-lost-for", since).Msg("elect: leadership not handed over")
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.term != nil && e.term.Token == term.Token {
+		e.finish("yielded, the store does not serve this instance")
+	}
+}
+
+// RemoveLeader ends the term of another instance that has asked for it.
+func (e *Elector) RemoveLeader(ctx context.Context, token model.Token) error {
+	proof := kv.Expect{Key: leaderKey, Revision: kv.Revision(token)}
+	_, err := e.Store.Txn(ctx, kv.Txn{Expect: []kv.Expect{proof}, Remove: []string{leaderKey}})
+	var conflict *kv.ConflictError
+	if errors.As(err, &conflict) {
+		return nil // It is over already.
+	}
+	return err
 }
 
 func (e *Elector) grant(ctx context.Context, sent clock.Instant) error {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -63,7 +63,7 @@
 	n.store, n.workers, n.caller = store, platform.NewWorkers(workerClient), &wire.Caller{HTTP: peerClient}
 	n.elector = &elect.Elector{
 		Store: store, Self: elect.Node{ID: settings.Node, Address: settings.Peers}, Share: settings.CPUShare, Log: log,
-		Now: clock.Boot, Lead: n.lead,
+		Now: clock.Boot, Lead: n.lead, Yield: n.yield,
 	}
 	n.desk = &intake.Desk{Store: store, Owner: n.owner(), Log: log, Now: time.Now, Relay: n.relay}
 	return n, func() {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -20,6 +20,7 @@
 	procState   wire.Procedure = "/peer/job-state"
 	procPending wire.Procedure = "/peer/pending"
 	procChange  wire.Procedure = "/peer/change"
+	procYield   wire.Procedure = "/peer/yield"
 )
 
 const (
@@ -44,6 +45,12 @@
 	Owner bool       `cbor:"3,keyasint,omitempty"`
 }
 
+type yieldQuery struct {
+	Token model.Token `cbor:"1,keyasint"`
+}
+
+type yieldAnswer struct{}
+
 type pendingQuery struct{}
 
 type pendingAnswer struct {
@@ -84,6 +91,24 @@
 		err := n.desk.Apply(ctx, *change)
 		return toAnswer(err), nil
 	})
+	wire.Handle(mux, procYield, func(ctx context.Context, q *yieldQuery) (*yieldAnswer, error) {
+		if err := n.elector.RemoveLeader(ctx, q.Token); err != nil {
+			return nil, err
+		}
+		n.Log.Info().Uint64("token", uint64(q.Token)).Msg("node: term of another instance ended on its request")
+		return &yieldAnswer{}, nil
+	})
+}
+
+// yield has one of the other instances end the term of this one.
+func (n *Node) yield(ctx context.Context, term elect.Term) error {
+	err := error(errNoPeer)
+	for _, peer := range n.relayPeers() {
+		if _, err = wire.Call[yieldQuery, yieldAnswer](ctx, n.caller, peer.Address, procYield, &yieldQuery{Token: term.Token}); err == nil {
+			return nil
+		}
+	}
+	return err
 }
 
 func toAnswer(err error) *changeAnswer {
