intake: a doubtful change is never answered as refused

Ruled out: the store's 503, the first write was one without an answer. The spec fails without the change.

--- a/internal/intake/desk.go
+++ b/internal/intake/desk.go
@@ -40,6 +40,13 @@
 // Unwrap returns the cause.
 func (e *RefusedError) Unwrap() error { return e.Cause }
 
+// DoubtError reports a change that may have taken effect or may still do so. It does not unwrap: its cause may be the
+// refusal of the last of several tries.
+type DoubtError struct{ Cause error }
+
+// Error gives the cause.
+func (e *DoubtError) Error() string { return fmt.Sprintf("result unknown: %v", e.Cause) }
+
 // UnknownJobError reports a job that does not exist.
 type UnknownJobError struct{ ID model.JobID }
 
@@ -126,7 +133,7 @@
 		}
 		if sleepErr := clock.Sleep(ctx, tryPause); sleepErr != nil {
 			if doubtful {
-				return fmt.Errorf("result unknown: %w", err)
+				return &DoubtError{Cause: err}
 			}
 			return err
 		}
--- /dev/null
+++ b/internal/intake/desk_test.go
@@ -0,0 +1,166 @@
+package intake_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"peridotgw.example/peridotgw/internal/intake"
+	"peridotgw.example/peridotgw/internal/memnet"
+	"peridotgw.example/peridotgw/internal/work"
+	"peridotgw.example/peridotgw/model"
+	"peridotgw.example/peridotgw/platform"
+	"peridotgw.example/peridotgw/platform/fakepl"
+)
+
+const testJob = model.JobID("00000000000000a1")
+
+func newDesk(store *fakepl.Store) *intake.Desk {
+	net := memnet.New()
+	net.Serve("store:1", store)
+	return &intake.Desk{
+		Store: platform.NewStore(net.Client("a"), "store:1", func(string, string) {}), Log: zerolog.Nop(), Now: time.Now,
+		Owner: intake.Owner{
+			State: func(context.Context, model.JobID) (work.State, bool, error) {
+				return "", false, errors.New("no owner")
+			},
+			Pending: func(context.Context) (map[work.QueueName]int, error) { return nil, errors.New("no owner") },
+		},
+	}
+}
+
+func newJob() *work.Job {
+	return &work.Job{ID: testJob, Queue: "check", Steps: []work.Step{{Count: 1, Estimate: time.Second}}}
+}
+
+// faults answers a series of calls to a path with faults, and the rest with the last one.
+func faults(path string, series ...fakepl.Fault) func(string, string) fakepl.Fault {
+	next := 0
+	return func(called, _ string) fakepl.Fault {
+		if called != path {
+			return fakepl.Healthy
+		}
+		fault := series[min(next, len(series)-1)]
+		next++
+		return fault
+	}
+}
+
+// Guards against a refusal that says "not run" of a job that an earlier try without an answer may have stored, and against
+// a refusal of one that was stored.
+func TestSubmit(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		faults []fakepl.Fault
+		want   string
+	}{
+		{name: "healthy", faults: []fakepl.Fault{fakepl.Healthy}, want: "accepted"},
+		{name: "always refused", faults: []fakepl.Fault{fakepl.Refused}, want: "refused"},
+		{name: "refused at first", faults: []fakepl.Fault{fakepl.Refused, fakepl.Refused, fakepl.Healthy}, want: "accepted"},
+		{name: "done without an answer", faults: []fakepl.Fault{fakepl.LostAnswer, fakepl.Healthy}, want: "accepted"},
+		{name: "done without an answer, then refused", faults: []fakepl.Fault{fakepl.LostAnswer, fakepl.Refused}, want: "unknown"},
+		{name: "done late, then refused", faults: []fakepl.Fault{fakepl.LateEffect, fakepl.Refused}, want: "unknown"},
+		{name: "silent", faults: []fakepl.Fault{fakepl.Silent}, want: "unknown"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				store := fakepl.NewStore()
+				store.LateBy = 2 * time.Second
+				store.Fault = faults("/kv-txn", c.faults...)
+				ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+				defer cancel()
+				g.Expect(outcome(newDesk(store).Submit(ctx, newJob()))).To(Equal(c.want))
+				time.Sleep(10 * time.Second)
+				if c.want == "refused" {
+					g.Expect(store.Value(work.JobKey(testJob))).To(BeNil())
+				}
+			})
+		})
+	}
+}
+
+func outcome(err error) string {
+	var refused *intake.RefusedError
+	switch {
+	case err == nil:
+		return "accepted"
+	case errors.As(err, &refused):
+		return "refused"
+	}
+	return "unknown"
+}
+
+// Guards against an answer to a caller that differs from what the desk knows.
+func TestAnswersOfTheFront(t *testing.T) {
+	config := &work.Config{
+		Version: 1, MaxBodyBytes: 4096,
+		Queues:  []work.Queue{{Name: "check", Host: "a.example", Prefix: "/check/"}, {Name: "open", Host: "a.example", Prefix: "/check/open/", Anonymous: true}},
+		Tenants: map[model.CustomerID]work.Tenant{"big": {Name: "big", Keys: []string{"key-1"}}},
+	}
+	config.Index()
+	body := `{"spec":"x","steps":[{"count":1,"cpu":500}]}`
+	for _, c := range []struct {
+		name, method, path, key, body string
+		none                          bool
+		want                          int
+	}{
+		{name: "submission", method: http.MethodPost, path: "/check/00000000000000a1", key: "key-1", body: body, want: 200},
+		{name: "unknown key", method: http.MethodPost, path: "/check/00000000000000a1", key: "key-2", body: body, want: 401},
+		{name: "no key on an open queue", method: http.MethodPost, path: "/check/open/00000000000000a1", body: body, want: 200},
+		{name: "unknown queue", method: http.MethodPost, path: "/other/00000000000000a1", key: "key-1", body: body, want: 404},
+		{name: "malformed id", method: http.MethodPost, path: "/check/xyz", key: "key-1", body: body, want: 404},
+		{name: "malformed body", method: http.MethodPost, path: "/check/00000000000000a1", key: "key-1", body: "{", want: 400},
+		{name: "no steps", method: http.MethodPost, path: "/check/00000000000000a1", key: "key-1", body: `{"spec":"x"}`, want: 400},
+		{name: "body too large", method: http.MethodPost, path: "/check/00000000000000a1", key: "key-1", body: string(make([]byte, 5000)), want: 413},
+		{name: "no configuration yet", method: http.MethodPost, path: "/check/00000000000000a1", key: "key-1", body: body, none: true, want: 503},
+		{name: "state of an unknown job", method: http.MethodGet, path: "/check/00000000000000b1", key: "key-1", want: 410},
+		{name: "cancel of an unknown job", method: http.MethodDelete, path: "/check/00000000000000b1", key: "key-1", want: 410},
+		{name: "count of a queue", method: http.MethodGet, path: "/check/", key: "key-1", want: 200},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				front := &platform.Front{
+					Log: zerolog.Nop(), Jobs: newDesk(fakepl.NewStore()), Closing: func() bool { return false },
+					Observe: func(string, int, time.Duration) {},
+					Config: func() *work.Config {
+						if c.none {
+							return nil
+						}
+						return config
+					},
+				}
+				net := memnet.New()
+				net.Serve("a.example", front)
+				req, err := http.NewRequestWithContext(t.Context(), c.method, "http://a.example"+c.path, bodyOf(c.body))
+				g.Expect(err).NotTo(HaveOccurred())
+				if c.key != "" {
+					req.Header.Set("Authorization", "Bearer "+c.key)
+				}
+				res, err := net.Client("caller").Do(req)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(res.StatusCode).To(Equal(c.want))
+				g.Expect(res.Body.Close()).To(Succeed())
+				if c.want == http.StatusServiceUnavailable {
+					g.Expect(res.Header.Get("Retry-After")).NotTo(BeEmpty())
+				}
+			})
+		})
+	}
+}
+
+func bodyOf(text string) io.Reader {
+	if text == "" {
+		return nil
+	}
+	return strings.NewReader(text)
+}
