chief: failures are counted in whatever order they are listed; elect: lost answers alone end no term

Failed runs are now kept by number. A leader now yields only when the store answers none of its calls.

--- a/internal/chief/chief.go
+++ b/internal/chief/chief.go
@@ -103,8 +103,9 @@
 	c.workers = map[model.WorkerID]*worker{}
 	c.orphans = map[model.JobID]stored{}
 	c.cancels = map[model.JobID]bool{}
+	c.mu.Lock()
 	c.answers = map[model.JobID]work.State{}
-	c.pending = map[work.QueueName]int{}
+	c.mu.Unlock()
 	c.history = map[work.QueueName]*history{}
 	group, ctx := errgroup.WithContext(ctx)
 	c.ctx = ctx
--- a/internal/chief/chief_test.go
+++ b/internal/chief/chief_test.go
@@ -147,13 +147,13 @@
 		for _, w := range r.workers {
 			left := 3
 			w.LateBy = 4 * time.Second
-			w.Fault = func(path string) fakepl.Fault {
+			w.SetFault(func(path string) fakepl.Fault {
 				if path == "/run-start" && left > 0 {
 					left--
 					return fakepl.LateEffect
 				}
 				return fakepl.Healthy
-			}
+			})
 		}
 		r.submit(job("00000000000000a8", "scan", 1, 1))
 		r.reach(12*time.Second, "the job is completed", func() bool { return a.state("00000000000000a8") == work.StateCompleted })
@@ -174,13 +174,13 @@
 		r.reach(5*time.Second, "it runs", func() bool { return len(r.fleet.Present(task("00000000000000a9", 3))) == 1 })
 		late := true
 		r.store.LateBy = 4 * time.Second
-		r.store.Fault = func(path, _ string) fakepl.Fault {
+		r.store.SetFault(func(path string) fakepl.Fault {
 			if path == "/kv-txn" && late {
 				late = false
 				return fakepl.LateEffect
 			}
 			return fakepl.Healthy
-		}
+		})
 		r.reach(8*time.Second, "the job is completed", func() bool { return a.state("00000000000000a9") == work.StateCompleted })
 		r.sleep(6 * time.Second)
 		a.kill()
@@ -274,6 +274,36 @@
 	})
 }
 
+// Guards against failures that are listed to a new chief in another order than they happened and are then counted too low.
+func TestFailuresCountInAnyOrder(t *testing.T) {
+	run(t, 2, func(r *rig) {
+		r.config.Queue("scan").MaxAttempts = 2
+		r.fleet.Outcome = func(string, int64, string) fakepl.Outcome { return fakepl.Outcome{After: time.Second, How: "failed"} }
+		a := r.start("a", nil)
+		r.reach(3*time.Second, "a leads", func() bool { return a.chief.Load() != nil })
+		r.submit(job("00000000000000c8", "scan", 1, 8))
+		r.reach(5*time.Second, "the first run is there", func() bool { return len(r.fleet.Present(task("00000000000000c8", 0))) == 1 })
+		first := r.fleet.Present(task("00000000000000c8", 0))[0]
+		r.store.SetFault(faultOn("/kv-txn", fakepl.Refused)) // No end becomes durable.
+		r.reach(3*time.Second, "the second run is there", func() bool { return r.fleet.Started(task("00000000000000c8", 0)) == 2 })
+		a.kill()
+		r.store.SetFault(nil)
+		b := r.start("b", nil)
+		r.net.SetFault("b", memnet.Host(first+":1"), memnet.Fault{Delay: 300 * time.Millisecond})
+		r.reach(8*time.Second, "the job has failed", func() bool { return b.state("00000000000000c8") == work.StateFailed })
+		r.Expect(r.fleet.Started(task("00000000000000c8", 0))).To(Equal(2))
+	})
+}
+
+func faultOn(path string, fault fakepl.Fault) func(string) fakepl.Fault {
+	return func(called string) fakepl.Fault {
+		if called == path {
+			return fault
+		}
+		return fakepl.Healthy
+	}
+}
+
 // Guards against a task that is started after its last attempt, because a failure is listed by a worker that does not answer.
 func TestLastAttemptWaitsForASilentWorker(t *testing.T) {
 	run(t, 2, func(r *rig) {
--- a/internal/chief/jobs.go
+++ b/internal/chief/jobs.go
@@ -1,6 +1,7 @@
 package chief
 
 import (
+	"slices"
 	"time"
 
 	"peridotgw.example/peridotgw/internal/clock"
@@ -114,17 +115,21 @@
 func restoreUnit(u *unit, saved work.StepProgress) {
 	for n := range u.tasks {
 		t := &u.tasks[n]
-		t.failures, t.counted = saved.Failures[n], saved.Counted[n]
-		t.last = max(t.last, t.counted)
+		if !u.step.Gang {
+			t.counted = saved.Failed[n]
+		}
+		for _, number := range saved.Failed[n] {
+			t.last = max(t.last, number)
+		}
 		if saved.IsDone(n) {
 			t.done = true
 			u.left--
 		}
 	}
 	if u.step.Gang {
-		u.failures, u.counted = saved.Failures[0], saved.Counted[0]
+		u.counted = saved.Failed[0]
 		for n := range u.tasks {
-			u.tasks[n].last = max(u.tasks[n].last, u.counted)
+			u.tasks[n].last = max(u.tasks[n].last, u.tasks[0].last)
 		}
 	}
 	if u.left == 0 {
@@ -161,15 +166,15 @@
 			step.SetDone(n)
 			found = true
 		}
-		failures, counted := t.failures, t.counted
+		counted := t.counted
 		if u.step.Gang && n == 0 {
-			failures, counted = u.failures, u.counted
+			counted = u.counted
 		}
-		if failures > 0 {
-			if step.Failures == nil {
-				step.Failures, step.Counted = map[int]int{}, map[int]work.RunNumber{}
+		if len(counted) > 0 {
+			if step.Failed == nil {
+				step.Failed = map[int][]work.RunNumber{}
 			}
-			step.Failures[n], step.Counted[n] = failures, counted
+			step.Failed[n] = counted
 			found = true
 		}
 	}
@@ -312,26 +317,28 @@
 	u.job.dirty = true
 	failures := 0
 	if u.step.Gang {
-		if r.key.number > u.counted {
-			u.failures++
-			u.counted = r.key.number
-		}
+		u.counted = countOnce(u.counted, r.key.number)
 		if r.group != nil {
 			c.breakGroup(r.group, "member failed")
 		}
-		failures = u.failures
+		failures = len(u.counted)
 	} else {
-		if r.key.number > t.counted {
-			t.failures++
-			t.counted = r.key.number
-		}
-		failures = t.failures
+		t.counted = countOnce(t.counted, r.key.number)
+		failures = len(t.counted)
 	}
 	if failures >= c.maxAttempts(u.job) {
 		c.finishJob(u.job, work.StateFailed, "a task failed as often as its queue allows")
 	}
 }
 
+// countOnce adds a failed run unless it is counted already.
+func countOnce(counted []work.RunNumber, number work.RunNumber) []work.RunNumber {
+	if slices.Contains(counted, number) {
+		return counted
+	}
+	return append(counted, number)
+}
+
 const (
 	restartPause        = 100 * time.Millisecond
 	fallbackMaxAttempts = 3
--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -155,7 +155,7 @@
 func (p *pass) singles(u *unit) {
 	for n := range u.tasks {
 		t := &u.tasks[n]
-		if t.done || t.active != nil || p.now < t.after || p.lastTry(u, t, t.failures) {
+		if t.done || t.active != nil || p.now < t.after || p.lastTry(u, t, len(t.counted)) {
 			continue
 		}
 		if !p.single(u, t) {
@@ -278,7 +278,7 @@
 		return
 	}
 	for n := range u.tasks {
-		if u.tasks[n].active != nil || p.lastTry(u, &u.tasks[n], u.failures) {
+		if u.tasks[n].active != nil || p.lastTry(u, &u.tasks[n], len(u.counted)) {
 			return
 		}
 	}
--- a/internal/chief/rig_test.go
+++ b/internal/chief/rig_test.go
@@ -110,7 +110,7 @@
 func (r *rig) beat(w *fakepl.Worker) { r.store.Put(platform.RegistryPrefix+w.ID, w.Entry()) }
 
 func (r *rig) kv(from memnet.Host) *kv.Store {
-	return platform.NewStore(r.net.Client(from), storeAddress, func(string, string) {})
+	return platform.NewStore(r.net.Client(from), storeAddress, func(string, string, bool) {})
 }
 
 // instance is one process that takes part in elections.
--- a/internal/chief/types.go
+++ b/internal/chief/types.go
@@ -61,14 +61,13 @@
 	unit     *unit
 	index    int
 	done     bool
-	failures int
 	last     work.RunNumber
 	saved    work.Checkpoint
 	active   *run
 	after    clock.Instant // no start before
 	failedOn model.WorkerID
-	counted  work.RunNumber // the last failed run that is counted
-	lostOn   *worker        // where a run was given up whose end is not known
+	counted  []work.RunNumber // failed runs that are counted
+	lostOn   *worker          // where a run was given up whose end is not known
 }
 
 func (t *task) id() work.TaskID { return work.TaskID{StepID: t.unit.id, Index: t.index} }
@@ -80,8 +79,7 @@
 	step     *work.Step
 	tasks    []task
 	left     int // tasks that have not ended done
-	failures int // of the gang
-	counted  work.RunNumber
+	counted  []work.RunNumber
 	waiting  clock.Instant
 	group    *group
 	finished clock.Instant
--- a/internal/elect/elect.go
+++ b/internal/elect/elect.go
@@ -65,6 +65,8 @@
 	Lead func(ctx context.Context, term Term) error
 	// Yield has another instance remove the leadership from the store, which may serve that one; nil for none.
 	Yield func(ctx context.Context, term Term) error
+	// Served returns when the store last answered any call of this instance; nil where only renewals count.
+	Served func() clock.Instant
 
 	mu         sync.Mutex
 	proved     clock.Instant // last success of a renewal
@@ -268,8 +270,13 @@
 // offer hands the leadership over when the store does not serve this instance any more but may serve others.
 func (e *Elector) offer(ctx context.Context) {
 	e.mu.Lock()
-	term, since := e.term, e.Now().Sub(e.proved)
+	term, served := e.term, e.proved
 	e.mu.Unlock()
+	if e.Served != nil {
+		// Lost answers of some calls do not mean that the store turns this instance away.
+		served = max(served, e.Served())
+	}
+	since := e.Now().Sub(served)
 	if term == nil || e.Yield == nil || since < yieldAfter {
 		return
 	}
@@ -417,6 +424,7 @@
 	termCtx, cancel := context.WithCancel(ctx)
 	e.term = &Term{Token: model.Token(revision), Since: e.Now(), Proof: kv.Expect{Key: leaderKey, Revision: revision}}
 	e.endTerm = cancel
+	e.proved = e.term.Since
 	e.Log.Info().Uint64("token", uint64(revision)).Msg("elect: term begins")
 	return e.term, termCtx
 }
--- a/internal/intake/desk_test.go
+++ b/internal/intake/desk_test.go
@@ -27,7 +27,7 @@
 	net := memnet.New()
 	net.Serve("store:1", store)
 	return &intake.Desk{
-		Store: platform.NewStore(net.Client("a"), "store:1", func(string, string) {}), Log: zerolog.Nop(), Now: time.Now,
+		Store: platform.NewStore(net.Client("a"), "store:1", func(string, string, bool) {}), Log: zerolog.Nop(), Now: time.Now,
 		Owner: intake.Owner{
 			State: func(context.Context, model.JobID) (work.State, bool, error) {
 				return "", false, errors.New("no owner")
@@ -42,9 +42,9 @@
 }
 
 // faults answers a series of calls to a path with faults, and the rest with the last one.
-func faults(path string, series ...fakepl.Fault) func(string, string) fakepl.Fault {
+func faults(path string, series ...fakepl.Fault) func(string) fakepl.Fault {
 	next := 0
-	return func(called, _ string) fakepl.Fault {
+	return func(called string) fakepl.Fault {
 		if called != path {
 			return fakepl.Healthy
 		}
@@ -75,7 +75,7 @@
 				g := NewWithT(t)
 				store := fakepl.NewStore()
 				store.LateBy = 2 * time.Second
-				store.Fault = faults("/kv-txn", c.faults...)
+				store.SetFault(faults("/kv-txn", c.faults...))
 				ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 				defer cancel()
 				g.Expect(outcome(newDesk(store).Submit(ctx, newJob()))).To(Equal(c.want))
--- a/internal/kv/follow_test.go
+++ b/internal/kv/follow_test.go
@@ -28,7 +28,7 @@
 		var seen atomic.Value
 		note := func(value []byte) { seen.Store(string(value)) }
 		f := &kv.Follower{
-			Store: platform.NewStore(net.Client("a"), "store:1", func(string, string) {}), Prefix: "op/", Log: zerolog.Nop(),
+			Store: platform.NewStore(net.Client("a"), "store:1", func(string, string, bool) {}), Prefix: "op/", Log: zerolog.Nop(),
 			OnReset: func(items []kv.Item) {
 				for _, item := range items {
 					note(item.Value)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,6 +48,7 @@
 	chief     atomic.Pointer[chief.Chief]
 	closing   atomic.Bool
 	relayTurn atomic.Uint32
+	served    atomic.Int64 // clock.Instant of the store's last answer
 }
 
 // New returns an instance, and a function that closes its connections.
@@ -57,13 +58,14 @@
 	workerClient, closeWorkers := platform.NewClient(platform.WorkerConns)
 	peerClient, closePeers := platform.NewClient(peerConns)
 	peerClient.Timeout = peerTimeout
-	store := platform.NewStore(storeClient, settings.Store, n.meters.storeCall)
+	store := platform.NewStore(storeClient, settings.Store, n.storeCalled)
 	adviceClient, closeAdvice := platform.NewClient(platform.AdviceConns)
 	n.advise = platform.NewAdviser(adviceClient, settings.Advice)
 	n.store, n.workers, n.caller = store, platform.NewWorkers(workerClient), &wire.Caller{HTTP: peerClient}
 	n.elector = &elect.Elector{
 		Store: store, Self: elect.Node{ID: settings.Node, Address: settings.Peers}, Share: settings.CPUShare, Log: log,
 		Now: clock.Boot, Lead: n.lead, Yield: n.yield,
+		Served: func() clock.Instant { return clock.Instant(n.served.Load()) },
 	}
 	n.desk = &intake.Desk{Store: store, Owner: n.owner(), Log: log, Now: time.Now, Relay: n.relay}
 	return n, func() {
@@ -74,6 +76,14 @@
 	}
 }
 
+// storeCalled counts a call of the store and notes when the store last served this instance.
+func (n *Node) storeCalled(op, result string, served bool) {
+	n.meters.storeCall(op, result)
+	if served {
+		n.served.Store(int64(clock.Boot()))
+	}
+}
+
 // Run serves until ctx ends, then stops by plan: it leaves the balancer's rotation, hands the scheduling over, answers
 // what is open, and returns.
 func (n *Node) Run(ctx context.Context) error {
--- a/internal/work/progress.go
+++ b/internal/work/progress.go
@@ -27,10 +27,9 @@
 type StepProgress struct {
 	// Done has a bit for each task that ended done; the lowest bit of the first byte is task 0.
 	Done []byte `cbor:"1,keyasint,omitempty"`
-	// Failures counts the failed runs of tasks by index.
-	Failures map[int]int `cbor:"2,keyasint,omitempty"`
-	// Counted holds the run numbers of the last failures, so that an end that is listed again is not counted again.
-	Counted map[int]RunNumber `cbor:"4,keyasint,omitempty"`
+	// Failed holds the failed runs of tasks by index; those of a gang stand at 0. The numbers keep an end that is listed
+	// again from being counted again, in whatever order ends are listed.
+	Failed map[int][]RunNumber `cbor:"2,keyasint,omitempty"`
 	// All says that every task ended done; Done is then empty.
 	All bool `cbor:"3,keyasint,omitempty"`
 }
