--- a/internal/elect/elect.go
+++ b/internal/elect/elect.go
@@ -69,6 +69,7 @@
 	Served func() clock.Instant
 
 	mu         sync.Mutex
+	refused    bool          // the hand-over has failed since the last renewal; used by keep alone
 	proved     clock.Instant // last success of a renewal
 	lease      kv.LeaseID
 	validUntil clock.Instant
@@ -254,6 +255,7 @@
 		return err
 	}
 	e.extend(sent, ttl)
+	e.refused = false
 	if !registered {
 		return e.register(callCtx)
 	}
@@ -283,7 +285,10 @@
 	callCtx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
 	if err := e.Yield(callCtx, *term); err != nil {
-		e.Log.Warn().Err(err).Dur("store-lost-for", since).Msg("elect: leadership not handed over")
+		if !e.refused {
+			e.refused = true
+			e.Log.Warn().Err(err).Dur("store-lost-for", since).Msg("elect: leadership not handed over")
+		}
 		return
 	}
 	e.mu.Lock()
--- a/internal/intake/desk.go
+++ b/internal/intake/desk.go
@@ -53,6 +53,8 @@
 // Error names the job.
 func (e *UnknownJobError) Error() string { return fmt.Sprintf("job %s does not exist", e.ID) }
 
+var errNoTime = errors.New("the caller does not wait long enough") //nolint:gochecknoglobals // a constant error
+
 // Owner answers from the memory of the instance that schedules.
 type Owner struct {
 	// State returns a job's state; found is false when the owner does not know the job.
@@ -115,6 +117,9 @@
 	}
 	started := time.Now()
 	doubtful := false
+	if ctx.Err() != nil {
+		return &RefusedError{Cause: errNoTime, RetryAfter: retryAfter}
+	}
 	for {
 		err := d.Apply(ctx, change)
 		if final(err) {
--- a/internal/intake/desk_test.go
+++ b/internal/intake/desk_test.go
@@ -99,6 +99,16 @@
 	return "unknown"
 }
 
+// Guards against a call that comes with no time left and is answered as if it might run.
+func TestSubmitWithoutTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := fakepl.NewStore()
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		NewWithT(t).Expect(outcome(newDesk(store).Submit(ctx, newJob()))).To(Equal("refused"))
+	})
+}
+
 // Guards against an answer to a caller that differs from what the desk knows.
 func TestAnswersOfTheFront(t *testing.T) {
 	config := &work.Config{
