--- a/internal/chief/chief_test.go
+++ b/internal/chief/chief_test.go
@@ -302,6 +302,11 @@
 		r.reach(5*time.Second, "the first run is there", func() bool { return len(r.fleet.Present(task("00000000000000c8", 0))) == 1 })
 		first := r.fleet.Present(task("00000000000000c8", 0))[0]
 		r.store.SetFault(faultOn("/kv-txn", fakepl.Refused)) // No end becomes durable.
+		for _, w := range r.workers {
+			if w.ID == first {
+				w.SetFault(faultOn("/run-start", fakepl.Refused)) // The second run goes elsewhere.
+			}
+		}
 		r.reach(3*time.Second, "the second run is there", func() bool { return r.fleet.Started(task("00000000000000c8", 0)) == 2 })
 		a.kill()
 		r.store.SetFault(nil)
