--- a/internal/chief/chief.go
+++ b/internal/chief/chief.go
@@ -20,6 +20,8 @@
 	tickEvery     = 100 * time.Millisecond
 	registryPause = 150 * time.Millisecond
 	postQueue     = 4096
+	// planPause collects what happens between two planning passes.
+	planPause = 10 * time.Millisecond
 )
 
 // Limits are the bounds that the platform sets.
@@ -74,6 +76,7 @@
 	readySince clock.Instant
 	advising   bool
 	demand     demand
+	planAfter  clock.Instant
 	rated      clock.Instant
 	history    map[work.QueueName]*history
 
@@ -158,10 +161,12 @@
 		case <-ticker.C:
 			c.tick() //nolint:contextcheck // calls end with the term
 		}
-		if c.dirty {
+		if c.dirty && c.Now() >= c.planAfter {
 			c.dirty = false
 			c.plan() //nolint:contextcheck // calls end with the term
 			c.publish()
+			c.planAfter = c.Now().Add(planPause)
+			c.later(planPause, func() {})
 		}
 		c.persist() //nolint:contextcheck // calls end with the term
 	}
--- /dev/null
+++ b/internal/chief/internal_test.go
@@ -0,0 +1,43 @@
+package chief
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"peridotgw.example/peridotgw/internal/clock"
+	"peridotgw.example/peridotgw/model"
+)
+
+// Guards against room of urgent work that is given away at once, and against room that stays kept for ever.
+func TestDemandRemembersThePeak(t *testing.T) {
+	g := NewWithT(t)
+	var d demand
+	at := clock.Instant(time.Hour)
+	g.Expect(d.note(at, 40)).To(Equal(model.Accelerators(40)))
+	g.Expect(d.note(at.Add(time.Second), 8)).To(Equal(model.Accelerators(40)))
+	g.Expect(d.note(at.Add(2500*time.Millisecond), 16)).To(Equal(model.Accelerators(40)))
+	g.Expect(d.note(at.Add(3500*time.Millisecond), 0)).To(Equal(model.Accelerators(16)))
+	g.Expect(d.note(at.Add(time.Minute), 0)).To(Equal(model.Accelerators(0)))
+}
+
+// Guards against a pace that jumps back to full speed beside a task that serves, or that does not fall to nothing.
+func TestNextPace(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		pace  int
+		worst float64
+		want  int
+	}{
+		{name: "far below the target", pace: 30, worst: 0.2, want: 55},
+		{name: "at full speed", pace: 100, worst: 0.2, want: 100},
+		{name: "between the marks", pace: 30, worst: 0.7, want: 30},
+		{name: "first sign", pace: 100, worst: 0.95, want: 30},
+		{name: "second sign", pace: 30, worst: 1.2, want: 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			NewWithT(t).Expect(nextPace(c.pace, c.worst)).To(Equal(c.want))
+		})
+	}
+}
