--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -102,7 +102,7 @@
 
 // yield has one of the other instances end the term of this one.
 func (n *Node) yield(ctx context.Context, term elect.Term) error {
-	err := error(errNoPeer)
+	err := errNoPeer
 	for _, peer := range n.relayPeers() {
 		if _, err = wire.Call[yieldQuery, yieldAnswer](ctx, n.caller, peer.Address, procYield, &yieldQuery{Token: term.Token}); err == nil {
 			return nil
--- /dev/null
+++ b/soak/main.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitUsage    = 1
+	exitViolated = 2
+)
+
+// options are the sizes of a run.
+type options struct {
+	binary  string
+	dir     string
+	nodes   int
+	workers int
+	faults  time.Duration // in which faults are injected
+	calm    time.Duration // after the faults, for what is still open
+	rate    float64       // jobs a second
+}
+
+func main() {
+	seeds := flag.String("seeds", "1-5", "seeds, as 7 or 1-50")
+	o := options{}
+	flag.StringVar(&o.binary, "peridotd", "bin/peridotd", "the program to run")
+	flag.StringVar(&o.dir, "logs", "", "folder for the logs of failed seeds; a temporary one without it")
+	flag.IntVar(&o.nodes, "nodes", 4, "instances")
+	flag.IntVar(&o.workers, "workers", 10, "workers")
+	flag.DurationVar(&o.faults, "faults", 15*time.Second, "time with faults")
+	flag.DurationVar(&o.calm, "calm", 20*time.Second, "longest time for the open jobs afterwards")
+	flag.Float64Var(&o.rate, "rate", 3, "jobs a second")
+	flag.Parse()
+	first, last, err := parseSeeds(*seeds)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitUsage)
+	}
+	os.Exit(soak(o, first, last))
+}
+
+func parseSeeds(text string) (first, last uint64, err error) {
+	from, to, found := strings.Cut(text, "-")
+	if first, err = strconv.ParseUint(from, 10, 64); err != nil {
+		return 0, 0, fmt.Errorf("seeds %q: %w", text, err)
+	}
+	if !found {
+		return first, first, nil
+	}
+	if last, err = strconv.ParseUint(to, 10, 64); err != nil || last < first {
+		return 0, 0, fmt.Errorf("seeds %q are not a range", text)
+	}
+	return first, last, nil
+}
+
+// soak runs the seeds and returns the exit code.
+func soak(o options, first, last uint64) int {
+	held, violated := 0, 0
+	for seed := first; seed <= last; seed++ {
+		violations, summary, err := runSeed(o, seed)
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "seed %d: %v\n", seed, err)
+			return exitUsage
+		}
+		fmt.Printf("seed %d: %s\n", seed, summary)
+		if len(violations) == 0 {
+			held++
+			continue
+		}
+		violated++
+		for _, v := range violations {
+			fmt.Printf("seed %d: VIOLATED %s\n", seed, v)
+		}
+	}
+	fmt.Printf("%d held, %d violated\n", held, violated)
+	if violated > 0 {
+		return exitViolated
+	}
+	return exitOK
+}
+
+// runSeed runs one seed in a folder of its own, which stays when a promise was broken.
+func runSeed(o options, seed uint64) (violations []string, summary string, err error) {
+	dir, err := os.MkdirTemp(o.dir, fmt.Sprintf("soak-%d-", seed))
+	if err != nil {
+		return nil, "", err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	w, err := newWorld(ctx, o, dir, rand.New(rand.NewPCG(seed, 1)))
+	if err != nil {
+		return nil, "", err
+	}
+	violations = w.play(ctx, o)
+	cancel()
+	w.close()
+	if len(violations) == 0 {
+		return nil, w.summary(), os.RemoveAll(dir)
+	}
+	abs, err := filepath.Abs(dir)
+	return append(violations, "logs in "+abs), w.summary(), err
+}
--- /dev/null
+++ b/soak/node.go
@@ -0,0 +1,125 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	portsPerNode = 6
+	restartAfter = 300 * time.Millisecond
+	graceSeconds = 6
+)
+
+// node is one peridotd process, restarted whenever it ends, as the platform does.
+type node struct {
+	name     string
+	binary   string
+	settings string
+	front    string
+	store    *proxy
+	log      *os.File
+
+	mu      sync.Mutex
+	process *os.Process
+	exits   int
+}
+
+// newNode writes the settings of an instance.
+func newNode(dir, binary string, number int, storeProxy *proxy) (*node, error) {
+	ports, err := freePorts(portsPerNode)
+	if err != nil {
+		return nil, err
+	}
+	n := &node{
+		name: fmt.Sprintf("node-%d", number), binary: binary, store: storeProxy,
+		settings: filepath.Join(dir, fmt.Sprintf("node-%d.conf", number)), front: fmt.Sprintf("127.0.0.1:%d", ports[0]),
+	}
+	lines := []string{
+		"node=" + n.name, "zone=zone-1", "ip=127.0.0.1", "listen.front=" + n.front,
+		fmt.Sprintf("listen.ready=127.0.0.1:%d", ports[1]), fmt.Sprintf("internal_ports=%d,%d", ports[2], ports[2]+1),
+		"platform.address=" + storeProxy.address(), "platform.form=kv", "limits.cpu_share=0.5", "limits.memory_mb=284",
+		fmt.Sprintf("bounds.grace_s=%d", graceSeconds), "bounds.stop_timeout_ms=200", "bounds.reclaim_ms=2700", "orders=call",
+	}
+	if n.log, err = os.Create(filepath.Join(dir, n.name+".log")); err != nil {
+		return nil, err
+	}
+	return n, os.WriteFile(n.settings, []byte(strings.Join(lines, "\n")+"\n"), 0o600)
+}
+
+// freePorts returns ports that were free, the third and the fourth next to each other.
+func freePorts(count int) ([]int, error) {
+	for {
+		var ports []int
+		var open []net.Listener
+		for len(ports) < count {
+			listener, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // listening does not block
+			if err != nil {
+				return nil, err
+			}
+			open = append(open, listener)
+			ports = append(ports, listener.Addr().(*net.TCPAddr).Port)
+		}
+		next, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", ports[2]+1)) //nolint:noctx // as above
+		for _, listener := range open {
+			closeAll(listener)
+		}
+		if err == nil {
+			closeAll(next)
+			return ports, nil
+		}
+	}
+}
+
+// run keeps the process going until ctx ends.
+func (n *node) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		cmd := exec.Command(n.binary, "-platform") //nolint:gosec,noctx // It is stopped by signals.
+		cmd.Env = []string{"PERIDOTGW_NODE_FILE=" + n.settings, "PATH=" + os.Getenv("PATH")}
+		cmd.Stdout, cmd.Stderr = n.log, n.log
+		if err := cmd.Start(); err != nil {
+			fmt.Println("soak:", err)
+			return
+		}
+		n.mu.Lock()
+		n.process = cmd.Process
+		n.mu.Unlock()
+		ended := make(chan struct{})
+		go func() {
+			_ = cmd.Wait() //nolint:errcheck // Processes are meant to end in any way.
+			close(ended)
+		}()
+		select {
+		case <-ended:
+			n.mu.Lock()
+			n.exits++
+			n.mu.Unlock()
+		case <-ctx.Done():
+			n.signal(syscall.SIGCONT)
+			n.signal(syscall.SIGKILL)
+			<-ended
+			return
+		}
+		select {
+		case <-time.After(restartAfter):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// signal sends a signal to the process that this node started.
+func (n *node) signal(s os.Signal) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.process != nil {
+		_ = n.process.Signal(s) //nolint:errcheck // It may just have ended.
+	}
+}
