--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -84,7 +84,7 @@
 	})
 
 	It("list every setting with its default", func() {
-		text := page("operators.md")
+		text := page("OPERATIONS.md")
 		for path, value := range fields("", reflect.ValueOf(*params.Default())) {
 			written := fmt.Sprintf("`%v`", value)
 			if written == "``" || strings.HasPrefix(path, "operators") {
@@ -98,7 +98,7 @@
 	})
 
 	It("list every field of every kind of object", func() {
-		text := page("operators.md")
+		text := page("OPERATIONS.md")
 		for kind, value := range map[model.Kind]any{
 			model.KindDataCentre: model.DataCentre{}, model.KindCustomer: model.Customer{}, model.KindShape: model.Shape{},
 			model.KindGuarantee: model.Guarantee{}, model.KindJobClass: model.JobClass{}, model.KindRequestClass: model.RequestClass{},
@@ -113,7 +113,7 @@
 	})
 
 	It("list every shared metric", func() {
-		text := page("operators.md")
+		text := page("OPERATIONS.md")
 		// Vectors without a value are not gathered, so the names come from the source.
 		parts := strings.Split(page("../internal/metric/metric.go"), `set.Counter("`)
 		Expect(len(parts)).To(BeNumerically(">", 1))
