--- a/internal/chief/chief_test.go
+++ b/internal/chief/chief_test.go
@@ -230,6 +230,22 @@
 	})
 }
 
+// Guards against a worker that started again unnoticed and has new runs already: they must not start elsewhere as well.
+func TestRunsOnAWorkerThatStartedAgainStay(t *testing.T) {
+	run(t, 1, func(r *rig) {
+		a := r.start("a", nil)
+		r.reach(3*time.Second, "a leads", func() bool { return a.chief.Load() != nil })
+		r.sleep(2 * time.Second)
+		r.workers[0].Crash()
+		r.workers[0].Start()
+		r.submit(job("00000000000000d2", "scan", 2, 1))
+		r.reach(time.Second, "it runs", func() bool { return len(r.fleet.Present(task("00000000000000d2", 1))) == 1 })
+		r.beat(r.workers[0])
+		r.reach(4*time.Second, "the job is completed", func() bool { return a.state("00000000000000d2") == work.StateCompleted })
+		r.Expect(r.fleet.Started(task("00000000000000d2", 0))).To(Equal(1))
+	})
+}
+
 // Guards against a gang member that failed and is counted as being stopped for good: urgent work would then wait for room
 // that never comes free.
 func TestRoomOfAFailedMemberIsNotPromised(t *testing.T) {
@@ -249,7 +265,8 @@
 		r.reach(reclaim, "the urgent gang has reclaimed the workers", func() bool {
 			return len(r.fleet.Present(task("00000000000000c4", 1))) == 1
 		})
-		r.Expect(a.state("00000000000000c4")).To(Equal(work.StateRunning))
+		// The answer to the start takes a millisecond more than the start.
+		r.reach(100*time.Millisecond, "it is shown as running", func() bool { return a.state("00000000000000c4") == work.StateRunning })
 	})
 }
 
--- a/internal/chief/types.go
+++ b/internal/chief/types.go
@@ -121,6 +121,7 @@
 	leaving  work.Room // part of used that is being stopped
 	visited  bool      // seen in this term
 	born     int64
+	since    clock.Instant // when the incarnation became known; 0 for the first of the term
 	looking  bool
 	lookAt   clock.Instant // no look before
 	paceAt   clock.Instant // no change of pace before
--- a/internal/chief/workers.go
+++ b/internal/chief/workers.go
@@ -90,13 +90,15 @@
 	return info.ID, true
 }
 
-// reborn handles a new incarnation under the same id: it runs nothing of before, and its counts begin anew.
+// reborn handles a new incarnation under the same id: it runs nothing of before, and its counts begin anew. It may run what
+// was ordered since, before its start was known here: the next look tells which runs are there.
 func (c *Chief) reborn(w *worker, born int64) {
 	c.Log.Info().Str("worker", string(w.info.ID)).Int64("born", born).Int("runs", len(w.runs)).Msg("chief: worker started again")
 	w.born = born
 	w.handled, w.acked, w.told, w.unnoted = 0, 0, 0, 0
 	w.clock, w.clockAt, w.until = 0, 0, 0
-	c.dropRuns(w, "worker started again")
+	w.since, w.lookAt = c.Now(), 0
+	c.wake(w)
 	c.dirty = true
 }
 
@@ -147,13 +149,13 @@
 
 // lapsed reports whether every lease of a worker's runs has certainly run out, on the slowest clock that it may have.
 func (c *Chief) lapsed(w *worker, now clock.Instant) bool {
-	if w.clockAt == 0 {
-		// Leases of earlier terms began before this term.
-		return now.Sub(c.Term.Since) > time.Duration(float64(c.Limits.MaxLease)/slowClock)+lapseMargin
+	// Leases of earlier terms, and those on a clock that is not known any more, began before these times.
+	since := max(c.Term.Since, w.since)
+	if now.Sub(since) <= time.Duration(float64(c.Limits.MaxLease)/slowClock)+lapseMargin {
+		return false
 	}
 	earliest := w.clock + work.WorkerClock(float64((now.Sub(w.clockAt)-lapseMargin).Milliseconds())*slowClock)
-	inherited := now.Sub(c.Term.Since) > time.Duration(float64(c.Limits.MaxLease)/slowClock)+lapseMargin
-	return earliest > w.until && inherited
+	return w.clockAt == 0 || earliest > w.until
 }
 
 func (w *worker) tick(reading work.WorkerClock, at clock.Instant) {
--- a/soak/main.go
+++ b/soak/main.go
@@ -6,9 +6,11 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -46,7 +48,10 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitUsage)
 	}
-	os.Exit(soak(o, first, last))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := soak(ctx, o, first, last)
+	stop()
+	os.Exit(code)
 }
 
 func parseSeeds(text string) (first, last uint64, err error) {
@@ -64,10 +69,10 @@
 }
 
 // soak runs the seeds and returns the exit code.
-func soak(o options, first, last uint64) int {
+func soak(ctx context.Context, o options, first, last uint64) int {
 	held, violated := 0, 0
-	for seed := first; seed <= last; seed++ {
-		violations, summary, err := runSeed(o, seed)
+	for seed := first; seed <= last && ctx.Err() == nil; seed++ {
+		violations, summary, err := runSeed(ctx, o, seed)
 		if err != nil {
 			fmt.Fprintf(os.Stderr, "seed %d: %v\n", seed, err)
 			return exitUsage
@@ -90,12 +95,12 @@
 }
 
 // runSeed runs one seed in a folder of its own, which stays when a promise was broken.
-func runSeed(o options, seed uint64) (violations []string, summary string, err error) {
+func runSeed(ctx context.Context, o options, seed uint64) (violations []string, summary string, err error) {
 	dir, err := os.MkdirTemp(o.dir, fmt.Sprintf("soak-%d-", seed))
 	if err != nil {
 		return nil, "", err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	w, err := newWorld(ctx, o, dir, rand.New(rand.NewPCG(seed, 1)))
 	if err != nil {
--- a/soak/node.go
+++ b/soak/node.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -14,7 +13,10 @@
 )
 
 const (
-	portsPerNode = 6
+	firstPort    = 10000
+	portsPerNode = 4
+	portsPerSoak = 64
+	soaksApart   = 300
 	restartAfter = 300 * time.Millisecond
 	graceSeconds = 6
 )
@@ -35,48 +37,28 @@
 
 // newNode writes the settings of an instance.
 func newNode(dir, binary string, number int, storeProxy *proxy) (*node, error) {
-	ports, err := freePorts(portsPerNode)
-	if err != nil {
-		return nil, err
-	}
+	port := nodePorts(number)
 	n := &node{
 		name: fmt.Sprintf("node-%d", number), binary: binary, store: storeProxy,
-		settings: filepath.Join(dir, fmt.Sprintf("node-%d.conf", number)), front: fmt.Sprintf("127.0.0.1:%d", ports[0]),
+		settings: filepath.Join(dir, fmt.Sprintf("node-%d.conf", number)), front: fmt.Sprintf("127.0.0.1:%d", port),
 	}
 	lines := []string{
 		"node=" + n.name, "zone=zone-1", "ip=127.0.0.1", "listen.front=" + n.front,
-		fmt.Sprintf("listen.ready=127.0.0.1:%d", ports[1]), fmt.Sprintf("internal_ports=%d,%d", ports[2], ports[2]+1),
+		fmt.Sprintf("listen.ready=127.0.0.1:%d", port+1), fmt.Sprintf("internal_ports=%d,%d", port+2, port+3),
 		"platform.address=" + storeProxy.address(), "platform.form=kv", "limits.cpu_share=0.5", "limits.memory_mb=284",
 		fmt.Sprintf("bounds.grace_s=%d", graceSeconds), "bounds.stop_timeout_ms=200", "bounds.reclaim_ms=2700", "orders=call",
 	}
+	var err error
 	if n.log, err = os.Create(filepath.Join(dir, n.name+".log")); err != nil {
 		return nil, err
 	}
 	return n, os.WriteFile(n.settings, []byte(strings.Join(lines, "\n")+"\n"), 0o600)
 }
 
-// freePorts returns ports that were free, the third and the fourth next to each other.
-func freePorts(count int) ([]int, error) {
-	for {
-		var ports []int
-		var open []net.Listener
-		for len(ports) < count {
-			listener, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // listening does not block
-			if err != nil {
-				return nil, err
-			}
-			open = append(open, listener)
-			ports = append(ports, listener.Addr().(*net.TCPAddr).Port)
-		}
-		next, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", ports[2]+1)) //nolint:noctx // as above
-		for _, listener := range open {
-			closeAll(listener)
-		}
-		if err == nil {
-			closeAll(next)
-			return ports, nil
-		}
-	}
+// nodePorts returns the first of the ports of an instance. They lie below those that the kernel gives out, and apart for
+// soaks that run beside each other.
+func nodePorts(number int) int {
+	return firstPort + (os.Getpid()%soaksApart)*portsPerSoak + number*portsPerNode
 }
 
 // run keeps the process going until ctx ends.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -22,7 +22,7 @@
 	build.Stderr = os.Stderr
 	g.Expect(build.Run()).To(Succeed())
 	for _, seed := range ciSeeds {
-		violations, summary, err := runSeed(options{
+		violations, summary, err := runSeed(t.Context(), options{
 			binary: binary, dir: dir, nodes: 3, workers: 8, faults: 8 * time.Second, calm: 25 * time.Second, rate: 3,
 		}, seed)
 		g.Expect(err).NotTo(HaveOccurred())
