--- a/peridotctl/exit.go
+++ b/peridotctl/exit.go
@@ -49,13 +49,14 @@
 		noFile      *os.PathError
 		replied     *reply.Error
 		unreachable *client.UnreachableError
+		noStore     *unreachableError
 	)
 	switch {
 	case err == nil:
 		return exitDone
 	case errors.As(err, &wrongUse), errors.As(err, &wrongFile), errors.As(err, &noFile):
 		return exitUsage
-	case errors.As(err, &unreachable):
+	case errors.As(err, &unreachable), errors.As(err, &noStore):
 		return exitUnreachable
 	case !errors.As(err, &replied):
 		return exitFailed
--- a/peridotctl/main.go
+++ b/peridotctl/main.go
@@ -75,7 +75,7 @@
 func (a *app) commands() map[string][]subcommands.Command {
 	return map[string][]subcommands.Command{
 		"configuration": {a.validateCommand(), a.publishCommand(), a.withdrawCommand(), a.getCommand(), a.diffCommand()},
-		"operation":     {a.serviceCommand("out"), a.serviceCommand("in"), a.statusCommand(), a.leavingCommand(), a.explainCommand()},
+		"operation":     {a.serviceCommand("out"), a.serviceCommand("in"), a.statusCommand(), a.leavingCommand(), a.explainCommand(), a.platformCommand()},
 		"jobs":          {a.submitCommand(), a.cancelCommand(), a.jobsCommand()},
 	}
 }
--- /dev/null
+++ b/peridotctl/platform_test.go
@@ -0,0 +1,78 @@
+package main_test
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gexec"
+
+	"peridotgw.example/peridotgw/internal/work"
+	"peridotgw.example/peridotgw/platform/fakepl"
+)
+
+var _ = Describe("platform", func() {
+	var store *fakepl.Store
+	var settings string
+
+	BeforeEach(func() {
+		store = fakepl.NewStore()
+		server := httptest.NewServer(store)
+		DeferCleanup(server.Close)
+		settings = filepath.Join(GinkgoT().TempDir(), "boot.conf")
+		lines := "node=n\nzone=z\nip=127.0.0.1\nlisten.front=127.0.0.1:1\nlisten.ready=127.0.0.1:2\ninternal_ports=7000,7015\n" +
+			"platform.address=" + strings.TrimPrefix(server.URL, "http://") + "\n"
+		Expect(os.WriteFile(settings, []byte(lines), 0o600)).To(Succeed())
+		job, err := work.Encode(work.Job{ID: "00000000000000a1", Queue: "check", Tenant: "big", Accepted: time.Now(), Steps: []work.Step{{Count: 4}}})
+		Expect(err).NotTo(HaveOccurred())
+		store.Put(work.JobKey("00000000000000a1"), job)
+		store.Put(work.CancelKey("00000000000000a1"), nil)
+		progress, err := work.Encode(work.Progress{State: work.StateRunning, Steps: map[int]map[int]work.StepProgress{0: {0: {Done: []byte{5}}}}})
+		Expect(err).NotTo(HaveOccurred())
+		store.Put(work.ProgressKey("00000000000000a1"), progress)
+		store.Put("op/evacuate/zone-2", []byte("{}"))
+		store.Put("servers/i-1", []byte(`{"service":"pool","address":"a:1","zone":"z","state":"ready","seq":1,"capacity":{"gpu":8},"labels":["r1"]}`))
+		store.Put("servers/i-2", []byte(`not json`))
+	})
+
+	run := func(args ...string) *gexec.Session {
+		session, err := gexec.Start(exec.Command(binary, append([]string{"platform", "-settings", settings}, args...)...), GinkgoWriter, GinkgoWriter)
+		Expect(err).NotTo(HaveOccurred())
+		return session.Wait(10 * time.Second)
+	}
+
+	DescribeTable("shows what the store holds", func(args string, want ...string) {
+		session := run(strings.Fields(args)...)
+		Expect(session.ExitCode()).To(Equal(0))
+		for _, text := range want {
+			Expect(string(session.Out.Contents())).To(ContainSubstring(text))
+		}
+	},
+		Entry("jobs", "jobs", "00000000000000a1", "running", "2/4", "true"),
+		Entry("one job", "job 00000000000000a1", "2/4"),
+		Entry("zones", "zones", "zone-2", "out"),
+		Entry("workers, and skips what cannot be read", "workers", "i-1", "r1", "ready"),
+		Entry("instances", "instances", "INSTANCE"),
+	)
+
+	DescribeTable("ends with the documented code", func(code int, args string) {
+		Expect(run(strings.Fields(args)...).ExitCode()).To(Equal(code))
+	},
+		Entry("unknown job", 4, "job 00000000000000ff"),
+		Entry("unknown subject", 1, "weather"),
+		Entry("no configuration", 4, "config"),
+	)
+
+	It("tells a store that does not answer from a wrong settings file", func() {
+		Expect(os.WriteFile(settings, fmt.Appendf(nil, "node=n\n"), 0o600)).To(Succeed())
+		session := run("jobs")
+		Expect(session.ExitCode()).To(Equal(1))
+		Expect(string(session.Err.Contents())).To(ContainSubstring("platform.address: is missing"))
+	})
+})
