--- a/Makefile
+++ b/Makefile
@@ -1,15 +1,15 @@
 # Targets of peridotgw. `make test` is what CI runs.
-MODULES := . peridotd peridotctl standin demo bench faults
+MODULES := . peridotd peridotctl standin demo bench faults soak
 BIN := $(CURDIR)/bin
 LINT := $(BIN)/golangci-lint
 
-.PHONY: all build test unit red lint fmt demo up faults bench clean
+.PHONY: all build test unit red lint fmt demo up faults bench soak clean
 
 all: build
 
 build:
 	@mkdir -p $(BIN)
-	go build -o $(BIN)/ ./peridotd ./peridotctl ./standin ./demo ./bench ./faults
+	go build -o $(BIN)/ ./peridotd ./peridotctl ./standin ./demo ./bench ./faults ./soak
 
 $(LINT): tools/go.mod tools/go.sum
 	@mkdir -p $(BIN)
@@ -28,10 +28,11 @@
 
 unit:
 	@echo "known red, passed over:"; cat KNOWN-RED.txt
-	go test -count=1 -timeout 5m $$(go list $(addsuffix /...,$(patsubst %,./%,$(filter-out faults,$(MODULES)))) | grep -v '/internal/sched$$')
+	go test -count=1 -timeout 5m $$(go list $(addsuffix /...,$(patsubst %,./%,$(filter-out faults soak,$(MODULES)))) | grep -v '/internal/sched$$')
 	go test -count=1 -timeout 5m $(RED_PACKAGE) -ginkgo.skip "$(RED_SPEC)"
 	@# The specs with real processes run alone, so that no other package's load reaches them.
 	go test -count=1 -timeout 5m ./faults/...
+	go test -count=1 -timeout 5m ./soak/...
 
 red:
 	go test -count=1 -timeout 5m $(RED_PACKAGE) -ginkgo.focus "$(RED_SPEC)"
@@ -47,6 +48,12 @@
 faults: build $(LINT)
 	$(BIN)/faults -ginkgo $(BIN)/ginkgo -docs docs/faults.md
 
+# SEEDS=1-50 runs fifty seeds, about 20 s each.
+SEEDS ?= 1-5
+
+soak: build
+	$(BIN)/soak -peridotd $(BIN)/peridotd -seeds $(SEEDS)
+
 bench: build
 	$(BIN)/bench
 
