--- a/internal/chief/chief_test.go
+++ b/internal/chief/chief_test.go
@@ -291,6 +291,30 @@
 	})
 }
 
+// Guards against a gang of an earlier term of which a member was lost in between, and which never ends.
+func TestIncompleteGangOfAnEarlierTermStartsAgain(t *testing.T) {
+	run(t, 3, func(r *rig) {
+		a := r.start("a", nil)
+		r.fleet.Outcome = func(_ string, number int64, _ string) fakepl.Outcome {
+			return fakepl.Outcome{After: 2 * time.Second, How: "done", Hang: number < 2}
+		}
+		r.reach(3*time.Second, "a leads", func() bool { return a.chief.Load() != nil })
+		r.submit(r.gangOf(job("00000000000000d3", "scan", 2, 8)))
+		r.reach(3*time.Second, "the gang runs", func() bool { return len(r.fleet.Present(task("00000000000000d3", 1))) == 1 })
+		lost := r.fleet.Present(task("00000000000000d3", 1))[0]
+		a.kill()
+		for _, w := range r.workers {
+			if w.ID == lost {
+				w.Crash()
+				w.Start()
+				r.beat(w)
+			}
+		}
+		b := r.start("b", nil)
+		r.reach(12*time.Second, "the job is completed", func() bool { return b.state("00000000000000d3") == work.StateCompleted })
+	})
+}
+
 // Guards against a new chief that waits for the leases of workers that left long ago before it starts anything.
 func TestSuccessorDoesNotWaitForWorkersThatLeft(t *testing.T) {
 	run(t, 4, func(r *rig) {
--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -141,7 +141,7 @@
 }
 
 func (p *pass) unit(u *unit) {
-	if !p.advise(u) {
+	if u.group == nil && !p.advise(u) {
 		return
 	}
 	p.release(u)
@@ -280,7 +280,14 @@
 
 // gang starts all members at once, or none.
 func (p *pass) gang(u *unit) {
-	if u.group != nil || p.now < u.tasks[0].after {
+	if g := u.group; g != nil {
+		if len(g.members) < len(u.tasks) && !(u.job.inherited && p.hidden) {
+			// Members of a run from an earlier term that were lost with their workers are nowhere listed.
+			p.c.breakGroup(g, "gang is not complete")
+		}
+		return
+	}
+	if p.now < u.tasks[0].after {
 		return
 	}
 	for n := range u.tasks {
