--- a/internal/chief/advise.go
+++ b/internal/chief/advise.go
@@ -22,7 +22,7 @@
 // wantsAdvice reports whether the advice service decides which workers may run a unit.
 func (p *pass) wantsAdvice(u *unit) bool {
 	queue := p.config.Queue(u.job.spec.Queue)
-	return queue != nil && queue.Advice != nil && p.c.Advise != nil
+	return queue != nil && queue.Advised && p.c.Advise != nil
 }
 
 // advised reports whether a worker may run a unit by the advice in force.
--- a/internal/chief/chief.go
+++ b/internal/chief/chief.go
@@ -26,14 +26,12 @@
 
 // Limits are the bounds that the platform sets.
 type Limits struct {
-	MaxLease    time.Duration // of a worker's runs
-	StopTimeout time.Duration // that a stop may take
-	GangTimeout time.Duration // that members of a gang wait for each other
-	Early       time.Duration // by which a start may precede its due time
-	StatusFor   time.Duration // for which a finished job can be asked for
-	Reclaim     time.Duration // in which guaranteed work begins
-	Remote      float64       // how many times longer tasks take away from their data
-	Restore     time.Duration // to resume from a checkpoint
+	MaxLease   time.Duration // of a worker's runs
+	StatusFor  time.Duration // for which a finished job can be asked for
+	Reclaim    time.Duration // in which guaranteed work begins
+	Remote     float64       // how many times longer tasks take away from their data
+	Checkpoint time.Duration // of work between two checkpoints
+	Restore    time.Duration // to resume from a checkpoint
 }
 
 // Chief schedules for one term. Fields are set before Run.
--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -281,7 +281,7 @@
 // gang starts all members at once, or none.
 func (p *pass) gang(u *unit) {
 	if g := u.group; g != nil {
-		if len(g.members) < len(u.tasks) && !(u.job.inherited && p.hidden) {
+		if len(g.members) < len(u.tasks) && (!u.job.inherited || !p.hidden) {
 			// Members of a run from an earlier term that were lost with their workers are nowhere listed.
 			p.c.breakGroup(g, "gang is not complete")
 		}
--- a/internal/chief/preempt.go
+++ b/internal/chief/preempt.go
@@ -138,7 +138,7 @@
 	}
 	lost := r.age(p.now)
 	if u.step.Checkpoints {
-		lost = min(lost, p.c.Limits.Restore+time.Second)
+		lost = min(lost, p.c.Limits.Checkpoint+p.c.Limits.Restore)
 	}
 	cost := float64(members) * u.step.Need.Cores() * (lost.Seconds() + evictionSeconds)
 	if p.priority(u) == 0 {
--- a/internal/chief/rig_test.go
+++ b/internal/chief/rig_test.go
@@ -77,7 +77,6 @@
 			{Name: "scan", Pool: "pool", Priority: 1, MaxAttempts: 3, Stretch: 3, Latency: time.Second},
 			{Name: "tally", Pool: "pool", Priority: 2, MaxAttempts: 2, Stretch: 3, Latency: 3 * time.Second},
 		},
-		Pools:   map[work.PoolName]work.Pool{"pool": {Name: "pool"}},
 		Tenants: map[model.CustomerID]work.Tenant{"big": {Name: "big", Guaranteed: 16}, "small": {Name: "small"}},
 	}
 	config.Index()
@@ -139,8 +138,8 @@
 		c := &chief.Chief{
 			Store: i.store, Workers: platform.NewWorkers(r.net.Client(i.name)), Term: term, Log: testLog(), Now: now, Clock: time.Now,
 			Limits: chief.Limits{
-				MaxLease: 6 * time.Second, StopTimeout: 200 * time.Millisecond, GangTimeout: 3 * time.Second, Early: 250 * time.Millisecond,
-				StatusFor: 120 * time.Second, Reclaim: reclaim, Remote: 3, Restore: 250 * time.Millisecond,
+				MaxLease: 6 * time.Second, StatusFor: 120 * time.Second, Reclaim: reclaim, Remote: 3,
+				Checkpoint: time.Second, Restore: 250 * time.Millisecond,
 			},
 			Config: func() *work.Config { return r.config }, Out: func(model.DataCentreID) bool { return false },
 			Valid: func() bool { return i.elector.Valid(term) }, Deposed: func() { i.elector.Deposed(term) },
--- a/internal/kv/follow.go
+++ b/internal/kv/follow.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -32,17 +31,9 @@
 	// OnEvents gets later events in order.
 	OnEvents func(events []Event)
 
-	mu      sync.Mutex
 	failing bool
 }
 
-// Failing reports whether the last call failed, so that the copy may be old.
-func (f *Follower) Failing() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.failing
-}
-
 // Run follows the prefix until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	var at Revision
@@ -94,8 +85,6 @@
 
 // note logs the first failure of a series and its end.
 func (f *Follower) note(err error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	failing := err != nil
 	if failing == f.failing {
 		return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -142,8 +142,7 @@
 	c := &chief.Chief{
 		Store: n.store, Workers: n.workers, Term: term, Log: n.Log, Now: clock.Boot, Clock: time.Now,
 		Limits: chief.Limits{
-			MaxLease: b.MaxLease, StopTimeout: b.StopTimeout, GangTimeout: b.GangTimeout, Early: b.Early, StatusFor: b.StatusFor,
-			Reclaim: b.Reclaim, Remote: b.Remote, Restore: b.Restore,
+			MaxLease: b.MaxLease, StatusFor: b.StatusFor, Reclaim: b.Reclaim, Remote: b.Remote, Checkpoint: b.Checkpoint, Restore: b.Restore,
 		},
 		Config: n.rules.Config, Out: n.rules.Out,
 		Valid: func() bool { return n.elector.Valid(term) }, Deposed: func() { n.elector.Deposed(term) },
--- a/internal/work/config.go
+++ b/internal/work/config.go
@@ -21,21 +21,7 @@
 	Stretch     float64       // of the chain of work that a job may take
 	Latency     time.Duration // that a job may take on top
 	Anonymous   bool
-	Advice      *Advice
-}
-
-// Advice says that another service decides which workers may run a step.
-type Advice struct {
-	Decision  time.Duration
-	PerWorker time.Duration
-	Valid     time.Duration
-}
-
-// Pool is a set of workers.
-type Pool struct {
-	Name           PoolName
-	GuardsCapacity bool // workers refuse what does not fit
-	Standby        bool // machines are off
+	Advised     bool // the advice service decides which workers may run a step
 }
 
 // Tenant owns keys and a guarantee.
@@ -49,7 +35,6 @@
 type Config struct {
 	Version      ConfigVersion
 	Queues       []Queue
-	Pools        map[PoolName]Pool
 	Tenants      map[model.CustomerID]Tenant
 	MaxBodyBytes int64
 
--- a/internal/work/job.go
+++ b/internal/work/job.go
@@ -50,12 +50,9 @@
 	DataRack    Label         // of the worker on which tasks are fast; empty for any
 	PerWorker   int           // tasks of the step that one worker may run; 0 for any
 	Checkpoints bool
-	Copies      bool // may run more than once at a time
-	Lasts       bool // runs until the job is cancelled
-	Image       string
+	Lasts       bool          // runs until the job is cancelled
 	TailTarget  time.Duration // of a task that serves users; 0 for none
 	Fills       bool          // takes the processor time that others leave
-	MayMiss     int           // tasks that the scheduler's acts may take away at a time
 }
 
 // Room returns what one task takes of a worker's capacity.
@@ -145,7 +142,7 @@
 	if s.Count < 1 {
 		return errors.New("a step needs at least one task")
 	}
-	if s.Need.CPU < 0 || s.Need.Memory < 0 || s.Need.GPU < 0 || s.PerWorker < 0 || s.MayMiss < 0 {
+	if s.Need.CPU < 0 || s.Need.Memory < 0 || s.Need.GPU < 0 || s.PerWorker < 0 {
 		return errors.New("an amount is negative")
 	}
 	for _, before := range s.After {
--- a/internal/work/worker.go
+++ b/internal/work/worker.go
@@ -18,7 +18,6 @@
 	Draining  bool
 	Remaining time.Duration // least time left while draining
 	Born      int64         // Unix time of its start in milliseconds; it tells incarnations apart
-	Cold      time.Duration // how long it stays slow
 }
 
 // Rack returns the label that names the worker's rack, or an empty label.
