--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -193,8 +193,16 @@
 	return false
 }
 
-func (p *pass) priority(u *unit) int {
-	if queue := p.config.Queue(u.job.spec.Queue); queue != nil {
+func (p *pass) priority(u *unit) int { return priorityIn(p.config, u) }
+
+// priority returns the priority of a unit's queue; 0 is urgent.
+func (c *Chief) priority(u *unit) int { return priorityIn(c.Config(), u) }
+
+func priorityIn(config *work.Config, u *unit) int {
+	if config == nil {
+		return fallbackPriority
+	}
+	if queue := config.Queue(u.job.spec.Queue); queue != nil {
 		return queue.Priority
 	}
 	return fallbackPriority
--- a/internal/chief/speed.go
+++ b/internal/chief/speed.go
@@ -113,11 +113,12 @@
 	}
 }
 
-// leaveSlow moves tasks away from a slow worker where a new start ends much sooner.
+// leaveSlow moves tasks away from a slow worker where a new start ends much sooner: urgent ones, and those that lose little
+// because they checkpoint. Workers are mostly slow for a while only, and the work of others would be thrown away for nothing.
 func (c *Chief) leaveSlow(w *worker) {
 	now := c.Now()
 	for _, r := range w.runs {
-		if !c.ratable(r, now) || r.task.done {
+		if !c.ratable(r, now) || r.task.done || !r.task.unit.step.Checkpoints && c.priority(r.task.unit) != 0 {
 			continue
 		}
 		rest := time.Duration(float64(fullPercent-r.percent) / r.rate * float64(time.Second))
