--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -39,10 +39,17 @@
 	ID model.JobID `cbor:"1,keyasint"`
 }
 
+// ownership is in each answer: whether the answering instance schedules, and otherwise the address of the one that does,
+// as far as it knows. An instance that the store does not serve learns of a new leader only so.
+type ownership struct {
+	Owner  bool   `cbor:"1,keyasint,omitempty"`
+	Leader string `cbor:"2,keyasint,omitempty"`
+}
+
 type stateAnswer struct {
 	State work.State `cbor:"1,keyasint,omitempty"`
 	Found bool       `cbor:"2,keyasint,omitempty"`
-	Owner bool       `cbor:"3,keyasint,omitempty"`
+	Who   ownership  `cbor:"3,keyasint"`
 }
 
 type yieldQuery struct {
@@ -55,7 +62,7 @@
 
 type pendingAnswer struct {
 	Counts map[work.QueueName]int `cbor:"1,keyasint,omitempty"`
-	Owner  bool                   `cbor:"2,keyasint,omitempty"`
+	Who    ownership              `cbor:"2,keyasint"`
 }
 
 // verdict is the result of a change at another instance.
@@ -78,14 +85,14 @@
 	wire.Handle(mux, procState, func(_ context.Context, q *stateQuery) (*stateAnswer, error) {
 		chief := n.chief.Load()
 		if chief == nil {
-			return &stateAnswer{}, nil
+			return &stateAnswer{Who: n.ownership(false)}, nil
 		}
 		state, found := chief.State(q.ID)
-		return &stateAnswer{State: state, Found: found, Owner: true}, nil
+		return &stateAnswer{State: state, Found: found, Who: n.ownership(true)}, nil
 	})
 	wire.Handle(mux, procPending, func(context.Context, *pendingQuery) (*pendingAnswer, error) {
 		counts, owner := n.ownPending()
-		return &pendingAnswer{Counts: counts, Owner: owner}, nil
+		return &pendingAnswer{Counts: counts, Who: n.ownership(owner)}, nil
 	})
 	wire.Handle(mux, procChange, func(ctx context.Context, change *intake.Change) (*changeAnswer, error) {
 		err := n.desk.Apply(ctx, *change)
@@ -138,13 +145,49 @@
 	return intake.Owner{State: n.ownerState, Pending: n.ownerPending}
 }
 
-// leader returns the address of another instance that schedules.
-func (n *Node) leader() (string, error) {
+// ownership says who schedules.
+func (n *Node) ownership(own bool) ownership {
 	leader, found := n.elector.Leader()
-	if !found || leader.ID == n.Settings.Node {
-		return "", errNoOwner
+	if own || !found {
+		return ownership{Owner: own}
+	}
+	return ownership{Leader: leader.Address}
+}
+
+const ownerTries = 4 // instances that are asked for the one that schedules
+
+// askOwner calls the instance that schedules. It asks the known leader first, then whom the answers name, then other peers.
+func askOwner[Req, Res any](
+	ctx context.Context, n *Node, procedure wire.Procedure, query *Req, who func(*Res) ownership,
+) (*Res, error) {
+	var next []string
+	if leader, found := n.elector.Leader(); found {
+		next = append(next, leader.Address)
+	}
+	for _, peer := range n.relayPeers() {
+		next = append(next, peer.Address)
+	}
+	asked := map[string]bool{n.Settings.Peers: true}
+	err := errNoOwner
+	for len(next) > 0 && len(asked) <= ownerTries {
+		address := next[0]
+		next = next[1:]
+		if asked[address] || address == "" {
+			continue
+		}
+		asked[address] = true
+		answer, callErr := wire.Call[Req, Res](ctx, n.caller, address, procedure, query)
+		if callErr != nil {
+			err = callErr
+			continue
+		}
+		if who(answer).Owner {
+			return answer, nil
+		}
+		err = errNotOwner
+		next = append([]string{who(answer).Leader}, next...)
 	}
-	return leader.Address, nil
+	return nil, err
 }
 
 func (n *Node) ownerState(ctx context.Context, id model.JobID) (work.State, bool, error) {
@@ -152,17 +195,10 @@
 		state, found := chief.State(id)
 		return state, found, nil
 	}
-	address, err := n.leader()
-	if err != nil {
-		return "", false, err
-	}
-	answer, err := wire.Call[stateQuery, stateAnswer](ctx, n.caller, address, procState, &stateQuery{ID: id})
+	answer, err := askOwner(ctx, n, procState, &stateQuery{ID: id}, func(a *stateAnswer) ownership { return a.Who })
 	if err != nil {
 		return "", false, err
 	}
-	if !answer.Owner {
-		return "", false, errNotOwner
-	}
 	return answer.State, answer.Found, nil
 }
 
@@ -170,17 +206,10 @@
 	if counts, owner := n.ownPending(); owner {
 		return counts, nil
 	}
-	address, err := n.leader()
+	answer, err := askOwner(ctx, n, procPending, &pendingQuery{}, func(a *pendingAnswer) ownership { return a.Who })
 	if err != nil {
 		return nil, err
 	}
-	answer, err := wire.Call[pendingQuery, pendingAnswer](ctx, n.caller, address, procPending, &pendingQuery{})
-	if err != nil {
-		return nil, err
-	}
-	if !answer.Owner {
-		return nil, errNotOwner
-	}
 	return answer.Counts, nil
 }
 
--- /dev/null
+++ b/internal/node/peers_internal_test.go
@@ -0,0 +1,72 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"peridotgw.example/peridotgw/internal/chief"
+	"peridotgw.example/peridotgw/internal/clock"
+	"peridotgw.example/peridotgw/internal/elect"
+	"peridotgw.example/peridotgw/internal/memnet"
+	"peridotgw.example/peridotgw/internal/wire"
+	"peridotgw.example/peridotgw/model"
+	"peridotgw.example/peridotgw/platform"
+	"peridotgw.example/peridotgw/platform/fakepl"
+)
+
+const testStore = "store:1"
+
+// testNode returns an instance that takes part in elections and answers its peers; while it leads it has a chief without jobs.
+func testNode(ctx context.Context, net *memnet.Net, name string, share float64) *Node {
+	began := time.Now()
+	address := name + ":7000"
+	n := &Node{Settings: &platform.Settings{Node: model.InstanceID(name), Peers: address}, Log: zerolog.Nop(), rules: &Rules{}, meters: newMeters()}
+	n.caller = &wire.Caller{HTTP: net.Client(memnet.Host(name))}
+	n.store = platform.NewStore(net.Client(memnet.Host(name)), testStore, n.storeCalled)
+	n.elector = &elect.Elector{
+		Store: n.store, Self: elect.Node{ID: model.InstanceID(name), Address: address, Share: share}, Log: zerolog.Nop(),
+		Now: func() clock.Instant { return clock.Instant(time.Since(began) + time.Hour) },
+		Lead: func(ctx context.Context, _ elect.Term) error {
+			n.chief.Store(&chief.Chief{})
+			defer n.chief.Store(nil)
+			<-ctx.Done()
+			return ctx.Err()
+		},
+	}
+	mux := http.NewServeMux()
+	n.register(mux)
+	net.Serve(memnet.Host(address), mux)
+	go func() { _ = n.elector.Run(ctx) }() //nolint:errcheck // It ends with the test.
+	return n
+}
+
+// Guards against an instance that the store does not serve and that asks a former leader for ever.
+func TestOwnerIsFoundWithoutTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		net := memnet.New()
+		net.Serve(testStore, fakepl.NewStore())
+		first := testNode(ctx, net, "first", 1)
+		second := testNode(ctx, net, "second", 0.9)
+		cut := testNode(ctx, net, "cut", 0.1)
+		time.Sleep(3 * time.Second)
+		g.Expect(first.chief.Load()).NotTo(BeNil())
+		net.SetFault("cut", testStore, memnet.Fault{Silent: true})
+		time.Sleep(time.Second)
+		first.elector.Retire(ctx)
+		time.Sleep(3 * time.Second)
+		g.Expect(second.chief.Load()).NotTo(BeNil())
+		_, found, err := cut.ownerState(ctx, "00000000000000a1")
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(found).To(BeFalse())
+		cancel()
+		synctest.Wait()
+	})
+}
