--- a/internal/chief/chief.go
+++ b/internal/chief/chief.go
@@ -71,7 +71,6 @@
 	writeAfter clock.Instant
 	ready      bool
 	dirty      bool
-	readySince clock.Instant
 	advising   bool
 	demand     demand
 	planAfter  clock.Instant
--- a/internal/chief/chief_test.go
+++ b/internal/chief/chief_test.go
@@ -148,7 +148,7 @@
 			left := 3
 			w.LateBy = 4 * time.Second
 			w.SetFault(func(path string) fakepl.Fault {
-				if path == "/run-start" && left > 0 {
+				if path == fakepl.PathStart && left > 0 {
 					left--
 					return fakepl.LateEffect
 				}
@@ -175,7 +175,7 @@
 		late := true
 		r.store.LateBy = 4 * time.Second
 		r.store.SetFault(func(path string) fakepl.Fault {
-			if path == "/kv-txn" && late {
+			if path == fakepl.PathTxn && late {
 				late = false
 				return fakepl.LateEffect
 			}
@@ -342,10 +342,10 @@
 		r.submit(job("00000000000000c8", "scan", 1, 8))
 		r.reach(5*time.Second, "the first run is there", func() bool { return len(r.fleet.Present(task("00000000000000c8", 0))) == 1 })
 		first := r.fleet.Present(task("00000000000000c8", 0))[0]
-		r.store.SetFault(faultOn("/kv-txn", fakepl.Refused)) // No end becomes durable.
+		r.store.SetFault(faultOn(fakepl.PathTxn, fakepl.Refused)) // No end becomes durable.
 		for _, w := range r.workers {
 			if w.ID == first {
-				w.SetFault(faultOn("/run-start", fakepl.Refused)) // The second run goes elsewhere.
+				w.SetFault(faultOn(fakepl.PathStart, fakepl.Refused)) // The second run goes elsewhere.
 			}
 		}
 		r.reach(3*time.Second, "the second run is there", func() bool { return r.fleet.Started(task("00000000000000c8", 0)) == 2 })
--- a/internal/chief/hold.go
+++ b/internal/chief/hold.go
@@ -6,10 +6,11 @@
 	"peridotgw.example/peridotgw/internal/work"
 )
 
-// holdLimit is how long room is kept for tasks that cannot start there after all.
-const holdLimit = 2500 * time.Millisecond
-
-const noticeEvery = time.Second
+const (
+	// holdLimit is how long room is kept for tasks that cannot start there after all.
+	holdLimit   = 2500 * time.Millisecond
+	noticeEvery = time.Second
+)
 
 // holds keeps the room that was cleared for waiting units from everyone else, and drops what cannot be used any more.
 func (p *pass) holds() {
--- a/internal/chief/jobs.go
+++ b/internal/chief/jobs.go
@@ -15,7 +15,6 @@
 		c.jobItem(item)
 	}
 	if !c.ready {
-		c.readySince = c.Now()
 		c.ready = true
 		c.Log.Info().Int("jobs", len(c.jobs)).Int("live", len(c.live)).Int("workers", len(c.workers)).Msg("chief: jobs loaded")
 		for _, w := range c.workers {
--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -81,11 +81,7 @@
 	}
 	var list []ranked
 	for _, j := range p.c.live {
-		queue := p.config.Queue(j.spec.Queue)
-		priority := fallbackPriority
-		if queue != nil {
-			priority = queue.Priority
-		}
+		priority := priorityIn(p.config, j)
 		objective := j.deadline.Sub(j.spec.Due(0))
 		list = append(list, ranked{j, priority, priority == 0 && !p.guaranteed(j), p.today.Sub(j.spec.Due(0)) > lateFactor*objective})
 	}
@@ -193,16 +189,16 @@
 	return false
 }
 
-func (p *pass) priority(u *unit) int { return priorityIn(p.config, u) }
+func (p *pass) priority(u *unit) int { return priorityIn(p.config, u.job) }
 
 // priority returns the priority of a unit's queue; 0 is urgent.
-func (c *Chief) priority(u *unit) int { return priorityIn(c.Config(), u) }
+func (c *Chief) priority(u *unit) int { return priorityIn(c.Config(), u.job) }
 
-func priorityIn(config *work.Config, u *unit) int {
+func priorityIn(config *work.Config, j *job) int {
 	if config == nil {
 		return fallbackPriority
 	}
-	if queue := config.Queue(u.job.spec.Queue); queue != nil {
+	if queue := config.Queue(j.spec.Queue); queue != nil {
 		return queue.Priority
 	}
 	return fallbackPriority
--- a/internal/chief/workers.go
+++ b/internal/chief/workers.go
@@ -175,7 +175,7 @@
 		}
 		c.dropRuns(w, "lease lapsed on a worker that does not answer")
 	}
-	if !w.listed && c.readyFor(now) && (len(w.runs) == 0 && w.notable() == w.acked && (w.visited || c.lapsed(w, now))) && c.settled(now) {
+	if c.departed(w, now) {
 		w.gone = true
 		delete(c.workers, w.info.ID)
 		c.enrol()
@@ -185,12 +185,16 @@
 	c.wake(w)
 }
 
+// registrySettle is the time in which workers whose entries had lapsed with the store are back in the registry.
 const registrySettle = 2500 * time.Millisecond
 
-// settled reports whether workers whose entries had lapsed with the store are back in the registry.
-func (c *Chief) settled(now clock.Instant) bool { return now.Sub(c.Term.Since) > registrySettle }
-
-func (c *Chief) readyFor(now clock.Instant) bool { return c.ready && now.Sub(c.readySince) > tickEvery }
+// departed reports whether a worker has left the registry and certainly holds nothing.
+func (c *Chief) departed(w *worker, now clock.Instant) bool {
+	if w.listed || !c.ready || now.Sub(c.Term.Since) <= registrySettle {
+		return false
+	}
+	return len(w.runs) == 0 && w.notable() == w.acked && (w.visited || c.lapsed(w, now))
+}
 
 // wanted reports whether a worker should be looked at now.
 func (c *Chief) wanted(w *worker) bool {
--- a/internal/intake/desk_test.go
+++ b/internal/intake/desk_test.go
@@ -75,7 +75,7 @@
 				g := NewWithT(t)
 				store := fakepl.NewStore()
 				store.LateBy = 2 * time.Second
-				store.SetFault(faults("/kv-txn", c.faults...))
+				store.SetFault(faults(fakepl.PathTxn, c.faults...))
 				ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 				defer cancel()
 				g.Expect(outcome(newDesk(store).Submit(ctx, newJob()))).To(Equal(c.want))
--- a/peridotctl/platform_test.go
+++ b/peridotctl/platform_test.go
@@ -26,9 +26,8 @@
 		server := httptest.NewServer(store)
 		DeferCleanup(server.Close)
 		settings = filepath.Join(GinkgoT().TempDir(), "boot.conf")
-		lines := "node=n\nzone=z\nip=127.0.0.1\nlisten.front=127.0.0.1:1\nlisten.ready=127.0.0.1:2\ninternal_ports=7000,7015\n" +
-			"platform.address=" + strings.TrimPrefix(server.URL, "http://") + "\n"
-		Expect(os.WriteFile(settings, []byte(lines), 0o600)).To(Succeed())
+		lines := fakepl.Settings("n", strings.TrimPrefix(server.URL, "http://"), 10000)
+		Expect(os.WriteFile(settings, lines, 0o600)).To(Succeed())
 		job, err := work.Encode(work.Job{ID: "00000000000000a1", Queue: "check", Tenant: "big", Accepted: time.Now(), Steps: []work.Step{{Count: 4}}})
 		Expect(err).NotTo(HaveOccurred())
 		store.Put(work.JobKey("00000000000000a1"), job)
@@ -37,8 +36,8 @@
 		Expect(err).NotTo(HaveOccurred())
 		store.Put(work.ProgressKey("00000000000000a1"), progress)
 		store.Put("op/evacuate/zone-2", []byte("{}"))
-		store.Put("servers/i-1", []byte(`{"service":"pool","address":"a:1","zone":"z","state":"ready","seq":1,"capacity":{"gpu":8},"labels":["r1"]}`))
-		store.Put("servers/i-2", []byte(`not json`))
+		store.Put(fakepl.WorkerKey("i-1"), []byte(`{"service":"pool","address":"a:1","zone":"z","state":"ready","seq":1,"capacity":{"gpu":8},"labels":["r1"]}`))
+		store.Put(fakepl.WorkerKey("i-2"), []byte(`not json`))
 	})
 
 	run := func(args ...string) *gexec.Session {
--- a/soak/load.go
+++ b/soak/load.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"peridotgw.example/peridotgw/platform/fakepl"
 )
 
 const (
@@ -17,6 +19,7 @@
 	submitTries = 4
 	pollEvery   = 400 * time.Millisecond
 	cancelShare = 0.1
+	estimateMs  = 1500
 )
 
 // submitted is what a caller knows of its job.
@@ -51,12 +54,12 @@
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
 	n := c.nodes[r.IntN(len(c.nodes))]
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+n.front+"/queue/"+id, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+n.front+fakepl.Prefix+id, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil, err
 	}
-	req.Host = "soak.example"
-	req.Header.Set("Authorization", "Bearer key-1")
+	req.Host = fakepl.Host
+	req.Header.Set("Authorization", "Bearer "+fakepl.Key)
 	req.Header.Set("X-Deadline-Ms", fmt.Sprint(callLimit.Milliseconds()))
 	res, err := c.client.Do(req)
 	if err != nil {
@@ -70,17 +73,16 @@
 // submit hands one job in, at other nodes again after a refusal or without an answer.
 func (c *callers) submit(ctx context.Context, r *rand.Rand) *submitted {
 	j := &submitted{id: fmt.Sprintf("%016x", r.Uint64()), tasks: 1 + r.IntN(4), rejected: true}
-	gang := ""
-	if r.IntN(3) == 0 {
-		gang = `"gang":true,`
+	gang := r.IntN(3) == 0
+	if gang {
 		c.announce(j.id, j.tasks)
 	}
-	body := fmt.Sprintf(`{"spec":"x","steps":[{%s"count":%d,"cpu":8000,"mem_mb":1000,"gpu":%d,"estimate_ms":1500}]}`, gang, j.tasks, 1+r.IntN(4))
+	body := fakepl.Job(j.tasks, 1+r.IntN(4), gang, estimateMs)
 	c.mu.Lock()
 	c.jobs = append(c.jobs, j)
 	c.mu.Unlock()
 	for range submitTries {
-		status, _, err := c.call(ctx, r, http.MethodPost, j.id, []byte(body))
+		status, _, err := c.call(ctx, r, http.MethodPost, j.id, body)
 		c.mu.Lock()
 		j.accepted = j.accepted || err == nil && status == http.StatusOK
 		j.rejected = j.rejected && err == nil && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests)
--- a/soak/node.go
+++ b/soak/node.go
@@ -6,10 +6,12 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
+
+	"peridotgw.example/peridotgw/platform"
+	"peridotgw.example/peridotgw/platform/fakepl"
 )
 
 const (
@@ -18,7 +20,6 @@
 	portsPerSoak = 64
 	soaksApart   = 300
 	restartAfter = 300 * time.Millisecond
-	graceSeconds = 6
 )
 
 // node is one peridotd process, restarted whenever it ends, as the platform does.
@@ -42,17 +43,11 @@
 		name: fmt.Sprintf("node-%d", number), binary: binary, store: storeProxy,
 		settings: filepath.Join(dir, fmt.Sprintf("node-%d.conf", number)), front: fmt.Sprintf("127.0.0.1:%d", port),
 	}
-	lines := []string{
-		"node=" + n.name, "zone=zone-1", "ip=127.0.0.1", "listen.front=" + n.front,
-		fmt.Sprintf("listen.ready=127.0.0.1:%d", port+1), fmt.Sprintf("internal_ports=%d,%d", port+2, port+3),
-		"platform.address=" + storeProxy.address(), "platform.form=kv", "limits.cpu_share=0.5", "limits.memory_mb=284",
-		fmt.Sprintf("bounds.grace_s=%d", graceSeconds), "bounds.stop_timeout_ms=200", "bounds.reclaim_ms=2700", "orders=call",
-	}
 	var err error
 	if n.log, err = os.Create(filepath.Join(dir, n.name+".log")); err != nil {
 		return nil, err
 	}
-	return n, os.WriteFile(n.settings, []byte(strings.Join(lines, "\n")+"\n"), 0o600)
+	return n, os.WriteFile(n.settings, fakepl.Settings(n.name, storeProxy.address(), port), 0o600)
 }
 
 // nodePorts returns the first of the ports of an instance. They lie below those that the kernel gives out, and apart for
@@ -65,7 +60,7 @@
 func (n *node) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		cmd := exec.Command(n.binary, "-platform") //nolint:gosec,noctx // It is stopped by signals.
-		cmd.Env = []string{"PERIDOTGW_NODE_FILE=" + n.settings, "PATH=" + os.Getenv("PATH")}
+		cmd.Env = []string{platform.SettingsVariable + "=" + n.settings, "PATH=" + os.Getenv("PATH")}
 		cmd.Stdout, cmd.Stderr = n.log, n.log
 		if err := cmd.Start(); err != nil {
 			fmt.Println("soak:", err)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -10,8 +10,15 @@
 	. "github.com/onsi/gomega"
 )
 
-// ciSeeds are fixed, and hold those that ever failed, each with its cause.
-var ciSeeds = []uint64{1, 2} //nolint:gochecknoglobals // a constant list
+// ciSeeds holds seeds that failed once, each with its cause. Seeds 23 and 34 failed for the cause of 3 and 33.
+var ciSeeds = []struct { //nolint:gochecknoglobals // a constant list
+	seed  uint64
+	cause string
+}{
+	{3, "runs of a worker that had started again were given up, those of its new life included"},
+	{33, "as 3, with several jobs on one worker"},
+	{44, "a gang of an earlier term of which a member was lost in between ran on for good"},
+}
 
 // Guards against promises that break under faults from outside the processes.
 func TestSoak(t *testing.T) {
@@ -21,13 +28,13 @@
 	build := exec.CommandContext(t.Context(), "go", "build", "-buildvcs=false", "-o", binary, "peridotgw.example/peridotgw/peridotd")
 	build.Stderr = os.Stderr
 	g.Expect(build.Run()).To(Succeed())
-	for _, seed := range ciSeeds {
+	for _, c := range ciSeeds {
 		violations, summary, err := runSeed(t.Context(), options{
-			binary: binary, dir: dir, nodes: 3, workers: 8, faults: 8 * time.Second, calm: 25 * time.Second, rate: 3,
-		}, seed)
+			binary: binary, dir: dir, nodes: 4, workers: 10, faults: 14 * time.Second, calm: 40 * time.Second, rate: 3,
+		}, c.seed)
 		g.Expect(err).NotTo(HaveOccurred())
-		t.Logf("seed %d: %s", seed, summary)
-		g.Expect(violations).To(BeEmpty())
+		t.Logf("seed %d: %s", c.seed, summary)
+		g.Expect(violations).To(BeEmpty(), "seed %d failed once: %s", c.seed, c.cause)
 	}
 }
 
--- a/soak/world.go
+++ b/soak/world.go
@@ -21,10 +21,6 @@
 	faultTime  = 4 * time.Second        // at most
 	startUp    = 3 * time.Second
 	settleTime = 2 * time.Second
-	config     = `{"version":%d,"routes":[{"name":"q","host":"soak.example","prefix":"/queue/","kind":"unsafe","timeout_ms":3000,` +
-		`"target_latency_ms":1000,"priority":%d,"service":"pool","max_attempts":4,"stretch":3.0,"allow_anonymous":false}],` +
-		`"services":[{"name":"pool","enforces_capacity":false}],"limits":{"max_body_bytes":262144},` +
-		`"tenants":[{"name":"t","api_keys":["key-1"],"guaranteed":{"gpu":8}}]}`
 )
 
 // world is one run: the stand-in of the platform, the instances, the callers and the faults.
@@ -107,7 +103,7 @@
 // configure writes the next version of the configuration.
 func (w *world) configure() {
 	w.version++
-	w.store.Put("op/config", fmt.Appendf(nil, config, w.version, w.version%2))
+	w.store.Put(fakepl.ConfigKey, fakepl.Config(w.version, w.version%2))
 }
 
 func (w *world) addWorker(ctx context.Context, i int) error {
@@ -134,7 +130,7 @@
 
 // beat registers a worker, and lets its entry lapse while it does not reach the store.
 func (w *world) beat(ctx context.Context, at *place) {
-	key := "servers/" + at.worker.ID
+	key := fakepl.WorkerKey(at.worker.ID)
 	last := time.Now()
 	for ctx.Err() == nil {
 		w.mu.Lock()
