--- a/peridotd/platform.go
+++ b/peridotd/platform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -34,11 +35,8 @@
 		fmt.Printf("%s: settings of instance %s are valid\n", path, settings.Node)
 		return exitOK
 	}
-	out := diode.NewWriter(os.Stdout, logLines, 0, func(missed int) {
-		fmt.Fprintf(os.Stderr, "log: %d lines dropped\n", missed)
-	})
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
-	log := zerolog.New(out).With().Timestamp().Str("instance", string(settings.Node)).Logger()
+	log, out := platformLog(os.Stdout, string(settings.Node))
 	if settings.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.MemoryMB) * (1 << 20)))
 	}
@@ -50,6 +48,14 @@
 	return code
 }
 
+// platformLog returns a log that never waits for its reader: lines beyond those that fit are dropped and counted.
+func platformLog(to io.Writer, instance string) (zerolog.Logger, io.Closer) {
+	out := diode.NewWriter(to, logLines, 0, func(missed int) {
+		fmt.Fprintf(os.Stderr, "log: %d lines dropped\n", missed)
+	})
+	return zerolog.New(out).Level(zerolog.InfoLevel).With().Timestamp().Str("instance", instance).Logger(), out
+}
+
 func serveOnPlatform(settings *platform.Settings, path string, log zerolog.Logger) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
--- /dev/null
+++ b/peridotd/platform_internal_test.go
@@ -0,0 +1,33 @@
+package main
+
+import (
+	"io"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// Guards against a reader of the logs that stands still and blocks decisions, or has lines pile up in memory.
+func TestLogNeverWaitsForItsReader(t *testing.T) {
+	g := NewWithT(t)
+	reader, writer := io.Pipe() // Nobody reads.
+	log, closer := platformLog(writer, "node-1")
+	const lines = 200_000
+	text := strings.Repeat("x", 200)
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	started := time.Now()
+	for range lines {
+		log.Info().Str("text", text).Msg("chief: run ordered")
+	}
+	g.Expect(time.Since(started)).To(BeNumerically("<", 20*time.Second))
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	g.Expect(int64(after.HeapAlloc) - int64(before.HeapAlloc)).To(BeNumerically("<", int64(logLines*1024)))
+	g.Expect(reader.Close()).To(Succeed())
+	g.Expect(closer.Close()).To(Succeed())
+}
