work, chief: a job keeps the terms of its queue

Ruled out: double counting, the log shows three different runs. The terms at acceptance now stand in the job's record and serve until the configuration is known, and after its queue is removed. The spec fails with the former fallback.

--- a/internal/chief/chief_test.go
+++ b/internal/chief/chief_test.go
@@ -332,6 +332,31 @@
 	})
 }
 
+// Guards against a new chief that hears of a failure before it knows the configuration, and takes the job as failed too early.
+func TestFailureBeforeTheConfigurationIsKnown(t *testing.T) {
+	run(t, 2, func(r *rig) {
+		r.config.Queue("scan").MaxAttempts = 5
+		r.fleet.Outcome = func(string, int64, string) fakepl.Outcome { return fakepl.Outcome{After: time.Second, How: "failed"} }
+		a := r.start("a", nil)
+		r.reach(3*time.Second, "a leads", func() bool { return a.chief.Load() != nil })
+		j := job("00000000000000d4", "scan", 1, 1)
+		j.Terms = r.config.Queue("scan").Terms
+		r.submit(j)
+		r.reach(12*time.Second, "the third run is there", func() bool { return r.fleet.Started(task("00000000000000d4", 0)) == 3 })
+		a.kill()
+		r.sleep(100 * time.Millisecond)
+		config := r.config
+		r.config = nil
+		b := r.start("b", nil)
+		r.reach(4*time.Second, "b leads", func() bool { return b.chief.Load() != nil })
+		r.sleep(2 * time.Second)
+		r.Expect(b.state("00000000000000d4")).NotTo(Equal(work.StateFailed))
+		r.config = config
+		r.reach(12*time.Second, "the job has failed", func() bool { return b.state("00000000000000d4") == work.StateFailed })
+		r.Expect(r.fleet.Started(task("00000000000000d4", 0))).To(Equal(5))
+	})
+}
+
 // Guards against failures that are listed to a new chief in another order than they happened and are then counted too low.
 func TestFailuresCountInAnyOrder(t *testing.T) {
 	run(t, 2, func(r *rig) {
--- a/internal/chief/jobs.go
+++ b/internal/chief/jobs.go
@@ -186,15 +186,8 @@
 	if first := j.spec.Due(0); first.After(due) {
 		due = first
 	}
-	config := c.Config()
-	if config == nil {
-		return due
-	}
-	queue := config.Queue(j.spec.Queue)
-	if queue == nil {
-		return due
-	}
-	return due.Add(time.Duration(queue.Stretch*float64(j.spec.Chain())) + queue.Latency)
+	terms := c.Config().Terms(j.spec)
+	return due.Add(time.Duration(terms.Stretch*float64(j.spec.Chain())) + terms.Latency)
 }
 
 func (c *Chief) cancelJob(j *job) {
@@ -338,21 +331,9 @@
 	return append(counted, number)
 }
 
-const (
-	restartPause        = 100 * time.Millisecond
-	fallbackMaxAttempts = 3
-)
+const restartPause = 100 * time.Millisecond
 
-func (c *Chief) maxAttempts(j *job) int {
-	config := c.Config()
-	if config == nil {
-		return fallbackMaxAttempts
-	}
-	if queue := config.Queue(j.spec.Queue); queue != nil && queue.MaxAttempts > 0 {
-		return queue.MaxAttempts
-	}
-	return fallbackMaxAttempts
-}
+func (c *Chief) maxAttempts(j *job) int { return c.Config().Terms(j.spec).MaxAttempts }
 
 // breakGroup stops what is left of a gang's run.
 func (c *Chief) breakGroup(g *group, why string) {
--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -81,7 +81,7 @@
 	}
 	var list []ranked
 	for _, j := range p.c.live {
-		priority := priorityIn(p.config, j)
+		priority := p.config.Terms(j.spec).Priority
 		objective := j.deadline.Sub(j.spec.Due(0))
 		list = append(list, ranked{j, priority, priority == 0 && !p.guaranteed(j), p.today.Sub(j.spec.Due(0)) > lateFactor*objective})
 	}
@@ -104,8 +104,6 @@
 	return jobs
 }
 
-const fallbackPriority = 100
-
 func (p *pass) job(j *job) {
 	if j.inherited && p.hidden {
 		return
@@ -189,20 +187,10 @@
 	return false
 }
 
-func (p *pass) priority(u *unit) int { return priorityIn(p.config, u.job) }
+func (p *pass) priority(u *unit) int { return p.config.Terms(u.job.spec).Priority }
 
 // priority returns the priority of a unit's queue; 0 is urgent.
-func (c *Chief) priority(u *unit) int { return priorityIn(c.Config(), u.job) }
-
-func priorityIn(config *work.Config, j *job) int {
-	if config == nil {
-		return fallbackPriority
-	}
-	if queue := config.Queue(j.spec.Queue); queue != nil {
-		return queue.Priority
-	}
-	return fallbackPriority
-}
+func (c *Chief) priority(u *unit) int { return c.Config().Terms(u.job.spec).Priority }
 
 // mayLeave reports whether a unit's tasks have waited long enough to run away from their data or on several racks. They take
 // several times longer there: until the wait makes up for that, waiting is better.
--- a/internal/chief/preempt.go
+++ b/internal/chief/preempt.go
@@ -15,7 +15,7 @@
 func (p *pass) sumNeeds() {
 	p.needs = map[model.CustomerID]model.Accelerators{}
 	for _, j := range p.c.live {
-		if queue := p.config.Queue(j.spec.Queue); queue != nil && queue.Priority == 0 {
+		if p.config.Terms(j.spec).Priority == 0 {
 			p.needs[j.spec.Tenant] += j.widest()
 		}
 	}
--- a/internal/chief/rig_test.go
+++ b/internal/chief/rig_test.go
@@ -73,9 +73,9 @@
 	config := &work.Config{
 		Version: 1,
 		Queues: []work.Queue{
-			{Name: "check", Pool: "pool", Priority: 0, MaxAttempts: 3, Stretch: 1.5, Latency: 250 * time.Millisecond},
-			{Name: "scan", Pool: "pool", Priority: 1, MaxAttempts: 3, Stretch: 3, Latency: time.Second},
-			{Name: "tally", Pool: "pool", Priority: 2, MaxAttempts: 2, Stretch: 3, Latency: 3 * time.Second},
+			{Name: "check", Pool: "pool", Terms: work.Terms{Priority: 0, MaxAttempts: 3, Stretch: 1.5, Latency: 250 * time.Millisecond}},
+			{Name: "scan", Pool: "pool", Terms: work.Terms{Priority: 1, MaxAttempts: 3, Stretch: 3, Latency: time.Second}},
+			{Name: "tally", Pool: "pool", Terms: work.Terms{Priority: 2, MaxAttempts: 2, Stretch: 3, Latency: 3 * time.Second}},
 		},
 		Tenants: map[model.CustomerID]work.Tenant{"big": {Name: "big", Guaranteed: 16}, "small": {Name: "small"}},
 	}
--- a/internal/work/config.go
+++ b/internal/work/config.go
@@ -2,7 +2,6 @@
 
 import (
 	"strings"
-	"time"
 
 	"peridotgw.example/peridotgw/model"
 )
@@ -12,16 +11,13 @@
 
 // Queue is where jobs of one kind are submitted.
 type Queue struct {
-	Name        QueueName
-	Host        string
-	Prefix      string
-	Pool        PoolName
-	Priority    int // 0 comes first
-	MaxAttempts int
-	Stretch     float64       // of the chain of work that a job may take
-	Latency     time.Duration // that a job may take on top
-	Anonymous   bool
-	Advised     bool // the advice service decides which workers may run a step
+	Name   QueueName
+	Host   string
+	Prefix string
+	Pool   PoolName
+	Terms
+	Anonymous bool
+	Advised   bool // the advice service decides which workers may run a step
 }
 
 // Tenant owns keys and a guarantee.
@@ -59,6 +55,17 @@
 // Queue returns a queue by name, or nil.
 func (c *Config) Queue(name QueueName) *Queue { return c.byName[name] }
 
+// Terms returns what is in force for a job: the terms of its queue, or those at its acceptance where the queue is not known,
+// as before the first configuration is read. c may be nil.
+func (c *Config) Terms(j *Job) Terms {
+	if c != nil {
+		if queue := c.byName[j.Queue]; queue != nil {
+			return queue.Terms
+		}
+	}
+	return j.Terms
+}
+
 // Match returns the queue of a host with the longest prefix that path begins with, or nil.
 func (c *Config) Match(host, path string) *Queue {
 	var best *Queue
--- a/internal/work/job.go
+++ b/internal/work/job.go
@@ -64,9 +64,18 @@
 	return room
 }
 
+// Terms are what a queue promises and allows.
+type Terms struct {
+	Priority    int           // 0 comes first
+	MaxAttempts int           // failed runs of a task after which its job has failed
+	Stretch     float64       // of the chain of work that a job may take
+	Latency     time.Duration // that a job may take on top
+}
+
 // Job is an accepted job; it does not change.
 type Job struct {
 	ID       model.JobID
+	Terms    Terms // of its queue when it was accepted
 	Queue    QueueName
 	Pool     PoolName
 	Tenant   model.CustomerID
