--- a/internal/chief/speed.go
+++ b/internal/chief/speed.go
@@ -102,10 +102,9 @@
 
 func (c *Chief) judgeSpeed(w *worker, ratio float64) {
 	if ratio < slowFrom {
-		w.slow, w.slowSeen = 0, 0
+		w.slowSeen = 0
 		return
 	}
-	w.slow = ratio
 	w.slowSeen++
 	c.rest(w, slowRest, "its tasks are slow")
 	if w.slowSeen >= slowRounds {
--- a/internal/chief/types.go
+++ b/internal/chief/types.go
@@ -136,7 +136,6 @@
 	until    work.WorkerClock // longest lease that was sent
 	failures int              // failed runs in a row
 	rests    int              // quarantines in a row
-	slow     float64          // how many times slower its tasks are than their siblings; 0 for as usual
 	slowSeen int              // rounds in a row that have shown it slow
 	gone     bool
 	soon     work.Room // scratch of a planning pass: free once all stops are done, without what is promised
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -122,7 +122,7 @@
 func (n *Node) shutDown(servers []*server) {
 	n.Log.Info().Msg("node: stopping")
 	n.closing.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), n.Settings.Bounds.Grace-shutdownReserve)
+	ctx, cancel := context.WithTimeout(context.Background(), n.Settings.Grace-shutdownReserve)
 	n.elector.Retire(ctx)
 	<-ctx.Done() // New connections arrive until the balancer has noticed.
 	cancel()
@@ -138,12 +138,9 @@
 
 // lead schedules for one term.
 func (n *Node) lead(ctx context.Context, term elect.Term) error {
-	b := &n.Settings.Bounds
 	c := &chief.Chief{
 		Store: n.store, Workers: n.workers, Term: term, Log: n.Log, Now: clock.Boot, Clock: time.Now,
-		Limits: chief.Limits{
-			MaxLease: b.MaxLease, StatusFor: b.StatusFor, Reclaim: b.Reclaim, Remote: b.Remote, Checkpoint: b.Checkpoint, Restore: b.Restore,
-		},
+		Limits: n.Settings.Limits,
 		Config: n.rules.Config, Out: n.rules.Out,
 		Valid: func() bool { return n.elector.Valid(term) }, Deposed: func() { n.elector.Deposed(term) },
 		Registry: platform.RegistryPrefix, DecodeWorker: platform.DecodeWorker, Advise: n.advise, Observe: n.meters.observer(),
