fakeep, relay: a failing endpoint answers whole errors

Cause of the known red relay-storm: the stand-in's error had an empty body under the digest of the whole answer, so the check of answers turned each error into a broken one.

--- a/Makefile
+++ b/Makefile
@@ -25,21 +25,17 @@
 # The specs of KNOWN-RED.txt are passed over by unit, and only these; `make red` runs them.
 RED_PACKAGE := ./internal/sched
 RED_SPEC := Random schedules of faults keep the promises
-RED_RELAY_PACKAGE := ./internal/relay
-RED_RELAY_SPEC := the check reports a retry storm when the budget is off
 
 unit:
 	@echo "known red, passed over:"; cat KNOWN-RED.txt
-	go test -count=1 -timeout 5m $$(go list $(addsuffix /...,$(patsubst %,./%,$(filter-out faults soak,$(MODULES)))) | grep -v '/internal/sched$$\|/internal/relay$$')
+	go test -count=1 -timeout 5m $$(go list $(addsuffix /...,$(patsubst %,./%,$(filter-out faults soak,$(MODULES)))) | grep -v '/internal/sched$$')
 	go test -count=1 -timeout 5m $(RED_PACKAGE) -ginkgo.skip "$(RED_SPEC)"
-	go test -count=1 -timeout 5m $(RED_RELAY_PACKAGE) -ginkgo.skip "$(RED_RELAY_SPEC)"
 	@# The specs with real processes run alone, so that no other package's load reaches them.
 	go test -count=1 -timeout 5m ./faults/...
 	go test -count=1 -timeout 5m ./soak/...
 
 red:
 	go test -count=1 -timeout 5m $(RED_PACKAGE) -ginkgo.focus "$(RED_SPEC)"
-	go test -count=1 -timeout 5m $(RED_RELAY_PACKAGE) -ginkgo.focus "$(RED_RELAY_SPEC)"
 
 test: build lint unit
 
--- a/internal/fakeep/server.go
+++ b/internal/fakeep/server.go
@@ -176,6 +176,8 @@
 	return faults, true
 }
 
+func digest(body []byte) string { return fmt.Sprintf("%016x", xxhash.Sum64(body)) }
+
 func (s *Server) finish(w http.ResponseWriter, r *http.Request, answer stored, faults Faults) {
 	s.mu.Lock()
 	s.busy--
@@ -195,12 +197,13 @@
 	header := w.Header()
 	header.Set(reply.HeaderRequestID, string(answer.id))
 	header.Set(reply.HeaderAttempt, r.Header.Get(reply.HeaderAttempt))
-	header.Set(reply.HeaderDigest, fmt.Sprintf("%016x", xxhash.Sum64(answer.body)))
 	header.Set("Content-Type", "application/octet-stream")
 	if faults.Fail {
+		header.Set(reply.HeaderDigest, digest(nil))
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
+	header.Set(reply.HeaderDigest, digest(answer.body))
 	header.Set("Content-Length", strconv.Itoa(len(answer.body)))
 	body := answer.body
 	if faults.Cut {
--- a/internal/relay/limits_test.go
+++ b/internal/relay/limits_test.go
@@ -150,6 +150,17 @@
 		})
 	})
 
+	It("are failed when the endpoint answers a whole error; guards against a stand-in whose errors fail the check of answers", func() {
+		virtual(func() {
+			r := newRig(1)
+			defer r.close()
+			r.endpoints[0].Set(fakeep.Faults{Fail: true})
+			result, _ := r.send(tally("t"))
+			Expect(result.Err.Outcome).To(Equal(reply.OutcomeFailed))
+			Expect(r.runs()["t"]).To(Equal(1))
+		})
+	})
+
 	It("are unknown when the caller goes away while a request runs; guards against a false not-run", func() {
 		virtual(func() {
 			r := newRig(1)
--- a/internal/relay/promise_test.go
+++ b/internal/relay/promise_test.go
@@ -77,14 +77,14 @@
 	return falseRefused, twice, refused
 }
 
-// sendsPerRequest sends 600 requests while all endpoints fail.
-func sendsPerRequest(setUp func(*relay.Relay)) (ratio float64) {
+// sendsPerRequest sends 600 requests while all endpoints have the faults.
+func sendsPerRequest(faults fakeep.Faults, setUp func(*relay.Relay)) (ratio float64) {
 	virtual(func() {
 		r := newRig(4)
 		defer r.close()
 		setUp(r.relay)
 		for _, endpoint := range r.endpoints {
-			endpoint.Set(fakeep.Faults{Fail: true})
+			endpoint.Set(faults)
 		}
 		sends := 0
 		r.sendAll(600, check, func(_ model.RequestID, result relay.Result, _ string) { sends += result.Attempts })
@@ -123,12 +123,14 @@
 		Expect(falseRefused).To(BeNumerically(">", 0))
 	})
 
-	It("keeps sends per request under 1.2 while all endpoints fail; guards against a retry storm", func() {
-		Expect(sendsPerRequest(on)).To(BeNumerically("<", 1.2))
-	})
+	DescribeTable("keeps sends per request under 1.2 while all endpoints fail; guards against a retry storm",
+		func(faults fakeep.Faults) { Expect(sendsPerRequest(faults, on)).To(BeNumerically("<", 1.2)) },
+		Entry("with errors, which leave half of the endpoints in use", fakeep.Faults{Fail: true}),
+		Entry("with answers that fail the check, which take all endpoints out", fakeep.Faults{Corrupt: true}),
+	)
 
 	It("the check reports a retry storm when the budget is off", func() {
-		storm := sendsPerRequest(func(r *relay.Relay) { r.Allow = func(model.RequestClassID) bool { return true } })
+		storm := sendsPerRequest(fakeep.Faults{Fail: true}, func(r *relay.Relay) { r.Allow = func(model.RequestClassID) bool { return true } })
 		Expect(storm).To(BeNumerically(">", 1.2))
 	})
 
