sched: no hand-over while a gang has a silent member

Ownership of a data centre moved every 6 s, because the assigned instance was paused and each hand-over fell back to another one, so the 10 s of detection began again each time. In the trace a member died at 31.7 s, six owners followed one another until 64.5 s, and the rest of its gang was stopped at 74.0 s.

--- a/internal/sched/manager.go
+++ b/internal/sched/manager.go
@@ -363,12 +363,18 @@
 		if unwanted.IsZero() {
 			unwanted = time.Now()
 		}
-		if time.Since(unwanted) >= handOverAfter {
+		// The next owner would measure the silence of a worker from its own start, so a gang with a silent member is stopped first.
+		if time.Since(unwanted) >= handOverAfter && !m.silentMember(dc) {
 			return nil
 		}
 	}
 }
 
+func (m *Manager) silentMember(dc model.DataCentreID) bool {
+	owner, found := m.Owned(dc)
+	return found && owner.SilentMember()
+}
+
 // wants reports whether the data centre may stay here: it is assigned here, or the assigned instance is not live.
 func (m *Manager) wants(dc model.DataCentreID) bool {
 	set := m.Current()
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -60,7 +60,9 @@
 	frag   float64
 	// unbound is the number of guaranteed copies that cannot be bound.
 	unbound int
-	queued  map[queueKey]int
+	// silent is whether a running gang has a member that does not answer.
+	silent bool
+	queued map[queueKey]int
 }
 
 type queueKey struct {
@@ -151,6 +153,13 @@
 	return o.unbound
 }
 
+// SilentMember reports whether a running gang has a member on a worker that does not answer, as of the last pass.
+func (o *Owner) SilentMember() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.silent
+}
+
 // Queued returns the number of queued jobs of a customer in a class as of the last pass.
 func (o *Owner) Queued(customer model.CustomerID, class model.JobClassID) int {
 	o.mu.Lock()
@@ -265,7 +274,7 @@
 	}
 	o.mu.Lock()
 	o.sum, o.frag, o.queued = o.core.Summary(), o.core.Fragmentation(), o.core.queueLengths()
-	o.unbound = len(o.core.Unbound())
+	o.unbound, o.silent = len(o.core.Unbound()), o.core.silentMember()
 	o.mu.Unlock()
 }
 
--- a/internal/sched/owner_test.go
+++ b/internal/sched/owner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -65,6 +66,35 @@
 		})
 	})
 
+	// Guards against owners that change more often than a loss takes to detect, each of which starts the detection again.
+	It("is not handed over while a gang has a silent member", func() {
+		virtual(func() {
+			r := newRig(hollowCreek(2))
+			defer r.close()
+			a, _ := r.instance("a", "courthouse")
+			b, _ := r.instance("b", "fairground")
+			r.submit(b, jobs.Spec{ID: "long", Customer: "festival", Class: "score", Shape: "half", RunTime: longRun})
+			within(3*time.Second, "job runs", r.state(a, "long", jobs.StateRunning))
+			first := r.get(a, "long").Placement
+			lost := first[0].Worker
+			r.workers[lost].Set(fakewk.Faults{Hang: true})
+			ctx, stop := context.WithCancel(context.Background())
+			defer stop()
+			go func() {
+				for home := true; pause(ctx, 6*time.Second); home = !home {
+					if home {
+						r.leave("a")
+					} else {
+						r.join("a", "courthouse")
+					}
+				}
+			}()
+			within(lossDetected+gangStops, "the other members are stopped", func() bool {
+				return !slices.ContainsFunc(first[1:], func(p jobs.Placement) bool { return r.runs(p) })
+			})
+		})
+	})
+
 	// Guards against a paused owner whose late messages start work next to its successor's.
 	for _, checked := range []bool{true, false} {
 		name := "fences a paused owner whose clock check is switched off by the workers' tokens"
--- a/internal/sched/workers.go
+++ b/internal/sched/workers.go
@@ -111,6 +111,21 @@
 	}
 }
 
+// silentMember reports whether a running gang has a member on a worker that does not answer and is not lost yet.
+func (c *Core) silentMember() bool {
+	for _, e := range c.entries {
+		if e.phase != phaseRunning {
+			continue
+		}
+		for _, p := range e.record.Placement {
+			if h, found := c.workers[p.Worker]; found && !h.silentSince.IsZero() {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (c *Core) onLeavingWorker(e *entry) bool {
 	return slices.ContainsFunc(e.record.Placement, func(p jobs.Placement) bool {
 		h, found := c.workers[p.Worker]
