chief: tasks that nobody looked at do not count as standing still

Cause: the leader does not look at workers while it cannot prove its term (store away longer than its lease), but the check for tasks without progress went on against the clock. Now progress counts up to the last look that listed the runs. The new spec fails without the change.

--- a/internal/chief/chief_test.go
+++ b/internal/chief/chief_test.go
@@ -230,6 +230,27 @@
 	})
 }
 
+// Guards against tasks that count as standing still because nobody looked at them while the leader could not prove its term.
+func TestTasksAreNotStuckAfterATermThatWasUnproved(t *testing.T) {
+	run(t, 2, func(r *rig) {
+		a := r.start("a", nil)
+		r.fleet.Outcome = func(string, int64, string) fakepl.Outcome {
+			return fakepl.Outcome{After: 12 * time.Second, How: "done"}
+		}
+		started := time.Now()
+		r.fleet.Percent = func(string, string) int { return int(time.Since(started).Seconds() * 8) }
+		r.submit(job("00000000000000c3", "scan", 2, 8))
+		r.reach(3*time.Second, "both tasks run", func() bool { return len(r.fleet.Present(task("00000000000000c3", 1))) == 1 })
+		r.sleep(time.Second)
+		a.unproved.Store(true)
+		r.sleep(4300 * time.Millisecond)
+		a.unproved.Store(false)
+		r.reach(16*time.Second, "the job is completed", func() bool { return a.state("00000000000000c3") == work.StateCompleted })
+		r.Expect(r.fleet.Started(task("00000000000000c3", 0))).To(Equal(1))
+		r.Expect(r.fleet.Started(task("00000000000000c3", 1))).To(Equal(1))
+	})
+}
+
 // Guards against a worker that started again unnoticed and has new runs already: they must not start elsewhere as well.
 func TestRunsOnAWorkerThatStartedAgainStay(t *testing.T) {
 	run(t, 1, func(r *rig) {
--- a/internal/chief/health.go
+++ b/internal/chief/health.go
@@ -54,7 +54,8 @@
 		}
 		// A percent of the work takes a hundredth of the estimate, several times longer away from the data or on a slow worker.
 		limit := max(stuckAfter, stuckSteps*c.estimate(r.task.unit)/100)
-		if now.Sub(max(r.moved, r.created)) < limit {
+		// Time in which nobody looked at the worker says nothing about its tasks.
+		if w.heard.Sub(max(r.moved, r.created)) < limit {
 			continue
 		}
 		c.rest(w, stuckRest, "tasks stand still on it")
--- a/internal/chief/rig_test.go
+++ b/internal/chief/rig_test.go
@@ -118,6 +118,8 @@
 	chief   atomic.Pointer[chief.Chief]
 	elector *elect.Elector
 	stop    context.CancelFunc
+	// unproved makes the term count as not proved, as while the store is away.
+	unproved atomic.Bool
 	// store may be wrapped before the instance starts.
 	store *kv.Store
 }
@@ -142,7 +144,7 @@
 				Checkpoint: time.Second, Restore: 250 * time.Millisecond,
 			},
 			Config: func() *work.Config { return r.config }, Out: func(model.DataCentreID) bool { return false },
-			Valid: func() bool { return i.elector.Valid(term) }, Deposed: func() { i.elector.Deposed(term) },
+			Valid: func() bool { return !i.unproved.Load() && i.elector.Valid(term) }, Deposed: func() { i.elector.Deposed(term) },
 			Registry: platform.RegistryPrefix, DecodeWorker: platform.DecodeWorker,
 			Observe: chief.Observer{
 				Order: func(string, string) {}, Ended: func(work.How) {}, Plan: func(time.Duration) {},
--- a/internal/chief/types.go
+++ b/internal/chief/types.go
@@ -124,6 +124,7 @@
 	since    clock.Instant // when the incarnation became known; 0 for the first of the term
 	looking  bool
 	lookAt   clock.Instant // no look before
+	heard    clock.Instant // when it last listed its runs
 	paceAt   clock.Instant // no change of pace before
 	missed   int           // calls in a row without an answer
 	restTill clock.Instant // no starts before
--- a/internal/chief/workers.go
+++ b/internal/chief/workers.go
@@ -248,7 +248,7 @@
 	if w.missed >= missedLimit {
 		c.Log.Info().Str("worker", string(w.info.ID)).Msg("chief: worker answers again")
 	}
-	w.missed = 0
+	w.missed, w.heard = 0, now
 	w.told = max(w.told, order.Seen)
 	w.tick(report.Clock, now)
 	if !w.visited {
