chief: work avoids workers on which the last task failed

A worker on which a member has just failed has exactly the room of that gang, so the tightest fit chose it again, until the second failure in a row gave it a rest. Ruled out: the rests (they come after two failures as meant), poisoned jobs (the members failed on several workers of one group of failing workers). Such workers are now taken last, within a rack and among racks. The new spec saw two starts on the failing worker, 5 of 5; now one.

--- a/internal/chief/chief_test.go
+++ b/internal/chief/chief_test.go
@@ -251,6 +251,29 @@
 	})
 }
 
+// Guards against a gang that goes back to a worker on which a member has just failed, since the room there fits it best, while
+// other workers are free.
+func TestGangAvoidsAWorkerOnWhichATaskFailed(t *testing.T) {
+	run(t, 4, func(r *rig) {
+		a := r.start("a", nil)
+		bad := ""
+		starts := map[string]int{}
+		r.fleet.Outcome = func(_ string, _ int64, worker string) fakepl.Outcome {
+			if bad == "" {
+				bad = worker
+			}
+			starts[worker]++
+			if worker == bad {
+				return fakepl.Outcome{After: 200 * time.Millisecond, How: "failed"}
+			}
+			return fakepl.Outcome{After: 2 * time.Second, How: "done"}
+		}
+		r.submit(r.gangOf(job("00000000000000c5", "scan", 2, 8)))
+		r.reach(8*time.Second, "the job is completed", func() bool { return a.state("00000000000000c5") == work.StateCompleted })
+		r.Expect(starts[bad]).To(Equal(1))
+	})
+}
+
 // Guards against a worker that started again unnoticed and has new runs already: they must not start elsewhere as well.
 func TestRunsOnAWorkerThatStartedAgainStay(t *testing.T) {
 	run(t, 1, func(r *rig) {
--- a/internal/chief/health.go
+++ b/internal/chief/health.go
@@ -39,6 +39,9 @@
 	}
 }
 
+// suspect reports whether the last task that tells something of a worker failed there.
+func (w *worker) suspect() bool { return w.failures > 0 }
+
 // checkStuck stops runs that stand still on a worker that answers.
 func (c *Chief) checkStuck(w *worker, now clock.Instant) {
 	if w.missed > 0 {
--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -243,12 +243,18 @@
 	if u.step.Lasts {
 		score = -score // Spread what stays.
 	}
+	if w.suspect() {
+		score += suspectScore
+	}
 	if u.step.Fills && w.serving() || u.step.TailTarget > 0 && w.filling() {
 		score += apartScore
 	}
 	return score
 }
 
+// suspectScore keeps tasks away from a worker on which the last one failed, as long as there is another worker.
+const suspectScore = 100
+
 // apartScore keeps work that fills away from work that serves, as long as there is another worker.
 const apartScore = 1000
 
@@ -329,21 +335,26 @@
 	return p.spread(u, p.workers, len(u.tasks), fitsNow)
 }
 
-// oneRack returns places within the rack that is left with the least room.
+// oneRack returns places within the rack that is left with the least room, of those with the fewest places on suspect workers.
 func (p *pass) oneRack(u *unit, need int, fit fit) []*worker {
 	var best []*worker
-	bestLeft := 0.0
+	bestSuspects, bestLeft := 0, 0.0
 	for _, rack := range p.racks {
 		places := p.spread(u, rack, need, fit)
 		if places == nil {
 			continue
 		}
-		left := 0.0
+		suspects, left := 0, 0.0
+		for _, w := range places {
+			if w.suspect() {
+				suspects++
+			}
+		}
 		for _, w := range rack {
 			left += w.soon.Cores()
 		}
-		if best == nil || left < bestLeft {
-			best, bestLeft = places, left
+		if best == nil || suspects < bestSuspects || suspects == bestSuspects && left < bestLeft {
+			best, bestSuspects, bestLeft = places, suspects, left
 		}
 	}
 	return best
@@ -387,7 +398,11 @@
 		return nil
 	}
 	sort.SliceStable(options, func(i, j int) bool {
-		return fit(options[i].worker).GPU < fit(options[j].worker).GPU
+		a, b := options[i].worker, options[j].worker
+		if a.suspect() != b.suspect() {
+			return b.suspect()
+		}
+		return fit(a).GPU < fit(b).GPU
 	})
 	places := make([]*worker, 0, need)
 	for _, o := range options {
