chief: a gang that failed goes to workers that completed a task lately

One urgent gang of 60 was started five times within 6 s, 50 members ended broken, and its job failed at 11.1 s with all attempts spent. A gang with a counted failure now takes the workers that completed a task most recently, in whole seconds. The new spec fails without the change: all three attempts of a gang of two land on failing workers.

--- a/internal/chief/chief_test.go
+++ b/internal/chief/chief_test.go
@@ -274,6 +274,34 @@
 	})
 }
 
+// Guards against a gang that spends all its attempts on workers that fail everything, one after another, while others have just
+// completed tasks.
+func TestGangThatFailedGoesToProvenWorkers(t *testing.T) {
+	run(t, 5, func(r *rig) {
+		a := r.start("a", nil)
+		outcomes := map[string]fakepl.Outcome{"00000000000000c6": {After: time.Minute, How: "done"}}
+		r.fleet.Outcome = func(name string, _ int64, worker string) fakepl.Outcome {
+			if outcome, found := outcomes[name[:len("00000000000000c6")]]; found {
+				return outcome
+			}
+			if strings.HasPrefix(name, "00000000000000c8") && worker < "w-03" {
+				return fakepl.Outcome{After: 100 * time.Millisecond, How: "failed"}
+			}
+			return fakepl.Outcome{After: time.Second, How: "done"}
+		}
+		r.submit(job("00000000000000c6", "scan", 3, 8))
+		r.reach(3*time.Second, "the first job runs", func() bool { return len(r.fleet.Present(task("00000000000000c6", 2))) == 1 })
+		r.submit(job("00000000000000c7", "scan", 2, 8))
+		r.reach(3*time.Second, "the second job is completed", func() bool { return a.state("00000000000000c7") == work.StateCompleted })
+		r.Expect(r.desk.Cancel(r.ctx, "00000000000000c6")).To(Succeed())
+		r.reach(3*time.Second, "the first job is cancelled", func() bool { return a.state("00000000000000c6") == work.StateCancelled })
+		r.sleep(time.Second)
+		r.submit(r.gangOf(job("00000000000000c8", "scan", 2, 8)))
+		r.reach(8*time.Second, "the gang is completed", func() bool { return a.state("00000000000000c8") == work.StateCompleted })
+		r.Expect(r.fleet.Started(task("00000000000000c8", 0))).To(Equal(2))
+	})
+}
+
 // Guards against a worker that started again unnoticed and has new runs already: they must not start elsewhere as well.
 func TestRunsOnAWorkerThatStartedAgainStay(t *testing.T) {
 	run(t, 1, func(r *rig) {
--- a/internal/chief/health.go
+++ b/internal/chief/health.go
@@ -25,7 +25,7 @@
 func (c *Chief) judge(w *worker, r *run, how work.How) {
 	switch how {
 	case work.EndedDone:
-		w.failures, w.rests = 0, 0
+		w.failures, w.rests, w.doneAt = 0, 0, c.Now()
 	case work.EndedFailed:
 		if r.task == nil || r.task.failedOn != "" && r.task.failedOn != w.info.ID {
 			return
--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -372,7 +372,8 @@
 // fitsSoon is the room that is free once all stops are done, and not promised.
 func fitsSoon(w *worker) work.Room { return w.soon }
 
-// spread returns a worker for each of a number of tasks among some workers, filling those with the least room first, or nil.
+// spread returns a worker for each of a number of tasks among some workers, filling those with the least room first, or nil. A gang
+// that has failed before goes to the workers that have completed a task most recently.
 func (p *pass) spread(u *unit, among []*worker, need int, fit fit) []*worker {
 	room := u.step.Room()
 	type option struct {
@@ -402,6 +403,10 @@
 		if a.suspect() != b.suspect() {
 			return b.suspect()
 		}
+		// Where one worker fails everything there may be more that are not known yet.
+		if idleA, idleB := p.unproven(a), p.unproven(b); len(u.counted) > 0 && idleA != idleB {
+			return idleA < idleB
+		}
 		return fit(a).GPU < fit(b).GPU
 	})
 	places := make([]*worker, 0, need)
@@ -413,6 +418,14 @@
 	return places
 }
 
+// unproven returns the whole seconds, up to a limit, since a worker last completed a task.
+func (p *pass) unproven(w *worker) int {
+	return int(min(p.now.Sub(w.doneAt), unprovenLimit) / time.Second)
+}
+
+// unprovenLimit is the time without a completed task after which workers are equally unproven.
+const unprovenLimit = 10 * time.Second
+
 // times returns how often need fits into room, at most limit.
 func times(room, need work.Room, limit int) int {
 	count := limit
--- a/internal/chief/types.go
+++ b/internal/chief/types.go
@@ -136,6 +136,7 @@
 	clockAt  clock.Instant
 	until    work.WorkerClock // longest lease that was sent
 	failures int              // failed runs in a row
+	doneAt   clock.Instant    // when a task was last completed on it
 	rests    int              // quarantines in a row
 	slowSeen int              // rounds in a row that have shown it slow
 	gone     bool
