peridotctl, platform/deploy: the deploy file is checked before it is used

An operator could check the settings of a process, but not the file that says how programs are built and placed; a mistake there showed only when the platform refused it. "platform check" reads both and names every problem with its key. "platform job ID" shows the job by step, with failed runs.

--- a/internal/chief/orders.go
+++ b/internal/chief/orders.go
@@ -185,9 +185,13 @@
 	c.over(r, work.EndedStopped, "")
 }
 
-// rest keeps new starts from a worker for a while.
+// rest keeps new starts from a worker for a while. A rest that does not extend the one under way is not logged.
 func (c *Chief) rest(w *worker, d time.Duration, why string) {
-	w.restTill = max(w.restTill, c.Now().Add(d))
+	till := c.Now().Add(d)
+	if till <= w.restTill {
+		return
+	}
+	w.restTill = till
 	c.Log.Info().Str("worker", string(w.info.ID)).Dur("for", d).Str("why", why).Msg("chief: worker gets no starts")
 }
 
--- a/peridotctl/platform.go
+++ b/peridotctl/platform.go
@@ -5,6 +5,8 @@
 	"errors"
 	"flag"
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -13,6 +15,7 @@
 	"peridotgw.example/peridotgw/internal/work"
 	"peridotgw.example/peridotgw/model"
 	"peridotgw.example/peridotgw/platform"
+	"peridotgw.example/peridotgw/platform/deploy"
 )
 
 const platformTimeout = 5 * time.Second
@@ -21,9 +24,10 @@
 func (a *app) platformCommand() *command {
 	c := &command{
 		app: a, name: "platform", synopsis: "show what the store of the users' platform holds",
-		args: "instances | workers | zones | config | jobs | job ID",
+		args: "instances | workers | zones | config | jobs | job ID | check [DEPLOY-FILE]",
 		help: "Reads the platform's store with the settings file of an instance: the registered instances and the leader, the workers, the\n" +
-			"zones out of service, the configuration in force, all jobs, or one job with its progress. No instance is called.",
+			"zones out of service, the configuration in force, all jobs, or one job with its progress by step. No instance is called.\n" +
+			"check reads the settings file and the deploy file, if they are named, and reports every problem; it needs no store.",
 		example: "peridotctl platform -settings /etc/peridotgw/boot.conf jobs",
 		offline: true,
 	}
@@ -39,6 +43,9 @@
 	if err := count(args, 1, 2, "what to show"); err != nil {
 		return err
 	}
+	if args[0] == "check" {
+		return s.platformCheck(path, args[1:])
+	}
 	if path == "" {
 		return usage("-settings or %s is required", platform.SettingsVariable)
 	}
@@ -56,7 +63,7 @@
 		"jobs": s.platformJobs, "job": s.platformJob,
 	}[args[0]]
 	if show == nil {
-		return usage("%q cannot be shown; use instances, workers, zones, config, jobs or job", args[0])
+		return usage("%q cannot be shown; use instances, workers, zones, config, jobs, job or check", args[0])
 	}
 	if err := show(ctx, store, args[1:]); err != nil {
 		return storeError(err)
@@ -64,6 +71,41 @@
 	return nil
 }
 
+// platformCheck checks files before they are used.
+func (s *session) platformCheck(settingsPath string, args []string) error {
+	if settingsPath == "" && len(args) == 0 {
+		return usage("check needs -settings or a deploy file")
+	}
+	type verdict struct {
+		File  string `json:"file"`
+		Holds string `json:"holds"`
+	}
+	var verdicts []verdict
+	var problems []error
+	if settingsPath != "" {
+		settings, err := platform.LoadSettings(settingsPath)
+		if err == nil {
+			verdicts = append(verdicts, verdict{settingsPath, fmt.Sprintf("settings of instance %s in zone %s", settings.Node, settings.Zone)})
+		}
+		problems = append(problems, err)
+	}
+	for _, path := range args {
+		file, err := deploy.Load(path)
+		if err == nil {
+			verdicts = append(verdicts, verdict{path, fmt.Sprintf("roles %s", slices.Sorted(maps.Keys(file.Roles)))})
+		}
+		problems = append(problems, err)
+	}
+	if err := errors.Join(problems...); err != nil {
+		return usageWrap(err)
+	}
+	rows := [][]string{{"FILE", "HOLDS"}}
+	for _, v := range verdicts {
+		rows = append(rows, []string{v.File, v.Holds})
+	}
+	return s.print(verdicts, rows)
+}
+
 // unreachableError reports a store that does not answer.
 type unreachableError struct{ cause error }
 
@@ -167,103 +209,3 @@
 type missingError struct{ what string }
 
 func (e *missingError) Error() string { return "the store holds no such " + e.what }
-
-// platformRecord is a job as the store holds it.
-type platformRecord struct {
-	Job       work.Job      `json:"job"`
-	Progress  work.Progress `json:"progress"`
-	Cancelled bool          `json:"cancelled"`
-}
-
-func (r *platformRecord) row() []string {
-	state := r.Progress.State
-	if state == "" {
-		state = work.StateQueued
-	}
-	done, tasks := 0, 0
-	for i := range r.Job.Steps {
-		for k := range r.Job.Occurrences() {
-			tasks += r.Job.Steps[i].Count
-			for n := range r.Job.Steps[i].Count {
-				if r.Progress.Steps[k][i].IsDone(n) || state == work.StateCompleted {
-					done++
-				}
-			}
-		}
-	}
-	return []string{
-		string(r.Job.ID), string(r.Job.Queue), string(r.Job.Tenant), string(state), fmt.Sprintf("%d/%d", done, tasks),
-		strconv.FormatBool(r.Cancelled), r.Job.Accepted.UTC().Format(time.RFC3339), r.Progress.Why,
-	}
-}
-
-func (s *session) platformRecords(ctx context.Context, store *kv.Store) ([]*platformRecord, error) {
-	items, _, err := kv.List(ctx, store, work.JobPrefix)
-	if err != nil {
-		return nil, err
-	}
-	byID := map[model.JobID]*platformRecord{}
-	var records []*platformRecord
-	for _, item := range items {
-		id, cancel := work.SplitJobKey(item.Key)
-		if cancel {
-			if record := byID[id]; record != nil { // The job's own key comes first.
-				record.Cancelled = true
-			}
-			continue
-		}
-		job, err := work.Decode[work.Job](item.Value)
-		if err != nil {
-			s.note("%s: %v", item.Key, err)
-			continue
-		}
-		byID[id] = &platformRecord{Job: job}
-		records = append(records, byID[id])
-	}
-	progress, _, err := kv.List(ctx, store, work.ProgressPrefix)
-	if err != nil {
-		return nil, err
-	}
-	for _, item := range progress {
-		record := byID[model.JobID(item.Key[len(work.ProgressPrefix):])]
-		if record == nil {
-			continue
-		}
-		if record.Progress, err = work.Decode[work.Progress](item.Value); err != nil {
-			s.note("%s: %v", item.Key, err)
-		}
-	}
-	return records, nil
-}
-
-func (s *session) platformJobs(ctx context.Context, store *kv.Store, _ []string) error {
-	records, err := s.platformRecords(ctx, store)
-	if err != nil {
-		return err
-	}
-	return s.printRecords(records)
-}
-
-func (s *session) platformJob(ctx context.Context, store *kv.Store, args []string) error {
-	if err := count(args, 1, 1, "a job's id"); err != nil {
-		return err
-	}
-	records, err := s.platformRecords(ctx, store)
-	if err != nil {
-		return err
-	}
-	for _, record := range records {
-		if string(record.Job.ID) == args[0] {
-			return s.printRecords([]*platformRecord{record})
-		}
-	}
-	return &missingError{what: "job"}
-}
-
-func (s *session) printRecords(records []*platformRecord) error {
-	rows := [][]string{{"JOB", "QUEUE", "TENANT", "STATE", "DONE", "CANCELLED", "ACCEPTED", "WHY"}}
-	for _, record := range records {
-		rows = append(rows, record.row())
-	}
-	return s.print(records, rows)
-}
--- a/peridotctl/platform_test.go
+++ b/peridotctl/platform_test.go
@@ -54,7 +54,8 @@
 		}
 	},
 		Entry("jobs", "jobs", "00000000000000a1", "running", "2/4", "true"),
-		Entry("one job", "job 00000000000000a1", "2/4"),
+		Entry("one job, by step", "job 00000000000000a1", "2/4", "FAILED-RUNS", "true"),
+		Entry("a valid deploy file", "check ../deploy/system.toml", "settings of instance n", "roles [peridot]"),
 		Entry("zones", "zones", "zone-2", "out"),
 		Entry("workers, and skips what cannot be read", "workers", "i-1", "r1", "ready"),
 		Entry("instances", "instances", "INSTANCE"),
@@ -66,8 +67,19 @@
 		Entry("unknown job", 4, "job 00000000000000ff"),
 		Entry("unknown subject", 1, "weather"),
 		Entry("no configuration", 4, "config"),
+		Entry("no deploy file", 1, "check none.toml"),
 	)
 
+	It("names every problem of a deploy file", func() {
+		path := filepath.Join(GinkgoT().TempDir(), "system.toml")
+		Expect(os.WriteFile(path, []byte("[roles.a]\nrun = \"env a\"\n"), 0o600)).To(Succeed())
+		session := run("check", path)
+		Expect(session.ExitCode()).To(Equal(1))
+		for _, text := range []string{"build is missing", "roles.a.run", "roles.a.on is missing", "needs either share or count"} {
+			Expect(string(session.Err.Contents())).To(ContainSubstring(text))
+		}
+	})
+
 	It("tells a store that does not answer from a wrong settings file", func() {
 		Expect(os.WriteFile(settings, fmt.Appendf(nil, "node=n\n"), 0o600)).To(Succeed())
 		session := run("jobs")
