sched: waiting jobs move to data centres with room

Cause, found when the system was tried as a new user would: a job queued where it was sent, and moved only when that data centre was taken out. 30 jobs of shape wide wished in one data centre ran one at a time there, beside three that stood idle. Now a job that has waited for room for 10 s, or 2 s when urgent, moves to the data centre in service with the most room that nothing else takes. The wait doubles with each move, and jobs moved in the last 3 s count as taking room, since the summary of the target lags. The spec covers the count. New specs: with moves off, 4 of 10 run and the rest waits; with moves on 8 run, and the two for which there is no room stay.

--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -35,7 +35,8 @@
 	inherited map[model.JobID]jobs.Record
 	dropped   map[model.JobID]dropped
 	// loads are the summaries of all data centres, for moves.
-	loads []Summary
+	loads    []Summary
+	outgoing []outgoing
 }
 
 // dropped is the last version of a record that the core has finished with. A watch may still deliver an older version.
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -410,7 +410,7 @@
 func (o *Owner) transfer(ctx context.Context, action Action) func(time.Time) {
 	switch action.Kind {
 	case ActionMove:
-		note := jobs.Note{At: time.Now().UTC(), Instance: o.Instance, Action: "moved", Reason: string(CauseDrain), Inputs: map[string]string{
+		note := jobs.Note{At: time.Now().UTC(), Instance: o.Instance, Action: noteMoved, Reason: string(action.Cause), Inputs: map[string]string{
 			"from": string(o.DataCentre), "to": string(action.To),
 		}}
 		if set := o.Config(); set != nil {
--- a/internal/sched/pass.go
+++ b/internal/sched/pass.go
@@ -184,6 +184,7 @@
 		}
 		c.place(e, now, plan)
 	}
+	c.spill(queue, now)
 	c.hold(queue, now)
 }
 
--- a/internal/sched/results.go
+++ b/internal/sched/results.go
@@ -3,12 +3,10 @@
 import (
 	"errors"
 	"fmt"
-	"slices"
 	"time"
 
 	"peridotgw.example/peridotgw/internal/gang"
 	"peridotgw.example/peridotgw/internal/jobs"
-	"peridotgw.example/peridotgw/internal/place"
 	"peridotgw.example/peridotgw/model"
 	"peridotgw.example/peridotgw/reply"
 )
@@ -173,34 +171,6 @@
 	c.act(Action{Kind: ActionWrite, Job: e.record.Spec.ID, Record: e.record})
 }
 
-// moveAway moves a queued job to another data centre and reports whether there is one.
-func (c *Core) moveAway(e *entry, now time.Time) bool {
-	if now.Before(e.readyAt) {
-		return false
-	}
-	to, found := Choose(c.set, e.record.Spec, c.loads, c.dc)
-	if !found {
-		return false
-	}
-	e.phase = phaseWriting
-	c.act(Action{Kind: ActionMove, Job: e.record.Spec.ID, Record: e.record, To: to})
-	return true
-}
-
-// Moved reports the result of ActionMove or ActionCompleteMove.
-func (c *Core) Moved(id model.JobID, err error, now time.Time) {
-	e, found := c.entries[id]
-	if !found {
-		return
-	}
-	if err != nil {
-		// The record is read again, because any step of the move may have been applied.
-		e.phase, e.readyAt = phaseUnresolved, now.Add(c.tuning.RetryPause)
-		return
-	}
-	c.drop(e, e.record, now)
-}
-
 // Read reports the result of ActionRead: what became of a decision whose record was in doubt.
 func (c *Core) Read(id model.JobID, record jobs.Record, found bool, now time.Time) {
 	e, known := c.entries[id]
@@ -261,55 +231,6 @@
 	c.end(e, now, jobs.StateDone, reply.OutcomeDone, "", "")
 }
 
-// Choose returns the data centre in service, other than the excluded one, that a job should go to: its wish if possible,
-// otherwise where queued and running accelerators are the smallest share of the declared ones.
-func Choose(set *model.Set, spec jobs.Spec, loads []Summary, exclude model.DataCentreID) (model.DataCentreID, bool) {
-	var best model.DataCentreID
-	bestLoad := 0.0
-	for _, dc := range Allowed(set, spec) {
-		if dc == exclude || set.DataCentres[dc].Service != model.ServiceIn || !fits(set, dc, spec) {
-			continue
-		}
-		if dc == spec.DataCentre {
-			return dc, true
-		}
-		if load := loadOf(set, dc, loads); best == "" || load < bestLoad {
-			best, bestLoad = dc, load
-		}
-	}
-	return best, best != ""
-}
-
-func fits(set *model.Set, dc model.DataCentreID, spec jobs.Spec) bool {
-	return place.FitsJob(set, dc, place.Job{ID: spec.ID, Customer: spec.Customer, Class: spec.Class, Shape: spec.Shape})
-}
-
-// Allowed lists the data centres in which the job's class may run, in order.
-func Allowed(set *model.Set, spec jobs.Spec) []model.DataCentreID {
-	listed := set.JobClasses[spec.Class].DataCentres
-	var allowed []model.DataCentreID
-	for dc := range set.DataCentres {
-		if len(listed) == 0 || slices.Contains(listed, dc) {
-			allowed = append(allowed, dc)
-		}
-	}
-	slices.Sort(allowed)
-	return allowed
-}
-
-func loadOf(set *model.Set, dc model.DataCentreID, loads []Summary) float64 {
-	total := model.Accelerators(0)
-	for _, rack := range set.DataCentres[dc].Racks {
-		total += rack.AcceleratorsPerWorker * model.Accelerators(rack.Workers)
-	}
-	for _, load := range loads {
-		if load.DataCentre == dc {
-			return float64(load.QueuedAccelerators+load.RunningAccelerators) / float64(max(1, total))
-		}
-	}
-	return 0
-}
-
 // short bounds a message that goes into a record.
 func short(err error) string {
 	const limit = 300
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -60,6 +60,10 @@
 	RetryPause, RetryPauseMax time.Duration
 	// HoldAfter is how long a large job is blocked before it holds a rack.
 	HoldAfter time.Duration
+	// MoveAfter is how long a queued job waits for room before it moves to a data centre that has room, and MoveUrgentAfter the same
+	// for urgent jobs. Moves bounds the moves per pass.
+	MoveAfter, MoveUrgentAfter time.Duration
+	Moves                      int
 	// AgeAfter is how long a background job waits before it is ordered as a normal one.
 	AgeAfter time.Duration
 	// BlockedNote is the shortest time between two notes of why a job waits.
@@ -77,7 +81,8 @@
 	return Tuning{
 		Pass: time.Second, Renew: 5 * time.Second, Lease: 15 * time.Second, LostAfter: 10 * time.Second,
 		Suspect: 10 * time.Second, QuarantineAfter: 3, Quarantine: 10 * time.Minute, ProbeRuns: time.Minute, FailsOn: 3,
-		RetryPause: time.Second, RetryPauseMax: 30 * time.Second, HoldAfter: 30 * time.Second, AgeAfter: 10 * time.Minute,
+		RetryPause: time.Second, RetryPauseMax: 30 * time.Second, HoldAfter: 30 * time.Second,
+		MoveAfter: 10 * time.Second, MoveUrgentAfter: 2 * time.Second, Moves: 16, AgeAfter: 10 * time.Minute,
 		BlockedNote: 30 * time.Second, Starts: 32, Notes: 20, List: time.Minute,
 	}
 }
@@ -96,6 +101,7 @@
 	CauseWorkerLeft  Cause = "worker-leaving"
 	CauseTakeOver    Cause = "take-over"
 	CauseNotComplete Cause = "start-incomplete"
+	CauseNoRoom      Cause = "no-room"
 )
 
 // ActionKind names what an action does.
