--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -6,7 +6,9 @@
 	"go/parser"
 	"go/token"
 	"os"
+	"path/filepath"
 	"reflect"
+	"regexp"
 	"strconv"
 	"strings"
 
@@ -123,3 +125,19 @@
 		}
 	})
 })
+
+var _ = Describe("links between pages", func() {
+	// Guards against a page that was renamed while others still point to its old name.
+	It("lead to files that exist", func() {
+		pages, err := filepath.Glob("*.md")
+		Expect(err).NotTo(HaveOccurred())
+		incidents, err := filepath.Glob("incidents/*.md")
+		Expect(err).NotTo(HaveOccurred())
+		link := regexp.MustCompile(`\]\(([^)#:]+)(#[^)]*)?\)`)
+		for _, name := range append(append(pages, incidents...), "../README.md") {
+			for _, match := range link.FindAllStringSubmatch(page(name), -1) {
+				Expect(filepath.Join(filepath.Dir(name), match[1])).To(BeAnExistingFile(), "link in %s", name)
+			}
+		}
+	})
+})
