--- a/soak/main.go
+++ b/soak/main.go
@@ -96,6 +96,11 @@
 
 // runSeed runs one seed in a folder of its own, which stays when a promise was broken.
 func runSeed(ctx context.Context, o options, seed uint64) (violations []string, summary string, err error) {
+	if o.dir != "" {
+		if err := os.MkdirAll(o.dir, 0o700); err != nil {
+			return nil, "", err
+		}
+	}
 	dir, err := os.MkdirTemp(o.dir, fmt.Sprintf("soak-%d-", seed))
 	if err != nil {
 		return nil, "", err
