sched: an owner that cannot read its records says so

The error was dropped and the read repeated each second without a line in the log. It is logged now, and the pause is the shared one of internal/clock.

--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/time/rate"
 
+	"peridotgw.example/peridotgw/internal/clock"
 	"peridotgw.example/peridotgw/internal/gang"
 	"peridotgw.example/peridotgw/internal/jobs"
 	"peridotgw.example/peridotgw/internal/metric"
@@ -88,8 +89,12 @@
 	writeBurst = 50
 )
 
-// watchWait is how long one watch waits for changed records.
-const watchWait = 30 * time.Second
+const (
+	// watchWait is how long one watch waits for changed records.
+	watchWait = 30 * time.Second
+	// followRetry is the pause after the records could not be read.
+	followRetry = time.Second
+)
 
 // Run takes the data centre over and makes its decisions until ctx ends or the ownership is lost (LostError). Gangs that
 // are being started are finished first, so that a hand-over leaves none half started.
@@ -335,7 +340,12 @@
 			listed = time.Now()
 		}
 		if err != nil {
-			pause(ctx, time.Second)
+			if ctx.Err() == nil {
+				o.Log.Warn().Err(err).Str("data-centre", string(o.DataCentre)).Msg("sched: records are not followed")
+			}
+			if clock.Sleep(ctx, followRetry) != nil {
+				return
+			}
 			continue
 		}
 		revision = page.Revision
@@ -360,15 +370,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // execute carries an action out. Starts and stops are finished even when ctx ends.
 func (o *Owner) execute(ctx context.Context, action Action) {
 	id, record := action.Job, action.Record
