--- a/bench/internal/calls/endpoint.go
+++ b/bench/internal/calls/endpoint.go
@@ -15,6 +15,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"peridotgw.example/peridotgw/internal/clock"
 	"peridotgw.example/peridotgw/model"
 	"peridotgw.example/peridotgw/reply"
 )
@@ -97,7 +98,7 @@
 		return answer(http.StatusOK, header, nil), nil
 	}
 	takes := time.Duration(float64(p.serviceTime(model.RequestClassID(strings.TrimPrefix(req.URL.Path, "/v1/run/")))) * e.times)
-	if err := sleep(req, oneWay); err != nil {
+	if err := clock.Sleep(req.Context(), oneWay); err != nil {
 		return nil, err
 	}
 	header.Set(reply.HeaderRequestID, req.Header.Get(reply.HeaderRequestID))
@@ -108,9 +109,9 @@
 		p.mu.Unlock()
 		e.load(header)
 		header.Set(reply.HeaderNotRun, "true")
-		return answer(http.StatusServiceUnavailable, header, nil), sleep(req, oneWay)
+		return answer(http.StatusServiceUnavailable, header, nil), clock.Sleep(req.Context(), oneWay)
 	}
-	err := sleep(req, takes)
+	err := clock.Sleep(req.Context(), takes)
 	e.end()
 	if err != nil {
 		return nil, err
@@ -118,13 +119,13 @@
 	e.load(header)
 	switch p.fault {
 	case faultError:
-		return answer(http.StatusInternalServerError, header, nil), sleep(req, oneWay)
+		return answer(http.StatusInternalServerError, header, nil), clock.Sleep(req.Context(), oneWay)
 	case faultCut:
 		return nil, errCut
 	}
 	body := []byte("answer")
 	header.Set(reply.HeaderDigest, fmt.Sprintf("%016x", xxhash.Sum64(body)))
-	return answer(http.StatusOK, header, body), sleep(req, oneWay)
+	return answer(http.StatusOK, header, body), clock.Sleep(req.Context(), oneWay)
 }
 
 func (e *endpoint) begin() bool {
@@ -155,15 +156,3 @@
 		StatusCode: status, Header: header, ContentLength: int64(len(body)), Body: io.NopCloser(bytes.NewReader(body)),
 	}
 }
-
-// sleep waits for a time, or until the caller has gone.
-func sleep(req *http.Request, wait time.Duration) error {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-req.Context().Done():
-		return req.Context().Err()
-	}
-}
--- a/bench/internal/fleet/measure.go
+++ b/bench/internal/fleet/measure.go
@@ -13,6 +13,7 @@
 
 	"peridotgw.example/peridotgw/bench/internal/table"
 	"peridotgw.example/peridotgw/client"
+	"peridotgw.example/peridotgw/internal/clock"
 	"peridotgw.example/peridotgw/internal/object"
 	"peridotgw.example/peridotgw/model"
 )
@@ -66,14 +67,14 @@
 	if err := d.start(ctx, bin, example, size); err != nil {
 		return err
 	}
-	if err := pause(ctx, settle); err != nil {
+	if err := clock.Sleep(ctx, settle); err != nil {
 		return err
 	}
 	before, err := d.accounts(ctx)
 	if err != nil {
 		return err
 	}
-	if err := pause(ctx, window); err != nil {
+	if err := clock.Sleep(ctx, window); err != nil {
 		return err
 	}
 	after, err := d.accounts(ctx)
@@ -147,23 +148,12 @@
 		if err == nil {
 			return nil
 		}
-		if waitErr := pause(ctx, pollEvery); waitErr != nil {
+		if waitErr := clock.Sleep(ctx, pollEvery); waitErr != nil {
 			return fmt.Errorf("%s: %w", what, errors.Join(err, waitErr))
 		}
 	}
 }
 
-func pause(ctx context.Context, wait time.Duration) error {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 func (d *deployment) writeSettings(name, dc string) (string, error) {
 	port := "127.0.0.1:0"
 	data, err := json.MarshalIndent(map[string]any{
--- a/internal/sched/owner_test.go
+++ b/internal/sched/owner_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"peridotgw.example/peridotgw/internal/clock"
 	"peridotgw.example/peridotgw/internal/fakewk"
 	"peridotgw.example/peridotgw/internal/jobs"
 	"peridotgw.example/peridotgw/model"
@@ -81,7 +82,7 @@
 			ctx, stop := context.WithCancel(context.Background())
 			defer stop()
 			go func() {
-				for home := true; pause(ctx, 6*time.Second); home = !home {
+				for home := true; clock.Sleep(ctx, 6*time.Second) == nil; home = !home {
 					if home {
 						r.leave("a")
 					} else {
--- a/internal/sched/rig_test.go
+++ b/internal/sched/rig_test.go
@@ -317,18 +317,6 @@
 	return time.Since(start)
 }
 
-// pause reports whether ctx goes on after a time.
-func pause(ctx context.Context, after time.Duration) bool {
-	timer := time.NewTimer(after)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // runs reports whether a placed task runs on its worker.
 func (r *rig) runs(p jobs.Placement) bool {
 	return slices.ContainsFunc(r.workers[p.Worker].Runs(), func(run fakewk.Run) bool {
