node: stored jobs and cancellations are announced to the leader

Cause: while the store drops its history, watches report nothing for a second and are cut afterwards. Ruled out: the planning pass and the room, which was free. Change: the instance that has stored a change passes it to the leader, batched and without waiting; the watch stays as the source for everything that is not delivered. Late announcements (of removed jobs, or of earlier terms) are ignored.

--- a/internal/chief/jobs.go
+++ b/internal/chief/jobs.go
@@ -58,7 +58,7 @@
 
 func (c *Scheduler) addJob(spec *work.Job, created kv.Revision) {
 	j := &job{
-		spec: spec, state: work.StateQueued, durableState: work.StateQueued, knownAt: c.Now(),
+		spec: spec, created: created, state: work.StateQueued, durableState: work.StateQueued, knownAt: c.Now(),
 		inherited: created < kv.Revision(c.Term.Token),
 	}
 	for occurrence := range spec.Occurrences() {
--- a/internal/chief/persist.go
+++ b/internal/chief/persist.go
@@ -190,6 +190,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, id := range ids {
+		c.lastForgotten = max(c.lastForgotten, c.jobs[id].created)
 		delete(c.jobs, id)
 		delete(c.cancelRequested, id)
 		delete(c.durableStates, id)
--- a/internal/chief/scheduler.go
+++ b/internal/chief/scheduler.go
@@ -67,6 +67,7 @@
 	roster            roster
 	unclaimedProgress map[model.JobID]storedProgress // records whose job is not loaded yet
 	cancelRequested   map[model.JobID]bool
+	lastForgotten     kv.Revision   // highest revision at which a job was created that is removed by now
 	writeInFlight     bool          // of job records
 	nextWriteAt       clock.Instant // earliest next write of progress
 	jobsLoaded        bool
--- a/internal/chief/state.go
+++ b/internal/chief/state.go
@@ -95,9 +95,10 @@
 // job is the state of a job in memory.
 type job struct {
 	spec         *work.Job
-	stages       [][]*stage // by occurrence and step
-	unfinished   int        // stages that are not complete
-	started      bool       // a task has started
+	created      kv.Revision // of the job's record
+	stages       [][]*stage  // by occurrence and step
+	unfinished   int         // stages that are not complete
+	started      bool        // a task has started
 	cancelled    bool
 	state        work.State // as decided
 	durableState work.State // as stored
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -71,6 +71,12 @@
 	Cancel model.JobID `cbor:"2,keyasint,omitempty"`
 }
 
+// Announcement is a change that is durable, and the revision at which it was stored.
+type Announcement struct {
+	Change   Change      `cbor:"1,keyasint"`
+	Revision kv.Revision `cbor:"2,keyasint"`
+}
+
 // Service handles the job calls of one instance. Fields are set before use; the methods may be used concurrently.
 type Service struct {
 	Store *kv.Store
@@ -79,6 +85,9 @@
 	Now   func() time.Time // wall-clock time
 	// Relay makes one attempt to apply a change through another instance; nil for none. Its errors are those of Apply.
 	Relay func(ctx context.Context, change Change) error
+	// Announce is called with each change that this instance has stored, so that the instance that schedules need not wait for its
+	// watch; nil for none. It must not block.
+	Announce func(Announcement)
 
 	mu            sync.Mutex // guards the fields below
 	finalStates   map[model.JobID]work.State
@@ -200,10 +209,19 @@
 		return &RefusedError{Cause: err, RetryAfter: retryAfter}
 	}
 	key := work.JobKey(job.ID)
-	_, err = s.Store.Txn(ctx, kv.Txn{Expect: []kv.Expect{{Key: key}}, Writes: []kv.Write{{Key: key, Value: value}}})
+	revision, err := s.Store.Txn(ctx, kv.Txn{Expect: []kv.Expect{{Key: key}}, Writes: []kv.Write{{Key: key, Value: value}}})
+	if err == nil {
+		s.announce(Announcement{Change: Change{Submit: job}, Revision: revision})
+	}
 	return createResult(err)
 }
 
+func (s *Service) announce(announcement Announcement) {
+	if s.Announce != nil {
+		s.Announce(announcement)
+	}
+}
+
 func (s *Service) markCancelled(ctx context.Context, id model.JobID) error {
 	item, found, err := s.Store.Get(ctx, work.JobKey(id))
 	if err != nil {
@@ -213,10 +231,13 @@
 		return &UnknownJobError{ID: id}
 	}
 	cancelKey := work.CancelKey(id)
-	_, err = s.Store.Txn(ctx, kv.Txn{
+	revision, err := s.Store.Txn(ctx, kv.Txn{
 		Expect: []kv.Expect{{Key: item.Key, Revision: item.Revision}, {Key: cancelKey}},
 		Writes: []kv.Write{{Key: cancelKey}},
 	})
+	if err == nil {
+		s.announce(Announcement{Change: Change{Cancel: id}, Revision: revision})
+	}
 	return createResult(err)
 }
 
--- a/internal/node/meters.go
+++ b/internal/node/meters.go
@@ -17,6 +17,7 @@
 	calls   *prometheus.HistogramVec
 	answers *prometheus.CounterVec
 	orders  *prometheus.CounterVec
+	changes *prometheus.CounterVec
 	ends    *prometheus.CounterVec
 	plans   *prometheus.HistogramVec
 	waits   *prometheus.HistogramVec
@@ -30,6 +31,7 @@
 		calls:   set.Histogram("call_seconds", "Time of callers' calls.", latency, "call"),
 		answers: set.Counter("call_answers_total", "Answers to callers.", "call", "status"),
 		orders:  set.Counter("worker_orders_total", "Orders to workers and looks at them.", "kind", "result"),
+		changes: set.Counter("announcements_total", "Stored changes announced to the leader.", "result"),
 		ends:    set.Counter("run_ends_total", "Runs that are over.", "how"),
 		plans:   set.Histogram("plan_seconds", "Time of a planning pass.", []float64{0.0001, 0.0005, 0.001, 0.005, 0.02, 0.1}),
 		waits:   set.Histogram("job_wait_seconds", "Time from a job's arrival to its first start.", latency, "queue"),
@@ -45,6 +47,10 @@
 	m.answers.WithLabelValues(call, strconv.Itoa(status)).Inc()
 }
 
+func (m *meters) announced(result string, announcements int) {
+	m.changes.WithLabelValues(result).Add(float64(announcements))
+}
+
 // observer returns the callbacks through which the scheduler reports its measurements.
 func (m *meters) observer() chief.Observer {
 	return chief.Observer{
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -43,6 +43,7 @@
 	advise      chief.Adviser
 	elector     *elect.Elector
 	jobIntake   *intake.Service
+	announcer   *announcer
 	peerCaller  *wire.Caller
 	meters      *meters
 	chief       atomic.Pointer[chief.Scheduler] // nil while this instance does not schedule
@@ -67,7 +68,11 @@
 		Now: clock.Boot, Lead: n.lead, Yield: n.yieldLeadership,
 		Served: func() clock.Instant { return clock.Instant(n.served.Load()) },
 	}
-	n.jobIntake = &intake.Service{Store: store, Owner: n.owner(), Log: log, Now: time.Now, Relay: n.relayChange}
+	n.announcer = newAnnouncer()
+	n.announcer.Send, n.announcer.Count, n.announcer.Log = n.announceToLeader, n.meters.announced, log
+	n.jobIntake = &intake.Service{
+		Store: store, Owner: n.owner(), Log: log, Now: time.Now, Relay: n.relayChange, Announce: n.announcer.Add,
+	}
 	return n, func() {
 		closeStore()
 		closeWorkers()
@@ -100,6 +105,7 @@
 	configFollower := &kv.Follower{Store: n.store, Prefix: platform.OperatorKeyPrefix, Log: n.Log, OnReset: n.config.reset, OnEvents: n.config.events}
 	group.Go(func() error { return configFollower.Run(runCtx) })
 	group.Go(func() error { return n.elector.Run(runCtx) })
+	group.Go(func() error { return n.announcer.Run(runCtx) })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -98,6 +98,7 @@
 		err := n.jobIntake.Apply(ctx, *change)
 		return toChangeAnswer(err), nil
 	})
+	wire.Handle(mux, procAnnounce, n.handleAnnounce)
 	wire.Handle(mux, procYield, func(ctx context.Context, q *yieldQuery) (*yieldAnswer, error) {
 		if err := n.elector.RemoveLeader(ctx, q.Token); err != nil {
 			return nil, err
