chief: runs on a draining worker that would be lost are stopped in time

Cause: when workers are taken away at short notice (scale_in spot), their runs went on until the worker was gone. Ruled out: to end such runs when the registry entry is gone or the worker refuses connections; a worker that is cut off looks the same and runs on. Change: a draining worker reports the time that it stays at least. A run that will not end in that time by its own rate is stopped at once, with its gang; one that checkpoints goes on until just before.

--- a/internal/chief/env_test.go
+++ b/internal/chief/env_test.go
@@ -145,6 +145,7 @@
 			Limits: chief.Limits{
 				MaxLease: 6 * time.Second, StatusRetention: 120 * time.Second, ReclaimBound: reclaimBound, RemoteSlowdown: 3,
 				CheckpointInterval: time.Second, RestoreTime: 250 * time.Millisecond,
+				StopTimeout: 200 * time.Millisecond,
 			},
 			Config: func() *work.Config { return e.config }, OutOfService: func(model.DataCentreID) bool { return false },
 			TermValid: func() bool { return !i.unproved.Load() && i.elector.TermValid(term) }, EndTerm: func() { i.elector.EndTerm(term) },
--- a/internal/chief/scheduler.go
+++ b/internal/chief/scheduler.go
@@ -32,6 +32,7 @@
 	RemoteSlowdown     float64       // slowdown factor of tasks that run outside the rack of their data
 	CheckpointInterval time.Duration // most work between two checkpoints
 	RestoreTime        time.Duration // time to resume from a checkpoint
+	StopTimeout        time.Duration // within which a stopped run ends
 }
 
 // Scheduler schedules for one term. Exported fields are set before Run; State and Pending may be called from any goroutine.
--- a/internal/chief/state.go
+++ b/internal/chief/state.go
@@ -129,6 +129,7 @@
 	nextPaceAt       clock.Instant    // earliest next change of pace
 	missedCalls      int              // consecutive calls without an answer
 	quarantinedUntil clock.Instant    // no starts before
+	leavesAt         clock.Instant    // earliest end of a draining worker; 0 while it does not drain
 	handledEnd       work.EndNumber   // last end that was handled
 	durableEnd       work.EndNumber   // last end that is stored
 	ackedEnd         work.EndNumber   // last acknowledgment that the worker has received
--- a/internal/chief/workers.go
+++ b/internal/chief/workers.go
@@ -84,6 +84,10 @@
 		w.born = info.Born
 	}
 	w.info, w.registered = info, true
+	if info.Draining {
+		w.noteDrain(c.Now())
+		c.stopRunsBeforeLeave(w, c.Now())
+	}
 	if !w.polled {
 		c.pollIfDue(w)
 	}
@@ -96,7 +100,7 @@
 	c.Log.Info().Str("worker", string(w.info.ID)).Int64("born", born).Int("runs", len(w.runs)).Msg("chief: worker started again")
 	w.born = born
 	w.handledEnd, w.durableEnd, w.ackedEnd, w.unackableEnd = 0, 0, 0, 0
-	w.clock, w.clockReadAt, w.leaseUntil = 0, 0, 0
+	w.clock, w.clockReadAt, w.leaseUntil, w.leavesAt = 0, 0, 0, 0
 	w.knownSince, w.nextPollAt = c.Now(), 0
 	c.pollIfDue(w)
 	c.dirty = true
@@ -182,6 +186,7 @@
 		c.saveRoster()
 		return
 	}
+	c.stopRunsBeforeLeave(w, now)
 	c.stopStuckRuns(w, now)
 	c.pollIfDue(w)
 }
