--- a/internal/elect/elect.go
+++ b/internal/elect/elect.go
@@ -71,7 +71,7 @@
 	Served func() clock.Instant
 
 	mu          sync.Mutex    // guards the fields below, except where a field says otherwise
-	yieldFailed bool          // Yield has failed since the last renewal; only the goroutine of keepLease uses it
+	yieldFailed bool          // Yield has failed since the store last answered; only the goroutine of watchService uses it
 	lastRenewed clock.Instant // when the lease was last granted or renewed, or the term began
 	lease       kv.LeaseID    // 0 while there is none
 	validUntil  clock.Instant // end of the time for which the lease is proved to hold
@@ -91,6 +91,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return follower.Run(ctx) })
 	group.Go(func() error { return e.keepLease(ctx) })
+	group.Go(func() error { return e.watchService(ctx) })
 	group.Go(func() error { return e.campaign(ctx) })
 	return group.Wait()
 }
@@ -229,7 +230,6 @@
 		wait := renewInterval
 		if err := e.renewLease(ctx); err != nil {
 			e.Log.Debug().Err(err).Msg("elect: lease not renewed")
-			e.yieldIfUnserved(ctx)
 			wait = renewRetryDelay
 		}
 		if err := clock.Sleep(ctx, wait); err != nil {
@@ -241,16 +241,19 @@
 
 // renewLease renews the lease, or obtains one if there is none, and writes the registration if the current lease lacks it.
 func (e *Elector) renewLease(ctx context.Context) error {
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	e.mu.Lock()
 	lease, registered := e.lease, e.registered
 	e.mu.Unlock()
-	sentAt := e.Now()
 	if lease == 0 {
-		return e.grantLease(callCtx, sentAt)
-	}
-	ttl, err := e.Store.Renew(callCtx, lease)
+		return e.grantLease(ctx)
+	}
+	renewal, err := kv.Hedged(ctx, func(ctx context.Context) (renewal, error) {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		sentAt := e.Now()
+		ttl, err := e.Store.Renew(ctx, lease)
+		return renewal{sentAt, ttl}, err
+	})
 	var noLease *kv.NoLeaseError
 	if errors.As(err, &noLease) {
 		e.mu.Lock()
@@ -262,14 +265,19 @@
 	if err != nil {
 		return err
 	}
-	e.extendValidity(sentAt, ttl)
-	e.yieldFailed = false
+	e.extendValidity(renewal.sentAt, renewal.ttl)
 	if !registered {
-		return e.registerSelf(callCtx)
+		return e.registerSelf(ctx)
 	}
 	return nil
 }
 
+// renewal is an answered renewal of the lease.
+type renewal struct {
+	sentAt clock.Instant
+	ttl    time.Duration // from no earlier than sentAt
+}
+
 // extendValidity extends the time for which the lease is proved to hold. It counts from sentAt, the time before the call, because the
 // store started the TTL no earlier.
 func (e *Elector) extendValidity(sentAt clock.Instant, ttl time.Duration) {
@@ -279,17 +287,31 @@
 	e.lastRenewed = e.Now()
 }
 
-// yieldIfUnserved yields the leadership when the store no longer serves this instance but may serve others.
-func (e *Elector) yieldIfUnserved(ctx context.Context) {
+// watchService yields the leadership when the store no longer serves this instance but may serve others, until ctx ends. Renewals
+// go on meanwhile.
+func (e *Elector) watchService(ctx context.Context) error {
+	for clock.Sleep(ctx, renewRetryDelay) == nil {
+		e.yieldIfUnserved(ctx)
+	}
+	return ctx.Err()
+}
+
+// unservedFor returns the current term, if any, and for how long the store has not answered this instance.
+func (e *Elector) unservedFor() (*Term, time.Duration) {
 	e.mu.Lock()
-	term, lastServed := e.term, e.lastRenewed
-	e.mu.Unlock()
+	defer e.mu.Unlock()
+	lastServed := e.lastRenewed
 	if e.Served != nil {
 		// Lost answers to renewals alone do not mean that the store fails to serve this instance.
 		lastServed = max(lastServed, e.Served())
 	}
-	unserved := e.Now().Sub(lastServed)
+	return e.term, e.Now().Sub(lastServed)
+}
+
+func (e *Elector) yieldIfUnserved(ctx context.Context) {
+	term, unserved := e.unservedFor()
 	if term == nil || e.Yield == nil || unserved < yieldAfter {
+		e.yieldFailed = false
 		return
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -320,8 +342,11 @@
 	return err
 }
 
-func (e *Elector) grantLease(ctx context.Context, sentAt clock.Instant) error {
-	lease, ttl, err := e.Store.Grant(ctx, leaseTTL)
+func (e *Elector) grantLease(ctx context.Context) error {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	sentAt := e.Now()
+	lease, ttl, err := e.Store.Grant(callCtx, leaseTTL)
 	if err != nil {
 		return err
 	}
@@ -337,6 +362,8 @@
 	if err != nil {
 		return err
 	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	write := kv.Write{Key: nodePrefix + string(e.Self.ID), Value: value, Lease: e.lease}
 	if _, err := e.Store.Txn(ctx, kv.Txn{Writes: []kv.Write{write}}); err != nil {
 		return err
--- a/internal/kv/follow.go
+++ b/internal/kv/follow.go
@@ -14,7 +14,9 @@
 const (
 	// watchWait bounds how late a gap in the history is noticed: a watch does not report a change whose history is dropped
 	// meanwhile, but the next watch fails.
-	watchWait     = time.Second
+	watchWait = time.Second
+	// probeWait replaces it after a watch without an answer.
+	probeWait     = 50 * time.Millisecond
 	rangeTimeout  = 2 * time.Second
 	minRetryDelay = 80 * time.Millisecond
 	maxRetryDelay = 500 * time.Millisecond
@@ -75,7 +77,7 @@
 		f.OnReset(items)
 		return nil
 	}
-	changes, err := f.Store.Watch(ctx, f.Prefix, *lastRevision, watchWait)
+	changes, err := f.watch(ctx, *lastRevision)
 	if err != nil {
 		return err
 	}
@@ -86,6 +88,14 @@
 	return nil
 }
 
+// watch waits once for changes. While the store does not answer, watches are short, so that its return is noticed soon.
+func (f *Follower) watch(ctx context.Context, after Revision) (Changes, error) {
+	if !f.failing {
+		return f.Store.Watch(ctx, f.Prefix, after, watchWait)
+	}
+	return Hedged(ctx, func(ctx context.Context) (Changes, error) { return f.Store.Watch(ctx, f.Prefix, after, probeWait) })
+}
+
 // logTransition logs the first failure of a series and its end.
 func (f *Follower) logTransition(err error) {
 	failing := err != nil
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -50,11 +50,12 @@
 	closing     atomic.Bool                     // set when the stop has begun
 	relayOffset atomic.Uint32                   // rotates the peers that relayPeers returns
 	served      atomic.Int64                    // clock.Instant of the store's last answer
+	now         func() clock.Instant
 }
 
 // New returns an instance, and a function that closes its idle connections.
 func New(settings *platform.Settings, log zerolog.Logger) (*Node, func()) {
-	n := &Node{Settings: settings, Log: log, config: &OperatorConfig{Log: log}, meters: newMeters()}
+	n := &Node{Settings: settings, Log: log, config: &OperatorConfig{Log: log}, meters: newMeters(), now: clock.Boot}
 	storeClient, closeStore := platform.NewClient(platform.IdleStoreConns)
 	workerClient, closeWorkers := platform.NewClient(platform.IdleWorkerConns)
 	peerClient, closePeers := platform.NewClient(peerConns)
@@ -65,7 +66,7 @@
 	n.store, n.workers, n.peerCaller = store, platform.NewWorkerClient(workerClient), &wire.Caller{HTTP: peerClient}
 	n.elector = &elect.Elector{
 		Store: store, Self: elect.Node{ID: settings.Node, Address: settings.Peers, Share: settings.CPUShare}, Log: log,
-		Now: clock.Boot, Lead: n.lead, Yield: n.yieldLeadership,
+		Now: n.now, Lead: n.lead, Yield: n.yieldLeadership,
 		Served: func() clock.Instant { return clock.Instant(n.served.Load()) },
 	}
 	n.announcer = newAnnouncer()
@@ -85,7 +86,7 @@
 func (n *Node) storeCalled(op, result string, served bool) {
 	n.meters.storeCall(op, result)
 	if served {
-		n.served.Store(int64(clock.Boot()))
+		n.served.Store(int64(n.now()))
 	}
 }
 
@@ -145,7 +146,7 @@
 // lead runs the scheduler for one term.
 func (n *Node) lead(ctx context.Context, term elect.Term) error {
 	scheduler := &chief.Scheduler{
-		Store: n.store, Workers: n.workers, Term: term, Log: n.Log, Now: clock.Boot, WallClock: time.Now,
+		Store: n.store, Workers: n.workers, Term: term, Log: n.Log, Now: n.now, WallClock: time.Now,
 		Limits: n.Settings.Limits,
 		Config: n.config.Config, OutOfService: n.config.OutOfService,
 		TermValid: func() bool { return n.elector.TermValid(term) }, EndTerm: func() { n.elector.EndTerm(term) },
--- a/internal/node/peers_internal_test.go
+++ b/internal/node/peers_internal_test.go
@@ -15,6 +15,7 @@
 	"peridotgw.example/peridotgw/internal/clock"
 	"peridotgw.example/peridotgw/internal/elect"
 	"peridotgw.example/peridotgw/internal/intake"
+	"peridotgw.example/peridotgw/internal/kv"
 	"peridotgw.example/peridotgw/internal/memnet"
 	"peridotgw.example/peridotgw/internal/wire"
 	"peridotgw.example/peridotgw/internal/work"
@@ -29,13 +30,14 @@
 // jobs.
 func startTestNode(ctx context.Context, net *memnet.Net, name string, share float64) *Node {
 	startedAt := time.Now()
+	now := func() clock.Instant { return clock.Instant(time.Since(startedAt) + time.Hour) }
 	address := name + ":7000"
-	n := &Node{Settings: &platform.Settings{Node: model.InstanceID(name), Peers: address}, Log: zerolog.Nop(), config: &OperatorConfig{}, meters: newMeters()}
+	n := &Node{Settings: &platform.Settings{Node: model.InstanceID(name), Peers: address}, Log: zerolog.Nop(), config: &OperatorConfig{}, meters: newMeters(), now: now}
 	n.peerCaller = &wire.Caller{HTTP: net.Client(memnet.Host(name))}
 	n.store = platform.NewStore(net.Client(memnet.Host(name)), testStore, n.storeCalled)
 	n.elector = &elect.Elector{
 		Store: n.store, Self: elect.Node{ID: model.InstanceID(name), Address: address, Share: share}, Log: zerolog.Nop(),
-		Now: func() clock.Instant { return clock.Instant(time.Since(startedAt) + time.Hour) },
+		Now: n.now, Yield: n.yieldLeadership, Served: func() clock.Instant { return clock.Instant(n.served.Load()) },
 		Lead: func(ctx context.Context, _ elect.Term) error {
 			n.chief.Store(&chief.Scheduler{})
 			defer n.chief.Store(nil)
@@ -101,3 +103,44 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against a leader that gives up its term because of an outage of the store for all instances: its request to end the term
+// was executed once the store was back.
+func TestOutageForAllEndsNoTerm(t *testing.T) {
+	for outage := time.Second; outage <= 4*time.Second; outage += 100 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			ctx, cancel := context.WithCancel(t.Context())
+			net := memnet.New()
+			net.SetHandler(testStore, fakepl.NewStore())
+			var nodes []*Node
+			for _, name := range []string{"first", "second", "third"} {
+				n := startTestNode(ctx, net, name, 1)
+				grant := n.store.Grant
+				n.store.Grant = func(ctx context.Context, _ time.Duration) (kv.LeaseID, time.Duration, error) {
+					return grant(ctx, time.Minute) // As in a store whose leases pause while it is down.
+				}
+				nodes = append(nodes, n)
+			}
+			time.Sleep(3 * time.Second)
+			leader, found := nodes[0].elector.Leader()
+			g.Expect(found).To(BeTrue())
+			for _, n := range nodes {
+				net.SetFault(memnet.Host(n.Settings.Node), testStore, memnet.Fault{DropRequests: true, DropAnswers: true})
+			}
+			time.Sleep(outage)
+			for _, n := range nodes {
+				net.SetFault(memnet.Host(n.Settings.Node), testStore, memnet.Fault{})
+			}
+			time.Sleep(2 * time.Second)
+			for _, n := range nodes {
+				now, found := n.elector.Leader()
+				g.Expect(found).To(BeTrue())
+				g.Expect(now).To(Equal(leader))
+				g.Expect(n.chief.Load() != nil).To(Equal(n.Settings.Node == leader.ID))
+			}
+			cancel()
+			synctest.Wait()
+		})
+	}
+}
