node: only an instance that the store serves steadily ends another's term

Change: an instance ends another's term only after the store has served it without a gap for a second. The spec lets the leader be served last and failed without the check.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -39,6 +39,7 @@
 
 	config      *OperatorConfig
 	store       *kv.Store
+	service     storeService
 	workers     *agent.Calls
 	advise      chief.Adviser
 	elector     *elect.Elector
@@ -49,7 +50,6 @@
 	chief       atomic.Pointer[chief.Scheduler] // nil while this instance does not schedule
 	closing     atomic.Bool                     // set when the stop has begun
 	relayOffset atomic.Uint32                   // rotates the peers that relayPeers returns
-	served      atomic.Int64                    // clock.Instant of the store's last answer
 	now         func() clock.Instant
 }
 
@@ -67,7 +67,7 @@
 	n.elector = &elect.Elector{
 		Store: store, Self: elect.Node{ID: settings.Node, Address: settings.Peers, Share: settings.CPUShare}, Log: log,
 		Now: n.now, Lead: n.lead, Yield: n.yieldLeadership,
-		Served: func() clock.Instant { return clock.Instant(n.served.Load()) },
+		Served: n.service.lastServed,
 	}
 	n.announcer = newAnnouncer()
 	n.announcer.Send, n.announcer.Count, n.announcer.Log = n.announceToLeader, n.meters.announced, log
@@ -82,11 +82,11 @@
 	}
 }
 
-// storeCalled counts a call to the store and records when the store last served this instance.
+// storeCalled counts a call to the store and records whether the store served this instance.
 func (n *Node) storeCalled(op, result string, served bool) {
 	n.meters.storeCall(op, result)
 	if served {
-		n.served.Store(int64(n.now()))
+		n.service.record(n.now())
 	}
 }
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -8,7 +8,6 @@
 
 	"github.com/rotisserie/eris"
 
-	"peridotgw.example/peridotgw/internal/clock"
 	"peridotgw.example/peridotgw/internal/elect"
 	"peridotgw.example/peridotgw/internal/intake"
 	"peridotgw.example/peridotgw/internal/wire"
@@ -28,16 +27,13 @@
 	relayRetryAfter = time.Second
 	relayPeers      = 2 // peers that one attempt relays a change to
 	relayTimeout    = 800 * time.Millisecond
-	// recentlyServed is the age up to which an answer of the store shows that it serves this instance. A call to a store that is
-	// silent for all may be executed on its return, when the term that it ends is in order again.
-	recentlyServed = time.Second
 )
 
 var (
-	errNoOwner  = errors.New("no instance schedules")                  //nolint:gochecknoglobals // a constant error
-	errNotOwner = errors.New("the instance does not schedule")         //nolint:gochecknoglobals // a constant error
-	errUnserved = errors.New("the store does not serve this instance") //nolint:gochecknoglobals // a constant error
-	errNoPeer   = errors.New("no other instance is known")             //nolint:gochecknoglobals // a constant error
+	errNoOwner  = errors.New("no instance schedules")                           //nolint:gochecknoglobals // a constant error
+	errNotOwner = errors.New("the instance does not schedule")                  //nolint:gochecknoglobals // a constant error
+	errUnserved = errors.New("the store does not serve this instance steadily") //nolint:gochecknoglobals // a constant error
+	errNoPeer   = errors.New("no other instance is known")                      //nolint:gochecknoglobals // a constant error
 )
 
 type stateQuery struct {
@@ -105,7 +101,7 @@
 	})
 	wire.Handle(mux, procAnnounce, n.handleAnnounce)
 	wire.Handle(mux, procYield, func(ctx context.Context, q *yieldQuery) (*yieldAnswer, error) {
-		if n.now().Sub(clock.Instant(n.served.Load())) > recentlyServed {
+		if !n.service.steady(n.now()) {
 			return nil, errUnserved
 		}
 		if err := n.elector.RemoveLeader(ctx, q.Token); err != nil {
--- a/internal/node/peers_internal_test.go
+++ b/internal/node/peers_internal_test.go
@@ -37,7 +37,7 @@
 	n.store = platform.NewStore(net.Client(memnet.Host(name)), testStore, n.storeCalled)
 	n.elector = &elect.Elector{
 		Store: n.store, Self: elect.Node{ID: model.InstanceID(name), Address: address, Share: share}, Log: zerolog.Nop(),
-		Now: n.now, Yield: n.yieldLeadership, Served: func() clock.Instant { return clock.Instant(n.served.Load()) },
+		Now: n.now, Yield: n.yieldLeadership, Served: n.service.lastServed,
 		Lead: func(ctx context.Context, _ elect.Term) error {
 			n.chief.Store(&chief.Scheduler{})
 			defer n.chief.Store(nil)
@@ -129,8 +129,10 @@
 				net.SetFault(memnet.Host(n.Settings.Node), testStore, memnet.Fault{DropRequests: true, DropAnswers: true})
 			}
 			time.Sleep(outage)
-			for _, n := range nodes {
-				net.SetFault(memnet.Host(n.Settings.Node), testStore, memnet.Fault{})
+			for i, n := range nodes { // The leader is among the first: the store serves it last.
+				time.AfterFunc(time.Duration(len(nodes)-i)*100*time.Millisecond, func() {
+					net.SetFault(memnet.Host(n.Settings.Node), testStore, memnet.Fault{})
+				})
 			}
 			time.Sleep(2 * time.Second)
 			for _, n := range nodes {
