chief: placements are stored ahead, so that a new leader waits only for the workers of a job

Ruled out: shorter leases alone, running work would not outlast an outage of 4.5 s; a missing registry entry or a refused connection as proof of an end, a worker that is cut off looks the same. Change: the workers that may have runs of a job are stored, in batches of up to 15 jobs, before the first order goes to each. A new leader waits, job by job, only for workers of that job that it has not seen. Jobs older than the first placement wait as before. A repeated write that finds its own values counts as done. TestFailuresCountInAnyOrder refused all transactions so that no end is stored; it refuses those that write progress now, which is what it asks for.

--- a/internal/chief/jobs.go
+++ b/internal/chief/jobs.go
@@ -61,6 +61,7 @@
 		spec: spec, created: created, state: work.StateQueued, durableState: work.StateQueued, knownAt: c.Now(),
 		inherited: created < kv.Revision(c.Term.Token),
 	}
+	j.placement = c.claimPlacement(spec.ID, created)
 	for occurrence := range spec.Occurrences() {
 		var stages []*stage
 		for i := range spec.Steps {
@@ -364,7 +365,7 @@
 
 const (
 	finishedRetention = 30 * time.Second // beyond Limits.StatusRetention
-	maxRemovedJobs    = 10               // in one transaction: each job has three keys, which must fit in kv.MaxTxnEntries
+	maxRemovedJobs    = 7                // in one transaction: each job has four keys, which must fit in kv.MaxTxnEntries
 )
 
 // removeExpiredJobs deletes finished jobs whose state can no longer be queried.
--- a/internal/chief/orders.go
+++ b/internal/chief/orders.go
@@ -45,7 +45,7 @@
 	return last + 1
 }
 
-// startRun creates a run of a task on a worker and sends the order.
+// startRun creates a run of a task on a worker; its order is sent once its placement is stored.
 func (c *Scheduler) startRun(t *task, w *worker, number work.RunNumber, g *gang) {
 	now := c.Now()
 	s := t.stage
@@ -60,13 +60,20 @@
 	w.runs[r.key] = r
 	w.used = w.used.Add(r.resources)
 	s.runsOn[w]++
-	order := agent.StartOrder{
-		Task: r.key.task, Run: number, Payload: s.job.spec.Payload, Until: c.lease(w, now), Token: c.Term.Token,
-		Saved: t.checkpoint, Ticket: s.advice.tickets[w.info.ID],
-	}
 	c.Log.Info().Str("task", r.key.task.String()).Int64("run", int64(number)).Str("worker", string(w.info.ID)).
 		Str("rack", string(w.info.Rack())).Bool("gang", g != nil).Str("saved", string(t.checkpoint)).
 		Dur("waited", now.Sub(s.waitingSince)).Uint64("config", c.configVersion()).Msg("chief: run ordered")
+	c.orderWhenPlaced(r)
+}
+
+// sendOrder sends the start order of a run.
+func (c *Scheduler) sendOrder(r *run) {
+	s, w := r.task.stage, r.worker
+	r.ordered = true
+	order := agent.StartOrder{
+		Task: r.key.task, Run: r.key.number, Payload: s.job.spec.Payload, Until: c.lease(w, c.Now()), Token: c.Term.Token,
+		Saved: r.checkpoint, Ticket: s.advice.tickets[w.info.ID],
+	}
 	target := agent.Target{ID: w.info.ID, Address: w.info.Address}
 	go func() {
 		reading, doubtful, err := c.sendStart(target, order)
@@ -198,7 +205,12 @@
 
 // stopRun orders a run to stop. Its resources stay in use until its end is certain.
 func (c *Scheduler) stopRun(r *run, reason string) {
-	if _, present := r.worker.runs[r.key]; !present || r.phase == stopping {
+	if !r.present() || r.phase == stopping {
+		return
+	}
+	if !r.ordered {
+		r.reason = reason
+		c.endRun(r, work.EndedStopped, "")
 		return
 	}
 	r.phase, r.reason, r.ackedAt = stopping, reason, 0
--- a/internal/chief/persist.go
+++ b/internal/chief/persist.go
@@ -169,7 +169,7 @@
 func (c *Scheduler) removeJobs(ids []model.JobID) {
 	txn := kv.Txn{Expect: []kv.Expect{c.Term.Proof}}
 	for _, id := range ids {
-		txn.Remove = append(txn.Remove, work.JobKey(id), work.ProgressKey(id), work.CancelKey(id))
+		txn.Remove = append(txn.Remove, work.JobKey(id), work.ProgressKey(id), work.PlacementKey(id), work.CancelKey(id))
 	}
 	c.writeInFlight = true
 	go func() {
--- /dev/null
+++ b/internal/chief/placement.go
@@ -0,0 +1,244 @@
+package chief
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"peridotgw.example/peridotgw/internal/kv"
+	"peridotgw.example/peridotgw/internal/work"
+	"peridotgw.example/peridotgw/model"
+)
+
+// The workers that may have runs of a job are stored before the first order goes to each of them. A new leader then waits only for
+// the workers of a job, instead of all workers that it does not reach, before it starts the job's tasks.
+
+const (
+	// placementsKey exists once leaders store placements. Jobs created earlier may have runs that no record names.
+	placementsKey        = "system-placements"
+	placementTimeout     = 700 * time.Millisecond
+	placementRetryPause  = 100 * time.Millisecond
+	maxPlacementsWritten = (kv.MaxTxnEntries - 1) / 2 // each takes a condition and a write, beside the term's condition
+)
+
+// placement is the set of workers that may have runs of a job.
+type placement struct {
+	stored   map[model.WorkerID]bool
+	revision kv.Revision // of the stored record; 0 while there is none
+	unknown  bool        // any worker may have runs
+}
+
+// storedPlacement is the record of a job that is not loaded yet.
+type storedPlacement struct {
+	workers  []model.WorkerID
+	revision kv.Revision
+	invalid  bool
+}
+
+// loadPlacements reads the placements of earlier terms.
+func (c *Scheduler) loadPlacements(ctx context.Context) error {
+	if err := c.loadPlacementsMark(ctx); err != nil {
+		return err
+	}
+	records, _, err := kv.List(ctx, c.Store, work.PlacementPrefix)
+	if err != nil {
+		return err
+	}
+	for _, item := range records {
+		workers, err := work.Decode[[]model.WorkerID](item.Value)
+		if err != nil {
+			c.Log.Error().Err(err).Str("key", item.Key).Msg("chief: placement cannot be decoded; any worker may run the job")
+		}
+		c.unclaimedPlacements[model.JobID(item.Key[len(work.PlacementPrefix):])] = storedPlacement{workers, item.Revision, err != nil}
+	}
+	return nil
+}
+
+// loadPlacementsMark reads since when placements are stored, and begins to store them if no leader has done so.
+func (c *Scheduler) loadPlacementsMark(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, placementTimeout)
+	defer cancel()
+	item, found, err := c.Store.Get(ctx, placementsKey)
+	if err != nil {
+		return err
+	}
+	c.placementsSince = item.Created
+	if found {
+		return nil
+	}
+	c.placementsSince, err = c.Store.Txn(ctx, kv.Txn{
+		Expect: []kv.Expect{c.Term.Proof, {Key: placementsKey}}, Writes: []kv.Write{{Key: placementsKey}},
+	})
+	return err
+}
+
+// claimPlacement returns the placement of a job that becomes known.
+func (c *Scheduler) claimPlacement(id model.JobID, created kv.Revision) placement {
+	p := placement{stored: map[model.WorkerID]bool{}}
+	record, found := c.unclaimedPlacements[id]
+	delete(c.unclaimedPlacements, id)
+	for _, worker := range record.workers {
+		p.stored[worker] = true
+	}
+	p.revision = record.revision
+	p.unknown = record.invalid || !found && created < c.placementsSince
+	return p
+}
+
+// mayHaveRunsOn reports whether one of some workers may have runs of a job.
+func (j *job) mayHaveRunsOn(workers map[model.WorkerID]bool) bool {
+	if !j.inherited || len(workers) == 0 {
+		return false
+	}
+	if j.placement.unknown {
+		return true
+	}
+	for id := range workers {
+		if j.placement.stored[id] {
+			return true
+		}
+	}
+	return false
+}
+
+// orderWhenPlaced sends the order of a new run, once its worker is stored as one that may have runs of the job.
+func (c *Scheduler) orderWhenPlaced(r *run) {
+	if r.task.stage.job.placement.stored[r.worker.info.ID] {
+		c.sendOrder(r)
+		return
+	}
+	c.unplaced = append(c.unplaced, r)
+}
+
+// placementWrite is the new record of one job.
+type placementWrite struct {
+	job     *job
+	workers []model.WorkerID
+	key     string
+	value   []byte
+}
+
+// storePlacements writes the placements of runs that wait for them, the first jobs first.
+func (c *Scheduler) storePlacements() {
+	if c.placementInFlight || len(c.unplaced) == 0 || c.Now() < c.nextPlacementAt || !c.TermValid() {
+		return
+	}
+	writes := c.takePlacements()
+	if len(writes) == 0 {
+		return
+	}
+	txn := kv.Txn{Expect: []kv.Expect{c.Term.Proof}}
+	for _, w := range writes {
+		txn.Expect = append(txn.Expect, kv.Expect{Key: w.key, Revision: w.job.placement.revision})
+		txn.Writes = append(txn.Writes, kv.Write{Key: w.key, Value: w.value})
+	}
+	c.placementInFlight = true
+	go func() {
+		revision, err := c.writePlacements(txn)
+		c.post(func() { c.handlePlacementWrite(writes, revision, err) })
+	}()
+}
+
+// takePlacements returns the records to write, and forgets runs that have ended before they were ordered.
+func (c *Scheduler) takePlacements() []placementWrite {
+	var writes []placementWrite
+	index := map[*job]int{}
+	c.unplaced = slices.DeleteFunc(c.unplaced, func(r *run) bool { return !r.present() })
+	for _, r := range c.unplaced {
+		j := r.task.stage.job
+		i, found := index[j]
+		if !found {
+			if len(writes) == maxPlacementsWritten {
+				break
+			}
+			i = len(writes)
+			index[j] = i
+			w := placementWrite{job: j, key: work.PlacementKey(j.spec.ID)}
+			for id := range j.placement.stored {
+				w.workers = append(w.workers, id)
+			}
+			writes = append(writes, w)
+		}
+		if id := r.worker.info.ID; !slices.Contains(writes[i].workers, id) {
+			writes[i].workers = append(writes[i].workers, id)
+		}
+	}
+	for i := range writes {
+		value, err := work.Encode(writes[i].workers)
+		if err != nil {
+			c.Log.Error().Err(err).Str("job", string(writes[i].job.spec.ID)).Msg("chief: placement not encoded")
+			return nil
+		}
+		writes[i].value = value
+	}
+	return writes
+}
+
+// writePlacements writes records and returns their revision. A repeated write that finds the records as it would write them has
+// taken effect before.
+func (c *Scheduler) writePlacements(txn kv.Txn) (kv.Revision, error) {
+	return kv.Hedged(c.ctx, func(ctx context.Context) (kv.Revision, error) {
+		ctx, cancel := context.WithTimeout(ctx, placementTimeout)
+		defer cancel()
+		revision, err := c.Store.Txn(ctx, txn)
+		var conflict *kv.ConflictError
+		if errors.As(err, &conflict) {
+			if written, ok := writtenBefore(txn, conflict); ok {
+				return written, nil
+			}
+		}
+		return revision, err
+	})
+}
+
+// writtenBefore returns the revision of a transaction's writes if a conflict shows that all have taken effect.
+func writtenBefore(txn kv.Txn, conflict *kv.ConflictError) (kv.Revision, bool) {
+	var revision kv.Revision
+	for _, write := range txn.Writes {
+		item, found := conflict.Item(write.Key)
+		if !found || !bytes.Equal(item.Value, write.Value) {
+			return 0, false
+		}
+		revision = item.Revision
+	}
+	proof, found := conflict.Item(txn.Expect[0].Key)
+	return revision, found && proof.Revision == txn.Expect[0].Revision
+}
+
+// handlePlacementWrite sends the orders of the runs whose workers are stored now.
+func (c *Scheduler) handlePlacementWrite(writes []placementWrite, revision kv.Revision, err error) {
+	c.placementInFlight = false
+	if err != nil {
+		var conflict *kv.ConflictError
+		if errors.As(err, &conflict) {
+			for _, w := range writes {
+				if item, found := conflict.Item(w.key); found {
+					w.job.placement.revision = item.Revision
+				}
+			}
+		}
+		c.nextPlacementAt = c.Now().Add(placementRetryPause)
+		c.postAfter(placementRetryPause, func() {})
+		c.handleWriteError("placement", err)
+		return
+	}
+	for _, w := range writes {
+		w.job.placement.revision = revision
+		for _, id := range w.workers {
+			w.job.placement.stored[id] = true
+		}
+	}
+	var waiting []*run
+	for _, r := range c.unplaced {
+		switch {
+		case !r.present():
+		case r.task.stage.job.placement.stored[r.worker.info.ID]:
+			c.sendOrder(r)
+		default:
+			waiting = append(waiting, r)
+		}
+	}
+	c.unplaced = waiting
+}
--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -26,10 +26,10 @@
 	config      *work.Config
 	workers     []*worker // that may get new runs, by id
 	racks       map[work.Label][]*worker
-	unseenRuns  bool                                    // a worker that was not polled yet may have runs of an earlier term
+	unseenRuns  map[model.WorkerID]bool                 // workers that were not polled yet and may have runs of an earlier term
 	spare       model.Accelerators                      // that work which is not urgent may take
 	urgentNeeds map[model.CustomerID]model.Accelerators // of unfinished urgent jobs, by tenant
-	unseenEnds  bool                                    // a worker that was not polled yet may list ends of an earlier term
+	unseenEnds  map[model.WorkerID]bool                 // workers that were not polled yet and may list ends of an earlier term
 }
 
 // planStarts runs a planning pass: it starts tasks in order of rank and stops the runs that they preempt.
@@ -40,6 +40,7 @@
 	}
 	began := time.Now()
 	pass := &planner{c: c, now: c.Now(), wallClock: c.WallClock(), config: config, racks: map[work.Label][]*worker{}}
+	pass.unseenRuns, pass.unseenEnds = map[model.WorkerID]bool{}, map[model.WorkerID]bool{}
 	pass.listUsableWorkers()
 	pass.sumUrgentNeeds()
 	pass.measureSpare()
@@ -55,8 +56,7 @@
 	for _, w := range p.c.workers {
 		w.available = w.free().Add(w.usedByStopping)
 		if w.roster && !w.polled {
-			p.unseenRuns = p.unseenRuns || !p.c.leasesExpired(w, p.now)
-			p.unseenEnds = p.unseenEnds || w.registered || p.now.Sub(p.c.Term.Since) < unseenEndsLimit
+			p.noteUnseen(w)
 		}
 		if !w.registered || !w.polled || w.info.Draining || w.missedCalls > 0 || p.now < w.quarantinedUntil ||
 			!p.c.inRoster(w) || p.c.OutOfService(w.info.Zone) {
@@ -71,6 +71,16 @@
 	}
 }
 
+// noteUnseen notes what a worker of an earlier term may hold that was not polled yet.
+func (p *planner) noteUnseen(w *worker) {
+	if !p.c.leasesExpired(w, p.now) {
+		p.unseenRuns[w.info.ID] = true
+	}
+	if w.registered || p.now.Sub(p.c.Term.Since) < unseenEndsLimit {
+		p.unseenEnds[w.info.ID] = true
+	}
+}
+
 // rankJobs sorts the live jobs by priority, urgent jobs within their tenant's guarantee before others, jobs that are not late
 // before late ones, and then by deadline.
 func (p *planner) rankJobs() []*job {
@@ -108,7 +118,7 @@
 
 // job plans the stages of a job that are due and whose dependencies are done.
 func (p *planner) job(j *job) {
-	if j.inherited && p.unseenRuns {
+	if j.mayHaveRunsOn(p.unseenRuns) {
 		return
 	}
 	for occurrence, stages := range j.stages {
@@ -174,7 +184,7 @@
 		return false
 	}
 	silent := t.lostOn != nil && t.lostOn.missedCalls > 0 && !t.lostOn.removed
-	return silent || s.job.inherited && p.unseenEnds
+	return silent || s.job.mayHaveRunsOn(p.unseenEnds)
 }
 
 // startTask starts a task if a worker has capacity for it, and reports whether it did.
@@ -283,7 +293,7 @@
 // planGang starts all members of a gang at once, or none.
 func (p *planner) planGang(s *stage) {
 	if g := s.gang; g != nil {
-		if len(g.members) < len(s.tasks) && (!s.job.inherited || !p.unseenRuns) {
+		if len(g.members) < len(s.tasks) && !s.job.mayHaveRunsOn(p.unseenRuns) {
 			// No worker lists the members of an earlier term that were lost with their workers.
 			p.c.stopGang(g, "gang is not complete")
 		}
--- a/internal/chief/preempt.go
+++ b/internal/chief/preempt.go
@@ -162,10 +162,9 @@
 		if r.phase == stopping {
 			continue
 		}
-		before := r.worker.usedByStopping
 		p.delayRestart(r.task)
 		p.c.stopRun(r, reason)
-		r.worker.available = r.worker.available.Add(r.worker.usedByStopping.Sub(before))
+		r.worker.available = r.worker.available.Add(r.resources)
 		if r.gang != nil {
 			p.preemptGang(r.gang, reason)
 		}
--- a/internal/chief/scheduler.go
+++ b/internal/chief/scheduler.go
@@ -65,19 +65,24 @@
 	liveJobs []*job
 	workers  map[model.WorkerID]*worker
 	// roster is the stored list of the workers that may have runs.
-	roster            roster
-	unclaimedProgress map[model.JobID]storedProgress // records whose job is not loaded yet
-	cancelRequested   map[model.JobID]bool
-	lastForgotten     kv.Revision   // highest revision at which a job was created that is removed by now
-	writeInFlight     bool          // of job records
-	nextWriteAt       clock.Instant // earliest next write of progress
-	jobsLoaded        bool
-	dirty             bool // a planning pass is needed
-	adviceInFlight    bool
-	urgentDemand      urgentDemand
-	nextPlanAt        clock.Instant
-	speedsComparedAt  clock.Instant
-	runTimes          map[work.QueueName]*runTimes
+	roster              roster
+	unclaimedProgress   map[model.JobID]storedProgress  // records whose job is not loaded yet
+	unclaimedPlacements map[model.JobID]storedPlacement // records whose job is not loaded yet
+	placementsSince     kv.Revision                     // from which on leaders store placements
+	unplaced            []*run                          // created, but not ordered before their placement is stored
+	placementInFlight   bool                            // a write of placements
+	nextPlacementAt     clock.Instant                   // earliest next write of placements
+	cancelRequested     map[model.JobID]bool
+	lastForgotten       kv.Revision   // highest revision at which a job was created that is removed by now
+	writeInFlight       bool          // of job records
+	nextWriteAt         clock.Instant // earliest next write of progress
+	jobsLoaded          bool
+	dirty               bool // a planning pass is needed
+	adviceInFlight      bool
+	urgentDemand        urgentDemand
+	nextPlanAt          clock.Instant
+	speedsComparedAt    clock.Instant
+	runTimes            map[work.QueueName]*runTimes
 
 	// mu guards the fields below, which other goroutines read.
 	mu            sync.Mutex
@@ -106,6 +111,7 @@
 	c.jobs = map[model.JobID]*job{}
 	c.workers = map[model.WorkerID]*worker{}
 	c.unclaimedProgress = map[model.JobID]storedProgress{}
+	c.unclaimedPlacements = map[model.JobID]storedPlacement{}
 	c.cancelRequested = map[model.JobID]bool{}
 	c.mu.Lock()
 	c.durableStates = map[model.JobID]work.State{}
@@ -168,6 +174,7 @@
 			c.nextPlanAt = c.Now().Add(planPause)
 			c.postAfter(planPause, func() {})
 		}
+		c.storePlacements() //nolint:contextcheck // calls end with the term
 		c.persistProgress() //nolint:contextcheck // calls end with the term
 	}
 }
@@ -212,6 +219,9 @@
 	if err := c.loadRoster(ctx); err != nil {
 		return err
 	}
+	if err := c.loadPlacements(ctx); err != nil {
+		return err
+	}
 	records, _, err := kv.List(ctx, c.Store, work.ProgressPrefix)
 	if err != nil {
 		return err
--- a/internal/chief/scheduler_test.go
+++ b/internal/chief/scheduler_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -441,13 +443,14 @@
 	withTestEnv(t, 2, func(env *testEnv) {
 		env.config.Queue("scan").MaxAttempts = 2
 		env.fleet.Outcome = func(string, int64, string) fakepl.Outcome { return fakepl.Outcome{After: time.Second, How: "failed"} }
-		leader := env.start("a", nil)
+		var refused atomic.Bool
+		leader := env.start("a", refuseWrites(&refused, work.ProgressPrefix))
 		env.await(3*time.Second, "a leads", func() bool { return leader.chief.Load() != nil })
 		env.submit(newJob("00000000000000c8", "scan", 1, 8))
 		env.await(5*time.Second, "the first run is there",
 			func() bool { return len(env.fleet.RunningOn(taskID("00000000000000c8", 0))) == 1 })
 		first := env.fleet.RunningOn(taskID("00000000000000c8", 0))[0]
-		env.store.SetFault(faultOn(fakepl.PathTxn, fakepl.Refused)) // No end is stored.
+		refused.Store(true) // No end is stored.
 		for _, w := range env.workers {
 			if w.ID == first {
 				w.SetFault(faultOn(fakepl.PathStart, fakepl.Refused)) // The second run goes elsewhere.
@@ -455,7 +458,6 @@
 		}
 		env.await(3*time.Second, "the second run is there", func() bool { return env.fleet.StartCount(taskID("00000000000000c8", 0)) == 2 })
 		leader.kill()
-		env.store.SetFault(nil)
 		successor := env.start("b", nil)
 		env.net.SetFault("b", memnet.Host(first+":1"), memnet.Fault{Delay: 300 * time.Millisecond})
 		env.await(8*time.Second, "the job has failed", func() bool { return successor.state("00000000000000c8") == work.StateFailed })
@@ -463,6 +465,21 @@
 	})
 }
 
+// refuseWrites makes an instance's store refuse transactions that write keys with a prefix, while refused is set.
+func refuseWrites(refused *atomic.Bool, prefix string) func(*instance) {
+	return func(i *instance) {
+		execute := i.store.Txn
+		i.store.Txn = func(ctx context.Context, txn kv.Txn) (kv.Revision, error) {
+			for _, write := range txn.Writes {
+				if refused.Load() && strings.HasPrefix(write.Key, prefix) {
+					return 0, &kv.RefusedError{Op: "txn", Status: http.StatusServiceUnavailable}
+				}
+			}
+			return execute(ctx, txn)
+		}
+	}
+}
+
 func faultOn(path string, fault fakepl.Fault) func(string) fakepl.Fault {
 	return func(called string) fakepl.Fault {
 		if called == path {
--- a/internal/chief/state.go
+++ b/internal/chief/state.go
@@ -31,6 +31,7 @@
 	worker    *worker
 	resources work.Resources
 	phase     phase
+	ordered   bool  // a start order has been sent
 	gang      *gang // nil unless it is a member of one
 	createdAt clock.Instant
 	// ackedAt is when the worker acknowledged the last order for the run; 0 while that order is open.
@@ -48,6 +49,9 @@
 	reason         string // why it was stopped or counts as ended
 }
 
+// present reports whether a run has not ended.
+func (r *run) present() bool { return r.worker.runs[r.key] == r }
+
 // gang is one run of all tasks of a gang stage.
 type gang struct {
 	stage   *stage
@@ -96,9 +100,10 @@
 type job struct {
 	spec         *work.Job
 	created      kv.Revision // of the job's record
-	stages       [][]*stage  // by occurrence and step
-	unfinished   int         // stages that are not complete
-	started      bool        // a task has started
+	placement    placement
+	stages       [][]*stage // by occurrence and step
+	unfinished   int        // stages that are not complete
+	started      bool       // a task has started
 	cancelled    bool
 	state        work.State // as decided
 	durableState work.State // as stored
--- a/internal/chief/workers.go
+++ b/internal/chief/workers.go
@@ -342,7 +342,7 @@
 func (c *Scheduler) adoptRun(w *worker, id work.TaskID, number work.RunNumber) *run {
 	t := c.findTask(id)
 	now := c.Now()
-	r := &run{key: runKey{id, number}, task: t, worker: w, phase: running, createdAt: now, ackedAt: now, progressedAt: now, pace: fullPace}
+	r := &run{key: runKey{id, number}, task: t, worker: w, phase: running, ordered: true, createdAt: now, ackedAt: now, progressedAt: now, pace: fullPace}
 	if t != nil {
 		t.lastRun = max(t.lastRun, number)
 		r.resources = t.stage.step.Resources()
--- a/internal/work/keys.go
+++ b/internal/work/keys.go
@@ -8,9 +8,10 @@
 
 // Prefixes of the keys that the scheduler writes to the store.
 const (
-	JobPrefix      = "job/"
-	ProgressPrefix = "progress/"
-	cancelSuffix   = "/cancel"
+	JobPrefix       = "job/"
+	ProgressPrefix  = "progress/"
+	PlacementPrefix = "placement/"
+	cancelSuffix    = "/cancel"
 )
 
 // JobKey returns the key of the Job record.
@@ -22,6 +23,9 @@
 // ProgressKey returns the key of the Progress record of a job.
 func ProgressKey(id model.JobID) string { return ProgressPrefix + string(id) }
 
+// PlacementKey returns the key of the list of workers that may have runs of a job.
+func PlacementKey(id model.JobID) string { return PlacementPrefix + string(id) }
+
 // SplitJobKey returns the job of a key under JobPrefix, and whether it is the job's cancel key.
 func SplitJobKey(key string) (id model.JobID, cancel bool) {
 	id = model.JobID(strings.TrimPrefix(key, JobPrefix))
