chief: idle workers are kept for urgent work, and it stops less of others

Urgent jobs of 8 accelerators a task need whole workers, and the accelerators kept free for them lay on many; jobs beyond their tenant's guarantee stopped up to as much work as they did themselves.

--- a/internal/chief/headroom.go
+++ b/internal/chief/headroom.go
@@ -52,12 +52,34 @@
 		free += max(0, w.available.GPU)
 	}
 	peak := p.c.urgentDemand.record(p.now, urgent)
-	p.spare = free - max(0, peak-urgent)
+	kept := max(0, peak-urgent)
+	p.spare = free - kept
+	p.keepIdleWorkers(kept)
+}
+
+// keepIdleWorkers keeps idle workers for urgent work, up to a number of accelerators: tasks that use a whole worker do not fit into
+// as many accelerators spread over several.
+func (p *planner) keepIdleWorkers(accelerators model.Accelerators) {
+	p.keptIdle = map[*worker]bool{}
+	for _, w := range p.workers {
+		if accelerators <= 0 {
+			return
+		}
+		if w.info.Capacity.GPU > 0 && w.available.GPU == w.info.Capacity.GPU {
+			p.keptIdle[w] = true
+			accelerators -= w.info.Capacity.GPU
+		}
+	}
+}
+
+// yieldsToUrgent reports whether a stage leaves the accelerators that are kept for urgent work.
+func (p *planner) yieldsToUrgent(s *stage) bool {
+	return p.priority(s) != 0 && s.step.Need.GPU > 0 && !s.step.Lasts
 }
 
 // withinSpare reports whether a number of a stage's tasks may start without taking accelerators that are kept for urgent work.
 func (p *planner) withinSpare(s *stage, tasks int) bool {
-	if p.priority(s) == 0 || s.step.Need.GPU == 0 || s.step.Lasts {
+	if !p.yieldsToUrgent(s) {
 		return true
 	}
 	return s.step.Need.GPU*model.Accelerators(tasks) <= p.spare
--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -27,6 +27,7 @@
 	workers     []*worker // that may get new runs, by id
 	racks       map[work.Label][]*worker
 	unseenRuns  map[model.WorkerID]bool                 // workers that were not polled yet and may have runs of an earlier term
+	keptIdle    map[*worker]bool                        // idle workers that work which is not urgent may not take
 	spare       model.Accelerators                      // that work which is not urgent may take
 	urgentNeeds map[model.CustomerID]model.Accelerators // of unfinished urgent jobs, by tenant
 	unseenEnds  map[model.WorkerID]bool                 // workers that were not polled yet and may list ends of an earlier term
@@ -220,6 +221,9 @@
 
 // eligible reports whether a worker may run one more task of a stage, regardless of its free capacity.
 func (p *planner) eligible(s *stage, w *worker) bool {
+	if p.keptIdle[w] && p.yieldsToUrgent(s) {
+		return false
+	}
 	return w.info.Pool == s.job.spec.Pool && w.info.Has(s.step.Label) && (s.step.PerWorker == 0 || s.runsOn[w] < s.step.PerWorker) &&
 		p.hasTicket(s, w)
 }
