--- a/internal/chief/placement.go
+++ b/internal/chief/placement.go
@@ -21,6 +21,7 @@
 	placementTimeout     = 700 * time.Millisecond
 	placementRetryPause  = 100 * time.Millisecond
 	maxPlacementsWritten = (kv.MaxTxnEntries - 1) / 2 // each takes a condition and a write, beside the term's condition
+	maxPlacementTxns     = 4                          // transactions in flight: a slow store delays each of them
 )
 
 // placement is the set of workers that may have runs of a job.
@@ -28,6 +29,7 @@
 	stored   map[model.WorkerID]bool
 	revision kv.Revision // of the stored record; 0 while there is none
 	unknown  bool        // any worker may have runs
+	writing  bool        // a write of the record is in flight
 }
 
 // storedPlacement is the record of a job that is not loaded yet.
@@ -122,7 +124,7 @@
 
 // storePlacements writes the placements of runs that wait for them, the first jobs first.
 func (c *Scheduler) storePlacements() {
-	if c.placementInFlight || len(c.unplaced) == 0 || c.Now() < c.nextPlacementAt || !c.TermValid() {
+	if c.placementTxns == maxPlacementTxns || len(c.unplaced) == 0 || c.Now() < c.nextPlacementAt || !c.TermValid() {
 		return
 	}
 	writes := c.takePlacements()
@@ -131,23 +133,28 @@
 	}
 	txn := kv.Txn{Expect: []kv.Expect{c.Term.Proof}}
 	for _, w := range writes {
+		w.job.placement.writing = true
 		txn.Expect = append(txn.Expect, kv.Expect{Key: w.key, Revision: w.job.placement.revision})
 		txn.Writes = append(txn.Writes, kv.Write{Key: w.key, Value: w.value})
 	}
-	c.placementInFlight = true
+	c.placementTxns++
 	go func() {
 		revision, err := c.writePlacements(txn)
 		c.post(func() { c.handlePlacementWrite(writes, revision, err) })
 	}()
 }
 
-// takePlacements returns the records to write, and forgets runs that have ended before they were ordered.
+// takePlacements returns the records to write, none of which is being written, and forgets runs that have ended before they were
+// ordered.
 func (c *Scheduler) takePlacements() []placementWrite {
 	var writes []placementWrite
 	index := map[*job]int{}
 	c.unplaced = slices.DeleteFunc(c.unplaced, func(r *run) bool { return !r.present() })
 	for _, r := range c.unplaced {
 		j := r.task.stage.job
+		if j.placement.writing {
+			continue
+		}
 		i, found := index[j]
 		if !found {
 			if len(writes) == maxPlacementsWritten {
@@ -209,7 +216,10 @@
 
 // handlePlacementWrite sends the orders of the runs whose workers are stored now.
 func (c *Scheduler) handlePlacementWrite(writes []placementWrite, revision kv.Revision, err error) {
-	c.placementInFlight = false
+	c.placementTxns--
+	for _, w := range writes {
+		w.job.placement.writing = false
+	}
 	if err != nil {
 		var conflict *kv.ConflictError
 		if errors.As(err, &conflict) {
--- a/internal/chief/scheduler.go
+++ b/internal/chief/scheduler.go
@@ -70,7 +70,7 @@
 	unclaimedPlacements map[model.JobID]storedPlacement // records whose job is not loaded yet
 	placementsSince     kv.Revision                     // from which on leaders store placements
 	unplaced            []*run                          // created, but not ordered before their placement is stored
-	placementInFlight   bool                            // a write of placements
+	placementTxns       int                             // writes of placements in flight
 	nextPlacementAt     clock.Instant                   // earliest next write of placements
 	cancelRequested     map[model.JobID]bool
 	lastForgotten       kv.Revision   // highest revision at which a job was created that is removed by now
