--- a/internal/chief/reservation.go
+++ b/internal/chief/reservation.go
@@ -10,9 +10,6 @@
 	// reservationTTL is how long workers stay reserved for tasks that have not started there.
 	reservationTTL        = 2500 * time.Millisecond
 	noCapacityLogInterval = time.Second // least time between two logs for a stage
-	// maxLostShare is the most work, as a part of its own, that urgent work beyond its tenant's guarantee makes others lose. Work
-	// that is late is still worth most of its value, and what it stops starts again from the beginning.
-	maxLostShare = 0.4
 )
 
 // applyReservations deducts the reservations of waiting stages from the available capacity, and drops invalid ones.
@@ -102,11 +99,10 @@
 	if victims == nil {
 		victims, cost = p.clear(s, p.workers, need)
 	}
-	// Beyond its tenant's guarantee, urgent work preempts only if much less work is lost than it does itself.
+	// Beyond its tenant's guarantee, urgent work preempts only if less work is lost than it does itself.
 	own := float64(need) * s.step.Need.Cores() * p.c.estimate(s).Seconds()
-	if victims == nil || cost > maxLostShare*own && !p.withinGuarantee(s.job) {
+	if victims == nil || cost > own && !p.withinGuarantee(s.job) {
 		p.logNoCapacity(s, victims != nil, cost)
-		p.spend(s, need) // What becomes free is left for this stage, not taken by work that it would have to preempt.
 		return
 	}
 	p.preemptRuns(s, victims)
