--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -14,8 +14,9 @@
 )
 
 type ping struct {
-	Text  string `cbor:"1,keyasint"`
-	Count int    `cbor:"2,keyasint,omitempty"`
+	Text  string    `cbor:"1,keyasint"`
+	Count int       `cbor:"2,keyasint,omitempty"`
+	At    time.Time `cbor:"3,keyasint,omitzero"`
 }
 
 var _ = Describe("Call", func() {
@@ -24,7 +25,7 @@
 	BeforeEach(func() {
 		mux := http.NewServeMux()
 		wire.Handle(mux, "/test/ping", func(_ context.Context, req *ping) (*ping, error) {
-			return &ping{Text: req.Text, Count: req.Count + 1}, nil
+			return &ping{Text: req.Text, Count: req.Count + 1, At: req.At}, nil
 		})
 		wire.Handle(mux, "/test/hang", func(ctx context.Context, _ *ping) (*ping, error) {
 			<-ctx.Done()
@@ -44,6 +45,16 @@
 		Expect(*res).To(Equal(ping{Text: "a", Count: 2}))
 	})
 
+	// Guards against times that lose their fraction of a second: a job that is due later would start early.
+	It("carries times to the microsecond", func() {
+		caller, closeIdle := wire.NewCaller(time.Second)
+		defer closeIdle()
+		at := time.Unix(1_800_000_000, 123_456_000)
+		res, err := wire.Call[ping, ping](context.Background(), caller, address, "/test/ping", &ping{At: at})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(res.At).To(BeTemporally("~", at, time.Microsecond))
+	})
+
 	// Guards against a peer that hangs and blocks its caller beyond the timeout.
 	It("ends a call to a peer that does not answer", func() {
 		caller, closeIdle := wire.NewCaller(50 * time.Millisecond)
