--- a/internal/node/meters.go
+++ b/internal/node/meters.go
@@ -9,6 +9,7 @@
 	"peridotgw.example/peridotgw/internal/chief"
 	"peridotgw.example/peridotgw/internal/metric"
 	"peridotgw.example/peridotgw/internal/work"
+	"peridotgw.example/peridotgw/platform"
 )
 
 // meters holds the metrics of an instance. Its methods may be used concurrently.
@@ -18,6 +19,7 @@
 	answers *prometheus.CounterVec
 	orders  *prometheus.CounterVec
 	changes *prometheus.CounterVec
+	bytes   *prometheus.CounterVec
 	ends    *prometheus.CounterVec
 	plans   *prometheus.HistogramVec
 	waits   *prometheus.HistogramVec
@@ -32,6 +34,7 @@
 		answers: set.Counter("call_answers_total", "Answers to callers.", "call", "status"),
 		orders:  set.Counter("worker_orders_total", "Orders to workers and looks at them.", "kind", "result"),
 		changes: set.Counter("announcements_total", "Stored changes announced to the leader.", "result"),
+		bytes:   set.Counter("client_bytes_total", "Bytes of the connections that this instance opened.", "to", "direction"),
 		ends:    set.Counter("run_ends_total", "Runs that are over.", "how"),
 		plans:   set.Histogram("plan_seconds", "Time of a planning pass.", []float64{0.0001, 0.0005, 0.001, 0.005, 0.02, 0.1}),
 		waits:   set.Histogram("job_wait_seconds", "Time from a job's arrival to its first start.", latency, "queue"),
@@ -47,6 +50,15 @@
 	m.answers.WithLabelValues(call, strconv.Itoa(status)).Inc()
 }
 
+// traffic returns the function that counts the bytes of connections to a kind of server.
+func (m *meters) traffic(to string) platform.Traffic {
+	readBytes, writtenBytes := m.bytes.WithLabelValues(to, "read"), m.bytes.WithLabelValues(to, "written")
+	return func(read, written int) {
+		readBytes.Add(float64(read))
+		writtenBytes.Add(float64(written))
+	}
+}
+
 func (m *meters) announced(result string, announcements int) {
 	m.changes.WithLabelValues(result).Add(float64(announcements))
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -56,12 +56,12 @@
 // New returns an instance, and a function that closes its idle connections.
 func New(settings *platform.Settings, log zerolog.Logger) (*Node, func()) {
 	n := &Node{Settings: settings, Log: log, config: &OperatorConfig{Log: log}, meters: newMeters(), now: clock.Boot}
-	storeClient, closeStore := platform.NewClient(platform.IdleStoreConns)
-	workerClient, closeWorkers := platform.NewClient(platform.IdleWorkerConns)
-	peerClient, closePeers := platform.NewClient(peerConns)
+	storeClient, closeStore := platform.NewClient(platform.IdleStoreConns, n.meters.traffic("store"))
+	workerClient, closeWorkers := platform.NewClient(platform.IdleWorkerConns, n.meters.traffic("workers"))
+	peerClient, closePeers := platform.NewClient(peerConns, n.meters.traffic("peers"))
 	peerClient.Timeout = peerTimeout
 	store := platform.NewStore(storeClient, settings.Store, n.storeCalled)
-	adviceClient, closeAdvice := platform.NewClient(platform.IdleAdviceConns)
+	adviceClient, closeAdvice := platform.NewClient(platform.IdleAdviceConns, n.meters.traffic("advice"))
 	n.advise = platform.NewAdviceClient(adviceClient, settings.Advice)
 	n.store, n.workers, n.peerCaller = store, platform.NewWorkerClient(workerClient), &wire.Caller{HTTP: peerClient}
 	n.elector = &elect.Elector{
--- a/peridotctl/platform.go
+++ b/peridotctl/platform.go
@@ -55,7 +55,7 @@
 	if err != nil {
 		return asUsageError(err)
 	}
-	client, closeIdle := platform.NewClient(1)
+	client, closeIdle := platform.NewClient(1, func(int, int) {})
 	defer closeIdle()
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
