--- a/internal/chief/preempt.go
+++ b/internal/chief/preempt.go
@@ -58,185 +58,70 @@
 	return best, bestCost
 }
 
-// clear returns the runs to preempt for need tasks on some workers, and their cost, or nil. It takes the runs that cost the least for
-// each task that fits in their place; a gang stops as a whole, and makes room wherever it runs.
+// clear returns the runs to preempt for need tasks on some workers, and their cost, or nil. It takes the cheapest workers
+// first.
 func (p *planner) clear(s *stage, among []*worker, need int) ([]*run, float64) {
-	c := clearing{
-		p: p, stage: s, need: need, usable: map[*worker]bool{}, extra: map[*worker]work.Resources{}, stopped: map[*run]bool{},
-		options: map[*worker]option{},
+	type option struct {
+		victims []*run
+		cost    float64
 	}
+	resources := s.step.Resources()
+	var options []option
 	for _, w := range among {
-		if p.eligible(s, w) {
-			c.workers = append(c.workers, w)
-			c.usable[w] = true
-			c.fitting += c.fits(w)
-		}
-	}
-	for _, w := range c.workers {
-		c.updateOption(w)
-	}
-	victims := []*run{}
-	cost := 0.0
-	for c.fitting < need {
-		best, found := c.best()
-		if !found {
-			return nil, 0
-		}
-		victims = append(victims, best.victims...)
-		cost += best.cost
-		c.stop(best.victims)
-	}
-	return victims, cost
-}
-
-// option is a way to make room for one more task on a worker.
-type option struct {
-	victims []*run
-	cost    float64
-	gain    int // tasks that fit then, on all workers
-}
-
-// clearing is the search for runs to preempt.
-type clearing struct {
-	p       *planner
-	stage   *stage
-	need    int
-	workers []*worker
-	usable  map[*worker]bool           // the same workers
-	fitting int                        // tasks that fit
-	extra   map[*worker]work.Resources // freed by the runs chosen so far
-	stopped map[*run]bool
-	options map[*worker]option // for the workers where one more task could fit
-}
-
-// available is the capacity of a worker once the chosen runs have ended.
-func (c *clearing) available(w *worker) work.Resources { return w.available.Add(c.extra[w]) }
-
-// fits returns how many tasks fit on a worker, at most those needed.
-func (c *clearing) fits(w *worker) int {
-	return countFits(c.available(w), c.stage.step.Resources(), c.need)
-}
-
-// best returns the option with the least cost for each task that it makes room for.
-func (c *clearing) best() (option, bool) {
-	var best option
-	found := false
-	for _, w := range c.workers {
-		o, possible := c.options[w]
-		if !possible {
-			continue
-		}
-		left := c.need - c.fitting
-		if !found || o.cost*float64(min(best.gain, left)) < best.cost*float64(min(o.gain, left)) {
-			best, found = o, true
-		}
-	}
-	return best, found
-}
-
-// stop counts the room of runs, and of their gangs, as free.
-func (c *clearing) stop(victims []*run) {
-	changed := map[*worker]bool{}
-	for _, r := range c.withGangs(victims) {
-		c.stopped[r] = true
-		if !c.usable[r.worker] {
+		if !p.eligible(s, w) {
 			continue
 		}
-		c.fitting -= c.fits(r.worker)
-		c.extra[r.worker] = c.extra[r.worker].Add(r.resources)
-		c.fitting += c.fits(r.worker)
-		changed[r.worker] = true
-	}
-	for _, w := range c.workers {
-		if changed[w] {
-			c.updateOption(w)
+		have := countFits(w.available, resources, need)
+		need -= have
+		if victims, cost, ok := p.victims(s, w, have+1); ok {
+			options = append(options, option{victims, cost})
 		}
 	}
-}
-
-// updateOption finds the cheapest runs to preempt for one more task on a worker.
-func (c *clearing) updateOption(w *worker) {
-	delete(c.options, w)
-	victims, cost, possible := c.victims(w)
-	if !possible {
-		return
-	}
-	gain := 0
-	freed := map[*worker]work.Resources{}
-	for _, r := range c.withGangs(victims) {
-		freed[r.worker] = freed[r.worker].Add(r.resources)
-	}
-	resources := c.stage.step.Resources()
-	for other, room := range freed {
-		if c.usable[other] {
-			gain += countFits(c.available(other).Add(room), resources, c.need) - c.fits(other)
+	sort.SliceStable(options, func(i, j int) bool { return options[i].cost < options[j].cost })
+	victims := []*run{}
+	total := 0.0
+	for _, o := range options {
+		if need <= 0 {
+			break
 		}
+		victims = append(victims, o.victims...)
+		total += o.cost
+		need--
 	}
-	if gain > 0 {
-		c.options[w] = option{victims, cost, gain}
+	if need > 0 {
+		return nil, 0
 	}
+	return victims, total
 }
 
-// victims returns the cheapest runs to preempt for one more task on a worker, and their cost. It returns false if the worker cannot
-// hold the task even after that.
-func (c *clearing) victims(w *worker) ([]*run, float64, bool) {
-	count := c.fits(w) + 1
-	needed := c.stage.step.Resources()
+// victims returns the cheapest runs to preempt for count tasks of a stage on a worker, and their cost. It returns false if the worker
+// cannot hold the tasks even after that.
+func (p *planner) victims(s *stage, w *worker, count int) ([]*run, float64, bool) {
+	needed := s.step.Resources()
 	target := work.Resources{CPU: needed.CPU * count, Memory: needed.Memory * count, GPU: needed.GPU * model.Accelerators(count)}
 	if !w.info.Capacity.Fits(target) {
 		return nil, 0, false
 	}
 	var candidates []*run
 	for _, r := range w.runs {
-		if !c.stopped[r] && c.p.mayPreempt(c.stage, r) {
+		if p.mayPreempt(s, r) {
 			candidates = append(candidates, r)
 		}
 	}
-	sort.Slice(candidates, func(i, j int) bool { return c.p.preemptionCost(candidates[i]) < c.p.preemptionCost(candidates[j]) })
-	resources, total := c.available(w), 0.0
+	sort.Slice(candidates, func(i, j int) bool { return p.preemptionCost(candidates[i]) < p.preemptionCost(candidates[j]) })
+	resources, total := w.available, 0.0
 	var chosen []*run
-	freed := map[*run]bool{}
 	for _, r := range candidates {
 		if resources.Fits(target) {
 			break
 		}
-		if freed[r] {
-			continue
-		}
 		chosen = append(chosen, r)
-		total += c.p.preemptionCost(r)
-		for _, member := range c.withGangs([]*run{r}) {
-			if member.worker == w && !freed[member] {
-				freed[member] = true
-				resources = resources.Add(member.resources)
-			}
-		}
+		resources = resources.Add(r.resources)
+		total += p.preemptionCost(r)
 	}
 	return chosen, total, resources.Fits(target)
 }
 
-// withGangs returns runs and the other members of their gangs, each once, without those that are stopping or chosen already.
-func (c *clearing) withGangs(runs []*run) []*run {
-	seen := map[*run]bool{}
-	var all []*run
-	add := func(r *run) {
-		if !seen[r] && !c.stopped[r] && r.phase != stopping {
-			seen[r] = true
-			all = append(all, r)
-		}
-	}
-	for _, r := range runs {
-		add(r)
-		if r.gang == nil || r.gang.ending {
-			continue
-		}
-		for member := range r.gang.members {
-			add(member)
-		}
-	}
-	return all
-}
-
 // mayPreempt reports whether a stage may preempt a run.
 func (p *planner) mayPreempt(s *stage, r *run) bool {
 	if r.phase == stopping || r.task == nil || r.task.stage.step.Lasts {
