chief: a new leader preempts only after it has seen the workers

Change: while registered workers have not been polled, for at most 0.5 s after the jobs are loaded, nothing is reserved or preempted. The spec failed before.

--- a/internal/chief/jobs.go
+++ b/internal/chief/jobs.go
@@ -15,7 +15,7 @@
 		c.applyJobItem(item)
 	}
 	if !c.jobsLoaded {
-		c.jobsLoaded = true
+		c.jobsLoaded, c.loadedAt = true, c.Now()
 		c.Log.Info().Int("jobs", len(c.jobs)).Int("live", len(c.liveJobs)).Int("workers", len(c.workers)).Msg("chief: jobs loaded")
 		for _, w := range c.workers {
 			c.pollIfDue(w)
--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -28,6 +28,7 @@
 	racks       map[work.Label][]*worker
 	unseenRuns  map[model.WorkerID]bool                 // workers that were not polled yet and may have runs of an earlier term
 	keptIdle    map[*worker]bool                        // idle workers that work which is not urgent may not take
+	settling    bool                                    // registered workers have not been polled yet: their free capacity is unknown
 	spare       model.Accelerators                      // that work which is not urgent may take
 	urgentNeeds map[model.CustomerID]model.Accelerators // of unfinished urgent jobs, by tenant
 	unseenEnds  map[model.WorkerID]bool                 // workers that were not polled yet and may list ends of an earlier term
@@ -59,6 +60,7 @@
 		if w.roster && !w.polled {
 			p.noteUnseen(w)
 		}
+		p.settling = p.settling || w.registered && !w.polled && w.missedCalls == 0 && p.now.Sub(p.c.loadedAt) < settleTime
 		if !w.registered || !w.polled || w.info.Draining || w.missedCalls > 0 || p.now < w.quarantinedUntil ||
 			!p.c.inRoster(w) || p.c.OutOfService(w.info.Zone) {
 			continue
--- a/internal/chief/reservation.go
+++ b/internal/chief/reservation.go
@@ -78,7 +78,7 @@
 
 // reserveForUrgent reserves workers for the waiting tasks of an urgent stage, and preempts runs there if it must.
 func (p *planner) reserveForUrgent(s *stage) {
-	if p.priority(s) != 0 || len(s.reserved) > 0 {
+	if p.priority(s) != 0 || len(s.reserved) > 0 || p.settling {
 		return
 	}
 	need := 0
--- a/internal/chief/scheduler.go
+++ b/internal/chief/scheduler.go
@@ -22,6 +22,8 @@
 	postBuffer         = 4096
 	// planPause is the least time between two planning passes: one pass covers all events of that time.
 	planPause = 10 * time.Millisecond
+	// settleTime is how long after the jobs are loaded a new leader waits for the workers' first answers before it preempts.
+	settleTime = 500 * time.Millisecond
 )
 
 // Limits are the time bounds and factors that the platform sets.
@@ -76,6 +78,7 @@
 	lastForgotten       kv.Revision   // highest revision at which a job was created that is removed by now
 	writeInFlight       bool          // of job records
 	nextWriteAt         clock.Instant // earliest next write of progress
+	loadedAt            clock.Instant // when the jobs were loaded
 	jobsLoaded          bool
 	dirty               bool // a planning pass is needed
 	adviceInFlight      bool
--- a/internal/chief/urgent_test.go
+++ b/internal/chief/urgent_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"peridotgw.example/peridotgw/internal/memnet"
 	"peridotgw.example/peridotgw/model"
 	"peridotgw.example/peridotgw/platform/fakepl"
 )
@@ -49,3 +50,31 @@
 		env.await(15*time.Second, "all background tasks run", func() bool { return env.totalStarts("b000000000000001", 16) == 16 })
 	})
 }
+
+// Pattern: urgent jobs wait when another instance takes over. Guards against work that the new leader stops on the first workers that
+// answer, while others are idle.
+func TestSuccessorPreemptsOnlyAfterItHasSeenTheWorkers(t *testing.T) {
+	withTestEnv(t, 4, func(env *testEnv) {
+		leader := env.start("a", nil)
+		env.outcomes(time.Second, time.Minute)
+		env.sleep(3 * time.Second)
+		env.submit(newJob("b000000000000001", "scan", 2, 8))
+		env.await(time.Second, "the tasks run", func() bool { return env.totalStarts("b000000000000001", 2) == 2 })
+		busy := map[string]bool{}
+		for index := range 2 {
+			busy[env.fleet.RunningOn(taskID("b000000000000001", index))[0]] = true
+		}
+		for _, w := range env.workers {
+			if !busy[w.ID] {
+				env.net.SetFault("b", memnet.Host(w.Address), memnet.Fault{Delay: 200 * time.Millisecond})
+			}
+		}
+		leader.kill()
+		env.submit(env.asGang(newJob("a000000000000001", "check", 2, 8)))
+		env.start("b", nil)
+		env.await(4*time.Second, "the urgent gang runs", func() bool { return len(env.fleet.RunningOn(taskID("a000000000000001", 1))) == 1 })
+		env.Expect(env.totalStarts("b000000000000001", 2)).To(Equal(2))
+		env.Expect(env.fleet.RunningOn(taskID("b000000000000001", 0))).To(HaveLen(1))
+		env.Expect(env.fleet.RunningOn(taskID("b000000000000001", 1))).To(HaveLen(1))
+	})
+}
