--- a/internal/chief/env_test.go
+++ b/internal/chief/env_test.go
@@ -42,7 +42,8 @@
 	store     *fakepl.Store
 	fleet     *fakepl.Fleet
 	workers   []*fakepl.Worker
-	config    *work.Config
+	config    *work.Config                // changed only before an instance is started
+	inForce   atomic.Pointer[work.Config] // what the instances have
 	jobIntake *intake.Service
 }
 
@@ -55,6 +56,7 @@
 			WithT: NewWithT(t), t: t, ctx: ctx, startedAt: time.Now(), net: memnet.New(), store: fakepl.NewStore(),
 			fleet: fakepl.NewFleet(2 * time.Second), config: testConfig(),
 		}
+		env.inForce.Store(env.config)
 		env.net.Latency = time.Millisecond
 		env.net.SetHandler(storeAddress, env.store)
 		for i := range workers {
@@ -147,7 +149,7 @@
 				CheckpointInterval: time.Second, RestoreTime: 250 * time.Millisecond,
 				StopTimeout: 200 * time.Millisecond,
 			},
-			Config: func() *work.Config { return e.config }, OutOfService: func(model.DataCentreID) bool { return false },
+			Config: e.inForce.Load, OutOfService: func(model.DataCentreID) bool { return false },
 			TermValid: func() bool { return !i.unproved.Load() && i.elector.TermValid(term) }, EndTerm: func() { i.elector.EndTerm(term) },
 			Registry: platform.RegistryKeyPrefix, DecodeWorker: platform.DecodeWorker,
 			Observe: chief.Observer{
--- a/internal/chief/scheduler_test.go
+++ b/internal/chief/scheduler_test.go
@@ -426,13 +426,12 @@
 			func() bool { return env.fleet.StartCount(taskID("00000000000000d4", 0)) == 3 })
 		leader.kill()
 		env.sleep(100 * time.Millisecond)
-		config := env.config
-		env.config = nil
+		env.inForce.Store(nil)
 		successor := env.start("b", nil)
 		env.await(4*time.Second, "b leads", func() bool { return successor.chief.Load() != nil })
 		env.sleep(2 * time.Second)
 		env.Expect(successor.state("00000000000000d4")).NotTo(Equal(work.StateFailed))
-		env.config = config
+		env.inForce.Store(env.config)
 		env.await(12*time.Second, "the job has failed", func() bool { return successor.state("00000000000000d4") == work.StateFailed })
 		env.Expect(env.fleet.StartCount(taskID("00000000000000d4", 0))).To(Equal(5))
 	})
--- a/internal/node/announce_internal_test.go
+++ b/internal/node/announce_internal_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,21 +20,32 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		ctx, cancel := context.WithCancel(t.Context())
+		var mu sync.Mutex // guards the variables below
 		counts := map[string]int{}
 		var delivered []kv.Revision
 		silent := true
+		locked := func(fn func()) {
+			mu.Lock()
+			defer mu.Unlock()
+			fn()
+		}
 		a := newAnnouncer()
 		a.Log = zerolog.Nop()
-		a.Count = func(result string, announcements int) { counts[result] += announcements }
+		a.Count = func(result string, announcements int) { locked(func() { counts[result] += announcements }) }
 		a.Send = func(ctx context.Context, announcements []intake.Announcement) error {
-			if silent {
+			answers := false
+			locked(func() {
+				answers = !silent
+				for _, announcement := range announcements {
+					if answers {
+						delivered = append(delivered, announcement.Revision)
+					}
+				}
+			})
+			if !answers {
 				<-ctx.Done()
-				return ctx.Err()
-			}
-			for _, announcement := range announcements {
-				delivered = append(delivered, announcement.Revision)
 			}
-			return nil
+			return ctx.Err()
 		}
 		done := make(chan error, 1)
 		go func() { done <- a.Run(ctx) }()
@@ -42,10 +54,12 @@
 		for revision := range kv.Revision(announceQueue + 10) {
 			a.Add(intake.Announcement{Revision: 2 + revision})
 		}
-		g.Expect(counts["dropped"]).To(Equal(10))
+		locked(func() { g.Expect(counts["dropped"]).To(Equal(10)) })
 		time.Sleep(announceTimeout / 2)
-		silent = false
+		locked(func() { silent = false })
 		time.Sleep(announceTimeout)
+		mu.Lock()
+		defer mu.Unlock()
 		g.Expect(counts["failed"]).To(Equal(1))
 		g.Expect(counts["delivered"]).To(Equal(announceQueue))
 		g.Expect(delivered).To(HaveLen(announceQueue))
--- a/internal/node/peers_internal_test.go
+++ b/internal/node/peers_internal_test.go
@@ -27,8 +27,8 @@
 const testStore = "store:1"
 
 // startTestNode starts an instance that takes part in elections and serves its peers; while it leads it has a scheduler without
-// jobs.
-func startTestNode(ctx context.Context, net *memnet.Net, name string, share float64) *Node {
+// jobs. change may modify it before, if set.
+func startTestNode(ctx context.Context, net *memnet.Net, name string, share float64, change func(*Node)) *Node {
 	startedAt := time.Now()
 	now := func() clock.Instant { return clock.Instant(time.Since(startedAt) + time.Hour) }
 	address := name + ":7000"
@@ -45,6 +45,9 @@
 			return ctx.Err()
 		},
 	}
+	if change != nil {
+		change(n)
+	}
 	mux := http.NewServeMux()
 	n.registerPeerHandlers(mux)
 	net.SetHandler(memnet.Host(address), mux)
@@ -59,9 +62,9 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		net := memnet.New()
 		net.SetHandler(testStore, fakepl.NewStore())
-		first := startTestNode(ctx, net, "first", 1)
-		second := startTestNode(ctx, net, "second", 0.9)
-		partitioned := startTestNode(ctx, net, "cut", 0.1)
+		first := startTestNode(ctx, net, "first", 1, nil)
+		second := startTestNode(ctx, net, "second", 0.9, nil)
+		partitioned := startTestNode(ctx, net, "cut", 0.1, nil)
 		time.Sleep(3 * time.Second)
 		g.Expect(first.chief.Load()).NotTo(BeNil())
 		net.SetFault("cut", testStore, memnet.Fault{DropRequests: true})
@@ -86,7 +89,7 @@
 		net.SetHandler(testStore, fakepl.NewStore())
 		nodes := map[string]*Node{}
 		for _, name := range []string{"a", "b", "c"} {
-			n := startTestNode(ctx, net, name, 1)
+			n := startTestNode(ctx, net, name, 1, nil)
 			n.jobIntake = &intake.Service{Store: n.store, Log: zerolog.Nop(), Now: time.Now}
 			nodes[name] = n
 		}
@@ -115,12 +118,12 @@
 			net.SetHandler(testStore, fakepl.NewStore())
 			var nodes []*Node
 			for _, name := range []string{"first", "second", "third"} {
-				n := startTestNode(ctx, net, name, 1)
-				grant := n.store.Grant
-				n.store.Grant = func(ctx context.Context, _ time.Duration) (kv.LeaseID, time.Duration, error) {
-					return grant(ctx, time.Minute) // As in a store whose leases pause while it is down.
-				}
-				nodes = append(nodes, n)
+				nodes = append(nodes, startTestNode(ctx, net, name, 1, func(n *Node) {
+					grant := n.store.Grant
+					n.store.Grant = func(ctx context.Context, _ time.Duration) (kv.LeaseID, time.Duration, error) {
+						return grant(ctx, time.Minute) // As in a store whose leases pause while it is down.
+					}
+				}))
 			}
 			time.Sleep(3 * time.Second)
 			leader, found := nodes[0].elector.Leader()
