chief: due times and deadlines are on the monotonic clock

The leader compared the acceptance time of one machine with its own time of day at each pass: an urgent job accepted where the clock was 8 s ahead ranked behind one accepted 2.5 s later, and a jump of the leader's clock started scheduled work early by as much. Change: when a job becomes known, its due time and deadline are computed once on the leader's monotonic clock. Seen to fail before: the order with a clock 8 s ahead, and scheduled work. The order with a clock 8 s behind held before too, since such a job soon counted as late.

--- a/internal/chief/env_test.go
+++ b/internal/chief/env_test.go
@@ -45,6 +45,7 @@
 	config    *work.Config                // changed only before an instance is started
 	inForce   atomic.Pointer[work.Config] // what the instances have
 	jobIntake *intake.Service
+	clockJump atomic.Int64 // by which the instances' time of day is ahead, in nanoseconds
 }
 
 // withTestEnv calls body with a number of workers in two racks, each with 8 accelerators.
@@ -143,7 +144,7 @@
 	i.elector.Lead = func(ctx context.Context, term elect.Term) error {
 		scheduler := &chief.Scheduler{
 			Store: i.store, Workers: platform.NewWorkerClient(e.net.Client(i.name)), Term: term,
-			Log: testLog(), Now: now, WallClock: time.Now,
+			Log: testLog(), Now: now, WallClock: func() time.Time { return time.Now().Add(time.Duration(e.clockJump.Load())) },
 			Limits: chief.Limits{
 				MaxLease: 6 * time.Second, StatusRetention: 120 * time.Second, ReclaimBound: reclaimBound, RemoteSlowdown: 3,
 				CheckpointInterval: time.Second, RestoreTime: 250 * time.Millisecond,
--- a/internal/chief/jobs.go
+++ b/internal/chief/jobs.go
@@ -86,7 +86,7 @@
 	}
 	if !j.state.Final() {
 		c.liveJobs = append(c.liveJobs, j)
-		j.deadline = c.deadline(j)
+		c.setDue(j)
 	}
 	c.publishState(j)
 	c.Log.Info().Str("job", string(spec.ID)).Str("queue", string(spec.Queue)).Int("steps", len(spec.Steps)).
@@ -181,16 +181,6 @@
 	return step, found
 }
 
-// deadline returns when a job should be complete according to its queue's targets.
-func (c *Scheduler) deadline(j *job) time.Time {
-	due := j.spec.Accepted
-	if first := j.spec.Due(0); first.After(due) {
-		due = first
-	}
-	terms := c.Config().Terms(j.spec)
-	return due.Add(time.Duration(terms.Stretch*float64(j.spec.CriticalPath())) + terms.Latency)
-}
-
 func (c *Scheduler) cancelJob(j *job) {
 	if j.cancelled || j.state.Final() {
 		return
@@ -221,7 +211,7 @@
 		}
 	}
 	c.Log.Info().Str("job", string(j.spec.ID)).Str("state", string(state)).Str("why", reason).
-		Dur("after", j.endedAt.Sub(j.spec.Accepted)).Dur("late-by", j.endedAt.Sub(j.deadline)).Msg("chief: job over")
+		Dur("after", j.finishedAt.Sub(j.due)).Dur("late-by", j.finishedAt.Sub(j.deadline)).Msg("chief: job over")
 }
 
 // handleRunEnd updates the task and the gang of a run that has ended and whose resources are freed.
--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -22,7 +22,6 @@
 type planner struct {
 	c           *Scheduler
 	now         clock.Instant
-	wallClock   time.Time
 	config      *work.Config
 	workers     []*worker // that may get new runs, by id
 	racks       map[work.Label][]*worker
@@ -41,7 +40,7 @@
 		return
 	}
 	began := time.Now()
-	pass := &planner{c: c, now: c.Now(), wallClock: c.WallClock(), config: config, racks: map[work.Label][]*worker{}}
+	pass := &planner{c: c, now: c.Now(), config: config, racks: map[work.Label][]*worker{}}
 	pass.unseenRuns, pass.unseenEnds = map[model.WorkerID]bool{}, map[model.WorkerID]bool{}
 	pass.listUsableWorkers()
 	pass.sumUrgentNeeds()
@@ -96,9 +95,7 @@
 	var list []ranked
 	for _, j := range p.c.liveJobs {
 		priority := p.config.Terms(j.spec).Priority
-		objective := j.deadline.Sub(j.spec.Due(0))
-		list = append(list, ranked{j, priority, priority == 0 && !p.withinGuarantee(j), p.wallClock.Sub(j.spec.Due(0)) >
-			lateFactor*objective})
+		list = append(list, ranked{j, priority, priority == 0 && !p.withinGuarantee(j), j.late(p.now)})
 	}
 	sort.SliceStable(list, func(a, b int) bool {
 		if list[a].priority != list[b].priority {
@@ -110,7 +107,7 @@
 		if list[a].late != list[b].late {
 			return !list[a].late
 		}
-		return list[a].job.deadline.Before(list[b].job.deadline)
+		return list[a].job.deadline < list[b].job.deadline
 	})
 	jobs := make([]*job, len(list))
 	for i := range list {
@@ -125,8 +122,8 @@
 		return
 	}
 	for occurrence, stages := range j.stages {
-		if p.wallClock.Before(j.spec.Due(occurrence)) && !j.spec.First.IsZero() {
-			p.c.postAfter(min(j.spec.Due(occurrence).Sub(p.wallClock), tickInterval), func() { p.c.dirty = true })
+		if due := j.dueAt(occurrence); p.now < due {
+			p.c.postAfter(min(due.Sub(p.now), tickInterval), func() { p.c.dirty = true })
 			return
 		}
 		for _, s := range stages {
--- a/internal/chief/state.go
+++ b/internal/chief/state.go
@@ -108,11 +108,12 @@
 	state        work.State // as decided
 	durableState work.State // as stored
 	endedAt      time.Time
-	reason       string      // of the final state
-	deadline     time.Time   // target for its completion
-	dirty        bool        // has progress that is not stored
-	record       kv.Revision // of the stored progress; 0 while there is none
-	inherited    bool        // may have runs of an earlier term on workers that were not polled yet
+	reason       string        // of the final state
+	due          clock.Instant // earliest start of the first occurrence
+	deadline     clock.Instant // target for its completion
+	dirty        bool          // has progress that is not stored
+	record       kv.Revision   // of the stored progress; 0 while there is none
+	inherited    bool          // may have runs of an earlier term on workers that were not polled yet
 	knownAt      clock.Instant
 	finishedAt   clock.Instant
 }
