node: the configuration comes from peers while the store does not serve an instance

Change: an instance without an answer of the store for a second asks two peers every 0.5 s for the operators' keys, by revision; it takes over what is newer. Versions only rise as before. The spec failed before.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -107,6 +107,7 @@
 	group.Go(func() error { return configFollower.Run(runCtx) })
 	group.Go(func() error { return n.elector.Run(runCtx) })
 	group.Go(func() error { return n.announcer.Run(runCtx) })
+	group.Go(func() error { return n.followPeers(runCtx) })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -100,6 +100,7 @@
 		return toChangeAnswer(err), nil
 	})
 	wire.Handle(mux, procAnnounce, n.handleAnnounce)
+	wire.Handle(mux, procConfig, n.handleConfig)
 	wire.Handle(mux, procYield, func(ctx context.Context, q *yieldQuery) (*yieldAnswer, error) {
 		if !n.service.steady(n.now()) {
 			return nil, errUnserved
