chief: runs of a silent worker that renews its registration outlast its leases; passes take a quarter of the time

An instance with 0.192 of a core led and could not read the workers' answers: it counted runs as lapsed whose ends their workers had listed seconds before, and started the tasks again. Ruled out: an end acknowledged too early, a record overwritten by an older one; the log shows the end, listed and not acknowledged, after the second start. Change: while a silent worker renews its registration it is alive and knows which runs are done: its runs are kept for 3 s beyond the leases. Planning passes leave three quarters of the time to everything else.

--- a/internal/chief/scheduler.go
+++ b/internal/chief/scheduler.go
@@ -22,6 +22,8 @@
 	postBuffer         = 4096
 	// planPause is the least time between two planning passes: one pass covers all events of that time.
 	planPause = 10 * time.Millisecond
+	// planShare is the part of the time that planning passes may take, so that calls to workers are handled on a small machine too.
+	planShare = 0.25
 	// settleTime is how long after the jobs are loaded a new leader waits for the workers' first answers before it preempts.
 	settleTime = 500 * time.Millisecond
 )
@@ -171,17 +173,25 @@
 			c.handleTick() //nolint:contextcheck // calls end with the term
 		}
 		if c.dirty && c.Now() >= c.nextPlanAt {
-			c.dirty = false
-			c.planStarts() //nolint:contextcheck // calls end with the term
-			c.publishPending()
-			c.nextPlanAt = c.Now().Add(planPause)
-			c.postAfter(planPause, func() {})
+			c.plan() //nolint:contextcheck // calls end with the term
 		}
 		c.storePlacements() //nolint:contextcheck // calls end with the term
 		c.persistProgress() //nolint:contextcheck // calls end with the term
 	}
 }
 
+// plan runs a planning pass, and delays the next one by a multiple of the time that it took.
+func (c *Scheduler) plan() {
+	began := c.Now()
+	c.dirty = false
+	c.planStarts()
+	c.publishPending()
+	now := c.Now()
+	pause := max(planPause, time.Duration(float64(now.Sub(began))*(1-planShare)/planShare))
+	c.nextPlanAt = now.Add(pause)
+	c.postAfter(pause, func() {})
+}
+
 // drainPosts runs all queued functions, so that one planning pass covers them.
 func (c *Scheduler) drainPosts() {
 	for {
--- a/internal/chief/workers.go
+++ b/internal/chief/workers.go
@@ -171,7 +171,7 @@
 // checkWorker ends the runs of a silent worker once their leases have expired, removes a worker that has left, and stops
 // stuck runs. It is called on each tick.
 func (c *Scheduler) checkWorker(w *worker, now clock.Instant) {
-	if len(w.runs) > 0 && w.missedCalls >= silentAfterMisses && c.leasesExpired(w, now) {
+	if len(w.runs) > 0 && w.missedCalls >= silentAfterMisses && c.leasesExpired(w, now) && !c.mayAnswerYet(w, now) {
 		c.Log.Warn().Str("worker", string(w.info.ID)).Int("runs", len(w.runs)).Msg("chief: leases lapsed on a worker that does not answer")
 		for _, r := range w.runs {
 			if r.task != nil {
@@ -191,6 +191,17 @@
 	c.pollIfDue(w)
 }
 
+// registeredGrace is how long the runs of a silent worker are kept, beyond its leases, while it renews its registration: it is alive,
+// and knows which of its runs are done.
+const registeredGrace = 3 * time.Second
+
+// mayAnswerYet reports whether a silent worker whose leases have expired is worth waiting for. If this instance is too slow to read
+// its answers, the worker has listed ends that are not known here, and their tasks must not start again.
+func (c *Scheduler) mayAnswerYet(w *worker, now clock.Instant) bool {
+	lease := time.Duration(float64(c.Limits.MaxLease) / slowClock)
+	return w.registered && now.Sub(max(w.reportedAt, c.Term.Since)) < lease+registeredGrace
+}
+
 // registrySettleTime is how long after a term's start workers may take to register again after a store outage.
 const registrySettleTime = 2500 * time.Millisecond
 
