chief: at most 128 orders are in flight

Cause: a leader on a small machine sends all orders of a pass at once. Change: an order waits for one of 128 slots before its time limit begins.

--- a/internal/chief/orders.go
+++ b/internal/chief/orders.go
@@ -14,7 +14,10 @@
 	orderTimeout     = 500 * time.Millisecond // of one attempt
 	maxStartAttempts = 3
 	stopRetryPause   = 200 * time.Millisecond
-	fullPace         = 100 // percent
+	// maxOrdersInFlight keeps the orders of a large pass from each other's processor time: on a small machine they would all run into
+	// their timeouts, and be stopped and sent again.
+	maxOrdersInFlight = 128
+	fullPace          = 100 // percent
 	// runNumberGap is how far run numbers jump after a change of term, since the last start may not be known.
 	runNumberGap = 8
 )
@@ -76,6 +79,7 @@
 	}
 	target := agent.Target{ID: w.info.ID, Address: w.info.Address}
 	go func() {
+		defer c.orderSlot()()
 		reading, doubtful, err := c.sendStart(target, order)
 		c.post(func() { c.handleStartResult(r, reading, doubtful, err) })
 	}()
@@ -88,6 +92,16 @@
 	return 0
 }
 
+// orderSlot waits until an order may be sent, and returns the function that must be called when its result is known.
+func (c *Scheduler) orderSlot() (release func()) {
+	select {
+	case c.orderSlots <- struct{}{}:
+		return func() { <-c.orderSlots }
+	case <-c.ctx.Done():
+		return func() {}
+	}
+}
+
 // sendStart retries an unanswered order: a worker answers 200 for a run that it already has. doubtful reports that an
 // attempt before the last got no answer.
 func (c *Scheduler) sendStart(to agent.Target, order agent.StartOrder) (reading work.WorkerClock, doubtful bool, err error) {
@@ -224,6 +238,7 @@
 	order := agent.StopOrder{Task: r.key.task, Run: r.key.number, Token: c.Term.Token}
 	target := agent.Target{ID: r.worker.info.ID, Address: r.worker.info.Address}
 	go func() {
+		defer c.orderSlot()()
 		if !c.TermValid() {
 			c.post(func() { c.retryStop(r) })
 			return
--- a/internal/chief/scheduler.go
+++ b/internal/chief/scheduler.go
@@ -63,11 +63,12 @@
 	Advise  Adviser
 	Observe Observer
 
-	posts    chan func() // run by the goroutine that owns the state
-	ctx      context.Context
-	jobs     map[model.JobID]*job
-	liveJobs []*job
-	workers  map[model.WorkerID]*worker
+	posts      chan func()   // run by the goroutine that owns the state
+	orderSlots chan struct{} // holds an element for each order in flight
+	ctx        context.Context
+	jobs       map[model.JobID]*job
+	liveJobs   []*job
+	workers    map[model.WorkerID]*worker
 	// roster is the stored list of the workers that may have runs.
 	roster              roster
 	unclaimedProgress   map[model.JobID]storedProgress  // records whose job is not loaded yet
@@ -113,6 +114,7 @@
 // Run schedules until ctx ends, which must be no later than the term.
 func (c *Scheduler) Run(ctx context.Context) error {
 	c.posts = make(chan func(), postBuffer)
+	c.orderSlots = make(chan struct{}, maxOrdersInFlight)
 	c.jobs = map[model.JobID]*job{}
 	c.workers = map[model.WorkerID]*worker{}
 	c.unclaimedProgress = map[model.JobID]storedProgress{}
