--- a/internal/chief/persist.go
+++ b/internal/chief/persist.go
@@ -35,11 +35,9 @@
 		return
 	}
 	var b progressBatch
-	urgent := false
 	for _, j := range c.jobs {
 		if j.dirty {
 			b.jobs = append(b.jobs, j)
-			urgent = urgent || j.state.Final()
 		}
 	}
 	b.ends = map[*worker]work.EndNumber{}
--- a/internal/elect/elect.go
+++ b/internal/elect/elect.go
@@ -83,6 +83,7 @@
 	term        *Term // nil while this instance does not lead
 	cancelTerm  context.CancelFunc
 	resigning   bool
+	left        bool // the registration is given up for good
 }
 
 // Run registers the instance and campaigns for the leadership until ctx ends.
@@ -242,8 +243,11 @@
 // renewLease renews the lease, or obtains one if there is none, and writes the registration if the current lease lacks it.
 func (e *Elector) renewLease(ctx context.Context) error {
 	e.mu.Lock()
-	lease, registered := e.lease, e.registered
+	lease, registered, left := e.lease, e.registered, e.left
 	e.mu.Unlock()
+	if left {
+		return nil
+	}
 	if lease == 0 {
 		return e.grantLease(ctx)
 	}
@@ -490,9 +494,10 @@
 	return e.term, termCtx
 }
 
-// Leave revokes the lease, which removes the registration.
+// Leave revokes the lease, which removes the registration, and stops renewals, which would register this instance again.
 func (e *Elector) Leave(ctx context.Context) {
 	e.mu.Lock()
+	e.left = true
 	lease := e.lease
 	e.mu.Unlock()
 	if lease == 0 {
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -12,7 +12,7 @@
 	"peridotgw.example/peridotgw/reply"
 )
 
-// buffers recycles the buffers of answer bodies; Release returns those with a capacity of up to maxPooledBytes.
+// buffers recycles the buffers of answer bodies, those with a capacity of up to maxPooledBytes.
 //
 //nolint:gochecknoglobals // A pool has no state that a caller can observe.
 var buffers = sync.Pool{New: func() any { return new([]byte) }}
@@ -29,14 +29,19 @@
 	return buffer
 }
 
+// putBuffer returns a buffer to the pool, unless it is so large that it would hold memory for rare answers.
+func putBuffer(buffer *[]byte) {
+	if cap(*buffer) <= maxPooledBytes {
+		buffers.Put(buffer)
+	}
+}
+
 // Release returns the answer's buffer to the pool; Body must not be used afterwards. It does nothing on a nil answer.
 func (a *Answer) Release() {
 	if a == nil || a.buffer == nil {
 		return
 	}
-	if cap(*a.buffer) <= maxPooledBytes {
-		buffers.Put(a.buffer)
-	}
+	putBuffer(a.buffer)
 	a.buffer, a.Body = nil, nil
 }
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -223,13 +223,13 @@
 		verify = VerifyAnswer
 	}
 	if err := verify(a.request, a.number, answer.Header, *buffer); err != nil {
-		buffers.Put(buffer)
+		putBuffer(buffer)
 		a.slot.Done(route.ResultTransportError, report)
 		return a.mismatchResult(err)
 	}
 	switch {
 	case answer.StatusCode == http.StatusServiceUnavailable && answer.Header.Get(reply.HeaderNotRun) == "true":
-		buffers.Put(buffer)
+		putBuffer(buffer)
 		a.slot.Done(route.ResultRefused, report)
 		return attemptResult{
 			kind: kindNotRun, reason: reply.ReasonOverload, endpointFull: report.Present && report.Busy >= int(report.Slots),
@@ -242,7 +242,7 @@
 			Digest: answer.Header.Get(reply.HeaderDigest), Endpoint: a.slot.Endpoint, buffer: buffer,
 		}}
 	default:
-		buffers.Put(buffer)
+		putBuffer(buffer)
 		result := route.ResultErrored
 		if answer.StatusCode < http.StatusInternalServerError {
 			result = route.ResultAnswered
@@ -277,7 +277,7 @@
 	}
 	buffer := getBuffer(int(size))
 	if _, err := io.ReadFull(answer.Body, *buffer); err != nil {
-		buffers.Put(buffer)
+		putBuffer(buffer)
 		return nil, fmt.Errorf("reading the answer: %w", err)
 	}
 	return buffer, nil
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -82,7 +82,6 @@
 	waiters []*waiter
 	// connLimit is the most connections of this instance to one endpoint.
 	connLimit int
-	wake      chan struct{}
 	counters  counters
 }
 
@@ -257,7 +256,6 @@
 		return
 	}
 	t.endpoints, t.pendingMarks = map[model.EndpointID]*endpoint{}, map[model.EndpointID]string{}
-	t.wake = make(chan struct{}, 1)
 	t.connLimit = ConnsPerEndpoint
 	t.counters = newCounters(t.Metrics)
 }
--- a/internal/sched/workers.go
+++ b/internal/sched/workers.go
@@ -275,8 +275,7 @@
 	}
 	c.addNote(entry, now, "failed", string(CauseTaskFailed), map[string]string{"worker": string(id), "message": entry.message})
 	c.countWorkerFailure(id, entry.record.Spec.ID, now)
-	failsEverywhere := c.tuning.MaxFailedWorkers > 0 && (repeated || len(entry.record.FailedOn) >= c.tuning.MaxFailedWorkers) &&
-		slices.Contains(entry.record.FailedOn, id)
+	failsEverywhere := c.tuning.MaxFailedWorkers > 0 && (repeated || len(entry.record.FailedOn) >= c.tuning.MaxFailedWorkers)
 	switch {
 	case failsEverywhere:
 		// The job is at fault, so its failures no longer count against the workers.
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -164,7 +164,7 @@
 	}
 	openJobs := c.openJobs()
 	time.Sleep(settleDelay)
-	violations := append(c.fleet.Violations(), c.callers.violations...)
+	violations := append(c.fleet.Violations(), c.callers.recordedViolations()...)
 	if openJobs > 0 {
 		violations = append(violations, fmt.Sprintf("%d accepted jobs have no final state %v after the faults", openJobs, opts.calm))
 	}
--- a/soak/load.go
+++ b/soak/load.go
@@ -44,6 +44,13 @@
 	violations []string
 }
 
+// recordedViolations returns the violations so far.
+func (c *callers) recordedViolations() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]string(nil), c.violations...)
+}
+
 func (c *callers) addViolation(format string, args ...any) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -119,11 +119,13 @@
 	return p.mode
 }
 
-// drops reports whether data in a direction is dropped now, and whether it is delayed.
-func (p *proxy) drops(l *link, fromServer bool) (drop, delayed bool) {
+// judge reports whether data in a direction is dropped now, and whether it is delayed. After a gap no further data arrives on the link,
+// as on a TCP connection.
+func (p *proxy) judge(l *link, fromServer bool) (drop, delayed bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return l.silent || p.mode == modeCut || p.mode == modeOneWay && fromServer, p.mode == modeDelay
+	l.silent = l.silent || p.mode == modeCut || p.mode == modeOneWay && fromServer
+	return l.silent, p.mode == modeDelay
 }
 
 func (p *proxy) copy(l *link, to, from net.Conn, fromServer bool) {
@@ -132,7 +134,7 @@
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
-			drop, delayed := p.drops(l, fromServer)
+			drop, delayed := p.judge(l, fromServer)
 			if delayed {
 				time.Sleep(delayTime)
 			}
@@ -140,8 +142,6 @@
 				if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
 					return
 				}
-			} else {
-				l.silent = true // After a gap no further data may arrive, as on a TCP connection.
 			}
 		}
 		if err != nil {
