--- /dev/null
+++ b/internal/chief/fit.go
@@ -0,0 +1,213 @@
+package chief
+
+import (
+	"sort"
+	"time"
+
+	"peridotgw.example/peridotgw/internal/work"
+)
+
+// fits reports whether a worker can start one more task of a stage now.
+func (p *planner) fits(s *stage, w *worker, resources work.Resources) bool {
+	return p.eligible(s, w) && w.free().Fits(resources) && w.available.Fits(resources)
+}
+
+// eligible reports whether a worker may run one more task of a stage, regardless of its free capacity.
+func (p *planner) eligible(s *stage, w *worker) bool {
+	if p.keptIdle[w] && p.yieldsToUrgent(s) {
+		return false
+	}
+	return w.info.Pool == s.job.spec.Pool && w.info.Has(s.step.Label) && (s.step.PerWorker == 0 || s.runsOn[w] < s.step.PerWorker) &&
+		p.hasTicket(s, w)
+}
+
+// bestWorker returns the worker with the tightest fit, in the rack of the data if possible, or nil.
+func (p *planner) bestWorker(s *stage, among []*worker, remote bool) *worker {
+	resources := s.step.Resources()
+	dataRack := s.step.DataRack
+	if dataRack != "" {
+		if w := p.tightestFit(s, p.racks[dataRack], resources); w != nil || !remote {
+			return w
+		}
+	}
+	return p.tightestFit(s, among, resources)
+}
+
+func (p *planner) tightestFit(s *stage, among []*worker, resources work.Resources) *worker {
+	var best *worker
+	bestScore := 0.0
+	for _, w := range among {
+		if !p.fits(s, w, resources) {
+			continue
+		}
+		if placementScore := p.placementScore(s, w, resources); best == nil || placementScore < bestScore {
+			best, bestScore = w, placementScore
+		}
+	}
+	return best
+}
+
+// placementScore rates a worker for one more task; lower is better, and less remaining capacity scores lower.
+func (p *planner) placementScore(s *stage, w *worker, resources work.Resources) float64 {
+	left := w.available.Sub(resources)
+	placementScore := float64(left.GPU) + float64(left.CPU)/float64(max(1, w.info.Capacity.CPU))
+	if s.step.Lasts {
+		placementScore = -placementScore // Long-running tasks are spread.
+	}
+	if w.suspect() {
+		placementScore += suspectPenalty
+	}
+	if s.step.Fills && w.runsServingTask() || s.step.TailTarget > 0 && w.runsFillingTask() {
+		placementScore += interferencePenalty
+	}
+	return placementScore
+}
+
+// suspectPenalty keeps tasks off a suspect worker as long as another one has capacity.
+const suspectPenalty = 100
+
+// interferencePenalty keeps filling and serving tasks on separate workers as long as another one has capacity.
+const interferencePenalty = 1000
+
+func (w *worker) runsServingTask() bool {
+	for _, r := range w.runs {
+		if r.task != nil && r.task.stage.step.TailTarget > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (w *worker) runsFillingTask() bool {
+	for _, r := range w.runs {
+		if r.task != nil && r.task.stage.step.Fills {
+			return true
+		}
+	}
+	return false
+}
+
+// placeGang returns a worker for each member, or nil.
+func (p *planner) placeGang(s *stage) []*worker {
+	if dataRack := s.step.DataRack; dataRack != "" {
+		if places := p.placeTasks(s, p.racks[dataRack], len(s.tasks), availableNow); places != nil {
+			return places
+		}
+	}
+	if s.step.SameRack {
+		if places := p.placeInOneRack(s, len(s.tasks), availableNow); places != nil {
+			return places
+		}
+	}
+	if (s.step.DataRack != "" || s.step.SameRack) && !p.mayRunRemote(s) {
+		return nil
+	}
+	return p.placeTasks(s, p.workers, len(s.tasks), availableNow)
+}
+
+// placeInOneRack returns workers for the tasks within one rack, or nil: of the racks with the fewest placements on suspect
+// workers, the one with the least available cores.
+func (p *planner) placeInOneRack(s *stage, need int, capacityOf capacityOf) []*worker {
+	var best []*worker
+	bestSuspects, bestLeft := 0, 0.0
+	for _, rack := range p.racks {
+		places := p.placeTasks(s, rack, need, capacityOf)
+		if places == nil {
+			continue
+		}
+		suspects, left := 0, 0.0
+		for _, w := range places {
+			if w.suspect() {
+				suspects++
+			}
+		}
+		for _, w := range rack {
+			left += w.available.Cores()
+		}
+		if best == nil || suspects < bestSuspects || suspects == bestSuspects && left < bestLeft {
+			best, bestSuspects, bestLeft = places, suspects, left
+		}
+	}
+	return best
+}
+
+// capacityOf returns the capacity of a worker that a placement may use.
+type capacityOf func(*worker) work.Resources
+
+// availableNow is the capacity that is free now and not reserved.
+func availableNow(w *worker) work.Resources {
+	free := w.free()
+	return work.Resources{CPU: min(free.CPU, w.available.CPU), Memory: min(free.Memory, w.available.Memory), GPU: min(free.GPU, w.available.GPU)}
+}
+
+// availableAfterStops is the capacity that is free once all stops are done and not reserved.
+func availableAfterStops(w *worker) work.Resources { return w.available }
+
+// placeTasks returns a worker for each of need tasks, or nil if they do not all fit. It fills the workers with the fewest free
+// accelerators first; a gang that has failed before goes to the workers that completed a task most recently.
+func (p *planner) placeTasks(s *stage, among []*worker, need int, capacityOf capacityOf) []*worker {
+	resources := s.step.Resources()
+	type option struct {
+		worker *worker
+		count  int
+	}
+	var options []option
+	total := 0
+	for _, w := range among {
+		if !p.eligible(s, w) {
+			continue
+		}
+		count := countFits(capacityOf(w), resources, need)
+		if s.step.PerWorker > 0 {
+			count = min(count, s.step.PerWorker-s.runsOn[w])
+		}
+		if count > 0 {
+			options = append(options, option{w, count})
+			total += count
+		}
+	}
+	if total < need {
+		return nil
+	}
+	sort.SliceStable(options, func(i, j int) bool {
+		a, b := options[i].worker, options[j].worker
+		if a.suspect() != b.suspect() {
+			return b.suspect()
+		}
+		// Where one worker fails every task, there may be others that are not suspect yet.
+		if idleA, idleB := p.secondsSinceDone(a), p.secondsSinceDone(b); len(s.failedRuns) > 0 && idleA != idleB {
+			return idleA < idleB
+		}
+		return capacityOf(a).GPU < capacityOf(b).GPU
+	})
+	places := make([]*worker, 0, need)
+	for _, o := range options {
+		for range min(o.count, need-len(places)) {
+			places = append(places, o.worker)
+		}
+	}
+	return places
+}
+
+// secondsSinceDone returns the whole seconds, up to a limit, since a worker last completed a task.
+func (p *planner) secondsSinceDone(w *worker) int {
+	return int(min(p.now.Sub(w.lastDoneAt), maxSinceDone) / time.Second)
+}
+
+// maxSinceDone is the time without a completed task beyond which workers are ranked equally.
+const maxSinceDone = 10 * time.Second
+
+// countFits returns how often need fits into what is available, at most limit.
+func countFits(available, need work.Resources, limit int) int {
+	count := limit
+	if need.CPU > 0 {
+		count = min(count, available.CPU/need.CPU)
+	}
+	if need.Memory > 0 {
+		count = min(count, available.Memory/need.Memory)
+	}
+	if need.GPU > 0 {
+		count = min(count, int(available.GPU/need.GPU))
+	}
+	return max(count, 0)
+}
--- /dev/null
+++ b/internal/chief/lease.go
@@ -0,0 +1,58 @@
+package chief
+
+import (
+	"time"
+
+	"peridotgw.example/peridotgw/internal/clock"
+	"peridotgw.example/peridotgw/internal/work"
+)
+
+const (
+	// drainLease is short, so that runs on a draining worker soon count as ended after it stops answering.
+	drainLease = 3 * time.Second
+	// slowClock is the rate of the slowest worker clock relative to this instance's clock.
+	slowClock         = 0.98
+	leaseExpiryMargin = 250 * time.Millisecond // beyond its computed end, before a lease counts as expired
+)
+
+// lease returns the end of a lease that starts now, on the worker's clock; 0 while that clock is unknown.
+func (c *Scheduler) lease(w *worker, now clock.Instant) work.WorkerClock {
+	if w.clockReadAt == 0 {
+		return 0
+	}
+	lease := c.Limits.MaxLease
+	if w.info.Draining {
+		lease = min(lease, drainLease)
+	}
+	leaseUntil := w.clock + work.WorkerClock((now.Sub(w.clockReadAt) + lease).Milliseconds())
+	w.leaseUntil = max(w.leaseUntil, leaseUntil)
+	return leaseUntil
+}
+
+// leasesExpired reports whether all leases of a worker's runs have certainly expired, even if its clock is the slowest allowed.
+func (c *Scheduler) leasesExpired(w *worker, now clock.Instant) bool {
+	// Leases of earlier terms, and those on the clock of an earlier incarnation, started before this time.
+	knownSince := max(c.Term.Since, w.knownSince)
+	if now.Sub(knownSince) <= time.Duration(float64(c.Limits.MaxLease)/slowClock)+leaseExpiryMargin {
+		return false
+	}
+	earliest := w.clock + work.WorkerClock(float64((now.Sub(w.clockReadAt)-leaseExpiryMargin).Milliseconds())*slowClock)
+	return w.clockReadAt == 0 || earliest > w.leaseUntil
+}
+
+func (w *worker) updateClock(reading work.WorkerClock, at clock.Instant) {
+	if reading > 0 {
+		w.clock, w.clockReadAt = reading, at
+	}
+}
+
+// registeredGrace is how long the runs of a silent worker are kept, beyond its leases, while it renews its registration: it is alive,
+// and knows which of its runs are done.
+const registeredGrace = 3 * time.Second
+
+// mayAnswerYet reports whether a silent worker whose leases have expired is worth waiting for. If this instance is too slow to read
+// its answers, the worker has listed ends that are not known here, and their tasks must not start again.
+func (c *Scheduler) mayAnswerYet(w *worker, now clock.Instant) bool {
+	lease := time.Duration(float64(c.Limits.MaxLease) / slowClock)
+	return w.registered && now.Sub(max(w.reportedAt, c.Term.Since)) < lease+registeredGrace
+}
