--- a/internal/node/announce.go
+++ b/internal/node/announce.go
@@ -95,7 +95,8 @@
 
 // announceToLeader delivers announcements to the instance that schedules, which may be this one.
 func (n *Node) announceToLeader(ctx context.Context, announcements []intake.Announcement) error {
-	if scheduler := n.chief.Load(); scheduler != nil && applyAnnouncements(scheduler, announcements) {
+	scheduler := n.chief.Load()
+	if scheduler != nil && applyAnnouncements(scheduler, announcements) { //nolint:contextcheck // calls end with the term
 		return nil
 	}
 	_, err := callOwner(ctx, n, procAnnounce, &announceQuery{Announcements: announcements},
@@ -106,7 +107,8 @@
 // handleAnnounce answers a peer that announces changes.
 func (n *Node) handleAnnounce(_ context.Context, q *announceQuery) (*announceAnswer, error) {
 	scheduler := n.chief.Load()
-	return &announceAnswer{Ownership: n.ownership(scheduler != nil && applyAnnouncements(scheduler, q.Announcements))}, nil
+	taken := scheduler != nil && applyAnnouncements(scheduler, q.Announcements) //nolint:contextcheck // calls end with the term
+	return &announceAnswer{Ownership: n.ownership(taken)}, nil
 }
 
 // applyAnnouncements passes announcements to the scheduler, and reports whether it takes them.
