chief: a new leader reads its state in one go

Change: all of it is read at the same time, and the watches begin at once; what they report waits. Result: the spec, with a store of 0.2 s, failed before: the first run starts within 0.6 s of the term.

--- a/internal/chief/placement.go
+++ b/internal/chief/placement.go
@@ -41,9 +41,6 @@
 
 // loadPlacements reads the placements of earlier terms.
 func (c *Scheduler) loadPlacements(ctx context.Context) error {
-	if err := c.loadPlacementsMark(ctx); err != nil {
-		return err
-	}
 	records, _, err := kv.List(ctx, c.Store, work.PlacementPrefix)
 	if err != nil {
 		return err
--- a/internal/chief/placement_test.go
+++ b/internal/chief/placement_test.go
@@ -70,3 +70,19 @@
 		env.Expect(lostAnswers).To(Equal(0))
 	})
 }
+
+// Guards against a takeover that takes seconds while the store is slow, because the state is read in one call after another.
+func TestTakeoverWithASlowStore(t *testing.T) {
+	const storeDelay = 200 * time.Millisecond
+	withTestEnv(t, 4, func(env *testEnv) {
+		leader := env.start("a", nil)
+		env.sleep(3 * time.Second)
+		leader.kill()
+		env.submit(newJob("00000000000000e6", "check", 1, 1))
+		env.net.SetFault("b", storeAddress, memnet.Fault{Delay: storeDelay})
+		successor := env.start("b", nil)
+		env.await(6*time.Second, "b leads", func() bool { return successor.chief.Load() != nil })
+		// The time of three calls: the state, the placement of the job, and what is left for the workers.
+		env.await(3*storeDelay, "the job runs", func() bool { return len(env.fleet.RunningOn(taskID("00000000000000e6", 0))) == 1 })
+	})
+}
--- a/internal/chief/scheduler.go
+++ b/internal/chief/scheduler.go
@@ -126,9 +126,6 @@
 	c.runTimes = map[work.QueueName]*runTimes{}
 	group, ctx := errgroup.WithContext(ctx)
 	c.ctx = ctx
-	if err := c.loadState(ctx); err != nil {
-		return err
-	}
 	jobs := &kv.Follower{
 		Store: c.Store, Prefix: work.JobPrefix, Log: c.Log,
 		OnReset:  func(items []kv.Item) { c.post(func() { c.applyJobItems(items) }) },     //nolint:contextcheck // calls end with the term
@@ -141,7 +138,13 @@
 	}
 	group.Go(func() error { return jobs.Run(ctx) })
 	group.Go(func() error { return registry.Run(ctx) })
-	group.Go(func() error { return c.loop(ctx) })
+	group.Go(func() error {
+		// What the followers report meanwhile waits in posts.
+		if err := c.loadState(ctx); err != nil {
+			return err
+		}
+		return c.loop(ctx)
+	})
 	err := group.Wait()
 	c.mu.Lock()
 	c.pendingKnown = false
@@ -230,13 +233,17 @@
 	}
 }
 
+// tryLoadState reads everything at the same time: with a slow store, one read after another would take seconds.
 func (c *Scheduler) tryLoadState(ctx context.Context) error {
-	if err := c.loadRoster(ctx); err != nil {
-		return err
-	}
-	if err := c.loadPlacements(ctx); err != nil {
-		return err
-	}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return c.loadRoster(ctx) })
+	group.Go(func() error { return c.loadPlacementsMark(ctx) })
+	group.Go(func() error { return c.loadPlacements(ctx) })
+	group.Go(func() error { return c.loadProgress(ctx) })
+	return group.Wait()
+}
+
+func (c *Scheduler) loadProgress(ctx context.Context) error {
 	records, _, err := kv.List(ctx, c.Store, work.ProgressPrefix)
 	if err != nil {
 		return err
