chief, elect: a placement that does not name all workers says so; idle instances check their service less often

Seen while reading the change: a job from before placements were stored got a record with the workers of its later starts only, and the next leader would have taken it as complete. The record says now that any worker may have runs; the spec failed without it.

--- a/internal/chief/placement.go
+++ b/internal/chief/placement.go
@@ -24,6 +24,9 @@
 	maxPlacementTxns     = 4                          // transactions in flight: a slow store delays each of them
 )
 
+// anyWorker in a stored placement means that there may be runs on workers that it does not name.
+const anyWorker model.WorkerID = ""
+
 // placement is the set of workers that may have runs of a job.
 type placement struct {
 	stored   map[model.WorkerID]bool
@@ -82,7 +85,7 @@
 		p.stored[worker] = true
 	}
 	p.revision = record.revision
-	p.unknown = record.invalid || !found && created < c.placementsSince
+	p.unknown = record.invalid || p.stored[anyWorker] || !found && created < c.placementsSince
 	return p
 }
 
@@ -163,6 +166,9 @@
 			for id := range j.placement.stored {
 				w.workers = append(w.workers, id)
 			}
+			if j.placement.unknown && !j.placement.stored[anyWorker] {
+				w.workers = append(w.workers, anyWorker)
+			}
 			writes = append(writes, w)
 		}
 		if id := r.worker.info.ID; !slices.Contains(writes[i].workers, id) {
--- a/internal/chief/placement_test.go
+++ b/internal/chief/placement_test.go
@@ -86,3 +86,31 @@
 		env.await(3*storeDelay, "the job runs", func() bool { return len(env.fleet.RunningOn(taskID("00000000000000e6", 0))) == 1 })
 	})
 }
+
+// Guards against a job from before placements were stored whose record, written later, hides where else it may run.
+func TestUnknownPlacementStaysUnknown(t *testing.T) {
+	withTestEnv(t, 4, func(env *testEnv) {
+		env.fleet.Outcome = func(string, int64, string) fakepl.Outcome { return fakepl.Outcome{After: time.Minute, How: "done"} }
+		env.submit(newJob("00000000000000e7", "scan", 1, 8)) // Before the first leader has marked that it stores placements.
+		leader := env.start("a", nil)
+		env.await(9*time.Second, "it runs", func() bool { return len(env.fleet.RunningOn(taskID("00000000000000e7", 0))) == 1 })
+		running := env.fleet.RunningOn(taskID("00000000000000e7", 0))[0]
+		for _, w := range env.workers {
+			if w.ID != running {
+				env.net.SetFault("b", memnet.Host(w.Address), memnet.Fault{DropRequests: true, DropAnswers: true})
+			}
+		}
+		for _, w := range env.workers {
+			if w.ID == running {
+				w.Crash() // Its run is gone, and the task could start again at once if no other worker might run it.
+				w.Start()
+				env.heartbeat(w)
+			}
+		}
+		leader.kill()
+		env.start("b", nil)
+		env.sleep(5 * time.Second)
+		env.Expect(env.fleet.StartCount(taskID("00000000000000e7", 0))).To(Equal(1))
+		env.await(8*time.Second, "it runs again", func() bool { return env.fleet.StartCount(taskID("00000000000000e7", 0)) == 2 })
+	})
+}
--- a/internal/elect/elect.go
+++ b/internal/elect/elect.go
@@ -294,8 +294,13 @@
 // watchService yields the leadership when the store no longer serves this instance but may serve others, until ctx ends. Renewals
 // go on meanwhile.
 func (e *Elector) watchService(ctx context.Context) error {
-	for clock.Sleep(ctx, renewRetryDelay) == nil {
-		e.yieldIfUnserved(ctx)
+	wait := renewInterval
+	for clock.Sleep(ctx, wait) == nil {
+		wait = renewInterval
+		if term, _ := e.unservedFor(); term != nil {
+			wait = renewRetryDelay
+			e.yieldIfUnserved(ctx)
+		}
 	}
 	return ctx.Err()
 }
