elect, node: a term that may have been yielded is over

The leader, which the store did not serve for a moment, asked a peer to end its term; the peer did, and the answer was lost to a one-way cut. The leader was served again and went on: its renewals extended its validity, and its polls the leases of a worker that its successor could not reach, so that the successor started tasks while they still ran there. The hazard is older than this work: any error of the request counted as not yielded. Ruled out: placements (the new leader did wait for that worker's leases), the clock of the worker. Change: while such a request is in flight the term is not valid; it goes on only after a certain refusal, and otherwise the instance claims a new term. A peer reads the leader's key first, so that an outage for all is a certain refusal. The spec failed before, and without the part for the flight.

--- a/internal/elect/elect.go
+++ b/internal/elect/elect.go
@@ -28,6 +28,7 @@
 	renewInterval   = 450 * time.Millisecond
 	renewRetryDelay = 150 * time.Millisecond
 	callTimeout     = 700 * time.Millisecond
+	probeTimeout    = 250 * time.Millisecond // of a read before the key of another instance is removed
 	// yieldAfter is how long a leader's calls to the store may fail before it yields the leadership.
 	yieldAfter = 600 * time.Millisecond
 	// validFraction is the part of the lease's TTL for which the leadership counts as valid after a renewal was sent.
@@ -65,12 +66,14 @@
 	Now   func() clock.Instant
 	// Lead runs while this instance leads; its context ends with the term.
 	Lead func(ctx context.Context, term Term) error
-	// Yield asks another instance, which the store may still serve, to remove the leader key; nil to never yield.
+	// Yield asks another instance, which the store may still serve, to remove the leader key; nil to never yield. A YieldRefusedError
+	// means that the key was not removed and will not be; after any other error it may be.
 	Yield func(ctx context.Context, term Term) error
 	// Served returns when the store last answered any call of this instance; nil when only renewals count.
 	Served func() clock.Instant
 
 	mu          sync.Mutex    // guards the fields below, except where a field says otherwise
+	yielding    bool          // a request to end the current term is in flight: another instance may lead
 	yieldFailed bool          // Yield has failed since the store last answered; only the goroutine of watchService uses it
 	lastRenewed clock.Instant // when the lease was last granted or renewed, or the term began
 	lease       kv.LeaseID    // 0 while there is none
@@ -129,7 +132,7 @@
 func (e *Elector) TermValid(term Term) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.term != nil && e.term.Token == term.Token && e.Now() < e.validUntil
+	return e.term != nil && e.term.Token == term.Token && !e.yielding && e.Now() < e.validUntil
 }
 
 // Resign releases the leadership and stops campaigning for good; the registration stays until Leave or until the lease expires.
@@ -325,29 +328,64 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if err := e.Yield(callCtx, *term); err != nil {
+	e.setYielding(true)
+	err := e.Yield(callCtx, *term)
+	var refused *YieldRefusedError
+	if errors.As(err, &refused) {
+		e.setYielding(false)
 		if !e.yieldFailed {
 			e.yieldFailed = true
 			e.Log.Warn().Err(err).Dur("store-lost-for", unserved).Msg("elect: leadership not yielded")
 		}
 		return
 	}
+	reason := "yielded, the store does not serve this instance"
+	if err != nil {
+		// The key may be removed, now or later, and another instance may lead: this one claims a new term before it goes on.
+		reason = "it may be yielded: " + err.Error()
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.yielding = false
 	if e.term != nil && e.term.Token == term.Token {
-		e.endCurrentTerm("yielded, the store does not serve this instance")
+		e.endCurrentTerm(reason)
 	}
 }
 
+func (e *Elector) setYielding(yielding bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.yielding = yielding
+}
+
+// YieldRefusedError reports that no instance has removed the leader key or will do so.
+type YieldRefusedError struct{ Cause error }
+
+// Error names the cause.
+func (e *YieldRefusedError) Error() string { return "not yielded: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *YieldRefusedError) Unwrap() error { return e.Cause }
+
 // RemoveLeader removes the leader key of another instance's term at the request of that instance. A term that is already over is no
-// error.
+// error. After a YieldRefusedError the key was not removed; after any other error it may be.
 func (e *Elector) RemoveLeader(ctx context.Context, token model.Token) error {
+	// A removal that gets no answer leaves the term in doubt: the store must be known to answer first.
+	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	if _, _, err := e.Store.Get(probeCtx, leaderKey); err != nil {
+		return &YieldRefusedError{Cause: err}
+	}
 	proof := kv.Expect{Key: leaderKey, Revision: kv.Revision(token)}
 	_, err := e.Store.Txn(ctx, kv.Txn{Expect: []kv.Expect{proof}, Remove: []string{leaderKey}})
 	var conflict *kv.ConflictError
 	if errors.As(err, &conflict) {
 		return nil // The term is already over.
 	}
+	var refused *kv.RefusedError
+	if errors.As(err, &refused) {
+		return &YieldRefusedError{Cause: err}
+	}
 	return err
 }
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"time"
 
@@ -57,7 +58,10 @@
 	Token model.Token `cbor:"1,keyasint"`
 }
 
-type yieldAnswer struct{}
+// yieldAnswer reports why a term was certainly not ended; Refused is empty if it has.
+type yieldAnswer struct {
+	Refused string `cbor:"1,keyasint,omitempty"`
+}
 
 type pendingQuery struct{}
 
@@ -103,9 +107,12 @@
 	wire.Handle(mux, procConfig, n.handleConfig)
 	wire.Handle(mux, procYield, func(ctx context.Context, q *yieldQuery) (*yieldAnswer, error) {
 		if !n.service.steady(n.now()) {
-			return nil, errUnserved
+			return &yieldAnswer{Refused: errUnserved.Error()}, nil
 		}
-		if err := n.elector.RemoveLeader(ctx, q.Token); err != nil {
+		var refused *elect.YieldRefusedError
+		if err := n.elector.RemoveLeader(ctx, q.Token); errors.As(err, &refused) {
+			return &yieldAnswer{Refused: refused.Error()}, nil
+		} else if err != nil {
 			return nil, err
 		}
 		n.Log.Info().Uint64("token", uint64(q.Token)).Msg("node: term of another instance ended at its request")
@@ -113,16 +120,25 @@
 	})
 }
 
-// yieldLeadership asks the other instances, one after another, to end the term of this one, until one succeeds.
+// yieldLeadership asks the other instances, one after another, to end the term of this one, until one may have done so. Errors are
+// those of elect.Elector.Yield.
 func (n *Node) yieldLeadership(ctx context.Context, term elect.Term) error {
-	err := errNoPeer
+	cause := errNoPeer
 	for _, peer := range n.relayPeers() {
-		if _, err = wire.Call[yieldQuery, yieldAnswer](ctx, n.peerCaller, peer.Address, procYield,
-			&yieldQuery{Token: term.Token}); err == nil {
+		answer, err := wire.Call[yieldQuery, yieldAnswer](ctx, n.peerCaller, peer.Address, procYield, &yieldQuery{Token: term.Token})
+		var notSent *net.OpError
+		switch {
+		case err == nil && answer.Refused == "":
 			return nil
+		case err == nil:
+			cause = eris.New(answer.Refused)
+		case errors.As(err, &notSent) && notSent.Op == "dial":
+			cause = err
+		default:
+			return err
 		}
 	}
-	return err
+	return &elect.YieldRefusedError{Cause: cause}
 }
 
 func toChangeAnswer(err error) *changeAnswer {
--- a/internal/node/peers_internal_test.go
+++ b/internal/node/peers_internal_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -149,3 +150,39 @@
 		})
 	}
 }
+
+// Guards against two instances that lead at once because the answer to a request to end the term was lost: the first went on with its
+// term, and extended the leases of runs while the second started them again.
+func TestTermEndsWhenItMayBeYielded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		net := memnet.New()
+		net.SetHandler(testStore, fakepl.NewStore())
+		var terms [2]atomic.Pointer[elect.Term]
+		recordTerm := func(i int) func(*Node) {
+			return func(n *Node) {
+				n.elector.Lead = func(ctx context.Context, term elect.Term) error {
+					terms[i].Store(&term)
+					<-ctx.Done()
+					return ctx.Err()
+				}
+			}
+		}
+		nodes := []*Node{startTestNode(ctx, net, "first", 1, recordTerm(0)), startTestNode(ctx, net, "second", 0.9, recordTerm(1))}
+		leads := func(i int) bool { return terms[i].Load() != nil && nodes[i].elector.TermValid(*terms[i].Load()) }
+		time.Sleep(3 * time.Second)
+		g.Expect(leads(0)).To(BeTrue())
+		net.SetFault("first", "second:7000", memnet.Fault{DropAnswers: true})
+		net.SetFault("first", testStore, memnet.Fault{DropRequests: true, DropAnswers: true})
+		time.Sleep(800 * time.Millisecond)
+		net.SetFault("first", testStore, memnet.Fault{}) // Its lease lives on, and its renewals are answered again.
+		for range 300 {
+			time.Sleep(10 * time.Millisecond)
+			g.Expect(leads(0) && leads(1)).To(BeFalse(), "both lead")
+		}
+		g.Expect(leads(0) || leads(1)).To(BeTrue(), "none leads")
+		cancel()
+		synctest.Wait()
+	})
+}
