--- a/review/standin/failing_tasks.go
+++ b/review/standin/failing_tasks.go
@@ -27,6 +27,9 @@
 	if err := c.addMinions(minions, outcome); err != nil {
 		return err
 	}
+	for _, m := range c.minions {
+		m.lasts = true
+	}
 	if err := c.startMachines(3); err != nil {
 		return err
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,7 +20,7 @@
 	recordPath := flag.String("record", "record.txt", "file of the record")
 	flag.Parse()
 	cases := map[string]func(*cluster, bool) error{
-		"many-ends": manyEnds, "huge-job": hugeJob, "late-starts": lateStarts, "failing-tasks": failingTasks, "late-submit": lateSubmit, "burst-ends": burstEnds,
+		"many-ends": manyEnds, "huge-job": hugeJob, "late-starts": lateStarts, "failing-tasks": failingTasks, "late-submit": lateSubmit, "long-tasks": longTasks, "lost-rack": lostRack, "burst-ends": burstEnds,
 	}
 	play, found := cases[*name]
 	if !found {
--- a/review/standin/minion.go
+++ b/review/standin/minion.go
@@ -13,7 +13,9 @@
 const (
 	maxHold       = 6 * time.Second
 	stopTime      = 100 * time.Millisecond // within stop_timeout_ms
+	startup       = 500 * time.Millisecond // of a task that lasts
 	endsPerAnswer = 500
+	maxConns      = 64 // open at once; further ones wait to be accepted
 	heartbeat     = 1500 * time.Millisecond
 	entryTTL      = 3 * heartbeat
 )
@@ -29,6 +31,7 @@
 	store             *store
 	// outcome returns how a run ends and after what time; 0 for never.
 	outcome func(task string, run int64) (after time.Duration, how string)
+	lasts   bool // its tasks last: their percent is 100 after a short startup
 
 	mu       sync.Mutex
 	born     time.Time
@@ -51,9 +54,22 @@
 	task   string
 	number int64
 	since  time.Time
+	takes  time.Duration // 0 for a task that doesn't end by itself
 	timer  *time.Timer
 }
 
+// percent returns the progress that the minion reports, in whole percent.
+func (r *run) percent(lasts bool) int {
+	elapsed := time.Since(r.since)
+	switch {
+	case lasts && elapsed > startup:
+		return 100
+	case lasts || r.takes == 0:
+		return 0
+	}
+	return min(99, int(100*elapsed/r.takes))
+}
+
 type end struct {
 	n    int64
 	task string
@@ -92,7 +108,7 @@
 	m.address = listener.Addr().String()
 	m.born = time.Now()
 	m.runs, m.highest, m.changed, m.nextEnd = map[string]*run{}, map[string]int64{}, make(chan struct{}), 1
-	go func() { _ = http.Serve(listener, m) }()
+	go func() { _ = http.Serve(newCappedListener(listener), m) }()
 	go m.beat()
 	return nil
 }
@@ -228,6 +244,7 @@
 	m.started = append(m.started, runStart{o.Task, o.Run, r.since, arrived})
 	m.rec.add("%s start %s run %d token %d", m.id, o.Task, o.Run, o.Token)
 	if after, how := m.outcome(o.Task, o.Run); after > 0 {
+		r.takes = after
 		r.timer = time.AfterFunc(after, func() { m.finish(r, how) })
 	}
 	return http.StatusOK, map[string]any{"clock_ms": m.clock()}
@@ -307,8 +324,7 @@
 	defer m.mu.Unlock()
 	running, ended := [][]any{}, [][]any{}
 	for _, r := range m.runs {
-		percent := min(99, int(time.Since(r.since).Milliseconds()/100))
-		running = append(running, []any{r.task, r.number, "", percent, 0})
+		running = append(running, []any{r.task, r.number, "", r.percent(m.lasts), 0})
 	}
 	list := m.ended[:min(len(m.ended), endsPerAnswer)]
 	for _, e := range list {
@@ -341,3 +357,37 @@
 }
 
 func taskName(job string, index int) string { return fmt.Sprintf("%s.0.0.%d", job, index) }
+
+// cappedListener accepts a connection only while fewer than maxConns are open.
+type cappedListener struct {
+	net.Listener
+	slots chan struct{}
+}
+
+func newCappedListener(l net.Listener) *cappedListener {
+	return &cappedListener{l, make(chan struct{}, maxConns)}
+}
+
+// Accept waits for a slot and then for a connection.
+func (l *cappedListener) Accept() (net.Conn, error) {
+	l.slots <- struct{}{}
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		<-l.slots
+		return nil, err
+	}
+	return &cappedConn{Conn: conn, release: func() { <-l.slots }}, nil
+}
+
+// cappedConn gives its slot back when it is closed.
+type cappedConn struct {
+	net.Conn
+	once    sync.Once
+	release func()
+}
+
+// Close closes the connection.
+func (c *cappedConn) Close() error {
+	c.once.Do(c.release)
+	return c.Conn.Close()
+}
