--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -8,4 +8,4 @@
 	echo "target/peridotd or review/bin/standin is missing" >&2
 	exit 2
 fi
-exec review/bin/standin -case many-ends -record "$case_dir/record.txt"
+exec review/bin/standin -case late-starts -record "$case_dir/record.txt"
