--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -31,6 +31,8 @@
 // Prefixes of the queues, by priority.
 var prefixes = [3]string{"/pufi791/", "/lohu930/", "/pule252/"} //nolint:gochecknoglobals // constant
 
+var zoneNames = []string{"courthouse", "fairground", "waterworks", "library"} //nolint:gochecknoglobals // constant
+
 // machine is one machine of the system with its process, which the platform starts again whenever it ends.
 type machine struct {
 	name, settings, front, ready string
@@ -84,10 +86,9 @@
 
 // addMinions starts count minions of 64 cores, 256 GB and 8 GPUs, six to a rack.
 func (c *cluster) addMinions(count int, outcome func(task string, run int64) (time.Duration, string)) error {
-	zones := []string{"courthouse", "fairground", "waterworks", "library"}
 	for i := range count {
 		m := &minion{
-			id: fmt.Sprintf("i-%04d", i), zone: zones[i/6%len(zones)], service: service, labels: []string{"a", fmt.Sprintf("r1-%d", i/6)},
+			id: fmt.Sprintf("i-%04d", i), zone: zoneNames[i/6%len(zoneNames)], service: service, labels: []string{"a", fmt.Sprintf("r1-%d", i/6)},
 			cpu: 64000, memMB: 262144, gpu: 8, rec: c.rec, store: c.store, outcome: outcome,
 		}
 		if err := m.start(); err != nil {
@@ -101,10 +102,9 @@
 // startMachines starts count machines of the system and waits until all are ready, and then until the traffic begins.
 func (c *cluster) startMachines(count int) error {
 	began := time.Now()
-	zones := []string{"courthouse", "fairground", "waterworks", "library"}
 	for i := range count {
-		m := &machine{name: fmt.Sprintf("front-%s-%d", zones[i%len(zones)], i+1)}
-		if err := c.writeSettings(m, zones[i%len(zones)]); err != nil {
+		m := &machine{name: fmt.Sprintf("front-%s-%d", zoneNames[i%len(zoneNames)], i+1)}
+		if err := c.writeSettings(m, zoneNames[i%len(zoneNames)]); err != nil {
 			return err
 		}
 		c.machines = append(c.machines, m)
@@ -142,7 +142,6 @@
 	m.settings = filepath.Join(c.dir, m.name+".conf")
 	lines := []string{
 		"node=" + m.name, "role=peridot", "machine_class=front", "serves=front", "ip=" + ip, "zone=" + zone, "region=pecan-county",
-		"zones.courthouse=pecan-county", "zones.fairground=pecan-county", "zones.waterworks=pecan-county", "zones.library=pecan-county",
 		"listen.front=" + m.front, "listen.ready=" + m.ready, fmt.Sprintf("internal_ports=%d,%d", ports+2, ports+3),
 		"bootstrap=true", "limits.cpu_share=0.4", "limits.cores=1", "limits.memory_mb=284", "limits.max_fds=4100",
 		"limits.link_mbps=1000.0", "limits.disk_mb=0", "discovery=platform", "entry=vip", "heartbeat_ms=1500",
@@ -153,9 +152,12 @@
 		"bounds.early_ms=250", "bounds.finish_s=14", "bounds.status_s=120", "bounds.remote_factor=3", "bounds.checkpoint_s=1",
 		"bounds.restore_ms=250", "bounds.notice_ms=4500", "bounds.reclaim_ms=3400", "orders=call",
 		"platform.address=" + c.storeURL, "platform.form=kv", "platform.writes_per_s=400", "platform.reads_per_s=2000",
-		"platform.history_s=20", "platform.value_bytes=1048576", "platform.min_ttl_ms=1000", "",
+		"platform.history_s=20", "platform.value_bytes=1048576", "platform.min_ttl_ms=1000",
+	}
+	for _, name := range zoneNames {
+		lines = append(lines, "zones."+name+"=pecan-county")
 	}
-	return os.WriteFile(m.settings, []byte(strings.Join(lines, "\n")), 0o600)
+	return os.WriteFile(m.settings, []byte(strings.Join(lines, "\n")+"\n"), 0o600)
 }
 
 // loopback returns an address of the loopback network for the n-th machine, which no other run of a case uses.
