--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -56,6 +56,8 @@
 	Stop     func(context.Context, Target, StopOrder) (work.WorkerClock, error)
 	Throttle func(context.Context, Target, ThrottleOrder) error
 	Poll     func(context.Context, Target, PollOrder) (work.Report, error)
+	// MaxListedEnds is the most ends that a report lists; later ones are listed once these are acknowledged.
+	MaxListedEnds int
 }
 
 // Reason is why a worker rejected an order.
--- a/internal/chief/fit.go
+++ b/internal/chief/fit.go
@@ -17,7 +17,7 @@
 	if p.keptIdle[w] && p.yieldsToUrgent(s) {
 		return false
 	}
-	return w.info.Pool == s.job.spec.Pool && w.info.Has(s.step.Label) && (s.step.PerWorker == 0 || s.runsOn[w] < s.step.PerWorker) &&
+	return w.info.Pool == s.job.spec.Pool && w.info.Has(s.step.Label) && p.c.listableRuns(w) > 0 && (s.step.PerWorker == 0 || s.runsOn[w] < s.step.PerWorker) &&
 		p.hasTicket(s, w)
 }
 
@@ -157,7 +157,7 @@
 		if !p.eligible(s, w) {
 			continue
 		}
-		count := countFits(capacityOf(w), resources, need)
+		count := min(countFits(capacityOf(w), resources, need), p.c.listableRuns(w))
 		if s.step.PerWorker > 0 {
 			count = min(count, s.step.PerWorker-s.runsOn[w])
 		}
--- a/internal/chief/health.go
+++ b/internal/chief/health.go
@@ -58,8 +58,8 @@
 		}
 		// One percent of the work takes a hundredth of the estimate, and several times that on a remote or slow worker.
 		limit := max(stuckAfter, stuckEstimatePercent*c.estimate(r.task.stage)/100)
-		// Time without an answered poll does not count.
-		if w.reportedAt.Sub(max(r.progressedAt, r.createdAt)) < limit {
+		// Time without a report that lists the run does not count: its worker is silent, or its end is among those not yet listed.
+		if r.listedAt.Sub(max(r.progressedAt, r.createdAt)) < limit {
 			continue
 		}
 		c.quarantine(w, stuckQuarantine, "its tasks make no progress")
--- a/internal/chief/internal_test.go
+++ b/internal/chief/internal_test.go
@@ -6,7 +6,9 @@
 
 	. "github.com/onsi/gomega"
 
+	"peridotgw.example/peridotgw/internal/agent"
 	"peridotgw.example/peridotgw/internal/clock"
+	"peridotgw.example/peridotgw/internal/work"
 	"peridotgw.example/peridotgw/model"
 )
 
@@ -22,6 +24,27 @@
 	g.Expect(d.record(at.Add(time.Minute), 0)).To(Equal(model.Accelerators(0)))
 }
 
+// Guards against a last attempt that waits for ever for ends that a worker will not list in this term.
+func TestUnreadableListIsNotWaitedFor(t *testing.T) {
+	g := NewWithT(t)
+	c := &Scheduler{Workers: &agent.Calls{MaxListedEnds: 2}, Limits: Limits{MaxLease: 6 * time.Second}}
+	w := &worker{info: work.WorkerInfo{ID: "w"}, registered: true, roster: true, unackableEnd: 1, listedEnds: 2, clock: 1, clockReadAt: 1}
+	p := &planner{c: c, unseenRuns: map[model.WorkerID]bool{}, unseenEnds: map[model.WorkerID]bool{}}
+	p.now = clock.Instant(5 * time.Second)
+	p.noteUnseen(w)
+	g.Expect(p.unseenRuns).To(HaveKey(w.info.ID), "its leases may still hold")
+	g.Expect(p.unseenEnds).To(HaveKey(w.info.ID), "its leases may still hold")
+	clear(p.unseenRuns)
+	clear(p.unseenEnds)
+	p.now = clock.Instant(8 * time.Second)
+	p.noteUnseen(w)
+	g.Expect(p.unseenRuns).To(BeEmpty())
+	g.Expect(p.unseenEnds).To(BeEmpty())
+	w.unackableEnd = 0
+	p.noteUnseen(w)
+	g.Expect(p.unseenEnds).To(HaveKey(w.info.ID), "the rest of its list can still be read")
+}
+
 // Guards against a pace that returns to full speed in one step beside a serving task, or that never drops to 0.
 func TestNextPace(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -60,7 +60,7 @@
 			p.noteUnseen(w)
 		}
 		p.settling = p.settling || w.registered && !w.polled && w.missedCalls == 0 && p.now.Sub(p.c.loadedAt) < settleTime
-		if !w.registered || !w.polled || w.info.Draining || w.missedCalls > 0 || p.now < w.quarantinedUntil ||
+		if !w.registered || !w.polled || p.c.mayHideEnds(w) || w.info.Draining || w.missedCalls > 0 || p.now < w.quarantinedUntil ||
 			!p.c.inRoster(w) || p.c.OutOfService(w.info.Zone) {
 			continue
 		}
@@ -75,9 +75,13 @@
 
 // noteUnseen notes what a worker of an earlier term may hold that was not polled yet.
 func (p *planner) noteUnseen(w *worker) {
-	if !p.c.leasesExpired(w, p.now) {
+	expired := p.c.leasesExpired(w, p.now)
+	if !expired {
 		p.unseenRuns[w.info.ID] = true
 	}
+	if expired && p.c.hidesEndsForGood(w) {
+		return // It will list no further ends in this term.
+	}
 	if w.registered || p.now.Sub(p.c.Term.Since) < unseenEndsLimit {
 		p.unseenEnds[w.info.ID] = true
 	}
--- a/internal/chief/poll.go
+++ b/internal/chief/poll.go
@@ -38,11 +38,11 @@
 		// A repeated number could reach a later incarnation, which numbers its ends from the start again.
 		order.Seen = w.durableEnd
 	}
-	if w.missedCalls == 0 {
+	if w.missedCalls == 0 && !c.hidesEndsForGood(w) {
 		// An unanswered poll may be executed later: it must not extend the leases of a silent worker.
 		order.Until = c.lease(w, now)
 	}
-	if w.polled && w.missedCalls == 0 && len(w.runs) > 0 && w.handledEnd == w.durableEnd {
+	if w.polled && !c.mayHideEnds(w) && w.missedCalls == 0 && len(w.runs) > 0 && w.handledEnd == w.durableEnd {
 		order.Wait = pollWait
 	}
 	w.pollInFlight = true
@@ -66,7 +66,6 @@
 		c.handlePollError(w, now, err)
 		return
 	}
-	c.Observe.CallResult("look", "ok")
 	if report.Born > w.born && w.born != 0 {
 		c.handleRestart(w, report.Born)
 	}
@@ -76,14 +75,14 @@
 	w.missedCalls, w.reportedAt = 0, now
 	w.ackedEnd = max(w.ackedEnd, order.Seen)
 	w.updateClock(report.Clock, now)
-	if !w.polled {
-		w.polled = true
-		c.dirty = true
-	}
 	for _, end := range report.Ended {
 		c.handleListedEnd(w, end)
 	}
-	c.reconcileRuns(w, sent, report.Running)
+	c.noteListedEnds(w, len(report.Ended))
+	c.applyListedRuns(w, report.Running)
+	if !c.mayHideEnds(w) {
+		c.endUnlistedRuns(w, sent, report.Running)
+	}
 	c.adjustPace(w)
 	c.scheduleNextPoll(w, now)
 	c.pollIfDue(w)
@@ -187,20 +186,25 @@
 	return s.gang
 }
 
-// reconcileRuns compares the known runs of a worker with those that it lists. A run whose last order was acknowledged
-// before the poll was sent and that is not listed has ended with its end forgotten, or was lost.
-func (c *Scheduler) reconcileRuns(w *worker, sent clock.Instant, listed []work.Running) {
-	present := make(map[runKey]bool, len(listed))
+// applyListedRuns updates the runs that a worker lists as running, and adopts those that are not known here.
+func (c *Scheduler) applyListedRuns(w *worker, listed []work.Running) {
 	for _, item := range listed {
-		key := runKey{item.Task, item.Run}
-		present[key] = true
-		r := w.runs[key]
+		r := w.runs[runKey{item.Task, item.Run}]
 		if r == nil {
 			r = c.adoptRun(w, item.Task, item.Run)
 			c.activateOrStop(r)
 		}
 		c.updateRun(r, item)
 	}
+}
+
+// endUnlistedRuns ends the known runs of a worker that a report does not list, although it lists all ends. A run whose last order was
+// acknowledged before the poll was sent has then ended with its end forgotten, or was lost.
+func (c *Scheduler) endUnlistedRuns(w *worker, sent clock.Instant, listed []work.Running) {
+	present := make(map[runKey]bool, len(listed))
+	for _, item := range listed {
+		present[runKey{item.Task, item.Run}] = true
+	}
 	for key, r := range w.runs {
 		if present[key] || r.ackedAt == 0 || r.ackedAt >= sent {
 			continue
@@ -245,6 +249,7 @@
 		r.ackedAt = now
 		r.task.stage.job.started = true
 	}
+	r.listedAt = now
 	if item.Percent != r.percent {
 		r.percent, r.progressedAt = item.Percent, now
 	}
--- a/internal/chief/state.go
+++ b/internal/chief/state.go
@@ -38,6 +38,7 @@
 	ackedAt        clock.Instant
 	percent        int           // progress
 	progressedAt   clock.Instant // when percent last changed
+	listedAt       clock.Instant // when a report last listed it as running
 	rate           float64       // progress in percent per second, between the last two samples
 	ratedAt        clock.Instant
 	sampledAt      clock.Instant // when the last progress sample was taken
@@ -126,7 +127,7 @@
 	runs             map[runKey]*run
 	used             work.Resources // by all runs
 	usedByStopping   work.Resources // part of used
-	polled           bool           // has answered a poll in this term, or is gone
+	polled           bool           // has listed all its runs and ends in this term, or is gone
 	born             int64          // of the incarnation; 0 while unknown
 	knownSince       clock.Instant  // when the incarnation became known; 0 for the first of the term
 	pollInFlight     bool
@@ -140,6 +141,7 @@
 	durableEnd       work.EndNumber   // last end that is stored
 	ackedEnd         work.EndNumber   // last acknowledgment that the worker has received
 	unackableEnd     work.EndNumber   // first end that must never be acknowledged; 0 for none
+	listedEnds       int              // number of ends in its last report
 	clock            work.WorkerClock // last reading
 	clockReadAt      clock.Instant    // 0 while there is no reading
 	leaseUntil       work.WorkerClock // end of the longest lease that was sent
