--- /dev/null
+++ b/internal/chief/dispatch.go
@@ -0,0 +1,117 @@
+package chief
+
+import (
+	"context"
+	"errors"
+
+	"peridotgw.example/peridotgw/internal/agent"
+	"peridotgw.example/peridotgw/internal/work"
+)
+
+// maxOrdersInFlight keeps the orders of a large pass from each other's processor time: on a small machine they would all run into
+// their timeouts, and be stopped and sent again.
+const maxOrdersInFlight = 128
+
+// order is an order that waits to be sent: the start of a run or its stop.
+type order struct {
+	run  *run
+	stop bool
+}
+
+// queueStart queues the start order of a run.
+func (c *Scheduler) queueStart(r *run) { c.orders = append(c.orders, order{run: r}) }
+
+// queueStop queues the stop order of a run.
+func (c *Scheduler) queueStop(r *run) { c.orders = append(c.orders, order{run: r, stop: true}) }
+
+// sendOrders sends the orders that wait, the oldest first, while fewer than maxOrdersInFlight are in flight. Orders to workers that do
+// not answer can keep others waiting for seconds, so that a start is checked again when its turn comes.
+func (c *Scheduler) sendOrders() {
+	for len(c.orders) > 0 && c.ordersInFlight < maxOrdersInFlight {
+		next := c.orders[0]
+		c.orders = c.orders[1:]
+		switch r := next.run; {
+		case !r.present():
+		case next.stop:
+			c.sendStop(r)
+		default:
+			c.startOrDrop(r)
+		}
+	}
+}
+
+// startOrDrop sends the start order of a run, or ends the run if it may not start any more; its task is then planned again.
+func (c *Scheduler) startOrDrop(r *run) {
+	reason := c.whyNotStart(r)
+	if reason == "" && r.worker.missedCalls > 0 {
+		reason = "its worker does not answer"
+	}
+	if reason != "" {
+		c.Observe.CallResult("start", "dropped")
+		r.reason = "start dropped: " + reason
+		c.endRun(r, work.EndedStopped, "")
+		return
+	}
+	r.ordered = true
+	c.sendStart(r, agent.StartOrder{
+		Task: r.key.task, Run: r.key.number, Payload: r.task.stage.job.spec.Payload, Until: c.lease(r.worker, c.Now()),
+		Token: c.Term.Token, Saved: r.checkpoint, Ticket: r.task.stage.advice.tickets[r.worker.info.ID],
+	})
+}
+
+// whyNotStart returns why a run that was planned may not start any more; an empty text if it may.
+func (c *Scheduler) whyNotStart(r *run) string {
+	switch w := r.worker; {
+	case r.phase != starting:
+		return "run is being stopped"
+	case !w.registered:
+		return "its worker has left"
+	case w.info.Draining:
+		return "its worker drains"
+	case !c.inRoster(w):
+		return "its worker has another address"
+	case c.OutOfService(w.info.Zone):
+		return "its data centre is out of service"
+	}
+	return ""
+}
+
+// sendStart sends a start order once.
+func (c *Scheduler) sendStart(r *run, start agent.StartOrder) {
+	r.attempts++
+	c.ordersInFlight++
+	target := r.worker.target()
+	go func() {
+		reading, err := c.callInTerm(func(ctx context.Context) (work.WorkerClock, error) { return c.Workers.Start(ctx, target, start) })
+		c.post(func() {
+			c.ordersInFlight--
+			c.handleStartResult(r, start, reading, err)
+		})
+	}()
+}
+
+// sendStop sends the stop order of a run once.
+func (c *Scheduler) sendStop(r *run) {
+	stop := agent.StopOrder{Task: r.key.task, Run: r.key.number, Token: c.Term.Token}
+	c.ordersInFlight++
+	target := r.worker.target()
+	go func() {
+		reading, err := c.callInTerm(func(ctx context.Context) (work.WorkerClock, error) { return c.Workers.Stop(ctx, target, stop) })
+		c.post(func() {
+			c.ordersInFlight--
+			c.handleStopResult(r, reading, err)
+		})
+	}()
+}
+
+var errTermOver = errors.New("the term may have ended") //nolint:gochecknoglobals // a constant error
+
+// callInTerm makes a call to a worker, unless the term may have ended: then the call is refused with errTermOver.
+func (c *Scheduler) callInTerm(call func(context.Context) (work.WorkerClock, error)) (work.WorkerClock, error) {
+	if !c.TermValid() {
+		return 0, &agent.RefusedError{Cause: errTermOver}
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, orderTimeout)
+	defer cancel()
+	return call(ctx)
+}
--- a/internal/chief/env_test.go
+++ b/internal/chief/env_test.go
@@ -45,7 +45,9 @@
 	config    *work.Config                // changed only before an instance is started
 	inForce   atomic.Pointer[work.Config] // what the instances have
 	jobIntake *intake.Service
-	clockJump atomic.Int64 // by which the instances' time of day is ahead, in nanoseconds
+	// outOfService takes the data centre of all workers out of service.
+	outOfService atomic.Bool
+	clockJump    atomic.Int64 // by which the instances' time of day is ahead, in nanoseconds
 }
 
 // withTestEnv calls body with a number of workers in two racks, each with 8 accelerators.
@@ -150,7 +152,7 @@
 				CheckpointInterval: time.Second, RestoreTime: 250 * time.Millisecond,
 				StopTimeout: 200 * time.Millisecond,
 			},
-			Config: e.inForce.Load, OutOfService: func(model.DataCentreID) bool { return false },
+			Config: e.inForce.Load, OutOfService: func(model.DataCentreID) bool { return e.outOfService.Load() },
 			TermValid: func() bool { return !i.unproved.Load() && i.elector.TermValid(term) }, EndTerm: func() { i.elector.EndTerm(term) },
 			Registry: platform.RegistryKeyPrefix, DecodeWorker: platform.DecodeWorker,
 			Observe: chief.Observer{
--- a/internal/chief/internal_test.go
+++ b/internal/chief/internal_test.go
@@ -45,6 +45,17 @@
 	g.Expect(p.unseenEnds).To(HaveKey(w.info.ID), "the rest of its list can still be read")
 }
 
+// Guards against a start on a worker that came back at another address, before the stored roster has it: no successor would look there.
+func TestNoStartBeforeTheRosterHasTheAddress(t *testing.T) {
+	g := NewWithT(t)
+	c := &Scheduler{OutOfService: func(model.DataCentreID) bool { return false }}
+	c.roster.entries = map[model.WorkerID]rosterEntry{"w": {ID: "w", Address: "old:1"}}
+	w := &worker{info: work.WorkerInfo{ID: "w", Address: "old:1"}, registered: true}
+	g.Expect(c.whyNotStart(&run{worker: w})).To(BeEmpty())
+	w.info.Address = "new:1"
+	g.Expect(c.whyNotStart(&run{worker: w})).NotTo(BeEmpty())
+}
+
 // Guards against a pace that returns to full speed in one step beside a serving task, or that never drops to 0.
 func TestNextPace(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/chief/orders.go
+++ b/internal/chief/orders.go
@@ -1,7 +1,6 @@
 package chief
 
 import (
-	"context"
 	"errors"
 	"time"
 
@@ -14,10 +13,7 @@
 	orderTimeout     = 500 * time.Millisecond // of one attempt
 	maxStartAttempts = 3
 	stopRetryPause   = 200 * time.Millisecond
-	// maxOrdersInFlight keeps the orders of a large pass from each other's processor time: on a small machine they would all run into
-	// their timeouts, and be stopped and sent again.
-	maxOrdersInFlight = 128
-	fullPace          = 100 // percent
+	fullPace         = 100 // percent
 	// runNumberGap is how far run numbers jump after a change of term, since the last start may not be known.
 	runNumberGap = 8
 )
@@ -48,7 +44,7 @@
 	return last + 1
 }
 
-// startRun creates a run of a task on a worker; its order is sent once its placement is stored.
+// startRun creates a run of a task on a worker; its order is queued once its placement is stored.
 func (c *Scheduler) startRun(t *task, w *worker, number work.RunNumber, g *gang) {
 	now := c.Now()
 	s := t.stage
@@ -69,22 +65,6 @@
 	c.orderWhenPlaced(r)
 }
 
-// sendOrder sends the start order of a run.
-func (c *Scheduler) sendOrder(r *run) {
-	s, w := r.task.stage, r.worker
-	r.ordered = true
-	order := agent.StartOrder{
-		Task: r.key.task, Run: r.key.number, Payload: s.job.spec.Payload, Until: c.lease(w, c.Now()), Token: c.Term.Token,
-		Saved: r.checkpoint, Ticket: s.advice.tickets[w.info.ID],
-	}
-	target := agent.Target{ID: w.info.ID, Address: w.info.Address}
-	go func() {
-		defer c.orderSlot()()
-		reading, doubtful, err := c.sendStart(target, order)
-		c.post(func() { c.handleStartResult(r, reading, doubtful, err) })
-	}()
-}
-
 func (c *Scheduler) configVersion() uint64 {
 	if config := c.Config(); config != nil {
 		return uint64(config.Version)
@@ -92,38 +72,9 @@
 	return 0
 }
 
-// orderSlot waits until an order may be sent, and returns the function that must be called when its result is known.
-func (c *Scheduler) orderSlot() (release func()) {
-	select {
-	case c.orderSlots <- struct{}{}:
-		return func() { <-c.orderSlots }
-	case <-c.ctx.Done():
-		return func() {}
-	}
-}
-
-// sendStart retries an unanswered order: a worker answers 200 for a run that it already has. doubtful reports that an
-// attempt before the last got no answer.
-func (c *Scheduler) sendStart(to agent.Target, order agent.StartOrder) (reading work.WorkerClock, doubtful bool, err error) {
-	for attempt := 1; ; attempt++ {
-		if !c.TermValid() {
-			return 0, doubtful, &agent.RefusedError{Cause: errTermOver}
-		}
-		ctx, cancel := context.WithTimeout(c.ctx, orderTimeout)
-		reading, err = c.Workers.Start(ctx, to, order)
-		cancel()
-		var doubt *agent.InDoubtError
-		if !errors.As(err, &doubt) || attempt == maxStartAttempts || c.ctx.Err() != nil {
-			return reading, doubtful, err
-		}
-		doubtful = true
-	}
-}
-
-var errTermOver = errors.New("the term may have ended") //nolint:gochecknoglobals // a constant error
-
-// handleStartResult applies the result of a start order to its run.
-func (c *Scheduler) handleStartResult(r *run, reading work.WorkerClock, doubtful bool, err error) {
+// handleStartResult applies the result of an attempt to start a run. An attempt without an answer is repeated while the run may still
+// start: a worker answers 200 for a run that it already has.
+func (c *Scheduler) handleStartResult(r *run, start agent.StartOrder, reading work.WorkerClock, err error) {
 	c.Observe.CallResult("start", resultOf(err))
 	w := r.worker
 	if _, present := w.runs[r.key]; !present {
@@ -144,7 +95,12 @@
 	if r.phase == running {
 		return // A poll has already listed the run.
 	}
-	c.handleStartError(r, doubtful, err)
+	var inDoubt *agent.InDoubtError
+	if errors.As(err, &inDoubt) && r.attempts < maxStartAttempts && c.whyNotStart(r) == "" {
+		c.sendStart(r, start)
+		return
+	}
+	c.handleStartError(r, r.attempts > 1, err)
 }
 
 func (j *job) markStarted(c *Scheduler) {
@@ -231,29 +187,13 @@
 	r.worker.usedByStopping = r.worker.usedByStopping.Add(r.resources)
 	c.Log.Info().Str("task", r.key.task.String()).Int64("run", int64(r.key.number)).Str("worker", string(r.worker.info.ID)).
 		Str("why", reason).Int("percent", r.percent).Msg("chief: stop ordered")
-	c.sendStop(r)
-}
-
-func (c *Scheduler) sendStop(r *run) {
-	order := agent.StopOrder{Task: r.key.task, Run: r.key.number, Token: c.Term.Token}
-	target := agent.Target{ID: r.worker.info.ID, Address: r.worker.info.Address}
-	go func() {
-		defer c.orderSlot()()
-		if !c.TermValid() {
-			c.post(func() { c.retryStop(r) })
-			return
-		}
-		ctx, cancel := context.WithTimeout(c.ctx, orderTimeout)
-		defer cancel()
-		reading, err := c.Workers.Stop(ctx, target, order)
-		c.post(func() { c.handleStopResult(r, reading, err) })
-	}()
+	c.queueStop(r)
 }
 
 func (c *Scheduler) retryStop(r *run) {
 	c.postAfter(stopRetryPause, func() {
 		if _, present := r.worker.runs[r.key]; present && r.ackedAt == 0 {
-			c.sendStop(r)
+			c.queueStop(r)
 		}
 	})
 }
@@ -278,6 +218,8 @@
 		c.EndTerm()
 	case errors.As(err, &rejected):
 		r.ackedAt = now // The worker does not have the run.
+	case errors.Is(err, errTermOver):
+		c.retryStop(r)
 	default:
 		c.recordMissedCall(w, err)
 		c.retryStop(r)
--- a/internal/chief/pace.go
+++ b/internal/chief/pace.go
@@ -59,7 +59,7 @@
 	c.Log.Info().Str("task", r.key.task.String()).Str("worker", string(r.worker.info.ID)).Int("percent", percent).
 		Float64("worst-load", worst).Msg("chief: pace ordered")
 	order := agent.ThrottleOrder{Task: r.key.task, Run: r.key.number, Percent: percent, Token: c.Term.Token}
-	target := agent.Target{ID: r.worker.info.ID, Address: r.worker.info.Address}
+	target := r.worker.target()
 	go func() {
 		ctx, cancel := context.WithTimeout(c.ctx, paceTimeout)
 		defer cancel()
--- a/internal/chief/placement.go
+++ b/internal/chief/placement.go
@@ -108,7 +108,7 @@
 // orderWhenPlaced sends the order of a new run, once its worker is stored as one that may have runs of the job.
 func (c *Scheduler) orderWhenPlaced(r *run) {
 	if r.task.stage.job.placement.stored[r.worker.info.ID] {
-		c.sendOrder(r)
+		c.queueStart(r)
 		return
 	}
 	c.unplaced = append(c.unplaced, r)
@@ -248,7 +248,7 @@
 		switch {
 		case !r.present():
 		case r.task.stage.job.placement.stored[r.worker.info.ID]:
-			c.sendOrder(r)
+			c.queueStart(r)
 		default:
 			waiting = append(waiting, r)
 		}
--- a/internal/chief/poll.go
+++ b/internal/chief/poll.go
@@ -46,7 +46,7 @@
 		order.Wait = pollWait
 	}
 	w.pollInFlight = true
-	target := agent.Target{ID: w.info.ID, Address: w.info.Address}
+	target := w.target()
 	go func() {
 		ctx, cancel := context.WithTimeout(c.ctx, order.Wait+pollTimeoutMargin)
 		defer cancel()
--- a/internal/chief/scheduler.go
+++ b/internal/chief/scheduler.go
@@ -63,12 +63,14 @@
 	Advise  Adviser
 	Observe Observer
 
-	posts      chan func()   // run by the goroutine that owns the state
-	orderSlots chan struct{} // holds an element for each order in flight
-	ctx        context.Context
-	jobs       map[model.JobID]*job
-	liveJobs   []*job
-	workers    map[model.WorkerID]*worker
+	posts    chan func() // run by the goroutine that owns the state
+	ctx      context.Context
+	jobs     map[model.JobID]*job
+	liveJobs []*job
+	workers  map[model.WorkerID]*worker
+	orders   []order // that wait to be sent, the oldest first
+	// ordersInFlight is the number of orders whose result is not known yet.
+	ordersInFlight int
 	// roster is the stored list of the workers that may have runs.
 	roster              roster
 	unclaimedProgress   map[model.JobID]storedProgress  // records whose job is not loaded yet
@@ -114,7 +116,6 @@
 // Run schedules until ctx ends, which must be no later than the term.
 func (c *Scheduler) Run(ctx context.Context) error {
 	c.posts = make(chan func(), postBuffer)
-	c.orderSlots = make(chan struct{}, maxOrdersInFlight)
 	c.jobs = map[model.JobID]*job{}
 	c.workers = map[model.WorkerID]*worker{}
 	c.unclaimedProgress = map[model.JobID]storedProgress{}
@@ -181,6 +182,7 @@
 			c.plan() //nolint:contextcheck // calls end with the term
 		}
 		c.storePlacements() //nolint:contextcheck // calls end with the term
+		c.sendOrders()      //nolint:contextcheck // calls end with the term
 		c.persistProgress() //nolint:contextcheck // calls end with the term
 	}
 }
--- a/internal/chief/state.go
+++ b/internal/chief/state.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"peridotgw.example/peridotgw/internal/agent"
 	"peridotgw.example/peridotgw/internal/clock"
 	"peridotgw.example/peridotgw/internal/kv"
 	"peridotgw.example/peridotgw/internal/work"
@@ -32,6 +33,7 @@
 	resources work.Resources
 	phase     phase
 	ordered   bool  // a start order has been sent
+	attempts  int   // start orders sent in this term
 	gang      *gang // nil unless it is a member of one
 	createdAt clock.Instant
 	// ackedAt is when the worker acknowledged the last order for the run; 0 while that order is open.
@@ -154,6 +156,8 @@
 	available work.Resources
 }
 
+func (w *worker) target() agent.Target { return agent.Target{ID: w.info.ID, Address: w.info.Address} }
+
 func (w *worker) free() work.Resources { return w.info.Capacity.Sub(w.used) }
 
 // advice holds the answers of the advice service for a stage.
