chief: runs whose ends a worker cannot list are given up with its leases

A worker whose list of ends is full and cannot be acknowledged gets no lease, so that what runs there lapses, but the ends stay beyond the list: the runs would count as running for ever. They are now given up once the leases have lapsed on the slowest clock (TestRunsWhoseEndsCannotBeListedAreGivenUp, which failed without the change). The worker is logged once when no more runs fit into its list, also while it is not quite full. orderTimeout stands beside the calls that it bounds.

--- a/internal/chief/dispatch.go
+++ b/internal/chief/dispatch.go
@@ -3,14 +3,18 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"peridotgw.example/peridotgw/internal/agent"
 	"peridotgw.example/peridotgw/internal/work"
 )
 
-// maxOrdersInFlight keeps the orders of a large pass from each other's processor time: on a small machine they would all run into
-// their timeouts, and be stopped and sent again.
-const maxOrdersInFlight = 128
+const (
+	orderTimeout = 500 * time.Millisecond // of one attempt
+	// maxOrdersInFlight keeps the orders of a large pass from each other's processor time: on a small machine they would all run into
+	// their timeouts, and be stopped and sent again.
+	maxOrdersInFlight = 128
+)
 
 // order is an order that waits to be sent: the start of a run or its stop.
 type order struct {
--- a/internal/chief/ends.go
+++ b/internal/chief/ends.go
@@ -7,7 +7,6 @@
 
 // noteListedEnds records how many ends a report listed, and whether the worker has thereby listed all it has.
 func (c *Scheduler) noteListedEnds(w *worker, listed int) {
-	hidForGood := c.hidesEndsForGood(w)
 	w.listedEnds = listed
 	result := "ok"
 	if c.mayHideEnds(w) {
@@ -17,9 +16,10 @@
 		c.dirty = true
 	}
 	c.Observe.CallResult("look", result)
-	if !hidForGood && c.hidesEndsForGood(w) {
+	if c.listableRuns(w) == 0 && !w.listExhausted {
+		w.listExhausted = true
 		c.Log.Warn().Str("worker", string(w.info.ID)).Int64("unackable", int64(w.unackableEnd)).Int("ends", listed).
-			Msg("chief: worker gets no starts in this term; its list of ends is full and cannot be acknowledged")
+			Int("runs", len(w.runs)).Msg("chief: worker gets no starts in this term; its list of ends cannot be acknowledged and is full")
 	}
 }
 
--- a/internal/chief/fit.go
+++ b/internal/chief/fit.go
@@ -17,8 +17,8 @@
 	if p.keptIdle[w] && p.yieldsToUrgent(s) {
 		return false
 	}
-	return w.info.Pool == s.job.spec.Pool && w.info.Has(s.step.Label) && p.c.listableRuns(w) > 0 && (s.step.PerWorker == 0 || s.runsOn[w] < s.step.PerWorker) &&
-		p.hasTicket(s, w)
+	return w.info.Pool == s.job.spec.Pool && w.info.Has(s.step.Label) && (s.step.PerWorker == 0 || s.runsOn[w] < s.step.PerWorker) &&
+		p.c.listableRuns(w) > 0 && p.hasTicket(s, w)
 }
 
 // bestWorker returns the worker with the tightest fit, in the rack of the data if possible, or nil.
--- a/internal/chief/internal_test.go
+++ b/internal/chief/internal_test.go
@@ -45,6 +45,26 @@
 	g.Expect(p.unseenEnds).To(HaveKey(w.info.ID), "the rest of its list can still be read")
 }
 
+// Guards against runs that count as running for ever on a worker that answers, but cannot list their ends.
+func TestRunsWhoseEndsCannotBeListedAreGivenUp(t *testing.T) {
+	g := NewWithT(t)
+	c := &Scheduler{
+		Workers: &agent.Calls{MaxListedEnds: 2}, Limits: Limits{MaxLease: 6 * time.Second},
+		Observe: Observer{RunEnded: func(work.How) {}}, TermValid: func() bool { return false },
+		WallClock: time.Now,
+	}
+	now := clock.Instant(5 * time.Second)
+	c.Now = func() clock.Instant { return now }
+	w := &worker{info: work.WorkerInfo{ID: "w"}, registered: true, polled: true, unackableEnd: 1, listedEnds: 2, clock: 1, clockReadAt: 1}
+	r := &run{key: runKey{number: 1}, worker: w, phase: running}
+	w.runs = map[runKey]*run{r.key: r}
+	c.checkWorker(w, now)
+	g.Expect(w.runs).To(HaveLen(1), "its leases may still hold")
+	now = clock.Instant(8 * time.Second)
+	c.checkWorker(w, now)
+	g.Expect(w.runs).To(BeEmpty())
+}
+
 // Guards against a start on a worker that came back at another address, before the stored roster has it: no successor would look there.
 func TestNoStartBeforeTheRosterHasTheAddress(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/chief/orders.go
+++ b/internal/chief/orders.go
@@ -10,7 +10,6 @@
 )
 
 const (
-	orderTimeout     = 500 * time.Millisecond // of one attempt
 	maxStartAttempts = 3
 	stopRetryPause   = 200 * time.Millisecond
 	fullPace         = 100 // percent
--- a/internal/chief/state.go
+++ b/internal/chief/state.go
@@ -144,6 +144,7 @@
 	ackedEnd         work.EndNumber   // last acknowledgment that the worker has received
 	unackableEnd     work.EndNumber   // first end that must never be acknowledged; 0 for none
 	listedEnds       int              // number of ends in its last report
+	listExhausted    bool             // no more runs fit into its list of ends in this term; logged
 	clock            work.WorkerClock // last reading
 	clockReadAt      clock.Instant    // 0 while there is no reading
 	leaseUntil       work.WorkerClock // end of the longest lease that was sent
--- a/internal/chief/workers.go
+++ b/internal/chief/workers.go
@@ -41,14 +41,13 @@
 // checkWorker ends the runs of a silent worker once their leases have expired, removes a worker that has left, and stops
 // stuck runs. It is called on each tick.
 func (c *Scheduler) checkWorker(w *worker, now clock.Instant) {
-	if len(w.runs) > 0 && w.missedCalls >= silentAfterMisses && c.leasesExpired(w, now) && !c.mayAnswerYet(w, now) {
-		c.Log.Warn().Str("worker", string(w.info.ID)).Int("runs", len(w.runs)).Msg("chief: leases lapsed on a worker that does not answer")
-		for _, r := range w.runs {
-			if r.task != nil {
-				r.task.lostOn = w
-			}
+	if len(w.runs) > 0 && c.leasesExpired(w, now) {
+		switch {
+		case w.missedCalls >= silentAfterMisses && !c.mayAnswerYet(w, now):
+			c.giveUpRuns(w, "does not answer")
+		case c.hidesEndsForGood(w):
+			c.giveUpRuns(w, "cannot list their ends")
 		}
-		c.endAllRuns(w, "lease lapsed on a worker that does not answer")
 	}
 	if c.hasLeft(w, now) {
 		w.removed = true
@@ -61,6 +60,18 @@
 	c.pollIfDue(w)
 }
 
+// giveUpRuns ends the runs of a worker whose leases have lapsed without a report of how they ended.
+func (c *Scheduler) giveUpRuns(w *worker, why string) {
+	reason := "lapsed on a worker that " + why
+	c.Log.Warn().Str("worker", string(w.info.ID)).Int("runs", len(w.runs)).Msg("chief: leases " + reason)
+	for _, r := range w.runs {
+		if r.task != nil {
+			r.task.lostOn = w
+		}
+	}
+	c.endAllRuns(w, "lease "+reason)
+}
+
 // registrySettleTime is how long after a term's start workers may take to register again after a store outage.
 const registrySettleTime = 2500 * time.Millisecond
 
