--- a/internal/chief/dispatch_test.go
+++ b/internal/chief/dispatch_test.go
@@ -87,6 +87,29 @@
 	}
 }
 
+// Guards against a gang that starts in part because the start of one member was dropped.
+func TestGangWithADroppedStartDoesNotStart(t *testing.T) {
+	withTestEnv(t, 4, func(env *testEnv) {
+		env.start("a", nil)
+		env.sleep(3 * time.Second)
+		silent, leaving := env.workers[:2], env.workers[2]
+		for _, w := range silent {
+			env.cut("a", w.ID, true)
+		}
+		first := newSmallTasks("0000000000000d08", waitingStarts)
+		first.Steps[0].Label = work.Label(silent[0].Labels[1])
+		env.submit(first)
+		env.sleep(100 * time.Millisecond)
+		gang := newJob("0000000000000d09", "scan", 2, 8)
+		gang.Steps[0].Label = work.Label(leaving.Labels[1])
+		env.submit(env.asGang(gang))
+		env.sleep(400 * time.Millisecond)
+		env.drain(leaving.ID, time.Minute)
+		env.sleep(8 * time.Second)
+		env.Expect(env.startCounts(gang)).To(Equal(map[int]int{0: 2}))
+	})
+}
+
 // Guards against starts that are sent to a worker, in turn and each for its three attempts, although it is known not to answer.
 func TestWaitingStartsLeaveASilentWorker(t *testing.T) {
 	withTestEnv(t, 2, func(env *testEnv) {
