--- /dev/null
+++ b/internal/node/stop_test.go
@@ -0,0 +1,134 @@
+package node_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"peridotgw.example/peridotgw/internal/node"
+	"peridotgw.example/peridotgw/platform"
+	"peridotgw.example/peridotgw/platform/fakepl"
+)
+
+// stopCallers ask an instance without pause until it accepts no connection any more.
+type stopCallers struct {
+	address string
+
+	mu         sync.Mutex
+	answered   int
+	unanswered []string // one line each
+}
+
+// askOnNewConns sends each request on a connection of its own.
+func (s *stopCallers) askOnNewConns() {
+	for {
+		c, err := net.Dial("tcp", s.address)
+		if err != nil {
+			return
+		}
+		_, err = s.ask(c, bufio.NewReader(c), "a new connection")
+		_ = c.Close()
+		if errors.Is(err, errNotSent) {
+			return
+		}
+	}
+}
+
+// askOnKeptConns sends requests on a connection, with a pause before each, until an answer closes it.
+func (s *stopCallers) askOnKeptConns(pause time.Duration) {
+	for {
+		c, err := net.Dial("tcp", s.address)
+		if err != nil {
+			return
+		}
+		reader := bufio.NewReader(c)
+		for closing := false; !closing && err == nil; {
+			time.Sleep(pause)
+			closing, err = s.ask(c, reader, "a kept connection")
+		}
+		_ = c.Close()
+	}
+}
+
+var errNotSent = errors.New("the request was not sent")
+
+// ask sends one request and records whether it got a whole answer.
+func (s *stopCallers) ask(c net.Conn, reader *bufio.Reader, where string) (closing bool, err error) {
+	request := fmt.Sprintf("GET %s%016x HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nX-Deadline-Ms: 3000\r\n\r\n",
+		fakepl.QueuePrefix, 1, fakepl.Host, fakepl.APIKey)
+	if _, err := io.WriteString(c, request); err != nil {
+		return true, errNotSent
+	}
+	sent := time.Now()
+	res, err := http.ReadResponse(reader, nil)
+	if err == nil {
+		_, err = io.Copy(io.Discard, res.Body)
+		closing = res.Close
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil {
+		s.unanswered = append(s.unanswered, fmt.Sprintf("%s, %v after it was sent: %v", where, time.Since(sent), err))
+		return true, err
+	}
+	s.answered++
+	return closing, nil
+}
+
+// freeAddresses returns loopback addresses whose ports are free.
+func freeAddresses(g Gomega, count int) []string {
+	var addresses []string
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		g.Expect(err).NotTo(HaveOccurred())
+		defer listener.Close()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses
+}
+
+// Guards against requests that end without an answer because the instance that has read them stops as planned.
+func TestPlannedStopAnswersEveryRequest(t *testing.T) {
+	g := NewWithT(t)
+	store := fakepl.NewStore()
+	store.Put(fakepl.ConfigKey, fakepl.Config(1, 0))
+	storeServer := httptest.NewServer(store)
+	defer storeServer.CloseClientConnections()
+	a := freeAddresses(g, 4)
+	instance, cleanup := node.New(&platform.Settings{
+		Node: "a", Zone: "zone-1", Callers: a[0], Ready: a[1], Peers: a[2], Metrics: a[3],
+		Store: strings.TrimPrefix(storeServer.URL, "http://"), CPUShare: 1, Grace: 3 * time.Second,
+	}, zerolog.Nop())
+	defer cleanup()
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- instance.Run(ctx) }()
+	g.Eventually(func() bool {
+		res, err := http.Get("http://" + a[1] + "/readyz")
+		return err == nil && res.Body.Close() == nil && res.StatusCode == http.StatusOK
+	}, 5*time.Second, 20*time.Millisecond).Should(BeTrue())
+	callers := &stopCallers{address: a[0]}
+	var group sync.WaitGroup
+	for i := range 16 {
+		group.Go(callers.askOnNewConns)
+		group.Go(func() { callers.askOnKeptConns(time.Duration(i) * time.Millisecond) })
+	}
+	time.Sleep(200 * time.Millisecond)
+	stop()
+	g.Expect(<-ended).To(Succeed())
+	group.Wait()
+	g.Expect(callers.answered).To(BeNumerically(">", 100))
+	g.Expect(callers.unanswered).To(BeEmpty(), "%d requests were answered", callers.answered)
+}
