--- a/internal/elect/elect.go
+++ b/internal/elect/elect.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"errors"
-	"math/rand/v2"
 	"sort"
-	"strings"
 	"sync"
 	"time"
 
@@ -24,23 +21,7 @@
 	leaderKey  = Prefix + "leader"
 	nodePrefix = Prefix + "node/"
 
-	leaseTTL        = 2 * time.Second
-	renewInterval   = 450 * time.Millisecond
-	renewRetryDelay = 150 * time.Millisecond
-	callTimeout     = 700 * time.Millisecond
-	probeTimeout    = 250 * time.Millisecond // of a read before the key of another instance is removed
-	// yieldAfter is how long a leader's calls to the store may fail before it yields the leadership.
-	yieldAfter = 600 * time.Millisecond
-	// validFraction is the part of the lease's TTL for which the leadership counts as valid after a renewal was sent.
-	validFraction = 0.9
-	// campaignJitter keeps the instances from claiming the leadership at the same moment.
-	campaignJitter   = 60 * time.Millisecond
-	campaignInterval = 50 * time.Millisecond
-	// delayPerCore delays an instance's claim for each core that its machine has less than the largest machine, so that the
-	// largest one leads.
-	delayPerCore = time.Second
-	// firstElectionDelay lets the other instances register before the first leader is elected.
-	firstElectionDelay = 300 * time.Millisecond
+	callTimeout = 700 * time.Millisecond
 )
 
 // Node is a registered instance.
@@ -135,21 +116,6 @@
 	return e.term != nil && e.term.Token == term.Token && !e.yielding && e.Now() < e.validUntil
 }
 
-// Resign releases the leadership and stops campaigning for good; the registration stays until Leave or until the lease expires.
-func (e *Elector) Resign(ctx context.Context) {
-	e.mu.Lock()
-	e.resigning = true
-	term := e.term
-	e.endCurrentTerm("retired")
-	e.mu.Unlock()
-	if term == nil {
-		return
-	}
-	if _, err := e.Store.Txn(ctx, kv.Txn{Expect: []kv.Expect{term.Proof}, Remove: []string{leaderKey}}); err != nil {
-		e.Log.Warn().Err(err).Msg("elect: leadership not released; it ends with the lease")
-	}
-}
-
 // EndTerm ends a term after a failed write or a worker's rejection has shown that it is over.
 func (e *Elector) EndTerm(term Term) {
 	e.mu.Lock()
@@ -159,65 +125,6 @@
 	}
 }
 
-// reset replaces the known leader and nodes by a snapshot of Prefix.
-func (e *Elector) reset(items []kv.Item) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.nodes = map[string]Node{}
-	e.leader = kv.Item{}
-	for _, item := range items {
-		e.applyEvent(kv.Event{Item: item})
-	}
-	e.synced = true
-	e.endTermIfSuperseded()
-}
-
-// events applies later changes under Prefix.
-func (e *Elector) events(events []kv.Event) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, event := range events {
-		e.applyEvent(event)
-	}
-	e.endTermIfSuperseded()
-}
-
-// applyEvent updates the known leader and nodes; e.mu is held.
-func (e *Elector) applyEvent(event kv.Event) {
-	if event.Key == leaderKey {
-		if event.Revision < e.leader.Revision {
-			return
-		}
-		e.leader = event.Item
-		e.leaderSeen = true
-		if event.Removed {
-			e.leader = kv.Item{}
-		}
-		return
-	}
-	id, found := strings.CutPrefix(event.Key, nodePrefix)
-	if !found {
-		return
-	}
-	if event.Removed {
-		delete(e.nodes, id)
-		return
-	}
-	node, err := work.Decode[Node](event.Value)
-	if err != nil {
-		e.Log.Warn().Err(err).Str("key", event.Key).Msg("elect: registration cannot be decoded, ignored")
-		return
-	}
-	e.nodes[id] = node
-}
-
-// endTermIfSuperseded ends the current term when the store has a newer leader; e.mu is held.
-func (e *Elector) endTermIfSuperseded() {
-	if e.term != nil && e.leader.Revision > kv.Revision(e.term.Token) {
-		e.endCurrentTerm("succeeded by another instance")
-	}
-}
-
 // endCurrentTerm ends the current term, if any; e.mu is held.
 func (e *Elector) endCurrentTerm(reason string) {
 	if e.term == nil {
@@ -228,313 +135,19 @@
 	e.term = nil
 }
 
-// keepLease renews the lease and the registration until ctx ends.
-func (e *Elector) keepLease(ctx context.Context) error {
-	for ctx.Err() == nil {
-		wait := renewInterval
-		if err := e.renewLease(ctx); err != nil {
-			e.Log.Debug().Err(err).Msg("elect: lease not renewed")
-			wait = renewRetryDelay
-		}
-		if err := clock.Sleep(ctx, wait); err != nil {
-			break
-		}
-	}
-	return ctx.Err()
-}
-
-// renewLease renews the lease, or obtains one if there is none, and writes the registration if the current lease lacks it.
-func (e *Elector) renewLease(ctx context.Context) error {
+// Resign releases the leadership and stops campaigning for good; the registration stays until Leave or until the lease expires.
+func (e *Elector) Resign(ctx context.Context) {
 	e.mu.Lock()
-	lease, registered, left := e.lease, e.registered, e.left
+	e.resigning = true
+	term := e.term
+	e.endCurrentTerm("retired")
 	e.mu.Unlock()
-	if left {
-		return nil
-	}
-	if lease == 0 {
-		return e.grantLease(ctx)
-	}
-	renewal, err := kv.Hedged(ctx, func(ctx context.Context) (renewal, error) {
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
-		sentAt := e.Now()
-		ttl, err := e.Store.Renew(ctx, lease)
-		return renewal{sentAt, ttl}, err
-	})
-	var noLease *kv.NoLeaseError
-	if errors.As(err, &noLease) {
-		e.mu.Lock()
-		e.lease, e.registered = 0, false
-		e.endCurrentTerm("lease lost")
-		e.mu.Unlock()
-		return err
-	}
-	if err != nil {
-		return err
-	}
-	e.extendValidity(renewal.sentAt, renewal.ttl)
-	if !registered {
-		return e.registerSelf(ctx)
-	}
-	return nil
-}
-
-// renewal is an answered renewal of the lease.
-type renewal struct {
-	sentAt clock.Instant
-	ttl    time.Duration // from no earlier than sentAt
-}
-
-// extendValidity extends the time for which the lease is proved to hold. It counts from sentAt, the time before the call, because the
-// store started the TTL no earlier.
-func (e *Elector) extendValidity(sentAt clock.Instant, ttl time.Duration) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.validUntil = max(e.validUntil, sentAt.Add(time.Duration(validFraction*float64(ttl))))
-	e.lastRenewed = e.Now()
-}
-
-// watchService yields the leadership when the store no longer serves this instance but may serve others, until ctx ends. Renewals
-// go on meanwhile.
-func (e *Elector) watchService(ctx context.Context) error {
-	wait := renewInterval
-	for clock.Sleep(ctx, wait) == nil {
-		wait = renewInterval
-		if term, _ := e.unservedFor(); term != nil {
-			wait = renewRetryDelay
-			e.yieldIfUnserved(ctx)
-		}
-	}
-	return ctx.Err()
-}
-
-// unservedFor returns the current term, if any, and for how long the store has not answered this instance.
-func (e *Elector) unservedFor() (*Term, time.Duration) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	lastServed := e.lastRenewed
-	if e.Served != nil {
-		// Lost answers to renewals alone do not mean that the store fails to serve this instance.
-		lastServed = max(lastServed, e.Served())
-	}
-	return e.term, e.Now().Sub(lastServed)
-}
-
-func (e *Elector) yieldIfUnserved(ctx context.Context) {
-	term, unserved := e.unservedFor()
-	if term == nil || e.Yield == nil || unserved < yieldAfter {
-		e.yieldFailed = false
-		return
-	}
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	e.setYielding(true)
-	err := e.Yield(callCtx, *term)
-	var refused *YieldRefusedError
-	if errors.As(err, &refused) {
-		e.setYielding(false)
-		if !e.yieldFailed {
-			e.yieldFailed = true
-			e.Log.Warn().Err(err).Dur("store-lost-for", unserved).Msg("elect: leadership not yielded")
-		}
+	if term == nil {
 		return
 	}
-	reason := "yielded, the store does not serve this instance"
-	if err != nil {
-		// The key may be removed, now or later, and another instance may lead: this one claims a new term before it goes on.
-		reason = "it may be yielded: " + err.Error()
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.yielding = false
-	if e.term != nil && e.term.Token == term.Token {
-		e.endCurrentTerm(reason)
-	}
-}
-
-func (e *Elector) setYielding(yielding bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.yielding = yielding
-}
-
-// YieldRefusedError reports that no instance has removed the leader key or will do so.
-type YieldRefusedError struct{ Cause error }
-
-// Error names the cause.
-func (e *YieldRefusedError) Error() string { return "not yielded: " + e.Cause.Error() }
-
-// Unwrap returns the cause.
-func (e *YieldRefusedError) Unwrap() error { return e.Cause }
-
-// RemoveLeader removes the leader key of another instance's term at the request of that instance. A term that is already over is no
-// error. After a YieldRefusedError the key was not removed; after any other error it may be.
-func (e *Elector) RemoveLeader(ctx context.Context, token model.Token) error {
-	// A removal that gets no answer leaves the term in doubt: the store must be known to answer first.
-	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	if _, _, err := e.Store.Get(probeCtx, leaderKey); err != nil {
-		return &YieldRefusedError{Cause: err}
-	}
-	proof := kv.Expect{Key: leaderKey, Revision: kv.Revision(token)}
-	_, err := e.Store.Txn(ctx, kv.Txn{Expect: []kv.Expect{proof}, Remove: []string{leaderKey}})
-	var conflict *kv.ConflictError
-	if errors.As(err, &conflict) {
-		return nil // The term is already over.
-	}
-	var refused *kv.RefusedError
-	if errors.As(err, &refused) {
-		return &YieldRefusedError{Cause: err}
-	}
-	return err
-}
-
-func (e *Elector) grantLease(ctx context.Context) error {
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	sentAt := e.Now()
-	lease, ttl, err := e.Store.Grant(callCtx, leaseTTL)
-	if err != nil {
-		return err
-	}
-	e.mu.Lock()
-	e.lease = lease
-	e.mu.Unlock()
-	e.extendValidity(sentAt, ttl)
-	return e.registerSelf(ctx)
-}
-
-func (e *Elector) registerSelf(ctx context.Context) error {
-	value, err := work.Encode(e.Self)
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	write := kv.Write{Key: nodePrefix + string(e.Self.ID), Value: value, Lease: e.lease}
-	if _, err := e.Store.Txn(ctx, kv.Txn{Writes: []kv.Write{write}}); err != nil {
-		return err
-	}
-	e.mu.Lock()
-	e.registered = true
-	e.mu.Unlock()
-	return nil
-}
-
-// campaign claims the leadership whenever it is vacant.
-func (e *Elector) campaign(ctx context.Context) error {
-	var group errgroup.Group
-	for ctx.Err() == nil {
-		if err := clock.Sleep(ctx, campaignInterval); err != nil {
-			break
-		}
-		claimable, lease := e.mayClaim()
-		if !claimable {
-			continue
-		}
-		if err := clock.Sleep(ctx, e.campaignDelay()); err != nil {
-			break
-		}
-		if claimable, _ = e.mayClaim(); !claimable {
-			continue
-		}
-		if term, termCtx := e.claimLeadership(ctx, lease); term != nil {
-			group.Go(func() error { return e.runTerm(termCtx, *term) })
-		}
-	}
-	if err := group.Wait(); err != nil {
-		return err
-	}
-	return ctx.Err()
-}
-
-// campaignDelay returns the wait before a claim; it is shortest on the largest machines.
-func (e *Elector) campaignDelay() time.Duration {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	delay := rand.N(campaignJitter)
-	if !e.leaderSeen {
-		delay += firstElectionDelay
-	}
-	largest := e.Self.Share
-	for _, node := range e.nodes {
-		largest = max(largest, node.Share)
-	}
-	return delay + time.Duration((largest-e.Self.Share)*float64(delayPerCore))
-}
-
-// runTerm runs Lead for a term; an error ends only the term, as the instance may lead again.
-func (e *Elector) runTerm(ctx context.Context, term Term) error {
-	err := e.Lead(ctx, term)
-	if err == nil || errors.Is(err, context.Canceled) {
-		return nil
-	}
-	e.Log.Error().Err(err).Msg("elect: scheduling ended with an error")
-	e.EndTerm(term)
-	return nil
-}
-
-// mayClaim reports whether this instance may claim the leadership, and returns its lease. It may claim while there is no leader,
-// and also when an earlier process of the same instance is recorded as the leader.
-func (e *Elector) mayClaim() (bool, kv.LeaseID) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if !e.synced || e.resigning || e.term != nil || e.lease == 0 || e.Now() >= e.validUntil {
-		return false, 0
-	}
-	if e.leader.Revision == 0 {
-		return true, e.lease
-	}
-	node, err := work.Decode[Node](e.leader.Value)
-	return err == nil && node.ID == e.Self.ID, e.lease
-}
-
-// claimLeadership writes the leader key and returns the new term with its context, or nil if the claim failed.
-func (e *Elector) claimLeadership(ctx context.Context, lease kv.LeaseID) (*Term, context.Context) {
-	value, err := work.Encode(e.Self)
-	if err != nil {
-		e.Log.Error().Err(err).Msg("elect: own registration cannot be encoded")
-		return nil, nil
-	}
-	e.mu.Lock()
-	expected := e.leader.Revision
-	e.mu.Unlock()
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	revision, err := e.Store.Txn(callCtx, kv.Txn{
-		Expect: []kv.Expect{{Key: leaderKey, Revision: expected}},
-		Writes: []kv.Write{{Key: leaderKey, Value: value, Lease: lease}},
-	})
-	var conflict *kv.ConflictError
-	if errors.As(err, &conflict) {
-		// The answer to an earlier attempt may have been lost: this instance's lease on the key shows that the claim took effect.
-		item, found := conflict.Item(leaderKey)
-		if !found || item.Lease != lease {
-			return nil, nil
-		}
-		revision, err = item.Revision, nil
-	}
-	if err != nil {
-		e.Log.Debug().Err(err).Msg("elect: leadership not claimed")
-		return nil, nil
-	}
-	return e.beginTerm(ctx, revision, kv.Item{Key: leaderKey, Value: value, Revision: revision, Lease: lease})
-}
-
-// beginTerm starts a term unless a newer leader or lease is known.
-func (e *Elector) beginTerm(ctx context.Context, revision kv.Revision, item kv.Item) (*Term, context.Context) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.leader.Revision > revision || e.lease != item.Lease {
-		return nil, nil
+	if _, err := e.Store.Txn(ctx, kv.Txn{Expect: []kv.Expect{term.Proof}, Remove: []string{leaderKey}}); err != nil {
+		e.Log.Warn().Err(err).Msg("elect: leadership not released; it ends with the lease")
 	}
-	e.leader = item
-	termCtx, cancel := context.WithCancel(ctx)
-	e.term = &Term{Token: model.Token(revision), Since: e.Now(), Proof: kv.Expect{Key: leaderKey, Revision: revision}}
-	e.cancelTerm = cancel
-	e.lastRenewed = e.term.Since
-	e.Log.Info().Uint64("token", uint64(revision)).Msg("elect: term begins")
-	return e.term, termCtx
 }
 
 // Leave revokes the lease, which removes the registration, and stops renewals, which would register this instance again.
--- /dev/null
+++ b/internal/elect/follow.go
@@ -0,0 +1,67 @@
+package elect
+
+import (
+	"strings"
+
+	"peridotgw.example/peridotgw/internal/kv"
+	"peridotgw.example/peridotgw/internal/work"
+)
+
+// reset replaces the known leader and nodes by a snapshot of Prefix.
+func (e *Elector) reset(items []kv.Item) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.nodes = map[string]Node{}
+	e.leader = kv.Item{}
+	for _, item := range items {
+		e.applyEvent(kv.Event{Item: item})
+	}
+	e.synced = true
+	e.endTermIfSuperseded()
+}
+
+// events applies later changes under Prefix.
+func (e *Elector) events(events []kv.Event) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, event := range events {
+		e.applyEvent(event)
+	}
+	e.endTermIfSuperseded()
+}
+
+// applyEvent updates the known leader and nodes; e.mu is held.
+func (e *Elector) applyEvent(event kv.Event) {
+	if event.Key == leaderKey {
+		if event.Revision < e.leader.Revision {
+			return
+		}
+		e.leader = event.Item
+		e.leaderSeen = true
+		if event.Removed {
+			e.leader = kv.Item{}
+		}
+		return
+	}
+	id, found := strings.CutPrefix(event.Key, nodePrefix)
+	if !found {
+		return
+	}
+	if event.Removed {
+		delete(e.nodes, id)
+		return
+	}
+	node, err := work.Decode[Node](event.Value)
+	if err != nil {
+		e.Log.Warn().Err(err).Str("key", event.Key).Msg("elect: registration cannot be decoded, ignored")
+		return
+	}
+	e.nodes[id] = node
+}
+
+// endTermIfSuperseded ends the current term when the store has a newer leader; e.mu is held.
+func (e *Elector) endTermIfSuperseded() {
+	if e.term != nil && e.leader.Revision > kv.Revision(e.term.Token) {
+		e.endCurrentTerm("succeeded by another instance")
+	}
+}
