--- a/internal/elect/campaign.go
+++ b/internal/elect/campaign.go
@@ -32,6 +32,7 @@
 		if err := clock.Sleep(ctx, campaignInterval); err != nil {
 			break
 		}
+		e.handOver(ctx)
 		claimable, lease := e.mayClaim()
 		if !claimable {
 			continue
@@ -79,13 +80,16 @@
 }
 
 // mayClaim reports whether this instance may claim the leadership, and returns its lease. It may claim while there is no leader,
-// and also when an earlier process of the same instance is recorded as the leader.
+// and also when an earlier process of the same instance is recorded as the leader. An instance that stops leaves it to the others.
 func (e *Elector) mayClaim() (bool, kv.LeaseID) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !e.synced || e.resigning || e.term != nil || e.lease == 0 || e.Now() >= e.validUntil {
 		return false, 0
 	}
+	if e.stoppingAt != 0 && e.successorKnown() {
+		return false, 0
+	}
 	if e.leader.Revision == 0 {
 		return true, e.lease
 	}
--- a/internal/elect/elect.go
+++ b/internal/elect/elect.go
@@ -29,6 +29,8 @@
 	ID      model.InstanceID `cbor:"1,keyasint"`
 	Address string           `cbor:"2,keyasint"` // host:port that other instances call
 	Share   float64          `cbor:"3,keyasint"` // processor share in cores
+	// Stopping is set while the instance drains before a planned stop.
+	Stopping bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Term is one period of leadership.
@@ -66,6 +68,7 @@
 	nodes       map[string]Node
 	term        *Term // nil while this instance does not lead
 	cancelTerm  context.CancelFunc
+	stoppingAt  clock.Instant // when StopSoon was called; 0 before
 	resigning   bool
 	left        bool // the registration is given up for good
 }
@@ -139,8 +142,15 @@
 func (e *Elector) Resign(ctx context.Context) {
 	e.mu.Lock()
 	e.resigning = true
+	e.mu.Unlock()
+	e.release(ctx, "retired")
+}
+
+// release ends the current term, if any, and removes its record.
+func (e *Elector) release(ctx context.Context, reason string) {
+	e.mu.Lock()
 	term := e.term
-	e.endCurrentTerm("retired")
+	e.endCurrentTerm(reason)
 	e.mu.Unlock()
 	if term == nil {
 		return
--- a/internal/elect/lease.go
+++ b/internal/elect/lease.go
@@ -100,18 +100,21 @@
 }
 
 func (e *Elector) registerSelf(ctx context.Context) error {
-	value, err := work.Encode(e.Self)
+	e.mu.Lock()
+	node, lease := e.self(), e.lease
+	e.mu.Unlock()
+	value, err := work.Encode(node)
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	write := kv.Write{Key: nodePrefix + string(e.Self.ID), Value: value, Lease: e.lease}
+	write := kv.Write{Key: nodePrefix + string(e.Self.ID), Value: value, Lease: lease}
 	if _, err := e.Store.Txn(ctx, kv.Txn{Writes: []kv.Write{write}}); err != nil {
 		return err
 	}
 	e.mu.Lock()
-	e.registered = true
+	e.registered = node == e.self() && lease == e.lease
 	e.mu.Unlock()
 	return nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -131,17 +131,19 @@
 }
 
 // shutDown drains this instance within the platform's grace time. Each server has a time of its own, so that none waits at the cost of
-// another. The peers' server is the last: peers call it until the registration of this instance is gone.
+// another. The peers' server is the last: peers call it until the registration of this instance is gone. So is the leadership, unless
+// another instance can take it.
 func (n *Node) shutDown(servers *servers) {
 	n.Log.Info().Msg("node: stopping")
 	n.closing.Store(true)
 	servers.callers.SetDraining()
 	ctx, cancel := context.WithTimeout(context.Background(), n.Settings.Grace-shutdownReserve)
-	n.elector.Resign(ctx)
+	n.elector.StopSoon(ctx)
 	<-ctx.Done() // New connections arrive until the load balancer has seen that the instance is not ready.
 	cancel()
 	n.drain(servers.callers, callerDrainTimeout)
 	ctx, cancel = context.WithTimeout(context.Background(), leaveTimeout)
+	n.elector.Resign(ctx)
 	n.elector.Leave(ctx)
 	cancel()
 	n.drain(servers.peers, peerDrainTimeout)
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -18,7 +18,10 @@
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
+	"peridotgw.example/peridotgw/internal/elect"
 	"peridotgw.example/peridotgw/internal/node"
+	"peridotgw.example/peridotgw/internal/work"
+	"peridotgw.example/peridotgw/model"
 	"peridotgw.example/peridotgw/platform"
 	"peridotgw.example/peridotgw/platform/fakepl"
 )
@@ -104,12 +107,14 @@
 // the error of its Run.
 func startNode(t *testing.T, g Gomega, store *fakepl.Store) (settings *platform.Settings, stop func() error) {
 	t.Helper()
-	store.Put(fakepl.ConfigKey, fakepl.Config(1, 0))
+	if store.Value(fakepl.ConfigKey) == nil {
+		store.Put(fakepl.ConfigKey, fakepl.Config(1, 0))
+	}
 	storeServer := httptest.NewServer(store)
 	t.Cleanup(storeServer.CloseClientConnections)
 	a := freeAddresses(g, 4)
 	settings = &platform.Settings{
-		Node: "a", Zone: "zone-1", Callers: a[0], Ready: a[1], Peers: a[2], Metrics: a[3],
+		Node: model.InstanceID(a[2]), Zone: "zone-1", Callers: a[0], Ready: a[1], Peers: a[2], Metrics: a[3],
 		Store: strings.TrimPrefix(storeServer.URL, "http://"), CPUShare: 1, Grace: 3 * time.Second,
 	}
 	instance, cleanup := node.New(settings, zerolog.Nop())
@@ -187,3 +192,56 @@
 	// What has not been sent by now would be lost with the process.
 	g.Expect(answered.Load()).To(Equal(asked), "requests answered before the process ends")
 }
+
+// leaderOf returns the address of the instance that leads by the store's record, or an empty text.
+func leaderOf(g Gomega, store *fakepl.Store) string {
+	value := store.Value(elect.Prefix + "leader")
+	if value == nil {
+		return ""
+	}
+	leader, err := work.Decode[elect.Node](value)
+	g.Expect(err).NotTo(HaveOccurred())
+	return leader.Address
+}
+
+// Guards against tasks that end unnoticed, and run again, since instances that stop together leave no leader while they drain.
+func TestInstancesThatStopTogetherKeepALeader(t *testing.T) {
+	g := NewWithT(t)
+	store := fakepl.NewStore()
+	var stops sync.WaitGroup
+	var stopAll []func() error
+	for range 3 {
+		_, stop := startNode(t, g, store)
+		stopAll = append(stopAll, stop)
+	}
+	g.Eventually(func() string { return leaderOf(g, store) }, 5*time.Second, 20*time.Millisecond).NotTo(BeEmpty())
+	for _, stop := range stopAll {
+		stops.Go(func() { g.Expect(stop()).To(Succeed()) })
+	}
+	const drainTime = 700 * time.Millisecond // less than the first step of the stop takes
+	without := 0
+	for began := time.Now(); time.Since(began) < drainTime; time.Sleep(10 * time.Millisecond) {
+		if leaderOf(g, store) == "" {
+			without++
+		}
+	}
+	g.Expect(without).To(Equal(0), "times that no instance led")
+	successor, stop := startNode(t, g, store)
+	g.Eventually(func() string { return leaderOf(g, store) }, 2*time.Second, 10*time.Millisecond).Should(Equal(successor.Peers))
+	stops.Wait()
+	g.Expect(stop()).To(Succeed())
+}
+
+// Guards against a leader that keeps the leadership while it stops, although another instance can take it.
+func TestStoppingLeaderHandsOver(t *testing.T) {
+	g := NewWithT(t)
+	store := fakepl.NewStore()
+	leader, stop := startNode(t, g, store)
+	g.Eventually(func() string { return leaderOf(g, store) }, 5*time.Second, 20*time.Millisecond).Should(Equal(leader.Peers))
+	successor, stopSuccessor := startNode(t, g, store)
+	ended := make(chan error, 1)
+	go func() { ended <- stop() }()
+	g.Eventually(func() string { return leaderOf(g, store) }, 700*time.Millisecond, 10*time.Millisecond).Should(Equal(successor.Peers))
+	g.Expect(<-ended).To(Succeed())
+	g.Expect(stopSuccessor()).To(Succeed())
+}
