intake: job calls no longer wait behind a count of pending jobs

What callers saw: while the leader did not answer a count of pending jobs (a leader that is frozen or overloaded, or a count from a slow store), each submission that was already stored, each status call and each count at this instance got its answer late, or not before the caller gave up.

Cause: Service.Pending held the service's mutex during its calls to the owner (0.4 s) and, after that, the listing of all jobs from the store. Submit takes the mutex after the store has acknowledged the job, Status before and after its look-up. Counts queued behind each other, each with calls of its own, since a failed count is not kept; waiting for a mutex ignores the caller's deadline.

Change: the mutex guards the fields only. Counts that are wanted at the same time share one (singleflight), which has its own time; each caller waits for it until its own deadline.

Evidence: on the code before, with an owner that does not answer, TestCallsDoNotWaitForACountOfPendingJobs fails ("submission": no answer within 2 s), and TestCallersOfACountEndOnTheirOwn does not end (a call waits for the mutex and ignores its deadline; stopped after 20 s). Both hold now, 3 of 3 runs of the package with -race.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/singleflight"
 
 	"peridotgw.example/peridotgw/internal/clock"
 	"peridotgw.example/peridotgw/internal/kv"
@@ -27,7 +28,8 @@
 	refusedRetryTime = 900 * time.Millisecond
 	ownerTimeout     = 400 * time.Millisecond
 	pendingMaxAge    = 500 * time.Millisecond
-	maxCachedJobs    = 20_000 // in each of the caches of a Service; a full one is emptied
+	countTimeout     = 2500 * time.Millisecond // of a count of pending jobs, by the owner and then from the store
+	maxCachedJobs    = 20_000                  // in each of the caches of a Service; a full one is emptied
 )
 
 // RefusedError reports a change that certainly did not take effect and will not do so later.
@@ -89,7 +91,9 @@
 	// watch; nil for none. It must not block.
 	Announce func(Announcement)
 
-	mu            sync.Mutex // guards the fields below
+	counting singleflight.Group // the count of pending jobs in flight
+
+	mu            sync.Mutex // guards the fields below; not held during calls
 	finalStates   map[model.JobID]work.State
 	accepted      map[model.JobID]bool   // jobs that this instance has accepted
 	pendingCounts map[work.QueueName]int // last result of Owner.Pending or its replacement from the store
@@ -330,22 +334,49 @@
 
 // Pending returns the number of jobs of a queue none of whose tasks has started; the count is up to pendingMaxAge old.
 func (s *Service) Pending(ctx context.Context, queue work.QueueName) (int, error) {
+	if counts, fresh := s.cachedCounts(); fresh {
+		return counts[queue], nil
+	}
+	// Calls wait for one count together. It has its own time: the first caller's may end before that of the others.
+	result := s.counting.DoChan("", func() (any, error) {
+		countCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), countTimeout)
+		defer cancel()
+		return nil, s.refreshCounts(countCtx)
+	})
+	select {
+	case <-ctx.Done():
+		return 0, &RefusedError{Cause: ctx.Err(), RetryAfter: retryAfter}
+	case r := <-result:
+		if r.Err != nil {
+			return 0, &RefusedError{Cause: r.Err, RetryAfter: retryAfter}
+		}
+	}
+	counts, _ := s.cachedCounts()
+	return counts[queue], nil
+}
+
+// cachedCounts returns the last count of pending jobs, and whether it is younger than pendingMaxAge.
+func (s *Service) cachedCounts() (map[work.QueueName]int, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.Now()
-	if s.pendingCounts != nil && now.Sub(s.countedAt).Abs() < pendingMaxAge {
-		return s.pendingCounts[queue], nil
-	}
+	return s.pendingCounts, s.pendingCounts != nil && s.Now().Sub(s.countedAt).Abs() < pendingMaxAge
+}
+
+// refreshCounts counts the pending jobs of all queues.
+func (s *Service) refreshCounts(ctx context.Context) error {
+	startedAt := s.Now()
 	ownerCtx, cancel := context.WithTimeout(ctx, ownerTimeout)
-	pendingCounts, err := s.Owner.Pending(ownerCtx)
+	counts, err := s.Owner.Pending(ownerCtx)
 	cancel()
 	if err != nil {
-		if pendingCounts, err = s.countUnfinished(ctx); err != nil {
-			return 0, &RefusedError{Cause: err, RetryAfter: retryAfter}
+		if counts, err = s.countUnfinished(ctx); err != nil {
+			return err
 		}
 	}
-	s.pendingCounts, s.countedAt = pendingCounts, now
-	return pendingCounts[queue], nil
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pendingCounts, s.countedAt = counts, startedAt
+	return nil
 }
 
 // countUnfinished counts the stored jobs without a final state. This includes running jobs, so it is used only when the owner
