chief: a write of the roster that failed, or could not begin, is made on a later tick

What callers saw: jobs that were accepted and never ran, while their workers were idle and registered.

Cause: only workers in the stored roster get starts, and the roster was written only from registry events and when a worker left. A write that failed, a worker that registered while a write was in flight, and an event that arrived while the term was unproved, were made good by the next event of the registry, whenever that came. Workers that renew without a change of their entry give none; on a fleet that renews with a change, the delay was that of the next renewal by any worker.

Change: a roster that could not be compared or written is marked, and the tick writes it.

--- a/internal/chief/env_test.go
+++ b/internal/chief/env_test.go
@@ -47,7 +47,9 @@
 	jobIntake *intake.Service
 	// outOfService takes the data centre of all workers out of service.
 	outOfService atomic.Bool
-	clockJump    atomic.Int64 // by which the instances' time of day is ahead, in nanoseconds
+	// quiet keeps the workers from renewing their registrations, which stay in the store: no event reports them again.
+	quiet     atomic.Bool
+	clockJump atomic.Int64 // by which the instances' time of day is ahead, in nanoseconds
 }
 
 // withTestEnv calls body with a number of workers in two racks, each with 8 accelerators.
@@ -104,7 +106,7 @@
 	e.heartbeat(w)
 	go func() {
 		for clock.Sleep(e.ctx, heartbeatInterval) == nil {
-			if e.store.Value(platform.RegistryKeyPrefix+id) != nil {
+			if !e.quiet.Load() && e.store.Value(platform.RegistryKeyPrefix+id) != nil {
 				e.heartbeat(w)
 			}
 		}
--- a/internal/chief/roster.go
+++ b/internal/chief/roster.go
@@ -29,6 +29,7 @@
 	revision    kv.Revision
 	writing     bool // a write is in flight
 	retryNeeded bool // the last write failed
+	stale       bool // it has not been compared with the workers since they may have changed
 }
 
 func (c *Scheduler) loadRoster(ctx context.Context) error {
@@ -61,11 +62,14 @@
 	return found && entry.Address == w.info.Address
 }
 
-// saveRoster writes the roster if workers were added, removed or moved.
+// saveRoster writes the roster if workers were added, removed or moved. What it cannot write now is written on a later tick: the
+// registry need not report a worker again.
 func (c *Scheduler) saveRoster() {
+	c.roster.stale = true
 	if c.roster.writing || !c.TermValid() {
 		return
 	}
+	c.roster.stale = false
 	// A worker that has left must be removed too: the next leader waits for the leases of those it cannot reach.
 	changed := c.roster.retryNeeded || len(c.workers) != len(c.roster.entries)
 	entries := map[model.WorkerID]rosterEntry{}
@@ -100,6 +104,7 @@
 	c.roster.writing = false
 	c.roster.retryNeeded = err != nil
 	if err != nil {
+		c.roster.stale = true
 		var conflict *kv.ConflictError
 		if errors.As(err, &conflict) {
 			if item, found := conflict.Item(rosterKey); found {
--- a/internal/chief/scheduler.go
+++ b/internal/chief/scheduler.go
@@ -216,6 +216,9 @@
 	for _, w := range c.workers {
 		c.checkWorker(w, now)
 	}
+	if c.roster.stale {
+		c.saveRoster()
+	}
 	c.compareSpeeds(now)
 	c.removeExpiredJobs(now)
 	c.dirty = true
