chief: answers of one incarnation of a worker no longer count for the next

What callers saw: after a worker restarted under its id, ends of its new runs could be read as old and be ignored, or never be acknowledged, and the runs of a worker that then fell silent were not given up while the lease seemed to hold: a job that stands still, or a task that is started again although it is done.

Cause: both incarnations have the same id and are reached at the same address, and the answers carry numbers that start again: ends and the clock. What was in flight across the restart was applied to the state of the new incarnation: the number that a poll acknowledged, a late answer of the earlier one (its ends set handledEnd, so that as many ends of the new one were skipped), the clock readings of starts and stops (a lease computed from a clock of ten minutes seems to hold for ten minutes on a clock that starts at 0), and the ends that a write of progress made durable. A poll after an unanswered one sent the number to whichever incarnation answered.

Change: polls, orders and batches of ends remember the incarnation that they were sent to, and their results count for that one only. After an unanswered call the next poll carries no acknowledgment; its answer names the incarnation, and the one after it acknowledges. An answer that is older than a registration counts as before unless its poll was sent before the restart was known: an entry of another writer may name any start.

Evidence: TestAnswersAreOfOneIncarnation failed on the code before, and with each of the five parts left out, at the expectation that names that part; it holds now.

--- a/internal/chief/dispatch.go
+++ b/internal/chief/dispatch.go
@@ -83,6 +83,7 @@
 // sendStart sends a start order once.
 func (c *Scheduler) sendStart(r *run, start agent.StartOrder) {
 	r.attempts++
+	r.sentToBorn = r.worker.born
 	c.ordersInFlight++
 	target := r.worker.target()
 	go func() {
@@ -96,6 +97,7 @@
 
 // sendStop sends the stop order of a run once.
 func (c *Scheduler) sendStop(r *run) {
+	r.sentToBorn = r.worker.born
 	stop := agent.StopOrder{Task: r.key.task, Run: r.key.number, Token: c.Term.Token}
 	c.ordersInFlight++
 	target := r.worker.target()
--- a/internal/chief/internal_test.go
+++ b/internal/chief/internal_test.go
@@ -1,10 +1,12 @@
 package chief
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
 
 	"peridotgw.example/peridotgw/internal/agent"
 	"peridotgw.example/peridotgw/internal/clock"
@@ -95,3 +97,57 @@
 		})
 	}
 }
+
+// Guards against ends of a worker that restarted under its id that are never acknowledged or never read, and against leases that seem
+// to hold for ever: numbers and clocks of its earlier incarnation counted for the new one.
+func TestAnswersAreOfOneIncarnation(t *testing.T) {
+	g := NewWithT(t)
+	orders := make(chan agent.PollOrder, 2)
+	c := &Scheduler{
+		Limits: Limits{MaxLease: 6 * time.Second}, Now: func() clock.Instant { return clock.Instant(time.Hour) },
+		TermValid: func() bool { return false }, Log: zerolog.Nop(),
+		Observe: Observer{CallResult: func(string, string) {}, RunEnded: func(work.How) {}},
+		posts:   make(chan func(), 1), ctx: t.Context(), jobsLoaded: true,
+	}
+	c.Workers = &agent.Calls{
+		MaxListedEnds: 500,
+		Poll: func(_ context.Context, _ agent.Target, order agent.PollOrder) (work.Report, error) {
+			orders <- order
+			return work.Report{}, nil
+		},
+	}
+	w := &worker{
+		info: work.WorkerInfo{ID: "w"}, registered: true, polled: true, born: 1, runs: map[runKey]*run{},
+		handledEnd: 57, durableEnd: 57, ackedEnd: 50,
+	}
+	sent := pollSent{order: agent.PollOrder{Seen: 57}, born: 1, at: c.Now()}
+	c.handlePollReport(w, sent, work.Report{Born: 2, Clock: 1}, nil)
+	g.Expect(w.ackedEnd).To(BeZero(), "the restart is learned of from the answer")
+
+	w.born, w.ackedEnd = 3, 0
+	c.handlePollReport(w, sent, work.Report{Born: 3, Clock: 1}, nil)
+	g.Expect(w.ackedEnd).To(BeZero(), "the restart was learned of from the registry before the answer")
+
+	c.handlePollReport(w, sent, work.Report{Born: 2, Clock: 600_000, Ended: []work.End{{Number: 57, How: work.EndedDone}}}, nil)
+	g.Expect(w.handledEnd).To(BeZero(), "the answer is of the earlier incarnation")
+	g.Expect(w.clock).To(Equal(work.WorkerClock(1)), "and so is its clock")
+	r := &run{key: runKey{number: 1}, worker: w, phase: stopping, sentToBorn: 2}
+	w.runs[r.key] = r
+	c.handleStopResult(r, 600_000, nil)
+	g.Expect(w.clock).To(Equal(work.WorkerClock(1)), "as is that of the answer to an order")
+	delete(w.runs, r.key)
+
+	c.handlePollReport(w, pollSent{born: 3}, work.Report{Born: 2, Clock: 5}, nil)
+	g.Expect(w.clock).To(Equal(work.WorkerClock(5)), "its registration, by another writer, names a later start than its own")
+
+	w.handledEnd, w.durableEnd = 2, 0
+	c.ackEnds(map[*worker]storedEnd{w: {number: 1, born: 2}})
+	g.Expect(w.durableEnd).To(BeZero(), "the end that was stored is of the earlier incarnation")
+
+	c.TermValid = func() bool { return true }
+	w.durableEnd, w.missedCalls, w.nextPollAt = 2, 1, 0
+	c.pollIfDue(w)
+	(<-c.posts)()
+	g.Expect((<-orders).Seen).To(BeZero(), "after a call without an answer, the incarnation is in doubt")
+	g.Expect((<-orders).Seen).To(Equal(work.EndNumber(2)))
+}
--- a/internal/chief/lease.go
+++ b/internal/chief/lease.go
@@ -40,8 +40,10 @@
 	return w.clockReadAt == 0 || earliest > w.leaseUntil
 }
 
-func (w *worker) updateClock(reading work.WorkerClock, at clock.Instant) {
-	if reading > 0 {
+// updateClock records a reading of the clock of the incarnation that started at born. One of an earlier incarnation would make leases
+// seem to hold for as long as that one ran.
+func (w *worker) updateClock(reading work.WorkerClock, at clock.Instant, born int64) {
+	if reading > 0 && born == w.born {
 		w.clock, w.clockReadAt = reading, at
 	}
 }
--- a/internal/chief/orders.go
+++ b/internal/chief/orders.go
@@ -82,7 +82,7 @@
 	now := c.Now()
 	c.dirty = true
 	if err == nil {
-		w.updateClock(reading, now)
+		w.updateClock(reading, now, r.sentToBorn)
 		w.missedCalls = 0
 		if r.phase == starting {
 			r.phase, r.ackedAt, r.progressedAt = running, now, now
@@ -147,7 +147,7 @@
 
 func (c *Scheduler) handleStartRejection(r *run, rejected *agent.RejectedError) {
 	w, now := r.worker, c.Now()
-	w.updateClock(rejected.Clock, now)
+	w.updateClock(rejected.Clock, now, r.sentToBorn)
 	switch rejected.Reason {
 	case agent.ReasonToken:
 		c.EndTerm()
@@ -208,7 +208,7 @@
 	var rejected *agent.RejectedError
 	switch {
 	case err == nil:
-		w.updateClock(reading, now)
+		w.updateClock(reading, now, r.sentToBorn)
 		r.ackedAt = now
 		c.pollIfDue(w)
 	case errors.As(err, &gone):
--- a/internal/chief/persist.go
+++ b/internal/chief/persist.go
@@ -23,10 +23,16 @@
 type progressBatch struct {
 	jobs   []*job
 	states []work.State
-	ends   map[*worker]work.EndNumber
+	ends   map[*worker]storedEnd
 	txns   []kv.Txn
 }
 
+// storedEnd is the last end of a worker that a batch makes durable.
+type storedEnd struct {
+	number work.EndNumber
+	born   int64 // of the incarnation that numbered it
+}
+
 // persistProgress writes the progress of changed jobs. Ends are acknowledged to their workers only afterwards: a worker
 // forgets acknowledged ends, and the next leader would start their tasks again.
 func (c *Scheduler) persistProgress() {
@@ -40,10 +46,10 @@
 			b.jobs = append(b.jobs, j)
 		}
 	}
-	b.ends = map[*worker]work.EndNumber{}
+	b.ends = map[*worker]storedEnd{}
 	for _, w := range c.workers {
 		if number := w.ackableEnd(); number > w.durableEnd {
-			b.ends[w] = number
+			b.ends[w] = storedEnd{number: number, born: w.born}
 		}
 	}
 	if len(b.jobs) == 0 {
@@ -154,10 +160,10 @@
 }
 
 // ackEnds marks ends as durable; the next poll of a worker acknowledges them.
-func (c *Scheduler) ackEnds(ends map[*worker]work.EndNumber) {
-	for w, number := range ends {
-		if number > w.durableEnd && number <= w.handledEnd {
-			w.durableEnd = number
+func (c *Scheduler) ackEnds(ends map[*worker]storedEnd) {
+	for w, end := range ends {
+		if end.born == w.born && end.number > w.durableEnd && end.number <= w.handledEnd {
+			w.durableEnd = end.number
 			c.pollIfDue(w)
 		}
 	}
--- a/internal/chief/poll.go
+++ b/internal/chief/poll.go
@@ -34,8 +34,9 @@
 		return
 	}
 	order := agent.PollOrder{Token: c.Term.Token}
-	if w.durableEnd > w.ackedEnd {
-		// A repeated number could reach a later incarnation, which numbers its ends from the start again.
+	if w.durableEnd > w.ackedEnd && w.missedCalls == 0 {
+		// A repeated number, or one that is sent after an unanswered call, could reach a later incarnation, which numbers its ends from
+		// the start again.
 		order.Seen = w.durableEnd
 	}
 	if w.missedCalls == 0 && !c.hidesEndsForGood(w) {
@@ -47,16 +48,24 @@
 	}
 	w.pollInFlight = true
 	target := w.target()
+	sent := pollSent{order: order, born: w.born}
 	go func() {
 		ctx, cancel := context.WithTimeout(c.ctx, order.Wait+pollTimeoutMargin)
 		defer cancel()
-		sent := c.Now()
+		sent.at = c.Now()
 		report, err := c.Workers.Poll(ctx, target, order)
-		c.post(func() { c.handlePollReport(w, order, sent, report, err) })
+		c.post(func() { c.handlePollReport(w, sent, report, err) })
 	}()
 }
 
-func (c *Scheduler) handlePollReport(w *worker, order agent.PollOrder, sent clock.Instant, report work.Report, err error) {
+// pollSent is a poll as it was sent.
+type pollSent struct {
+	order agent.PollOrder
+	born  int64 // of the incarnation that was known then
+	at    clock.Instant
+}
+
+func (c *Scheduler) handlePollReport(w *worker, sent pollSent, report work.Report, err error) {
 	now := c.Now()
 	w.pollInFlight = false
 	if w.removed {
@@ -66,6 +75,10 @@
 		c.handlePollError(w, now, err)
 		return
 	}
+	if report.Born != 0 && report.Born < w.born && sent.born != w.born {
+		c.pollIfDue(w) // The answer is of an earlier incarnation, with other ends and another clock.
+		return
+	}
 	if report.Born > w.born && w.born != 0 {
 		c.handleRestart(w, report.Born)
 	}
@@ -73,15 +86,17 @@
 		c.Log.Info().Str("worker", string(w.info.ID)).Msg("chief: worker answers again")
 	}
 	w.missedCalls, w.reportedAt = 0, now
-	w.ackedEnd = max(w.ackedEnd, order.Seen)
-	w.updateClock(report.Clock, now)
+	if sent.born == w.born {
+		w.ackedEnd = max(w.ackedEnd, sent.order.Seen)
+	}
+	w.updateClock(report.Clock, now, w.born)
 	for _, end := range report.Ended {
 		c.handleListedEnd(w, end)
 	}
 	c.noteListedEnds(w, len(report.Ended))
 	c.applyListedRuns(w, report.Running)
 	if !c.mayHideEnds(w) {
-		c.endUnlistedRuns(w, sent, report.Running)
+		c.endUnlistedRuns(w, sent.at, report.Running)
 	}
 	c.adjustPace(w)
 	c.scheduleNextPoll(w, now)
--- a/internal/chief/state.go
+++ b/internal/chief/state.go
@@ -32,10 +32,12 @@
 	worker    *worker
 	resources work.Resources
 	phase     phase
-	ordered   bool  // a start order has been sent
-	attempts  int   // start orders sent in this term
-	gang      *gang // nil unless it is a member of one
-	createdAt clock.Instant
+	ordered   bool // a start order has been sent
+	attempts  int  // start orders sent in this term
+	// sentToBorn is the incarnation of the worker that the last order was sent to.
+	sentToBorn int64
+	gang       *gang // nil unless it is a member of one
+	createdAt  clock.Instant
 	// ackedAt is when the worker acknowledged the last order for the run; 0 while that order is open.
 	ackedAt        clock.Instant
 	percent        int           // progress
