chief: tickets of workers that cannot get runs no longer count as advice

What callers saw: a job of a queue with advice that stood still for as long as its tickets were valid, while workers that it had no ticket for were idle.

Cause: advice was requested while a stage had fewer tickets than tasks. Tickets for workers that had left, drained or did not answer counted, so that no other worker was ever asked for before they expired.

Change: only tickets for workers that may get runs count. Each worker is still asked for once per stage and validity.

--- a/internal/chief/advise.go
+++ b/internal/chief/advise.go
@@ -34,7 +34,8 @@
 	return found && p.now < s.advice.expiresAt
 }
 
-// ensureAdvice requests advice while a stage has fewer tickets than tasks. It reports whether the stage may be planned.
+// ensureAdvice requests advice while fewer workers that may get runs have a ticket for a stage than it has tasks: a ticket for a
+// worker that has left, drains or does not answer is of no use. It reports whether the stage may be planned.
 func (p *planner) ensureAdvice(s *stage) bool {
 	if !p.needsAdvice(s) {
 		return true
@@ -42,10 +43,22 @@
 	if p.now >= s.advice.expiresAt && s.advice.expiresAt != 0 {
 		s.advice = advice{}
 	}
-	if len(s.advice.tickets) < len(s.tasks) {
+	ticketed := p.ticketedWorkers(s)
+	if ticketed < len(s.tasks) {
 		p.requestAdvice(s)
 	}
-	return len(s.advice.tickets) > 0
+	return ticketed > 0
+}
+
+// ticketedWorkers returns how many of the workers that may get runs have a ticket for a stage.
+func (p *planner) ticketedWorkers(s *stage) int {
+	count := 0
+	for _, w := range p.workers {
+		if _, found := s.advice.tickets[w.info.ID]; found {
+			count++
+		}
+	}
+	return count
 }
 
 // requestAdvice calls the advice service. Only one call is in flight: the service handles the calls of one machine in sequence.
--- a/internal/chief/env_test.go
+++ b/internal/chief/env_test.go
@@ -47,6 +47,7 @@
 	jobIntake *intake.Service
 	// outOfService takes the data centre of all workers out of service.
 	outOfService atomic.Bool
+	advise       chief.Adviser // set before an instance is started; nil for none
 	// quiet keeps the workers from renewing their registrations, which stay in the store: no event reports them again.
 	quiet     atomic.Bool
 	clockJump atomic.Int64 // by which the instances' time of day is ahead, in nanoseconds
@@ -156,7 +157,7 @@
 			},
 			Config: e.inForce.Load, OutOfService: func(model.DataCentreID) bool { return e.outOfService.Load() },
 			TermValid: func() bool { return !i.unproved.Load() && i.elector.TermValid(term) }, EndTerm: func() { i.elector.EndTerm(term) },
-			Registry: platform.RegistryKeyPrefix, DecodeWorker: platform.DecodeWorker,
+			Registry: platform.RegistryKeyPrefix, DecodeWorker: platform.DecodeWorker, Advise: e.advise,
 			Observe: chief.Observer{
 				CallResult: func(string, string) {}, RunEnded: func(work.How) {}, PassDuration: func(time.Duration) {},
 				JobStarted: func(work.QueueName, time.Duration) {},
