intake, platform: lines on calls without an answer, refused calls and results in doubt

Could not be seen: whether an accepted submission was stored by this attempt, by an earlier one or by a peer, at which revision, after how many attempts and how long; that a call had ended for its caller; which instance wrote a relayed change; why a state or a count came from the store; a refused call other than a change; a call whose connection ended before its answer, which counted as answered.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -27,7 +27,8 @@
 	refusedRetryTime = 900 * time.Millisecond
 	ownerTimeout     = 400 * time.Millisecond
 	pendingMaxAge    = 500 * time.Millisecond
-	maxCachedJobs    = 20_000 // in each of the caches of a Service; a full one is emptied
+	maxCachedJobs    = 20_000      // in each of the caches of a Service; a full one is emptied
+	slowLookup       = time.Second // from which on a look-up that succeeds is logged
 )
 
 // RefusedError reports a change that certainly did not take effect and will not do so later.
@@ -91,37 +92,45 @@
 
 	mu            sync.Mutex // guards the fields below
 	finalStates   map[model.JobID]work.State
-	accepted      map[model.JobID]bool   // jobs that this instance has accepted
-	pendingCounts map[work.QueueName]int // last result of Owner.Pending or its replacement from the store
+	accepted      map[model.JobID]time.Time // when this instance accepted a job
+	pendingCounts map[work.QueueName]int    // last result of Owner.Pending or its replacement from the store
 	countedAt     time.Time
 }
 
 // Submit stores a job durably. After a RefusedError the job never runs; after any other error it may.
 func (s *Service) Submit(ctx context.Context, job *work.Job) error {
 	job.Accepted = s.Now()
-	err := s.change(ctx, Change{Submit: job})
-	s.Log.Info().Str("job", string(job.ID)).Str("queue", string(job.Queue)).Err(err).Msg("intake: job submitted")
+	result, err := s.change(ctx, Change{Submit: job})
+	result.log(s.Log.Info(), job.ID, err).Str("queue", string(job.Queue)).Msg("intake: job submitted")
 	if err == nil {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		if s.accepted == nil || len(s.accepted) >= maxCachedJobs {
-			s.accepted = map[model.JobID]bool{}
+			s.accepted = map[model.JobID]time.Time{}
 		}
-		s.accepted[job.ID] = true
+		s.accepted[job.ID] = job.Accepted
 	}
 	return err
 }
 
 // Cancel stores the cancellation of a job durably. Errors are RefusedError, InDoubtError or UnknownJobError.
 func (s *Service) Cancel(ctx context.Context, id model.JobID) error {
-	err := s.change(ctx, Change{Cancel: id})
-	s.Log.Info().Str("job", string(id)).Err(err).Msg("intake: job cancelled")
+	result, err := s.change(ctx, Change{Cancel: id})
+	result.log(s.Log.Info(), id, err).Msg("intake: job cancelled")
 	return err
 }
 
 // change retries a change until its result is final or the caller's deadline is near. While every attempt is refused, retries end
 // after refusedRetryTime.
-func (s *Service) change(ctx context.Context, change Change) error {
+func (s *Service) change(ctx context.Context, change Change) (changeResult, error) {
+	startedAt := time.Now()
+	var result changeResult
+	err := s.retryChange(ctx, change, &result)
+	result.took, result.callEnded = time.Since(startedAt), context.Cause(ctx)
+	return result, err
+}
+
+func (s *Service) retryChange(ctx context.Context, change Change, result *changeResult) error {
 	if deadline, ok := ctx.Deadline(); ok {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-replyMargin))
@@ -133,7 +142,8 @@
 		return &RefusedError{Cause: errNoTime, RetryAfter: retryAfter}
 	}
 	for {
-		err, doubt := s.attemptChange(ctx, change)
+		result.attempts++
+		err, doubt := s.attemptChange(ctx, change, result)
 		if isFinal(err) {
 			return err
 		}
@@ -153,29 +163,37 @@
 // attemptChange applies a change through this instance's store and, when that fails or takes longer than relayDelay, through another
 // instance as well. The first final result wins, as a change is idempotent; doubt is true when neither result is final and one of
 // the attempts may have taken effect.
-func (s *Service) attemptChange(ctx context.Context, change Change) (result error, doubt bool) {
+func (s *Service) attemptChange(ctx context.Context, change Change, final *changeResult) (result error, doubt bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	results := make(chan error, 2)
-	go func() { results <- s.Apply(ctx, change) }()
+	type attempt struct {
+		applied applied
+		err     error
+	}
+	results := make(chan attempt, 2)
+	go func() {
+		done, err := s.apply(ctx, change)
+		results <- attempt{done, err}
+	}()
 	relayTimer := time.NewTimer(relayDelay)
 	defer relayTimer.Stop()
 	relayed := s.Relay == nil
 	for inFlight := 1; inFlight > 0; {
 		select {
 		case <-relayTimer.C:
-		case err := <-results:
+		case ended := <-results:
 			inFlight--
-			if isFinal(err) {
-				return err, false
+			if isFinal(ended.err) {
+				final.applied = ended.applied
+				return ended.err, false
 			}
-			doubt = doubt || !isRefused(err)
-			result = err
+			doubt = doubt || !isRefused(ended.err)
+			result = ended.err
 		}
 		if !relayed {
 			relayed = true
 			inFlight++
-			go func() { results <- s.Relay(ctx, change) }()
+			go func() { results <- attempt{applied{relayed: true}, s.Relay(ctx, change)} }()
 		}
 	}
 	return result, doubt
@@ -192,9 +210,21 @@
 	return errors.As(err, &refused)
 }
 
-// Apply makes one attempt to apply a change through this instance's store. Errors are those of Cancel, or of the store when the
-// result is unknown.
+// Apply makes one attempt to apply a change of another instance through this instance's store. Errors are those of Cancel, or of the
+// store when the result is unknown.
 func (s *Service) Apply(ctx context.Context, change Change) error {
+	startedAt := time.Now()
+	done, err := s.apply(ctx, change)
+	result := changeResult{applied: done, attempts: 1, took: time.Since(startedAt), callEnded: context.Cause(ctx)}
+	id, what := change.Cancel, "cancel"
+	if change.Submit != nil {
+		id, what = change.Submit.ID, "submit"
+	}
+	result.log(s.Log.Info(), id, err).Str("what", what).Msg("intake: change of another instance")
+	return err
+}
+
+func (s *Service) apply(ctx context.Context, change Change) (applied, error) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
 	if change.Submit != nil {
@@ -203,17 +233,17 @@
 	return s.markCancelled(ctx, change.Cancel)
 }
 
-func (s *Service) createJob(ctx context.Context, job *work.Job) error {
+func (s *Service) createJob(ctx context.Context, job *work.Job) (applied, error) {
 	value, err := work.Encode(job)
 	if err != nil {
-		return &RefusedError{Cause: err, RetryAfter: retryAfter}
+		return applied{}, &RefusedError{Cause: err, RetryAfter: retryAfter}
 	}
 	key := work.JobKey(job.ID)
 	revision, err := s.Store.Txn(ctx, kv.Txn{Expect: []kv.Expect{{Key: key}}, Writes: []kv.Write{{Key: key, Value: value}}})
 	if err == nil {
 		s.announce(Announcement{Change: Change{Submit: job}, Revision: revision})
 	}
-	return createResult(err)
+	return createResult(key, revision, err)
 }
 
 func (s *Service) announce(announcement Announcement) {
@@ -222,13 +252,13 @@
 	}
 }
 
-func (s *Service) markCancelled(ctx context.Context, id model.JobID) error {
+func (s *Service) markCancelled(ctx context.Context, id model.JobID) (applied, error) {
 	item, found, err := s.Store.Get(ctx, work.JobKey(id))
 	if err != nil {
-		return &RefusedError{Cause: err, RetryAfter: retryAfter}
+		return applied{}, &RefusedError{Cause: err, RetryAfter: retryAfter}
 	}
 	if !found {
-		return &UnknownJobError{ID: id}
+		return applied{}, &UnknownJobError{ID: id}
 	}
 	cancelKey := work.CancelKey(id)
 	revision, err := s.Store.Txn(ctx, kv.Txn{
@@ -238,21 +268,22 @@
 	if err == nil {
 		s.announce(Announcement{Change: Change{Cancel: id}, Revision: revision})
 	}
-	return createResult(err)
+	return createResult(cancelKey, revision, err)
 }
 
-// createResult returns the result of a change for the error of its transaction. A conflict is a success: an earlier attempt of the
-// same change has created the key.
-func createResult(err error) error {
+// createResult returns the result of a change that creates a key, for the revision or error of its transaction. A conflict is a
+// success: an earlier attempt of the same change has created the key.
+func createResult(key string, revision kv.Revision, err error) (applied, error) {
 	var conflict *kv.ConflictError
-	if err == nil || errors.As(err, &conflict) {
-		return nil
+	if errors.As(err, &conflict) {
+		item, _ := conflict.Item(key)
+		return applied{revision: item.Revision, before: true}, nil
 	}
 	var refused *kv.RefusedError
 	if errors.As(err, &refused) {
-		return &RefusedError{Cause: err, RetryAfter: retryAfter}
+		return applied{}, &RefusedError{Cause: err, RetryAfter: retryAfter}
 	}
-	return err
+	return applied{revision: revision}, err
 }
 
 // Status returns the state of a job. Errors are RefusedError or UnknownJobError.
@@ -284,19 +315,32 @@
 // fails too, a job that this instance has accepted is reported as queued.
 func (s *Service) lookUpState(ctx context.Context, id model.JobID) (work.State, error) {
 	ownerCtx, cancel := context.WithTimeout(ctx, ownerTimeout)
-	state, found, err := s.Owner.State(ownerCtx, id)
+	startedAt := time.Now()
+	state, found, ownerErr := s.Owner.State(ownerCtx, id)
 	cancel()
-	if err == nil && found {
+	if ownerErr == nil && found {
 		return state, nil
 	}
-	state, err = s.storedState(ctx, id)
+	ownerTook := time.Since(startedAt)
+	state, err := s.storedState(ctx, id)
+	s.mu.Lock()
+	acceptedAt, accepted := s.accepted[id]
+	s.mu.Unlock()
 	var unknown *UnknownJobError
+	if errors.As(err, &unknown) && accepted {
+		s.Log.Warn().Str("job", string(id)).Dur("age", s.Now().Sub(acceptedAt)).AnErr("leader", ownerErr).
+			Msg("intake: no record of a job that was accepted here")
+	}
 	if err == nil || errors.As(err, &unknown) {
+		if took := time.Since(startedAt); took >= slowLookup {
+			s.Log.Info().Str("job", string(id)).Dur("took", took).Dur("leader-took", ownerTook).AnErr("leader", ownerErr).
+				Str("state", string(state)).Msg("intake: state looked up slowly")
+		}
 		return state, err
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.accepted[id] {
+	s.Log.Info().Str("job", string(id)).Dur("took", time.Since(startedAt)).Dur("leader-took", ownerTook).AnErr("leader", ownerErr).
+		Bool("accepted", accepted).Err(err).Msg("intake: state not found out")
+	if accepted {
 		return work.StateQueued, nil
 	}
 	return "", &RefusedError{Cause: err, RetryAfter: retryAfter}
@@ -337,10 +381,17 @@
 		return s.pendingCounts[queue], nil
 	}
 	ownerCtx, cancel := context.WithTimeout(ctx, ownerTimeout)
-	pendingCounts, err := s.Owner.Pending(ownerCtx)
+	startedAt := time.Now()
+	pendingCounts, ownerErr := s.Owner.Pending(ownerCtx)
 	cancel()
-	if err != nil {
-		if pendingCounts, err = s.countUnfinished(ctx); err != nil {
+	if ownerErr != nil {
+		ownerTook := time.Since(startedAt)
+		var err error
+		pendingCounts, err = s.countUnfinished(ctx)
+		// Other calls wait for s.mu meanwhile.
+		s.Log.Info().Str("queue", string(queue)).Dur("held", time.Since(startedAt)).Dur("leader-took", ownerTook).AnErr("leader", ownerErr).
+			Err(err).Msg("intake: pending jobs counted in the store")
+		if err != nil {
 			return 0, &RefusedError{Cause: err, RetryAfter: retryAfter}
 		}
 	}
