chief, node: lines and counters from a known job to its stored end, and on takeovers

Could not be seen: when the end of a job was stored ("job over" is logged before), or its records removed; by which way and with which records a job became known; runs that a new leader takes over from the workers; what a term leaves unstored; that a job waits for workers of an earlier term and for which; why a step waits, unless it is urgent; a start that waits for its placement or for the worker; whether a run that is over had been started.

Now: a line for each of these, waits from 1 s on and once, and counters job_steps_total and end_steps_total whose steps can be compared. No pass visits more than before.

--- a/internal/chief/announce.go
+++ b/internal/chief/announce.go
@@ -11,9 +11,14 @@
 // scheduler takes announcements.
 func (c *Scheduler) AnnounceJob(spec *work.Job, created kv.Revision) bool {
 	return c.announce(func() {
-		if c.jobs[spec.ID] == nil && c.createdInTerm(created) {
-			c.addJob(spec, created)
+		switch {
+		case c.jobs[spec.ID] != nil:
+		case c.createdInTerm(created):
+			c.addJob(spec, created, "announcement")
 			c.dirty = true
+		default:
+			c.Log.Info().Str("job", string(spec.ID)).Uint64("created", uint64(created)).Uint64("token", uint64(c.Term.Token)).
+				Uint64("forgotten", uint64(c.lastForgotten)).Msg("chief: announcement left to the watch")
 		}
 	})
 }
--- a/internal/chief/env_test.go
+++ b/internal/chief/env_test.go
@@ -127,13 +127,14 @@
 	stop    context.CancelFunc
 	// unproved makes TermValid report false, as while the store is unreachable.
 	unproved atomic.Bool
-	// store may be wrapped by the change function of start.
+	// store may be wrapped by the change function of start, and log replaced.
 	store *kv.Store
+	log   zerolog.Logger
 }
 
 // start runs an instance; change may modify it before.
 func (e *testEnv) start(name string, change func(*instance)) *instance {
-	i := &instance{name: memnet.Host(name), store: e.kv(memnet.Host(name))}
+	i := &instance{name: memnet.Host(name), store: e.kv(memnet.Host(name)), log: testLog()}
 	if change != nil {
 		change(i)
 	}
@@ -146,7 +147,7 @@
 	i.elector.Lead = func(ctx context.Context, term elect.Term) error {
 		scheduler := &chief.Scheduler{
 			Store: i.store, Workers: platform.NewWorkerClient(e.net.Client(i.name)), Term: term,
-			Log: testLog(), Now: now, WallClock: func() time.Time { return time.Now().Add(time.Duration(e.clockJump.Load())) },
+			Log: i.log, Now: now, WallClock: func() time.Time { return time.Now().Add(time.Duration(e.clockJump.Load())) },
 			Limits: chief.Limits{
 				MaxLease: 6 * time.Second, StatusRetention: 120 * time.Second, ReclaimBound: reclaimBound, RemoteSlowdown: 3,
 				CheckpointInterval: time.Second, RestoreTime: 250 * time.Millisecond,
@@ -157,7 +158,7 @@
 			Registry: platform.RegistryKeyPrefix, DecodeWorker: platform.DecodeWorker,
 			Observe: chief.Observer{
 				CallResult: func(string, string) {}, RunEnded: func(work.How) {}, PassDuration: func(time.Duration) {},
-				JobStarted: func(work.QueueName, time.Duration) {},
+				JobStarted: func(work.QueueName, time.Duration) {}, JobStep: func(chief.JobStep) {}, EndStep: func(chief.EndStep, int) {},
 			},
 		}
 		i.chief.Store(scheduler)
--- a/internal/chief/health.go
+++ b/internal/chief/health.go
@@ -48,6 +48,9 @@
 		return
 	}
 	for _, r := range w.runs {
+		if r.phase == starting && !r.delayed && now.Sub(r.createdAt) >= logWaitFrom {
+			c.logDelayedStart(r, now)
+		}
 		if r.phase == running && r.task != nil && r.task.done && now.Sub(r.task.stage.finishedAt) > gangEndGrace {
 			c.stopRun(r, "task is done")
 		}
--- a/internal/chief/jobs.go
+++ b/internal/chief/jobs.go
@@ -16,7 +16,9 @@
 	}
 	if !c.jobsLoaded {
 		c.jobsLoaded, c.loadedAt = true, c.Now()
-		c.Log.Info().Int("jobs", len(c.jobs)).Int("live", len(c.liveJobs)).Int("workers", len(c.workers)).Msg("chief: jobs loaded")
+		c.Log.Info().Uint64("token", uint64(c.Term.Token)).Int("jobs", len(c.jobs)).Int("live", len(c.liveJobs)).
+			Int("workers", len(c.workers)).Int("roster", len(c.roster.entries)).Uint64("roster-revision", uint64(c.roster.revision)).
+			Uint64("placements-since", uint64(c.placementsSince)).Msg("chief: jobs loaded")
 		for _, w := range c.workers {
 			c.pollIfDue(w)
 		}
@@ -50,13 +52,14 @@
 		c.Log.Error().Err(err).Str("job", string(id)).Msg("chief: job's record ignored")
 		return
 	}
-	c.addJob(&spec, item.Created)
+	c.addJob(&spec, item.Created, "watch")
 	if c.cancelRequested[id] {
 		c.cancelJob(c.jobs[id])
 	}
 }
 
-func (c *Scheduler) addJob(spec *work.Job, created kv.Revision) {
+// addJob adds a job to the state; source names where it was learned from.
+func (c *Scheduler) addJob(spec *work.Job, created kv.Revision, source string) {
 	j := &job{
 		spec: spec, created: created, state: work.StateQueued, durableState: work.StateQueued, knownAt: c.Now(),
 		inherited: created < kv.Revision(c.Term.Token),
@@ -89,8 +92,25 @@
 		c.setDue(j)
 	}
 	c.publishState(j)
-	c.Log.Info().Str("job", string(spec.ID)).Str("queue", string(spec.Queue)).Int("steps", len(spec.Steps)).
-		Dur("known-after", c.WallClock().Sub(spec.Accepted)).Str("state", string(j.state)).Msg("chief: job known")
+	c.logJobKnown(j, source)
+}
+
+// logJobKnown logs a job that became known; of one of an earlier term, also which records it was restored from.
+func (c *Scheduler) logJobKnown(j *job, source string) {
+	line := c.Log.Info().Str("job", string(j.spec.ID)).Str("queue", string(j.spec.Queue)).Int("steps", len(j.spec.Steps)).
+		Dur("known-after", c.WallClock().Sub(j.spec.Accepted)).Str("state", string(j.state)).Str("by", source).
+		Uint64("created", uint64(j.created))
+	if j.inherited {
+		line = line.Uint64("progress", uint64(j.record)).Int("open-steps", j.unfinished).Uint64("placement", uint64(j.placement.revision)).
+			Int("placed-on", len(j.placement.stored)).Bool("placed-anywhere", j.placement.unknown)
+	}
+	line.Msg("chief: job known")
+	switch {
+	case !j.inherited:
+		c.Observe.JobStep(JobKnown)
+	case !j.state.Final():
+		c.Observe.JobStep(JobTakenOver)
+	}
 }
 
 // restoreProgress applies a progress record of an earlier term.
@@ -212,6 +232,14 @@
 	}
 	c.Log.Info().Str("job", string(j.spec.ID)).Str("state", string(state)).Str("why", reason).
 		Dur("after", j.finishedAt.Sub(j.due)).Dur("late-by", j.finishedAt.Sub(j.deadline)).Msg("chief: job over")
+	c.Observe.JobStep(JobOver)
+}
+
+// markFinalStored notes that the final state of a job is stored: only then do callers see it.
+func (c *Scheduler) markFinalStored(j *job) {
+	c.Observe.JobStep(JobStored)
+	c.Log.Info().Str("job", string(j.spec.ID)).Str("state", string(j.durableState)).Uint64("revision", uint64(j.record)).
+		Dur("after", c.Now().Sub(j.finishedAt)).Msg("chief: end of job stored")
 }
 
 // handleRunEnd updates the task and the gang of a run that has ended and whose resources are freed.
--- a/internal/chief/orders.go
+++ b/internal/chief/orders.go
@@ -47,6 +47,7 @@
 func (c *Scheduler) startRun(t *task, w *worker, number work.RunNumber, g *gang) {
 	now := c.Now()
 	s := t.stage
+	c.endWait(s, now)
 	r := &run{
 		key: runKey{t.id(), number}, task: t, worker: w, resources: s.step.Resources(), gang: g,
 		createdAt: now, progressedAt: now, pace: fullPace, checkpoint: t.checkpoint, fromStart: t.checkpoint == "",
@@ -85,7 +86,7 @@
 		w.updateClock(reading, now)
 		w.missedCalls = 0
 		if r.phase == starting {
-			r.phase, r.ackedAt, r.progressedAt = running, now, now
+			r.phase, r.ackedAt, r.startedAt, r.progressedAt = running, now, now, now
 		}
 		r.task.stage.job.markStarted(c)
 		c.pollIfDue(w)
@@ -109,6 +110,7 @@
 			j.state, j.durableState = work.StateRunning, work.StateRunning
 			c.publishState(j)
 		}
+		c.Observe.JobStep(JobStarted)
 		c.Observe.JobStarted(j.spec.Queue, c.Now().Sub(j.knownAt))
 	}
 }
--- a/internal/chief/persist.go
+++ b/internal/chief/persist.go
@@ -132,14 +132,24 @@
 		c.nextWriteAt = c.Now().Add(persistRetryPause)
 		c.postAfter(persistRetryPause, func() {})
 		c.handleWriteError("progress", err)
+		if c.writesFailingSince == 0 {
+			c.writesFailingSince = c.Now()
+		}
 		return
 	}
+	if c.writesFailingSince != 0 {
+		c.Log.Info().Int("jobs", len(b.jobs)).Dur("after", c.Now().Sub(c.writesFailingSince)).Msg("chief: progress stored again")
+		c.writesFailingSince = 0
+	}
 	c.nextWriteAt = c.Now().Add(persistPause)
 	c.postAfter(persistPause, func() {})
 	for i, j := range b.jobs {
 		if j.durableState != b.states[i] {
 			j.durableState = b.states[i]
 			c.publishState(j)
+			if j.durableState.Final() {
+				c.markFinalStored(j)
+			}
 		}
 	}
 	c.ackEnds(b.ends)
@@ -157,6 +167,7 @@
 func (c *Scheduler) ackEnds(ends map[*worker]work.EndNumber) {
 	for w, number := range ends {
 		if number > w.durableEnd && number <= w.handledEnd {
+			c.Observe.EndStep(EndStored, int(number-w.durableEnd))
 			w.durableEnd = number
 			c.pollIfDue(w)
 		}
@@ -171,7 +182,7 @@
 	}
 	c.writeInFlight = true
 	go func() {
-		_, err := c.executeTxns([]kv.Txn{txn})
+		revisions, err := c.executeTxns([]kv.Txn{txn})
 		c.post(func() {
 			c.writeInFlight = false
 			if err != nil {
@@ -179,15 +190,25 @@
 				c.handleWriteError("removal", err)
 				return
 			}
+			c.Log.Info().Strs("jobs", jobNames(ids)).Uint64("revision", uint64(revisions[0])).Msg("chief: records of ended jobs removed")
 			c.forgetJobs(ids)
 		})
 	}()
 }
 
+func jobNames(ids []model.JobID) []string {
+	names := make([]string, len(ids))
+	for i, id := range ids {
+		names[i] = string(id)
+	}
+	return names
+}
+
 func (c *Scheduler) forgetJobs(ids []model.JobID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, id := range ids {
+		c.Observe.JobStep(JobRemoved)
 		c.lastForgotten = max(c.lastForgotten, c.jobs[id].created)
 		delete(c.jobs, id)
 		delete(c.cancelRequested, id)
--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -123,8 +123,10 @@
 // job plans the stages of a job that are due and whose dependencies are done.
 func (p *planner) job(j *job) {
 	if j.mayHaveRunsOn(p.unseenRuns) {
+		p.noteUnseenWait(j)
 		return
 	}
+	p.c.endJobWait(j, p.now)
 	for occurrence, stages := range j.stages {
 		if due := j.dueAt(occurrence); p.now < due {
 			p.c.postAfter(min(due.Sub(p.now), tickInterval), func() { p.c.dirty = true })
@@ -154,6 +156,7 @@
 // stage starts the waiting tasks of a stage, or its gang.
 func (p *planner) stage(s *stage) {
 	if s.gang == nil && !p.ensureAdvice(s) {
+		p.noteWait(s, "advice")
 		return
 	}
 	p.creditReservation(s)
@@ -169,10 +172,15 @@
 func (p *planner) startTasks(s *stage) {
 	for index := range s.tasks {
 		t := &s.tasks[index]
-		if t.done || t.activeRun != nil || p.now < t.notBefore || p.mayExceedAttempts(s, t, len(t.failedRuns)) {
+		if t.done || t.activeRun != nil || p.now < t.notBefore {
+			continue
+		}
+		if p.mayExceedAttempts(s, t, len(t.failedRuns)) {
+			p.noteWait(s, waitLastAttempt)
 			continue
 		}
 		if !p.startTask(s, t) {
+			p.noteWait(s, waitRoom)
 			p.reserveForUrgent(s)
 			return
 		}
@@ -230,11 +238,17 @@
 		return
 	}
 	for index := range s.tasks {
-		if s.tasks[index].activeRun != nil || p.mayExceedAttempts(s, &s.tasks[index], len(s.failedRuns)) {
+		if s.tasks[index].activeRun != nil {
+			p.noteWait(s, "members of an earlier run")
+			return
+		}
+		if p.mayExceedAttempts(s, &s.tasks[index], len(s.failedRuns)) {
+			p.noteWait(s, waitLastAttempt)
 			return
 		}
 	}
 	if !p.withinSpare(s, len(s.tasks)) {
+		p.noteWait(s, waitRoom)
 		return
 	}
 	places := p.placeGang(s)
@@ -242,6 +256,7 @@
 		places = p.reservedPlaces(s)
 	}
 	if places == nil {
+		p.noteWait(s, waitRoom)
 		p.reserveForUrgent(s)
 		return
 	}
--- a/internal/chief/poll.go
+++ b/internal/chief/poll.go
@@ -73,7 +73,10 @@
 		c.Log.Info().Str("worker", string(w.info.ID)).Msg("chief: worker answers again")
 	}
 	w.missedCalls, w.reportedAt = 0, now
-	w.ackedEnd = max(w.ackedEnd, order.Seen)
+	if order.Seen > w.ackedEnd {
+		c.Observe.EndStep(EndAcknowledged, int(order.Seen-w.ackedEnd))
+		w.ackedEnd = order.Seen
+	}
 	w.updateClock(report.Clock, now)
 	for _, end := range report.Ended {
 		c.handleListedEnd(w, end)
@@ -137,6 +140,7 @@
 		return
 	}
 	w.handledEnd = end.Number
+	c.Observe.EndStep(EndListed, 1)
 	r := w.runs[runKey{end.Task, end.Run}]
 	if r == nil {
 		r = c.adoptRun(w, end.Task, end.Run)
@@ -173,6 +177,8 @@
 	}
 	w.runs[r.key] = r
 	w.used = w.used.Add(r.resources)
+	c.Log.Info().Str("task", id.String()).Int64("run", int64(number)).Str("worker", string(w.info.ID)).Bool("task-known", t != nil).
+		Bool("task-done", t != nil && t.done).Uint64("token", uint64(c.Term.Token)).Msg("chief: run taken over")
 	return r
 }
 
@@ -237,6 +243,7 @@
 	default:
 		t.activeRun = r
 		t.stage.job.started = true
+		c.endWait(t.stage, c.Now())
 	}
 	c.dirty = true
 }
@@ -246,7 +253,7 @@
 	now := c.Now()
 	if r.phase == starting {
 		r.phase = running
-		r.ackedAt = now
+		r.ackedAt, r.startedAt = now, now
 		r.task.stage.job.started = true
 	}
 	r.listedAt = now
--- a/internal/chief/scheduler.go
+++ b/internal/chief/scheduler.go
@@ -82,6 +82,7 @@
 	cancelRequested     map[model.JobID]bool
 	lastForgotten       kv.Revision   // highest revision at which a job was created that is removed by now
 	writeInFlight       bool          // of job records
+	writesFailingSince  clock.Instant // 0 while progress can be stored
 	nextWriteAt         clock.Instant // earliest next write of progress
 	loadedAt            clock.Instant // when the jobs were loaded
 	jobsLoaded          bool
@@ -105,8 +106,34 @@
 	RunEnded     func(how work.How)
 	PassDuration func(took time.Duration)                         // of a planning pass
 	JobStarted   func(queue work.QueueName, waited time.Duration) // waited since this term knew the job
+	// JobStep and EndStep count how far jobs and the ends that workers list have come, so that the sums can be compared.
+	JobStep func(step JobStep)
+	EndStep func(step EndStep, ends int)
 }
 
+// JobStep is a step of a job's way through the scheduler.
+type JobStep string
+
+// Steps of a job.
+const (
+	JobKnown     JobStep = "known"
+	JobTakenOver JobStep = "taken-over" // known from an earlier term, without a stored final state
+	JobStarted   JobStep = "started"    // its first run in this term
+	JobOver      JobStep = "over"       // its final state is decided
+	JobStored    JobStep = "stored"     // its final state is stored
+	JobRemoved   JobStep = "removed"    // its records are deleted
+)
+
+// EndStep is a step of the end of a run on its way from the worker's list.
+type EndStep string
+
+// Steps of the end of a run.
+const (
+	EndListed       EndStep = "listed"
+	EndStored       EndStep = "stored"
+	EndAcknowledged EndStep = "acknowledged" // the worker has the acknowledgement
+)
+
 // storedProgress is a progress record and its revision.
 type storedProgress struct {
 	progress work.Progress
@@ -147,6 +174,7 @@
 		return c.loop(ctx)
 	})
 	err := group.Wait()
+	c.logTermEnd()
 	c.mu.Lock()
 	c.pendingKnown = false
 	c.mu.Unlock()
@@ -261,6 +289,23 @@
 	return nil
 }
 
+// logTermEnd logs what this term leaves behind. Ends that are not stored are known to their workers alone.
+func (c *Scheduler) logTermEnd() {
+	unstoredJobs, runs, unstoredEnds := 0, 0, 0
+	for _, j := range c.jobs {
+		if j.dirty || j.state.Final() && !j.durableState.Final() {
+			unstoredJobs++
+		}
+	}
+	for _, w := range c.workers {
+		runs += len(w.runs)
+		unstoredEnds += int(w.handledEnd - w.durableEnd)
+	}
+	c.Log.Info().Uint64("token", uint64(c.Term.Token)).Int("jobs", len(c.jobs)).Int("live", len(c.liveJobs)).Int("runs", runs).
+		Int("unstored-jobs", unstoredJobs).Int("unstored-ends", unstoredEnds).
+		Bool("write-in-flight", c.writeInFlight).Msg("chief: term left")
+}
+
 // State returns the stored state of a job, and whether the job is known.
 func (c *Scheduler) State(id model.JobID) (work.State, bool) {
 	c.mu.Lock()
--- a/internal/chief/state.go
+++ b/internal/chief/state.go
@@ -36,6 +36,8 @@
 	attempts  int   // start orders sent in this term
 	gang      *gang // nil unless it is a member of one
 	createdAt clock.Instant
+	startedAt clock.Instant // when this term learned that it has started; 0 before, and for a run of an earlier term
+	delayed   bool          // its start has taken long enough to be logged
 	// ackedAt is when the worker acknowledged the last order for the run; 0 while that order is open.
 	ackedAt        clock.Instant
 	percent        int           // progress
@@ -89,6 +91,7 @@
 	unfinished   int              // tasks that are not done
 	failedRuns   []work.RunNumber // of a gang, that count as attempts
 	waitingSince clock.Instant    // 0 while no task waits
+	wait         wait             // why the last planning pass started none of its tasks
 	gang         *gang            // the current run of a gang
 	finishedAt   clock.Instant
 	// reserved holds a worker for each waiting task while runs there are being stopped.
@@ -116,6 +119,7 @@
 	deadline     clock.Instant // target for its completion
 	dirty        bool          // has progress that is not stored
 	record       kv.Revision   // of the stored progress; 0 while there is none
+	wait         wait          // for workers of an earlier term
 	inherited    bool          // may have runs of an earlier term on workers that were not polled yet
 	knownAt      clock.Instant
 	finishedAt   clock.Instant
--- /dev/null
+++ b/internal/chief/trail_test.go
@@ -0,0 +1,103 @@
+package chief_test
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"peridotgw.example/peridotgw/internal/work"
+	"peridotgw.example/peridotgw/platform/fakepl"
+)
+
+// logBuffer keeps the lines of a log. The methods may be used concurrently.
+type logBuffer struct {
+	mu    sync.Mutex // guards lines
+	lines bytes.Buffer
+}
+
+// Write adds a line.
+func (b *logBuffer) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lines.Write(line)
+}
+
+// count returns the number of lines that hold all parts.
+func (b *logBuffer) count(parts ...string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	found := 0
+next:
+	for line := range strings.Lines(b.lines.String()) {
+		for _, part := range parts {
+			if !strings.Contains(line, part) {
+				continue next
+			}
+		}
+		found++
+	}
+	return found
+}
+
+func logTo(b *logBuffer) func(*instance) {
+	return func(i *instance) { i.log = zerolog.New(b) }
+}
+
+// Guards against a line that tells the end of a job as stored while it is known to the leader alone: after a change of leader an
+// engineer would look for the fault in the wrong place.
+func TestEndOfJobIsLoggedOnceStored(t *testing.T) {
+	withTestEnv(t, 2, func(env *testEnv) {
+		var lines logBuffer
+		leader := env.start("a", logTo(&lines))
+		env.submit(newJob("00000000000000f1", "scan", 1, 1))
+		env.await(5*time.Second, "it runs", func() bool { return len(env.fleet.RunningOn(taskID("00000000000000f1", 0))) == 1 })
+		env.store.SetFault(func(path string) fakepl.Fault {
+			if strings.HasSuffix(path, "txn") {
+				return fakepl.Silent
+			}
+			return fakepl.Healthy
+		})
+		env.await(4*time.Second, "the job is over", func() bool { return lines.count("chief: job over", "00000000000000f1") == 1 })
+		env.Expect(lines.count("chief: end of job stored")).To(Equal(0))
+		env.Expect(leader.state("00000000000000f1")).NotTo(Equal(work.StateCompleted))
+		env.store.SetFault(nil)
+		env.await(4*time.Second, "its end is stored", func() bool { return leader.state("00000000000000f1") == work.StateCompleted })
+		env.Expect(lines.count("chief: end of job stored", "00000000000000f1", "completed")).To(Equal(1))
+		env.Expect(lines.count("chief: progress stored again")).To(Equal(1))
+	})
+}
+
+// Guards against a leader that ends with ends known to it and its workers alone, without a trace of them.
+func TestTermLeavesUnstoredEnds(t *testing.T) {
+	withTestEnv(t, 2, func(env *testEnv) {
+		var lines logBuffer
+		leader := env.start("a", logTo(&lines))
+		env.submit(newJob("00000000000000f2", "scan", 1, 1))
+		env.await(5*time.Second, "it runs", func() bool { return len(env.fleet.RunningOn(taskID("00000000000000f2", 0))) == 1 })
+		env.store.SetFault(func(string) fakepl.Fault { return fakepl.Silent })
+		env.await(4*time.Second, "the job is over", func() bool { return lines.count("chief: job over", "00000000000000f2") == 1 })
+		leader.kill()
+		env.await(2*time.Second, "the term ends", func() bool { return lines.count("chief: term left") == 1 })
+		env.Expect(lines.count("chief: term left", `"unstored-jobs":1`, `"unstored-ends":1`)).To(Equal(1))
+	})
+}
+
+// Guards against a step that waits without a line, and against a line for each planning pass in which it waits.
+func TestWaitIsLoggedOnce(t *testing.T) {
+	withTestEnv(t, 1, func(env *testEnv) {
+		var lines logBuffer
+		env.start("a", logTo(&lines))
+		env.submit(newJob("00000000000000f3", "scan", 1, 8))
+		env.await(5*time.Second, "it runs", func() bool { return len(env.fleet.RunningOn(taskID("00000000000000f3", 0))) == 1 })
+		env.submit(newJob("00000000000000f4", "scan", 1, 8))
+		env.await(5*time.Second, "the next one runs", func() bool { return len(env.fleet.RunningOn(taskID("00000000000000f4", 0))) == 1 })
+		env.Expect(lines.count("chief: step waits\"", "00000000000000f4.0.0", `"why":"room"`)).To(Equal(1))
+		env.Expect(lines.count("chief: step waits no more", "00000000000000f4.0.0")).To(Equal(1))
+		env.Expect(lines.count("chief: step waits\"", "00000000000000f3")).To(Equal(0))
+	})
+}
--- a/internal/chief/workers.go
+++ b/internal/chief/workers.go
@@ -33,8 +33,12 @@
 		}
 	}
 	c.Observe.RunEnded(how)
-	c.Log.Info().Str("task", r.key.task.String()).Int64("run", int64(r.key.number)).Str("worker", string(w.info.ID)).
-		Str("how", string(how)).Int("percent", r.percent).Dur("age", c.Now().Sub(r.createdAt)).Str("why", r.reason).Msg("chief: run over")
+	line := c.Log.Info().Str("task", r.key.task.String()).Int64("run", int64(r.key.number)).Str("worker", string(w.info.ID)).
+		Str("how", string(how)).Int("percent", r.percent).Dur("age", c.Now().Sub(r.createdAt)).Str("why", r.reason)
+	if r.startedAt != 0 {
+		line = line.Dur("started-after", r.startedAt.Sub(r.createdAt))
+	}
+	line.Msg("chief: run over")
 	c.handleRunEnd(r, how, checkpoint)
 }
 
@@ -63,7 +67,8 @@
 // giveUpRuns ends the runs of a worker whose leases have lapsed without a report of how they ended.
 func (c *Scheduler) giveUpRuns(w *worker, why string) {
 	reason := "lapsed on a worker that " + why
-	c.Log.Warn().Str("worker", string(w.info.ID)).Int("runs", len(w.runs)).Msg("chief: leases " + reason)
+	c.Log.Warn().Str("worker", string(w.info.ID)).Int("runs", len(w.runs)).Dur("silent-for", c.Now().Sub(max(w.reportedAt, c.Term.Since))).
+		Bool("registered", w.registered).Int64("last-end", int64(w.handledEnd)).Msg("chief: leases " + reason)
 	for _, r := range w.runs {
 		if r.task != nil {
 			r.task.lostOn = w
--- a/internal/node/meters.go
+++ b/internal/node/meters.go
@@ -23,6 +23,8 @@
 	ends    *prometheus.CounterVec
 	plans   *prometheus.HistogramVec
 	waits   *prometheus.HistogramVec
+	jobs    *prometheus.CounterVec
+	endings *prometheus.CounterVec
 }
 
 func newMeters() *meters {
@@ -38,6 +40,8 @@
 		ends:    set.Counter("run_ends_total", "Runs that are over.", "how"),
 		plans:   set.Histogram("plan_seconds", "Time of a planning pass.", []float64{0.0001, 0.0005, 0.001, 0.005, 0.02, 0.1}),
 		waits:   set.Histogram("job_wait_seconds", "Time from a job's arrival to its first start.", latency, "queue"),
+		jobs:    set.Counter("job_steps_total", "Jobs by how far they have come.", "step"),
+		endings: set.Counter("end_steps_total", "Ends that workers list, by how far they have come.", "step"),
 	}
 }
 
@@ -72,5 +76,7 @@
 		JobStarted: func(queue work.QueueName, waited time.Duration) {
 			m.waits.WithLabelValues(string(queue)).Observe(waited.Seconds())
 		},
+		JobStep: func(step chief.JobStep) { m.jobs.WithLabelValues(string(step)).Inc() },
+		EndStep: func(step chief.EndStep, ends int) { m.endings.WithLabelValues(string(step)).Add(float64(ends)) },
 	}
 }
