chief: counts of ends cover the term of the leader alone

The counts begin at the first end that a worker lists in the term. The new spec fails without that (6 instead of 2).

--- a/internal/chief/env_test.go
+++ b/internal/chief/env_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -130,6 +131,9 @@
 	// store may be wrapped by the change function of start, and log replaced.
 	store *kv.Store
 	log   zerolog.Logger
+
+	endsMu sync.Mutex // guards ends
+	ends   map[chief.EndStep]int
 }
 
 // start runs an instance; change may modify it before.
@@ -158,7 +162,7 @@
 			Registry: platform.RegistryKeyPrefix, DecodeWorker: platform.DecodeWorker,
 			Observe: chief.Observer{
 				CallResult: func(string, string) {}, RunEnded: func(work.How) {}, PassDuration: func(time.Duration) {},
-				JobStarted: func(work.QueueName, time.Duration) {}, JobStep: func(chief.JobStep) {}, EndStep: func(chief.EndStep, int) {},
+				JobStarted: func(work.QueueName, time.Duration) {}, JobStep: func(chief.JobStep) {}, EndStep: i.countEnds,
 			},
 		}
 		i.chief.Store(scheduler)
@@ -172,6 +176,22 @@
 	return i
 }
 
+// countEnds adds to the ends that came to a step in terms of this instance.
+func (i *instance) countEnds(step chief.EndStep, ends int) {
+	i.endsMu.Lock()
+	defer i.endsMu.Unlock()
+	if i.ends == nil {
+		i.ends = map[chief.EndStep]int{}
+	}
+	i.ends[step] += ends
+}
+
+func (i *instance) endsAt(step chief.EndStep) int {
+	i.endsMu.Lock()
+	defer i.endsMu.Unlock()
+	return i.ends[step]
+}
+
 // kill stops an instance.
 func (i *instance) kill() { i.stop() }
 
--- a/internal/chief/persist.go
+++ b/internal/chief/persist.go
@@ -167,7 +167,7 @@
 func (c *Scheduler) ackEnds(ends map[*worker]work.EndNumber) {
 	for w, number := range ends {
 		if number > w.durableEnd && number <= w.handledEnd {
-			c.Observe.EndStep(EndStored, int(number-w.durableEnd))
+			c.Observe.EndStep(EndStored, int(number-max(w.durableEnd, w.listedFrom)))
 			w.durableEnd = number
 			c.pollIfDue(w)
 		}
--- a/internal/chief/poll.go
+++ b/internal/chief/poll.go
@@ -74,7 +74,7 @@
 	}
 	w.missedCalls, w.reportedAt = 0, now
 	if order.Seen > w.ackedEnd {
-		c.Observe.EndStep(EndAcknowledged, int(order.Seen-w.ackedEnd))
+		c.Observe.EndStep(EndAcknowledged, int(order.Seen-max(w.ackedEnd, w.listedFrom)))
 		w.ackedEnd = order.Seen
 	}
 	w.updateClock(report.Clock, now)
@@ -139,6 +139,9 @@
 	if end.Number <= w.handledEnd {
 		return
 	}
+	if w.handledEnd == 0 {
+		w.listedFrom = end.Number - 1
+	}
 	w.handledEnd = end.Number
 	c.Observe.EndStep(EndListed, 1)
 	r := w.runs[runKey{end.Task, end.Run}]
--- a/internal/chief/registry.go
+++ b/internal/chief/registry.go
@@ -77,7 +77,7 @@
 func (c *Scheduler) handleRestart(w *worker, born int64) {
 	c.Log.Info().Str("worker", string(w.info.ID)).Int64("born", born).Int("runs", len(w.runs)).Msg("chief: worker started again")
 	w.born = born
-	w.handledEnd, w.durableEnd, w.ackedEnd, w.unackableEnd = 0, 0, 0, 0
+	w.listedFrom, w.handledEnd, w.durableEnd, w.ackedEnd, w.unackableEnd = 0, 0, 0, 0, 0
 	w.listedEnds, w.listExhausted = 0, false
 	w.clock, w.clockReadAt, w.leaseUntil, w.leavesAt = 0, 0, 0, 0
 	w.knownSince, w.nextPollAt = c.Now(), 0
--- a/internal/chief/scheduler.go
+++ b/internal/chief/scheduler.go
@@ -299,7 +299,7 @@
 	}
 	for _, w := range c.workers {
 		runs += len(w.runs)
-		unstoredEnds += int(w.handledEnd - w.durableEnd)
+		unstoredEnds += int(w.handledEnd - max(w.durableEnd, w.listedFrom))
 	}
 	c.Log.Info().Uint64("token", uint64(c.Term.Token)).Int("jobs", len(c.jobs)).Int("live", len(c.liveJobs)).Int("runs", runs).
 		Int("unstored-jobs", unstoredJobs).Int("unstored-ends", unstoredEnds).
--- a/internal/chief/state.go
+++ b/internal/chief/state.go
@@ -143,6 +143,7 @@
 	missedCalls      int              // consecutive calls without an answer
 	quarantinedUntil clock.Instant    // no starts before
 	leavesAt         clock.Instant    // earliest end of a draining worker; 0 while it does not drain
+	listedFrom       work.EndNumber   // end before the first one that it listed in this term
 	handledEnd       work.EndNumber   // last end that was handled
 	durableEnd       work.EndNumber   // last end that is stored
 	ackedEnd         work.EndNumber   // last acknowledgment that the worker has received
--- a/internal/chief/trail_test.go
+++ b/internal/chief/trail_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
+	"peridotgw.example/peridotgw/internal/chief"
 	"peridotgw.example/peridotgw/internal/work"
 	"peridotgw.example/peridotgw/platform/fakepl"
 )
@@ -101,3 +102,22 @@
 		env.Expect(lines.count("chief: step waits\"", "00000000000000f3")).To(Equal(0))
 	})
 }
+
+// Guards against counts of ends that include those of earlier terms: a worker numbers its ends on, and a successor would seem to store
+// more ends than were listed to it.
+func TestCountsOfEndsCoverOneTerm(t *testing.T) {
+	withTestEnv(t, 1, func(env *testEnv) {
+		first := env.start("a", nil)
+		env.submit(newJob("00000000000000f5", "scan", 4, 1))
+		env.await(8*time.Second, "the first job's ends are acknowledged", func() bool { return first.endsAt(chief.EndAcknowledged) == 4 })
+		first.kill()
+		second := env.start("b", nil)
+		env.await(5*time.Second, "b leads", func() bool { return second.chief.Load() != nil })
+		env.submit(newJob("00000000000000f6", "scan", 2, 1))
+		env.await(8*time.Second, "the second job's ends are acknowledged", func() bool { return second.endsAt(chief.EndAcknowledged) > 0 })
+		env.sleep(time.Second)
+		for _, step := range []chief.EndStep{chief.EndListed, chief.EndStored, chief.EndAcknowledged} {
+			env.Expect(second.endsAt(step)).To(Equal(2), string(step))
+		}
+	})
+}
