--- a/internal/chief/poll.go
+++ b/internal/chief/poll.go
@@ -86,8 +86,9 @@
 		c.Log.Info().Str("worker", string(w.info.ID)).Msg("chief: worker answers again")
 	}
 	w.missedCalls, w.reportedAt = 0, now
-	if sent.born == w.born {
-		w.ackedEnd = max(w.ackedEnd, sent.order.Seen)
+	if sent.born == w.born && sent.order.Seen > w.ackedEnd {
+		c.Observe.EndStep(EndAcknowledged, int(sent.order.Seen-max(w.ackedEnd, w.listedFrom)))
+		w.ackedEnd = sent.order.Seen
 	}
 	w.updateClock(report.Clock, now, w.born)
 	for _, end := range report.Ended {
@@ -151,7 +152,11 @@
 	if end.Number <= w.handledEnd {
 		return
 	}
+	if w.handledEnd == 0 {
+		w.listedFrom = end.Number - 1
+	}
 	w.handledEnd = end.Number
+	c.Observe.EndStep(EndListed, 1)
 	r := w.runs[runKey{end.Task, end.Run}]
 	if r == nil {
 		r = c.adoptRun(w, end.Task, end.Run)
@@ -188,6 +193,8 @@
 	}
 	w.runs[r.key] = r
 	w.used = w.used.Add(r.resources)
+	c.Log.Info().Str("task", id.String()).Int64("run", int64(number)).Str("worker", string(w.info.ID)).Bool("task-known", t != nil).
+		Bool("task-done", t != nil && t.done).Uint64("token", uint64(c.Term.Token)).Msg("chief: run taken over")
 	return r
 }
 
@@ -252,6 +259,7 @@
 	default:
 		t.activeRun = r
 		t.stage.job.started = true
+		c.endWait(t.stage, c.Now())
 	}
 	c.dirty = true
 }
@@ -261,7 +269,7 @@
 	now := c.Now()
 	if r.phase == starting {
 		r.phase = running
-		r.ackedAt = now
+		r.ackedAt, r.startedAt = now, now
 		r.task.stage.job.started = true
 	}
 	r.listedAt = now
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -226,7 +226,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				g := NewWithT(t)
 				jobAPI := &platform.JobAPI{
-					Log: zerolog.Nop(), Jobs: newService(fakepl.NewStore()),
+					Log: zerolog.Nop(), Jobs: newService(fakepl.NewStore()), Closing: func() bool { return false },
 					Observe: func(string, int, time.Duration) {},
 					Config: func() *work.Config {
 						if c.noConfig {
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -150,8 +150,10 @@
 
 // Guards against requests that are cut because they wait for something when the time of the drain ends.
 func TestDrainEndsTheContextsOfWaitingRequests(t *testing.T) {
+	cause := make(chan error, 1)
 	r := newRig(t, func(w http.ResponseWriter, req *http.Request) {
 		<-req.Context().Done()
+		cause <- context.Cause(req.Context())
 		w.WriteHeader(http.StatusServiceUnavailable)
 	})
 	r.run(t)
@@ -160,6 +162,8 @@
 	time.Sleep(50 * time.Millisecond)
 	r.g.Expect(r.drain(time.Second)).To(Succeed())
 	r.g.Expect(r.answer(c).StatusCode).To(Equal(http.StatusServiceUnavailable))
+	var stopping *serve.StoppingError
+	r.g.Expect(errors.As(<-cause, &stopping)).To(BeTrue())
 }
 
 // Guards against a drain that hides the requests that it could not answer.
