chief: advice is asked for again while the workers with a ticket are full

What callers saw: a job of a queue with advice that stood still for as long as its tickets were valid, while workers that may run it were idle.

Cause: the first call names 30 workers. Once it had brought as many tickets as the stage has tasks, no other worker was asked for, even when other work filled the workers with a ticket.

Change: while the waiting tasks do not fit on the workers with a ticket, advice is asked for workers that have room now and were not asked for. Without room elsewhere there is no call, and each worker is asked for at most once per stage and validity.

Evidence: TestAdviceIsAskedAgainWhenTicketedWorkersAreFull, with 31 idle workers of which two may run the job and the first is taken while the advice is on its way, failed on the code before ("it runs: not within 3s"); it holds now, with two calls, 10 of 10 runs.

--- a/internal/chief/advise.go
+++ b/internal/chief/advise.go
@@ -35,7 +35,8 @@
 }
 
 // ensureAdvice requests advice while fewer workers that may get runs have a ticket for a stage than it has tasks: a ticket for a
-// worker that has left, drains or does not answer is of no use. It reports whether the stage may be planned.
+// worker that has left, drains or does not answer is of no use. It requests more while the waiting tasks do not fit on these workers,
+// and others have room. It reports whether the stage may be planned.
 func (p *planner) ensureAdvice(s *stage) bool {
 	if !p.needsAdvice(s) {
 		return true
@@ -43,30 +44,47 @@
 	if p.now >= s.advice.expiresAt && s.advice.expiresAt != 0 {
 		s.advice = advice{}
 	}
-	ticketed := p.ticketedWorkers(s)
-	if ticketed < len(s.tasks) {
-		p.requestAdvice(s)
+	waiting := s.waitingTasks()
+	ticketed, room := p.ticketedWorkers(s, waiting)
+	switch {
+	case ticketed < len(s.tasks):
+		p.requestAdvice(s, func(*worker) bool { return true })
+	case room < waiting:
+		p.requestAdvice(s, func(w *worker) bool { return countFits(availableNow(w), s.step.Resources(), 1) > 0 })
 	}
 	return ticketed > 0
 }
 
-// ticketedWorkers returns how many of the workers that may get runs have a ticket for a stage.
-func (p *planner) ticketedWorkers(s *stage) int {
-	count := 0
+// ticketedWorkers returns how many of the workers that may get runs have a ticket for a stage, and how many of its waiting tasks fit
+// there now.
+func (p *planner) ticketedWorkers(s *stage, waiting int) (count, room int) {
+	resources := s.step.Resources()
 	for _, w := range p.workers {
 		if _, found := s.advice.tickets[w.info.ID]; found {
 			count++
+			room += countFits(availableNow(w), resources, waiting)
 		}
 	}
-	return count
+	return count, room
 }
 
-// requestAdvice calls the advice service. Only one call is in flight: the service handles the calls of one machine in sequence.
-func (p *planner) requestAdvice(s *stage) {
+// waitingTasks returns the number of tasks that are neither done nor running.
+func (s *stage) waitingTasks() int {
+	waiting := 0
+	for index := range s.tasks {
+		if t := &s.tasks[index]; !t.done && t.activeRun == nil {
+			waiting++
+		}
+	}
+	return waiting
+}
+
+// requestAdvice calls the advice service for the workers that are wanted. Only one call is in flight: the service handles the calls of one machine in sequence.
+func (p *planner) requestAdvice(s *stage, wanted func(*worker) bool) {
 	if p.c.adviceInFlight || p.now < s.advice.retryAt {
 		return
 	}
-	workers := p.adviceCandidates(s)
+	workers := p.adviceCandidates(s, wanted)
 	if len(workers) == 0 {
 		s.advice.retryAt = p.now.Add(adviceRetryPause)
 		return
@@ -82,11 +100,11 @@
 	}()
 }
 
-// adviceCandidates returns workers that no advice was requested for yet, those with the most available cores first.
-func (p *planner) adviceCandidates(s *stage) []model.WorkerID {
+// adviceCandidates returns the wanted workers that no advice was requested for yet, those with the most available cores first.
+func (p *planner) adviceCandidates(s *stage, wanted func(*worker) bool) []model.WorkerID {
 	var options []*worker
 	for _, w := range p.workers {
-		if w.info.Pool == s.job.spec.Pool && w.info.Has(s.step.Label) && !s.advice.asked[w.info.ID] {
+		if w.info.Pool == s.job.spec.Pool && w.info.Has(s.step.Label) && !s.advice.asked[w.info.ID] && wanted(w) {
 			options = append(options, w)
 		}
 	}
--- a/internal/chief/reservation.go
+++ b/internal/chief/reservation.go
@@ -81,12 +81,7 @@
 	if p.priority(s) != 0 || len(s.reserved) > 0 || p.settling {
 		return
 	}
-	need := 0
-	for index := range s.tasks {
-		if t := &s.tasks[index]; !t.done && t.activeRun == nil {
-			need++
-		}
-	}
+	need := s.waitingTasks()
 	if places := p.placeAfterStops(s, need, s.step.SameRack && p.now.Sub(s.waitingSince) < p.sameRackWait()); places != nil {
 		p.reserveWorkers(s, places)
 		return
