chief: a list read before a job's removal does not bring the job back

What callers saw: a job that was completed and whose time to be asked for had passed was shown as running and ran again; the next leader did not know it, as its record was gone.

Cause: while the store drops its history, the scheduler lists all jobs anew. A list that was read before the removal of a job was applied after it, and the job counted as one that was accepted just now.

Change: the scheduler remembers the jobs that it removed, by the revision of their records, for two minutes. Records of that revision are ignored; lastForgotten, which announcements are compared with, would also drop older jobs that were never seen.

--- a/internal/chief/jobs.go
+++ b/internal/chief/jobs.go
@@ -1,6 +1,7 @@
 package chief
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -45,6 +46,9 @@
 	if c.jobs[id] != nil {
 		return
 	}
+	if removed, found := c.forgotten[id]; found && removed.created == item.Created {
+		return
+	}
 	spec, err := work.Decode[work.Job](item.Value)
 	if err != nil {
 		c.Log.Error().Err(err).Str("job", string(id)).Msg("chief: job's record ignored")
@@ -355,9 +359,17 @@
 
 const (
 	finishedRetention = 30 * time.Second // beyond Limits.StatusRetention
-	maxRemovedJobs    = 7                // in one transaction: each job has four keys, which must fit in kv.MaxTxnEntries
+	// forgottenRetention is far longer than a list of all jobs takes to read: each of its pages has at most two seconds.
+	forgottenRetention = 2 * time.Minute
+	maxRemovedJobs     = 7 // in one transaction: each job has four keys, which must fit in kv.MaxTxnEntries
 )
 
+// forgottenJob is a job whose records were removed.
+type forgottenJob struct {
+	created kv.Revision // of the job's record
+	at      clock.Instant
+}
+
 // removeExpiredJobs deletes finished jobs whose state can no longer be queried.
 func (c *Scheduler) removeExpiredJobs(now clock.Instant) {
 	if c.writeInFlight || !c.TermValid() {
@@ -375,4 +387,5 @@
 	if len(ids) > 0 {
 		c.removeJobs(ids)
 	}
+	maps.DeleteFunc(c.forgotten, func(_ model.JobID, f forgottenJob) bool { return now.Sub(f.at) > forgottenRetention })
 }
--- a/internal/chief/persist.go
+++ b/internal/chief/persist.go
@@ -195,6 +195,7 @@
 	defer c.mu.Unlock()
 	for _, id := range ids {
 		c.lastForgotten = max(c.lastForgotten, c.jobs[id].created)
+		c.forgotten[id] = forgottenJob{created: c.jobs[id].created, at: c.Now()}
 		delete(c.jobs, id)
 		delete(c.cancelRequested, id)
 		delete(c.durableStates, id)
--- a/internal/chief/scheduler.go
+++ b/internal/chief/scheduler.go
@@ -80,17 +80,19 @@
 	placementTxns       int                             // writes of placements in flight
 	nextPlacementAt     clock.Instant                   // earliest next write of placements
 	cancelRequested     map[model.JobID]bool
-	lastForgotten       kv.Revision   // highest revision at which a job was created that is removed by now
-	writeInFlight       bool          // of job records
-	nextWriteAt         clock.Instant // earliest next write of progress
-	loadedAt            clock.Instant // when the jobs were loaded
-	jobsLoaded          bool
-	dirty               bool // a planning pass is needed
-	adviceInFlight      bool
-	urgentDemand        urgentDemand
-	nextPlanAt          clock.Instant
-	speedsComparedAt    clock.Instant
-	runTimes            map[work.QueueName]*runTimes
+	lastForgotten       kv.Revision // highest revision at which a job was created that is removed by now
+	// forgotten holds the jobs that were removed within forgottenRetention: a list that was read before still has them.
+	forgotten        map[model.JobID]forgottenJob
+	writeInFlight    bool          // of job records
+	nextWriteAt      clock.Instant // earliest next write of progress
+	loadedAt         clock.Instant // when the jobs were loaded
+	jobsLoaded       bool
+	dirty            bool // a planning pass is needed
+	adviceInFlight   bool
+	urgentDemand     urgentDemand
+	nextPlanAt       clock.Instant
+	speedsComparedAt clock.Instant
+	runTimes         map[work.QueueName]*runTimes
 
 	// mu guards the fields below, which other goroutines read.
 	mu            sync.Mutex
@@ -121,6 +123,7 @@
 	c.unclaimedProgress = map[model.JobID]storedProgress{}
 	c.unclaimedPlacements = map[model.JobID]storedPlacement{}
 	c.cancelRequested = map[model.JobID]bool{}
+	c.forgotten = map[model.JobID]forgottenJob{}
 	c.mu.Lock()
 	c.durableStates = map[model.JobID]work.State{}
 	c.mu.Unlock()
