--- a/internal/chief/persist.go
+++ b/internal/chief/persist.go
@@ -216,6 +216,7 @@
 	for _, id := range ids {
 		c.Observe.JobStep(JobRemoved)
 		c.lastForgotten = max(c.lastForgotten, c.jobs[id].created)
+		c.forgotten[id] = forgottenJob{created: c.jobs[id].created, at: c.Now()}
 		delete(c.jobs, id)
 		delete(c.cancelRequested, id)
 		delete(c.durableStates, id)
