intake: status calls and counts are answered within the caller's time

What callers saw: a caller that waits for less than a second (a retry with little time left) got no answer in time to a status call while the leader or the store did not answer. The 503 was sent when the caller had just given up.

Cause: submissions and cancellations keep a part of the caller's time for sending the answer, reads did not; and the leader was given up to 0.4 s whatever was left, so that the store, or what this instance has accepted, was not asked in time.

Change: reads end 100 ms, or a quarter of the caller's time, before it; the leader gets at most half of what is left.

Evidence: TestStatusIsAnsweredWithinTheCallersTime, with 400 ms and a leader that does not answer, failed on the code before (answered after 400 ms, not before); it holds now, also with a silent store, 3 of 3 runs of the package with -race.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -24,6 +24,8 @@
 	retryAfter = time.Second
 	// replyMargin is the part of the caller's time that is kept for sending the answer.
 	replyMargin = 250 * time.Millisecond
+	// readReplyMargin replaces it for reads, which need no certainty about their result. It is at most a quarter of the caller's time.
+	readReplyMargin = 100 * time.Millisecond
 	// refusedRetryTime bounds the retries of a change that certainly did not take effect.
 	refusedRetryTime = 900 * time.Millisecond
 	ownerTimeout     = 400 * time.Millisecond
@@ -267,6 +269,8 @@
 	if known {
 		return state, nil
 	}
+	ctx, cancel := reserveReply(ctx)
+	defer cancel()
 	state, err := s.lookUpState(ctx, id)
 	if err == nil && state.Final() {
 		s.cacheFinalState(id, state)
@@ -274,6 +278,15 @@
 	return state, err
 }
 
+// reserveReply returns a context that ends before the caller's time, so that the answer arrives within it.
+func reserveReply(ctx context.Context) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return ctx, func() {}
+	}
+	return context.WithDeadline(ctx, deadline.Add(-min(readReplyMargin, time.Until(deadline)/4)))
+}
+
 // cacheFinalState keeps a final state, which cannot change.
 func (s *Service) cacheFinalState(id model.JobID, state work.State) {
 	s.mu.Lock()
@@ -287,7 +300,11 @@
 // lookUpState returns the state that the owner has or, if it does not answer or does not know the job, the stored state. If the store
 // fails too, a job that this instance has accepted is reported as queued.
 func (s *Service) lookUpState(ctx context.Context, id model.JobID) (work.State, error) {
-	ownerCtx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	timeout := ownerTimeout
+	if deadline, ok := ctx.Deadline(); ok {
+		timeout = min(timeout, time.Until(deadline)/2) // The store needs the rest if the owner does not answer.
+	}
+	ownerCtx, cancel := context.WithTimeout(ctx, timeout)
 	state, found, err := s.Owner.State(ownerCtx, id)
 	cancel()
 	if err == nil && found {
@@ -338,14 +355,16 @@
 		return counts[queue], nil
 	}
 	// Calls wait for one count together. It has its own time: the first caller's may end before that of the others.
+	waitCtx, cancelWait := reserveReply(ctx)
+	defer cancelWait()
 	result := s.counting.DoChan("", func() (any, error) {
 		countCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), countTimeout)
 		defer cancel()
 		return nil, s.refreshCounts(countCtx)
 	})
 	select {
-	case <-ctx.Done():
-		return 0, &RefusedError{Cause: ctx.Err(), RetryAfter: retryAfter}
+	case <-waitCtx.Done():
+		return 0, &RefusedError{Cause: waitCtx.Err(), RetryAfter: retryAfter}
 	case r := <-result:
 		if r.Err != nil {
 			return 0, &RefusedError{Cause: r.Err, RetryAfter: retryAfter}
