chief: an answer from a worker's earlier address does not end its later incarnation

What callers saw: after a worker restarted under its id at another address, runs of its new incarnation counted as ended and were started again, and the worker got no starts before its entry in the registry changed again.

Cause: a call to the earlier address that another worker answers (421) means that the addressed incarnation is gone. It was applied to the worker as it was known when the answer arrived, which may be the next incarnation.

Change: such an answer counts only if the worker is still the incarnation that the call was sent to.

Evidence: TestAnswerFromAnEarlierAddressDoesNotEndAWorker failed on the code before at its first expectation (the worker counted as having left); it holds now.

--- a/internal/chief/internal_test.go
+++ b/internal/chief/internal_test.go
@@ -151,3 +151,35 @@
 	g.Expect((<-orders).Seen).To(BeZero(), "after a call without an answer, the incarnation is in doubt")
 	g.Expect((<-orders).Seen).To(Equal(work.EndNumber(2)))
 }
+
+// Guards against a worker that gets no starts, and runs that count as ended while they go on, after it restarted under its id at another
+// address: a call to its earlier address was answered by the worker there now.
+func TestAnswerFromAnEarlierAddressDoesNotEndAWorker(t *testing.T) {
+	g := NewWithT(t)
+	c := &Scheduler{
+		Workers: &agent.Calls{MaxListedEnds: 500}, Now: func() clock.Instant { return clock.Instant(time.Hour) }, Log: zerolog.Nop(),
+		TermValid: func() bool { return false }, posts: make(chan func(), 1), ctx: t.Context(),
+		Observe: Observer{CallResult: func(string, string) {}, RunEnded: func(work.How) {}},
+	}
+	w := &worker{info: work.WorkerInfo{ID: "w", Address: "new:1"}, registered: true, polled: true, born: 2}
+	r := &run{key: runKey{number: 1}, worker: w, phase: running, ackedAt: 1}
+	w.runs = map[runKey]*run{r.key: r}
+	gone := &agent.GoneError{ID: "w"}
+	c.handlePollReport(w, pollSent{born: 1}, work.Report{}, gone)
+	g.Expect(w.registered).To(BeTrue())
+	g.Expect(w.runs).To(HaveLen(1))
+	old := &run{key: runKey{number: 2}, worker: w, phase: starting, sentToBorn: 1}
+	w.runs[old.key] = old
+	c.handleStartResult(old, agent.StartOrder{}, 0, gone)
+	g.Expect(w.registered).To(BeTrue())
+	g.Expect(w.runs).To(HaveKey(r.key))
+	g.Expect(w.runs).NotTo(HaveKey(old.key), "it certainly did not start")
+	old.phase = stopping
+	w.runs[old.key] = old
+	c.handleStopResult(old, 0, gone)
+	g.Expect(w.runs).To(HaveKey(r.key))
+	g.Expect(old.ackedAt).NotTo(BeZero(), "the next poll ends it")
+	c.handlePollReport(w, pollSent{born: 2}, work.Report{}, gone)
+	g.Expect(w.registered).To(BeFalse())
+	g.Expect(w.runs).To(BeEmpty())
+}
--- a/internal/chief/orders.go
+++ b/internal/chief/orders.go
@@ -122,6 +122,8 @@
 	var rejected *agent.RejectedError
 	var refused *agent.RefusedError
 	switch {
+	case errors.As(err, &gone) && r.sentToBorn != w.born: // Only the incarnation that the order was sent to is gone.
+		c.endRun(r, work.EndedStopped, "")
 	case errors.As(err, &gone):
 		w.registered = false
 		c.endAllRuns(w, "another worker at the address")
@@ -211,6 +213,8 @@
 		w.updateClock(reading, now, r.sentToBorn)
 		r.ackedAt = now
 		c.pollIfDue(w)
+	case errors.As(err, &gone) && r.sentToBorn != w.born:
+		r.ackedAt = now // The run ended with that incarnation; the next poll does not list it.
 	case errors.As(err, &gone):
 		c.endAllRuns(w, "another worker at the address")
 	case errors.As(err, &rejected) && rejected.Reason == agent.ReasonToken:
--- a/internal/chief/poll.go
+++ b/internal/chief/poll.go
@@ -72,7 +72,7 @@
 		return
 	}
 	if err != nil {
-		c.handlePollError(w, now, err)
+		c.handlePollError(w, sent, now, err)
 		return
 	}
 	if report.Born != 0 && report.Born < w.born && sent.born != w.born {
@@ -118,11 +118,12 @@
 	}
 }
 
-func (c *Scheduler) handlePollError(w *worker, now clock.Instant, err error) {
+func (c *Scheduler) handlePollError(w *worker, sent pollSent, now clock.Instant, err error) {
 	c.Observe.CallResult("look", resultOf(err))
 	var gone *agent.GoneError
 	var rejected *agent.RejectedError
 	switch {
+	case errors.As(err, &gone) && sent.born != w.born: // It has restarted since, and is registered at its new address.
 	case errors.As(err, &gone):
 		c.Log.Info().Str("worker", string(w.info.ID)).Int("runs", len(w.runs)).Msg("chief: worker is gone")
 		w.registered, w.polled = false, true
