serve, node: connections that wait for a further request close before the listener

Connections that only wait for a further request, and have been told to close, end before the listener does; the peers' server drains beside the callers' one, and the registration ends before both.

--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -117,7 +117,7 @@
 // httpServer returns the HTTP server, which Run, SetDraining and Drain may ask for in any order.
 func (s *Server) httpServer() *serve.Server {
 	s.once.Do(func() {
-		s.server = &serve.Server{Name: "callers", Listener: s.Listener, Log: s.Log, Observe: s.countDrainedConn, HTTP: &http.Server{
+		s.server = &serve.Server{Name: "callers", Listener: s.Listener, KeepIdle: true, Log: s.Log, Observe: s.countDrainedConn, HTTP: &http.Server{
 			Handler: s.Handler(), ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, WriteTimeout: writeTimeout,
 			IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		}}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -29,11 +30,10 @@
 	idleTimeout    = 60 * time.Second
 	maxHeaderBytes = 16 << 10
 
-	// shutdownReserve is the part of the grace time that is kept for the three steps after it, and for the end of the process.
-	shutdownReserve    = 2200 * time.Millisecond
-	callerDrainTimeout = 1300 * time.Millisecond
-	leaveTimeout       = 200 * time.Millisecond
-	peerDrainTimeout   = 500 * time.Millisecond
+	// shutdownReserve is the part of the grace time that is kept for the two steps after it, and for the end of the process.
+	shutdownReserve = 2200 * time.Millisecond
+	leaveTimeout    = 300 * time.Millisecond
+	drainTimeout    = 1500 * time.Millisecond
 )
 
 // Node is one instance on the platform. Fields are set before Run.
@@ -130,9 +130,8 @@
 	return err
 }
 
-// shutDown drains this instance within the platform's grace time. Each server has a time of its own, so that none waits at the cost of
-// another. The peers' server is the last: peers call it until the registration of this instance is gone. So is the leadership, unless
-// another instance can take it.
+// shutDown drains this instance within the platform's grace time. The leadership, unless another instance has taken it before, and the
+// registration end before the listeners close, so that peers no longer call this instance then.
 func (n *Node) shutDown(servers *servers) {
 	n.Log.Info().Msg("node: stopping")
 	n.closing.Store(true)
@@ -141,17 +140,19 @@
 	n.elector.StopSoon(ctx)
 	<-ctx.Done() // New connections arrive until the load balancer has seen that the instance is not ready.
 	cancel()
-	n.drain(servers.callers, callerDrainTimeout)
 	ctx, cancel = context.WithTimeout(context.Background(), leaveTimeout)
 	n.elector.Resign(ctx)
 	n.elector.Leave(ctx)
 	cancel()
-	n.drain(servers.peers, peerDrainTimeout)
+	var group sync.WaitGroup
+	group.Go(func() { n.drain(servers.callers) })
+	group.Go(func() { n.drain(servers.peers) })
+	group.Wait()
 }
 
-// drain drains one server within a time.
-func (n *Node) drain(server *serve.Server, timeout time.Duration) {
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+// drain drains one server.
+func (n *Node) drain(server *serve.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
 	defer cancel()
 	if err := server.Drain(ctx); err != nil {
 		n.Log.Warn().Err(err).Msg("node: requests cut by the stop")
--- a/internal/serve/conn.go
+++ b/internal/serve/conn.go
@@ -19,6 +19,7 @@
 
 	mu           sync.Mutex // guards the fields below
 	busy         bool       // bytes of a request have been read, and it is not answered
+	used         bool       // a request on it has been answered
 	ending       bool       // it closes as soon as no request is waiting on it
 	cut          bool       // it is closed although a request may be unanswered
 	readDeadline time.Time  // that the HTTP server has set
@@ -108,6 +109,13 @@
 	c.cut = c.busy
 }
 
+// wasUsed reports whether a request on the connection has been answered.
+func (c *conn) wasUsed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.used
+}
+
 func (c *conn) isBusy() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -137,7 +145,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.busy = false
+	c.busy, c.used = false, true
 	if c.ending {
 		c.expire()
 	}
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -116,7 +116,7 @@
 // Guards against the graceful shutdown of net/http, which closes a connection right after it has read a request from it.
 func TestDrainAnswersTheFirstRequestOfAConnection(t *testing.T) {
 	r := newRig(t, answerOK)
-	r.Linger = time.Minute
+	r.Linger, r.KeepIdle = time.Minute, true
 	r.run(t)
 	waiting := r.dial()
 	used := r.dial()
@@ -149,6 +149,18 @@
 	r.g.Expect(r.countEnds(serve.EndIdle)).To(Equal(2))
 }
 
+// Guards against a port that is closed for longer than it takes to end connections which only wait for a further request.
+func TestDrainDoesNotWaitForIdleConnections(t *testing.T) {
+	r := newRig(t, answerOK)
+	r.Linger = time.Minute
+	r.run(t)
+	c := r.dial()
+	r.send(c)
+	r.answer(c)
+	r.g.Expect(r.drain(10 * time.Second)).To(Succeed())
+	r.g.Expect(r.countEnds(serve.EndIdle)).To(Equal(1))
+}
+
 // Guards against requests that are cut because they wait for something when the time of the drain ends.
 func TestDrainEndsTheContextsOfWaitingRequests(t *testing.T) {
 	cause := make(chan error, 1)
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -57,8 +57,10 @@
 	// HTTP holds the handler, the timeouts and the limits; Run sets its Handler, ConnState and BaseContext.
 	HTTP *http.Server
 	Log  zerolog.Logger
-	// Linger is how long after the listener is closed a connection without a request stays open; 0 means DefaultLinger.
+	// Linger is how long after the listener is closed a new connection without a request stays open; 0 means DefaultLinger.
 	Linger time.Duration
+	// KeepIdle makes Linger hold for connections that wait for a further request, too; otherwise they close before the listener.
+	KeepIdle bool
 	// Observe is called with the end of each connection that closes while the server drains; nil for none. It must not block.
 	Observe func(End)
 
@@ -151,23 +153,32 @@
 		defer timer.Stop()
 	}
 	s.logStep("accepts no more connections")
+	if !s.KeepIdle {
+		s.closeUnused((*conn).wasUsed)
+	}
 	s.listener.stop()
 	select {
 	case <-closed:
 	case <-ctx.Done():
 	}
-	var err error
-	if !s.waitClosed(ctx, s.linger()) {
-		s.logStep("closes connections without a request")
-		s.closeUnused()
-		if !s.waitClosed(ctx, noTimeout) {
-			err = s.closeAll()
-		}
-	}
+	err := s.closeConns(ctx)
 	s.logStep("drained")
 	return err
 }
 
+// closeConns waits until the connections are closed by their answers, and closes those without a request after Linger.
+func (s *Server) closeConns(ctx context.Context) error {
+	if s.waitClosed(ctx, s.linger()) {
+		return nil
+	}
+	s.logStep("closes connections without a request")
+	s.closeUnused(func(*conn) bool { return true })
+	if s.waitClosed(ctx, noTimeout) {
+		return nil
+	}
+	return s.closeAll()
+}
+
 // logStep logs a step of the drain, with the connections that are open and those that have ended so far.
 func (s *Server) logStep(step string) {
 	s.mu.Lock()
@@ -189,12 +200,14 @@
 	return DefaultLinger
 }
 
-// closeUnused closes the connections on which no request has arrived, now and after their next answer.
-func (s *Server) closeUnused() {
+// closeUnused closes the chosen connections as soon as no request is waiting on them: now, or after their next answer.
+func (s *Server) closeUnused(choose func(*conn) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		c.closeWhenUnused()
+		if choose(c) {
+			c.closeWhenUnused()
+		}
 	}
 }
 
