elect: a stopping leader repeats a release that failed

Cause: handOver ended the term before it removed the record of it, and tried that once, as it ran only during a term. After a call without an answer the record stayed, on a lease that the stopping instance went on renewing; it did not claim again either, since a successor was known. A term that ended on its own during the stop (a failed write, a worker's rejection) had the same result.

Evidence: TestStoppingLeaderHandsOverOnceTheStoreAnswers, with an outage of transactions of 1.3 s, failed on the code before: the old record still stood 1.5 s after the outage.

--- a/internal/elect/campaign.go
+++ b/internal/elect/campaign.go
@@ -90,11 +90,16 @@
 	if e.stoppingAt != 0 && e.successorKnown() {
 		return false, 0
 	}
+	return e.leader.Revision == 0 || e.recordIsOwn(), e.lease
+}
+
+// recordIsOwn reports whether the leader's record names this instance; e.mu is held.
+func (e *Elector) recordIsOwn() bool {
 	if e.leader.Revision == 0 {
-		return true, e.lease
+		return false
 	}
 	node, err := work.Decode[Node](e.leader.Value)
-	return err == nil && node.ID == e.Self.ID, e.lease
+	return err == nil && node.ID == e.Self.ID
 }
 
 // claimLeadership writes the leader key and returns the new term with its context, or nil if the claim failed.
--- a/internal/elect/elect.go
+++ b/internal/elect/elect.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sort"
 	"sync"
 	"time"
@@ -69,8 +70,10 @@
 	term        *Term // nil while this instance does not lead
 	cancelTerm  context.CancelFunc
 	stoppingAt  clock.Instant // when StopSoon was called; 0 before
-	resigning   bool
-	left        bool // the registration is given up for good
+	// nextHandOver is the earliest time of the next attempt to release the leadership before a stop.
+	nextHandOver clock.Instant
+	resigning    bool
+	left         bool // the registration is given up for good
 }
 
 // Run registers the instance and campaigns for the leadership until ctx ends.
@@ -155,7 +158,14 @@
 	if term == nil {
 		return
 	}
-	if _, err := e.Store.Txn(ctx, kv.Txn{Expect: []kv.Expect{term.Proof}, Remove: []string{leaderKey}}); err != nil {
+	e.removeRecord(ctx, term.Proof)
+}
+
+// removeRecord removes the record of a leadership that has ended here, unless a later one has replaced it.
+func (e *Elector) removeRecord(ctx context.Context, proof kv.Expect) {
+	_, err := e.Store.Txn(ctx, kv.Txn{Expect: []kv.Expect{proof}, Remove: []string{leaderKey}})
+	var conflict *kv.ConflictError
+	if err != nil && !errors.As(err, &conflict) {
 		e.Log.Warn().Err(err).Msg("elect: leadership not released; it ends with the lease")
 	}
 }
--- a/internal/elect/stop.go
+++ b/internal/elect/stop.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"peridotgw.example/peridotgw/internal/kv"
 )
 
 // handOverDelay is how long a stopping leader keeps the leadership at least, so that it learns which other instances stop as well.
@@ -41,15 +43,25 @@
 	return false
 }
 
-// handOver releases the leadership of an instance that stops, once another one can take it.
+// handOver releases the leadership of an instance that stops, once another one can take it. It repeats a release that failed: the
+// renewals of the lease would keep the record until the end of the stop.
 func (e *Elector) handOver(ctx context.Context) {
 	e.mu.Lock()
-	due := e.stoppingAt != 0 && e.term != nil && e.Now().Sub(e.stoppingAt) >= handOverDelay && e.successorKnown()
+	due := e.stoppingAt != 0 && !e.resigning && e.Now() >= e.nextHandOver && e.Now().Sub(e.stoppingAt) >= handOverDelay && e.successorKnown()
+	leads, record := e.term != nil, e.leader.Revision
+	owned := leads || e.recordIsOwn()
+	if due && owned {
+		e.nextHandOver = e.Now().Add(renewRetryDelay)
+	}
 	e.mu.Unlock()
-	if !due {
+	if !due || !owned {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	e.release(ctx, "handed over before a stop")
+	if leads {
+		e.release(ctx, "handed over before a stop")
+		return
+	}
+	e.removeRecord(ctx, kv.Expect{Key: leaderKey, Revision: record})
 }
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -249,3 +249,29 @@
 	g.Expect(<-ended).To(Succeed())
 	g.Expect(stopSuccessor()).To(Succeed())
 }
+
+// Guards against a fleet without a leader for the rest of a stop, because the one attempt of the stopping leader to hand over got no answer.
+func TestStoppingLeaderHandsOverOnceTheStoreAnswers(t *testing.T) {
+	const (
+		longGrace = 6 * time.Second // of which the first step of a stop has 3.8 s
+		outage    = 1300 * time.Millisecond
+	)
+	g := NewWithT(t)
+	store := fakepl.NewStore()
+	leader, stop := startNode(t, g, store, longGrace)
+	g.Eventually(func() string { return leaderOf(g, store) }, 5*time.Second, 20*time.Millisecond).Should(Equal(leader.Peers))
+	successor, stopSuccessor := startNode(t, g, store, shortGrace)
+	store.SetFault(func(path string) fakepl.Fault {
+		if path == fakepl.PathTxn {
+			return fakepl.Silent
+		}
+		return fakepl.Healthy
+	})
+	ended := make(chan error, 1)
+	go func() { ended <- stop() }()
+	time.Sleep(outage)
+	store.SetFault(nil)
+	g.Eventually(func() string { return leaderOf(g, store) }, 1500*time.Millisecond, 10*time.Millisecond).Should(Equal(successor.Peers))
+	g.Expect(<-ended).To(Succeed())
+	g.Expect(stopSuccessor()).To(Succeed())
+}
