elect: a claim that is answered after Resign begins no term

What callers would see: two leaders for up to half a second at the end of a planned stop, and starts by the older one that workers reject.

Cause: Resign ends the current term only. A claim in flight began its term when it was answered, while Leave gave up the lease that holds the record, so that another instance could lead; TermValid counts on the time of the last renewal. Stopping instances claim since they keep a leader among them.

Evidence: TestNoTermBeginsAfterResign, with answers of the store 0.2 s late, failed on the code before: one term began after Leave.

Change: beginTerm begins no term after Resign; the record ends with the lease.

--- a/internal/elect/campaign.go
+++ b/internal/elect/campaign.go
@@ -134,11 +134,11 @@
 	return e.beginTerm(ctx, revision, kv.Item{Key: leaderKey, Value: value, Revision: revision, Lease: lease})
 }
 
-// beginTerm starts a term unless a newer leader or lease is known.
+// beginTerm starts a term unless this instance has resigned, or a newer leader or lease is known.
 func (e *Elector) beginTerm(ctx context.Context, revision kv.Revision, item kv.Item) (*Term, context.Context) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.leader.Revision > revision || e.lease != item.Lease {
+	if e.resigning || e.leader.Revision > revision || e.lease != item.Lease {
 		return nil, nil
 	}
 	e.leader = item
--- a/internal/node/peers_internal_test.go
+++ b/internal/node/peers_internal_test.go
@@ -81,6 +81,40 @@
 	})
 }
 
+// Guards against two leaders during a planned stop: a claim that is answered after Resign must begin no term, since its record goes with
+// the registration.
+func TestNoTermBeginsAfterResign(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const answerDelay = 200 * time.Millisecond
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		net, store := memnet.New(), fakepl.NewStore()
+		net.SetHandler(testStore, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			store.ServeHTTP(w, r)
+			time.Sleep(answerDelay)
+		}))
+		var terms atomic.Int32
+		n := startTestNode(ctx, net, "only", 1, func(n *Node) {
+			n.elector.Lead = func(ctx context.Context, _ elect.Term) error {
+				terms.Add(1)
+				<-ctx.Done()
+				return ctx.Err()
+			}
+		})
+		for store.Value(elect.Prefix+"leader") == nil {
+			time.Sleep(10 * time.Millisecond)
+		}
+		g.Expect(terms.Load()).To(BeZero(), "the claim has no answer yet")
+		n.elector.Resign(ctx)
+		n.elector.Leave(ctx)
+		time.Sleep(time.Second)
+		began := terms.Load()
+		cancel()
+		time.Sleep(answerDelay) // The last calls to the store end.
+		g.Expect(began).To(BeZero())
+	})
+}
+
 // Guards against a relay that waits for a peer without a working store while another peer could apply the change.
 func TestRelayAsksPeersAtTheSameTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
