serve: specs of connections that end behind an answer or with bytes being read

The guard of the deadline on an ending connection could be left out unnoticed: an idle time was set again, and the drain waited for all of its time. The spec of requests behind another has the cut within the header now.

--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -189,7 +189,7 @@
 	drained := make(chan error, 1)
 	go func() { drained <- r.drain(5 * time.Second) }()
 	time.Sleep(200 * time.Millisecond) // Unused connections are closed by now.
-	_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbo")
+	_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHo")
 	r.g.Expect(err).NotTo(HaveOccurred())
 	time.Sleep(50 * time.Millisecond)
 	close(release)
@@ -198,7 +198,7 @@
 	r.g.Expect(err).NotTo(HaveOccurred())
 	r.g.Expect(first.Close).To(BeFalse(), "it began before the drain")
 	time.Sleep(50 * time.Millisecond)
-	_, err = io.WriteString(c, "dy")
+	_, err = io.WriteString(c, "st: a\r\nContent-Length: 4\r\n\r\nbody")
 	r.g.Expect(err).NotTo(HaveOccurred())
 	second, err := http.ReadResponse(answers, nil)
 	r.g.Expect(err).NotTo(HaveOccurred(), "a request that has arrived is answered")
@@ -207,6 +207,66 @@
 	r.g.Expect(<-drained).To(Succeed())
 }
 
+// slowReader is a listener whose connections return what they have read after a delay.
+type slowReader struct {
+	net.Listener
+	delay time.Duration
+}
+
+func (l slowReader) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return slowReaderConn{c, l.delay}, err
+}
+
+type slowReaderConn struct {
+	net.Conn
+	delay time.Duration
+}
+
+func (c slowReaderConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		time.Sleep(c.delay)
+	}
+	return n, err
+}
+
+// Guards against a request that is cut by the deadline that ends unused connections, since its first bytes are just being read.
+func TestDrainAnswersARequestWhoseFirstBytesAreBeingRead(t *testing.T) {
+	r := newRig(t, answerOK)
+	r.Linger = 50 * time.Millisecond
+	r.Listener = slowReader{Listener: r.Listener, delay: 300 * time.Millisecond}
+	r.run(t)
+	c := r.dial()
+	_, err := io.WriteString(c, requestText[:5])
+	r.g.Expect(err).NotTo(HaveOccurred())
+	time.Sleep(50 * time.Millisecond)
+	drained := make(chan error, 1)
+	go func() { drained <- r.drain(5 * time.Second) }()
+	time.Sleep(500 * time.Millisecond)
+	_, err = io.WriteString(c, requestText[5:])
+	r.g.Expect(err).NotTo(HaveOccurred())
+	r.g.Expect(r.answer(c).Close).To(BeTrue())
+	r.g.Expect(<-drained).To(Succeed())
+}
+
+// Guards against a drain that waits for its whole time for a connection whose last answer did not close it.
+func TestDrainClosesAConnectionBehindItsLastAnswer(t *testing.T) {
+	release := make(chan struct{})
+	r := newRig(t, func(http.ResponseWriter, *http.Request) { <-release })
+	r.Linger = 50 * time.Millisecond
+	r.run(t)
+	c := r.dial()
+	r.send(c)
+	time.Sleep(50 * time.Millisecond)
+	time.AfterFunc(200*time.Millisecond, func() { close(release) })
+	began := time.Now()
+	r.g.Expect(r.drain(5 * time.Second)).To(Succeed())
+	r.g.Expect(time.Since(began)).To(BeNumerically("<", 2*time.Second))
+	r.g.Expect(r.answer(c).Close).To(BeFalse(), "it began before the drain")
+	r.g.Expect(r.countEnds(serve.EndIdle)).To(Equal(1))
+}
+
 // Guards against a drain that hides the requests that it could not answer.
 func TestDrainReportsWhatItCuts(t *testing.T) {
 	release := make(chan struct{})
