--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,7 +30,8 @@
 	idleTimeout    = 60 * time.Second
 	maxHeaderBytes = 16 << 10
 
-	// shutdownReserve is the part of the grace time that is kept for the two steps after it, and for the end of the process.
+	// shutdownReserve is the part of the grace time that is kept for the two steps after it, and for the end of the process. The steps
+	// shrink in proportion when the grace time is shorter.
 	shutdownReserve = 2200 * time.Millisecond
 	leaveTimeout    = 300 * time.Millisecond
 	drainTimeout    = 1500 * time.Millisecond
@@ -140,7 +141,7 @@
 	n.elector.StopSoon(ctx)
 	<-ctx.Done() // New connections arrive until the load balancer has seen that the instance is not ready.
 	cancel()
-	ctx, cancel = context.WithTimeout(context.Background(), leaveTimeout)
+	ctx, cancel = context.WithTimeout(context.Background(), n.stepTimeout(leaveTimeout))
 	n.elector.Resign(ctx)
 	n.elector.Leave(ctx)
 	cancel()
@@ -150,9 +151,15 @@
 	group.Wait()
 }
 
+// stepTimeout returns the time of a step of a stop, which is shorter if the grace time is.
+func (n *Node) stepTimeout(timeout time.Duration) time.Duration {
+	share := float64(n.Settings.Grace) / float64(shutdownReserve)
+	return time.Duration(min(1, share) * float64(timeout))
+}
+
 // drain drains one server.
 func (n *Node) drain(server *serve.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), n.stepTimeout(drainTimeout))
 	defer cancel()
 	if err := server.Drain(ctx); err != nil {
 		n.Log.Warn().Err(err).Msg("node: requests cut by the stop")
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -166,9 +166,7 @@
 	peer, err := net.Dial("tcp", settings.Peers)
 	g.Expect(err).NotTo(HaveOccurred())
 	defer peer.Close()
-	job := fakepl.Job(1, 1, false, 1000)
-	request := fmt.Sprintf("POST %s%016x HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nX-Deadline-Ms: 30000\r\nContent-Length: %d\r\n\r\n%s",
-		fakepl.QueuePrefix, 2, fakepl.Host, fakepl.APIKey, len(job), job)
+	request := submission(2)
 	const requests = 9
 	answered := 0
 	results := make(chan string, requests)
@@ -221,6 +219,40 @@
 	return nil
 }
 
+// submission returns the text of a request that submits a job and waits 30 s for its answer.
+func submission(id int) string {
+	job := fakepl.Job(1, 1, false, 1000)
+	return fmt.Sprintf("POST %s%016x HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nX-Deadline-Ms: 30000\r\nContent-Length: %d\r\n\r\n%s",
+		fakepl.QueuePrefix, id, fakepl.Host, fakepl.APIKey, len(job), job)
+}
+
+// Guards against a stop that is killed halfway, with requests unanswered, where the grace time is less than its steps take together.
+func TestPlannedStopEndsWithinAShortGraceTime(t *testing.T) {
+	const grace = time.Second
+	g := NewWithT(t)
+	store := fakepl.NewStore()
+	settings, stop := startNode(t, g, store, grace)
+	store.SetFault(func(path string) fakepl.Fault {
+		if path == fakepl.PathTxn {
+			return fakepl.Silent
+		}
+		return fakepl.Healthy
+	})
+	c, err := net.Dial("tcp", settings.Callers)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	_, err = io.WriteString(c, submission(2))
+	g.Expect(err).NotTo(HaveOccurred())
+	time.Sleep(50 * time.Millisecond)
+	began := time.Now()
+	g.Expect(stop()).To(Succeed())
+	g.Expect(time.Since(began)).To(BeNumerically("<", grace))
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	g.Expect(err).NotTo(HaveOccurred(), "the request is answered")
+	g.Expect(res.StatusCode).To(BeElementOf(http.StatusServiceUnavailable, http.StatusGatewayTimeout))
+	g.Expect(res.Body.Close()).To(Succeed())
+}
+
 // leaderOf returns the address of the instance that leads by the store's record, or an empty text.
 func leaderOf(g Gomega, store *fakepl.Store) string {
 	value := store.Value(elect.Prefix + "leader")
@@ -274,3 +306,29 @@
 	g.Expect(<-ended).To(Succeed())
 	g.Expect(stopSuccessor()).To(Succeed())
 }
+
+// Guards against a fleet without a leader for the rest of a stop, because the one attempt of the stopping leader to hand over got no answer.
+func TestStoppingLeaderHandsOverOnceTheStoreAnswers(t *testing.T) {
+	const (
+		longGrace = 6 * time.Second // of which the first step of a stop has 3.8 s
+		outage    = 1300 * time.Millisecond
+	)
+	g := NewWithT(t)
+	store := fakepl.NewStore()
+	leader, stop := startNode(t, g, store, longGrace)
+	g.Eventually(func() string { return leaderOf(g, store) }, 5*time.Second, 20*time.Millisecond).Should(Equal(leader.Peers))
+	successor, stopSuccessor := startNode(t, g, store, shortGrace)
+	store.SetFault(func(path string) fakepl.Fault {
+		if path == fakepl.PathTxn {
+			return fakepl.Silent
+		}
+		return fakepl.Healthy
+	})
+	ended := make(chan error, 1)
+	go func() { ended <- stop() }()
+	time.Sleep(outage)
+	store.SetFault(nil)
+	g.Eventually(func() string { return leaderOf(g, store) }, 1500*time.Millisecond, 10*time.Millisecond).Should(Equal(successor.Peers))
+	g.Expect(<-ended).To(Succeed())
+	g.Expect(stopSuccessor()).To(Succeed())
+}
