soak: planned stops are tested with callers that do not ask again

Callers of real processes saw requests end without an answer at planned stops. The soak's own callers use http.Client, which asks again by itself and hides most of them.

TestPlannedStopsAnswerEveryRequest stops four real instances by turns with SIGTERM and asks them over plain connections: new ones, kept ones, and kept ones with pauses. Each request that was written in full must be answered in full; dials and writes that fail do not count, nor does a kept connection whose end is seen before the next request is written.

--- /dev/null
+++ b/soak/stop_test.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+var (
+	seedFlag = flag.Uint64("seed", 301, "seed of the tests of stops and kills")
+	logsFlag = flag.String("logs", "", "folder for the instances' logs; a temporary one without it")
+)
+
+const (
+	stopPeriod       = 18 * time.Second        // with planned stops
+	stopTail         = 5 * time.Second         // longer than the drain of an instance
+	stopInterval     = 1250 * time.Millisecond // a quarter of a drain and a start, and more
+	callersPerNode   = 24
+	submissionRate   = 4 // a second, over all callers
+	minimalStops     = 8
+	minimalAnswers   = 20_000
+	stopTestNodes    = 4
+	stopTestWorkers  = 4
+	stopIntervalRand = 300 * time.Millisecond
+)
+
+// Guards against requests that end without an answer at a planned stop of the instance that took them.
+func TestPlannedStopsAnswerEveryRequest(t *testing.T) {
+	g := NewWithT(t)
+	dir := logDir(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	random := rand.New(rand.NewPCG(*seedFlag, 1))
+	c, err := newCluster(ctx, options{binary: buildPeridotd(t), nodes: stopTestNodes, workers: stopTestWorkers}, dir, random)
+	g.Expect(err).NotTo(HaveOccurred())
+	time.Sleep(startupDelay)
+	callers := newRawCallers(c.nodes)
+	load, endLoad := context.WithTimeout(ctx, stopPeriod+stopTail)
+	defer endLoad()
+	var running sync.WaitGroup
+	running.Go(func() { callers.run(load, callersPerNode, submissionRate, *seedFlag) })
+	stops := 0
+	for started := time.Now(); time.Since(started) < stopPeriod; stops++ {
+		callers.stop(c.nodes[stops%len(c.nodes)])
+		time.Sleep(stopInterval + time.Duration(random.Int64N(int64(stopIntervalRand))))
+	}
+	running.Wait()
+	cancel()
+	c.close()
+	t.Logf("seed %d, %d stops, logs in %s: %s", *seedFlag, stops, dir, callers.summary())
+	g.Expect(stops).To(BeNumerically(">=", minimalStops))
+	g.Expect(exitsOf(c.nodes)).To(BeNumerically(">=", minimalStops))
+	answers := 0
+	for _, count := range callers.answers {
+		answers += count
+	}
+	g.Expect(answers).To(BeNumerically(">=", minimalAnswers))
+	fresh, kept := callers.countCuts()
+	g.Expect(fresh).To(BeZero(), "requests on new connections ended without an answer")
+	g.Expect(kept).To(BeZero(), "requests on kept connections ended without an answer")
+}
+
+func exitsOf(nodes []*node) int {
+	exits := 0
+	for _, n := range nodes {
+		exits += n.exits
+	}
+	return exits
+}
+
+// logDir returns a folder for the logs of a test.
+func logDir(t *testing.T) string {
+	t.Helper()
+	if *logsFlag == "" {
+		return t.TempDir()
+	}
+	g := NewWithT(t)
+	g.Expect(os.MkdirAll(*logsFlag, 0o700)).To(Succeed())
+	dir, err := os.MkdirTemp(*logsFlag, t.Name()+"-")
+	g.Expect(err).NotTo(HaveOccurred())
+	return dir
+}
+
+// buildPeridotd builds the program and returns its path.
+func buildPeridotd(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "peridotd")
+	build := exec.CommandContext(t.Context(), "go", "build", "-buildvcs=false", "-o", binary, "peridotgw.example/peridotgw/peridotd")
+	build.Stderr = os.Stderr
+	NewWithT(t).Expect(build.Run()).To(Succeed())
+	return binary
+}
