soak: requests on kept connections are sent as their listener closes

Callers with pauses drawn at random met the close of an idle connection in none of 39 stops. Sixteen callers of each instance now keep a connection idle through a stop and send a request within 30 ms of the moment at which the previous stop closed its listener.

--- a/soak/rawcaller_test.go
+++ b/soak/rawcaller_test.go
@@ -24,6 +24,8 @@
 	rawSmallPause    = 2 * time.Millisecond   // between two requests of a caller
 	rawIdlePause     = 300 * time.Millisecond // longest one of a pausing caller
 	rawLongPause     = 6 * time.Second        // longest one of an idle caller; it exceeds the drain of an instance
+	closeSpread      = 60 * time.Millisecond  // of the requests that are sent about the close of a listener
+	stopPollInterval = 10 * time.Millisecond
 	recentJobs       = 32
 	// promptCut separates ends of connections that were due to a stop's last step from those of requests that waited.
 	promptCut = 200 * time.Millisecond
@@ -37,9 +39,14 @@
 	useKept                   // one connection until an answer closes it
 	usePausing                // as useKept, with pauses of up to rawIdlePause
 	useIdle                   // as useKept, with pauses of up to rawLongPause
-	useCount
+	useAtClose                // as useKept, idle during a stop until about the moment at which the last one closed the listener
 )
 
+// rawMix is the number of callers of each instance by use.
+func rawMix() map[connUse]int {
+	return map[connUse]int{useFresh: 6, useKept: 6, usePausing: 6, useIdle: 6, useAtClose: 16}
+}
+
 // cut is a request that was written in full and whose connection ended without a whole answer.
 type cut struct {
 	node, method, path string
@@ -63,7 +70,9 @@
 
 	mu         sync.Mutex // guards the fields below
 	stops      map[*node]time.Time
-	jobs       []string // accepted ones, the latest recentJobs
+	closing    map[*node]bool // stopped, and no dial has failed since
+	closeDelay time.Duration  // from SIGTERM to the first dial that failed, in the latest stop
+	jobs       []string       // accepted ones, the latest recentJobs
 	answers    map[string]int
 	cuts       []cut
 	unsent     int // dials that failed and writes that failed
@@ -71,24 +80,26 @@
 }
 
 func newRawCallers(nodes []*node) *rawCallers {
-	return &rawCallers{nodes: nodes, submits: make(chan struct{}), stops: map[*node]time.Time{}, answers: map[string]int{}}
+	return &rawCallers{nodes: nodes, submits: make(chan struct{}), stops: map[*node]time.Time{}, closing: map[*node]bool{}, answers: map[string]int{}}
 }
 
 // stop sends SIGTERM to an instance and records the time.
 func (r *rawCallers) stop(n *node) {
 	r.mu.Lock()
-	r.stops[n] = time.Now()
+	r.stops[n], r.closing[n] = time.Now(), true
 	r.mu.Unlock()
 	n.signal(syscall.SIGTERM)
 }
 
-// run sends requests from perNode callers to each instance until ctx ends.
-func (r *rawCallers) run(ctx context.Context, perNode int, rate float64, seed uint64) {
+// run sends requests from the callers of mix to each instance until ctx ends.
+func (r *rawCallers) run(ctx context.Context, mix map[connUse]int, rate float64, seed uint64) {
 	var group sync.WaitGroup
 	for i, n := range r.nodes {
-		for k := range perNode {
-			random := rand.New(rand.NewPCG(seed, uint64(1000*i+k)))
-			group.Go(func() { r.callRepeatedly(ctx, n, connUse(k%int(useCount)), random) })
+		for use, count := range mix {
+			for k := range count {
+				random := rand.New(rand.NewPCG(seed, uint64(i<<16+int(use)<<8+k)))
+				group.Go(func() { r.callRepeatedly(ctx, n, use, random) })
+			}
 		}
 	}
 	group.Go(func() {
@@ -120,8 +131,12 @@
 			closeAll(conn)
 			conn = nil
 		}
+		pause := pauseOf(use, random)
+		if use == useAtClose && conn != nil {
+			pause = r.untilClose(ctx, n) + time.Duration((random.Float64()-0.5)*float64(closeSpread))
+		}
 		select {
-		case <-time.After(pauseOf(use, random)):
+		case <-time.After(pause):
 		case <-ctx.Done():
 		}
 	}
@@ -130,6 +145,30 @@
 	}
 }
 
+// untilClose waits for the next stop of an instance and returns the time until its listener closes, as in the latest stop.
+func (r *rawCallers) untilClose(ctx context.Context, n *node) time.Duration {
+	for ctx.Err() == nil {
+		r.mu.Lock()
+		closing, left := r.closing[n], time.Until(r.stops[n].Add(r.closeDelay))
+		r.mu.Unlock()
+		if closing && left > 0 {
+			return left
+		}
+		time.Sleep(stopPollInterval)
+	}
+	return 0
+}
+
+// recordRefusal counts a request that was not sent, and records the end of the listener in a stop.
+func (r *rawCallers) recordRefusal(n *node) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unsent++
+	if r.closing[n] {
+		r.closing[n], r.closeDelay = false, time.Since(r.stops[n])
+	}
+}
+
 func pauseOf(use connUse, random *rand.Rand) time.Duration {
 	switch use {
 	case usePausing:
@@ -152,7 +191,7 @@
 	if conn == nil {
 		var err error
 		if conn, err = dialRaw(ctx, n.frontAddress); err != nil {
-			r.count(&r.unsent)
+			r.recordRefusal(n)
 			return nil
 		}
 	}
--- a/soak/stop_test.go
+++ b/soak/stop_test.go
@@ -23,8 +23,7 @@
 	stopPeriod       = 18 * time.Second        // with planned stops
 	stopTail         = 5 * time.Second         // longer than the drain of an instance
 	stopInterval     = 1250 * time.Millisecond // a quarter of a drain and a start, and more
-	callersPerNode   = 24
-	submissionRate   = 4 // a second, over all callers
+	submissionRate   = 4                       // a second, over all callers
 	minimalStops     = 8
 	minimalAnswers   = 20_000
 	stopTestNodes    = 4
@@ -46,7 +45,7 @@
 	load, endLoad := context.WithTimeout(ctx, stopPeriod+stopTail)
 	defer endLoad()
 	var running sync.WaitGroup
-	running.Go(func() { callers.run(load, callersPerNode, submissionRate, *seedFlag) })
+	running.Go(func() { callers.run(load, rawMix(), submissionRate, *seedFlag) })
 	stops := 0
 	for started := time.Now(); time.Since(started) < stopPeriod; stops++ {
 		callers.stop(c.nodes[stops%len(c.nodes)])
