--- a/soak/rawcaller_test.go
+++ b/soak/rawcaller_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -183,6 +182,8 @@
 
 // callOnce sends one request and returns the connection if it can carry another.
 func (r *rawCallers) callOnce(ctx context.Context, n *node, conn *rawConn, random *rand.Rand) *rawConn {
+	method, id, body := r.nextRequest(random)
+	request := formatRequest(method, id, body)
 	if conn != nil && conn.ended() {
 		closeAll(conn)
 		conn = nil
@@ -195,17 +196,13 @@
 			return nil
 		}
 	}
-	method, id, body := r.nextRequest(random)
-	var request bytes.Buffer
-	fmt.Fprintf(&request, "%s %s%s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nX-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
-		method, fakepl.QueuePrefix, id, fakepl.Host, fakepl.APIKey, callTimeout.Milliseconds(), len(body), body)
-	if _, err := conn.Write(request.Bytes()); err != nil {
+	if _, err := conn.Write(request); err != nil {
 		r.count(&r.unsent)
 		closeAll(conn)
 		return nil
 	}
 	written := time.Now()
-	status, closing, err := conn.readAnswer(written.Add(rawAnswerTimeout), method)
+	status, _, closing, err := conn.readAnswer(written.Add(rawAnswerTimeout), method)
 	if err != nil {
 		r.recordCut(n, cut{node: n.name, method: method, path: id, kept: conn.answers > 0, age: time.Since(written), err: err})
 	} else {
@@ -219,6 +216,11 @@
 	return conn
 }
 
+func formatRequest(method, id, body string) []byte {
+	return fmt.Appendf(nil, "%s %s%s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nX-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
+		method, fakepl.QueuePrefix, id, fakepl.Host, fakepl.APIKey, callTimeout.Milliseconds(), len(body), body)
+}
+
 func dialRaw(ctx context.Context, address string) (*rawConn, error) {
 	dialer := net.Dialer{Timeout: rawDialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
@@ -246,17 +248,17 @@
 }
 
 // readAnswer reads a whole answer, and reports whether the connection ends with it.
-func (c *rawConn) readAnswer(deadline time.Time, method string) (status int, closing bool, err error) {
+func (c *rawConn) readAnswer(deadline time.Time, method string) (status int, content []byte, closing bool, err error) {
 	if err := c.SetReadDeadline(deadline); err != nil {
-		return 0, false, err
+		return 0, nil, false, err
 	}
 	answer, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	if err != nil {
-		return 0, false, err
+		return 0, nil, false, err
 	}
 	defer closeAll(answer.Body)
-	_, err = io.Copy(io.Discard, answer.Body)
-	return answer.StatusCode, answer.Close, err
+	content, err = io.ReadAll(answer.Body)
+	return answer.StatusCode, content, answer.Close, err
 }
 
 // nextRequest returns a submission if one is due, and otherwise a query.
