soak: planned stops while the store does not answer

Requests that wait for the store outlive a planned stop: the listener for new requests closes 3.8 s after SIGTERM (grace less shutdownReserve), all listeners then share shutdownTimeout, 1.5 s, and the process ends with the handlers at work. A submission may take up to 2.75 s of its caller's 3 s.

TestPlannedStopsAnswerSlowRequests stops the leader and a drawn instance while the store leaves reads and transactions of jobs without an answer, and sends both kinds of request until the listener refuses them.

--- a/soak/rawcaller_test.go
+++ b/soak/rawcaller_test.go
@@ -196,6 +196,11 @@
 			return nil
 		}
 	}
+	return r.exchange(n, conn, method, id, request)
+}
+
+// exchange sends a request over a connection and returns the connection if it can carry another.
+func (r *rawCallers) exchange(n *node, conn *rawConn, method, id string, request []byte) *rawConn {
 	if _, err := conn.Write(request); err != nil {
 		r.count(&r.unsent)
 		closeAll(conn)
--- a/soak/stop_test.go
+++ b/soak/stop_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"flag"
+	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -12,6 +14,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"peridotgw.example/peridotgw/platform/fakepl"
 )
 
 var (
@@ -28,6 +32,8 @@
 	minimalAnswers   = 20_000
 	stopTestNodes    = 4
 	stopTestWorkers  = 4
+	slowCallInterval = 50 * time.Millisecond
+	pathKey          = "/kv-key" // of the store's reads
 	stopIntervalRand = 300 * time.Millisecond
 )
 
@@ -67,6 +73,63 @@
 	g.Expect(kept).To(BeZero(), "requests on kept connections ended without an answer")
 }
 
+// Guards against requests that are cut at the end of a planned stop while they wait for a store that does not answer.
+func TestPlannedStopsAnswerSlowRequests(t *testing.T) {
+	g := NewWithT(t)
+	dir := logDir(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	random := rand.New(rand.NewPCG(*seedFlag, 1))
+	c, err := newCluster(ctx, options{binary: buildPeridotd(t), nodes: stopTestNodes, workers: stopTestWorkers}, dir, random)
+	g.Expect(err).NotTo(HaveOccurred())
+	time.Sleep(startupDelay)
+	callers := newRawCallers(c.nodes)
+	for i, n := range []*node{c.leader(), c.nodes[random.IntN(len(c.nodes))]} {
+		c.store.SetFault(silentJobCalls)
+		callers.callUntilRefused(ctx, n, random)
+		c.store.SetFault(nil)
+		if i == 0 {
+			time.Sleep(startupDelay)
+		}
+	}
+	cancel()
+	c.close()
+	t.Logf("seed %d, logs in %s: %s", *seedFlag, dir, callers.summary())
+	fresh, kept := callers.countCuts()
+	g.Expect(fresh).To(BeZero(), "requests that waited for the store ended without an answer")
+	g.Expect(kept).To(BeZero())
+	g.Expect(callers.answers).NotTo(BeEmpty())
+}
+
+// silentJobCalls lets the store not answer the calls that read and write jobs, while leases and watches are served.
+func silentJobCalls(path string) fakepl.Fault {
+	if path == fakepl.PathTxn || path == pathKey {
+		return fakepl.Silent
+	}
+	return fakepl.Healthy
+}
+
+// callUntilRefused stops an instance and sends it submissions and queries, each over a new connection, until it takes no more.
+func (r *rawCallers) callUntilRefused(ctx context.Context, n *node, random *rand.Rand) {
+	var group sync.WaitGroup
+	r.stop(n)
+	for {
+		for _, method := range []string{http.MethodPost, http.MethodGet} {
+			conn, err := dialRaw(ctx, n.frontAddress)
+			if err != nil {
+				group.Wait()
+				return
+			}
+			id, body := fmt.Sprintf("%016x", random.Uint64()), string(fakepl.Job(1, 1, false, jobEstimateMs))
+			group.Go(func() {
+				defer closeAll(conn)
+				r.exchange(n, conn, method, id, formatRequest(method, id, body))
+			})
+		}
+		time.Sleep(slowCallInterval)
+	}
+}
+
 func exitsOf(nodes []*node) int {
 	exits := 0
 	for _, n := range nodes {
