soak: counts of a queue are asked for in the stops with a silent store

intake.Service.Pending holds the mutex that Status and Submit need while it asks the leader and reads the store, and each waiting count asks again in turn. Queries of a job's state, which take 1 s with a silent store, then wait for counts, and a planned stop cuts them too.

--- a/soak/stop_test.go
+++ b/soak/stop_test.go
@@ -34,7 +34,9 @@
 	stopTestNodes    = 4
 	stopTestWorkers  = 4
 	slowCallInterval = 50 * time.Millisecond
-	pathKey          = "/kv-key" // of the store's reads
+	// Paths of the store's reads.
+	pathKey          = "/kv-key"
+	pathRange        = "/kv-range"
 	stopIntervalRand = 300 * time.Millisecond
 )
 
@@ -104,27 +106,30 @@
 
 // silentJobCalls lets the store not answer the calls that read and write jobs, while leases and watches are served.
 func silentJobCalls(path string) fakepl.Fault {
-	if path == fakepl.PathTxn || path == pathKey {
+	if path == fakepl.PathTxn || path == pathKey || path == pathRange {
 		return fakepl.Silent
 	}
 	return fakepl.Healthy
 }
 
-// callUntilRefused stops an instance and sends it submissions and queries, each over a new connection, until it takes no more.
+// callUntilRefused stops an instance and sends it submissions, queries of jobs and queries of their number, each over a new connection, until it takes no more.
 func (r *rawCallers) callUntilRefused(ctx context.Context, n *node, random *rand.Rand) {
 	var group sync.WaitGroup
 	r.stop(n)
 	for {
-		for _, method := range []string{http.MethodPost, http.MethodGet} {
+		for _, request := range []struct{ method, id, body string }{
+			{http.MethodPost, fmt.Sprintf("%016x", random.Uint64()), string(fakepl.Job(1, 1, false, jobEstimateMs))},
+			{http.MethodGet, fmt.Sprintf("%016x", random.Uint64()), ""},
+			{http.MethodGet, "", ""},
+		} {
 			conn, err := dialRaw(ctx, n.frontAddress)
 			if err != nil {
 				group.Wait()
 				return
 			}
-			id, body := fmt.Sprintf("%016x", random.Uint64()), string(fakepl.Job(1, 1, false, jobEstimateMs))
 			group.Go(func() {
 				defer closeAll(conn)
-				r.exchange(n, conn, method, id, formatRequest(method, id, body))
+				r.exchange(n, conn, request.method, request.id, formatRequest(request.method, request.id, request.body))
 			})
 		}
 		time.Sleep(slowCallInterval)
