--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 RED_SPEC := drains a data centre and uses it again after its return
 
 # The packages that run on the users' platform are also tested under the race detector; internal/sched crashes it, see KNOWN-RED.txt.
-RACE_PACKAGES := ./internal/chief ./internal/elect ./internal/intake ./internal/kv ./internal/node ./internal/wire ./platform/...
+RACE_PACKAGES := ./internal/chief ./internal/elect ./internal/intake ./internal/kv ./internal/node ./internal/serve ./internal/wire ./platform/...
 
 unit:
 	@echo "known red, passed over:"; cat KNOWN-RED.txt
