--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -12,8 +13,6 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
-
-	"peridotgw.example/peridotgw/internal/clock"
 )
 
 const (
@@ -151,11 +150,14 @@
 	case <-closed:
 	case <-ctx.Done():
 	}
-	if err := clock.Sleep(ctx, s.linger()); err == nil {
+	var err error
+	if !s.waitClosed(ctx, s.linger()) {
 		s.logStep("closes connections without a request")
 		s.closeUnused()
+		if !s.waitClosed(ctx, noTimeout) {
+			err = s.closeAll()
+		}
 	}
-	err := s.waitClosed(ctx)
 	s.logStep("drained")
 	return err
 }
@@ -190,19 +192,23 @@
 	}
 }
 
-// waitClosed waits until all connections are closed. When ctx ends first it closes the remaining ones and returns a CutError.
-func (s *Server) waitClosed(ctx context.Context) error {
+const noTimeout = time.Duration(math.MaxInt64)
+
+// waitClosed waits until all connections are closed, and reports whether they are. It gives up after timeout or when ctx ends.
+func (s *Server) waitClosed(ctx context.Context, timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	for {
 		s.mu.Lock()
 		open, changed := len(s.conns), s.connClosed
 		s.mu.Unlock()
 		if open == 0 {
-			return nil
+			return true
 		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return s.closeAll()
+			return false
 		}
 	}
 }
