--- a/soak/rawcaller_test.go
+++ b/soak/rawcaller_test.go
@@ -74,6 +74,7 @@
 	jobs       []string       // accepted ones, the latest recentJobs
 	answers    map[string]int
 	cuts       []cut
+	closes     int // stops in which a dial failed
 	unsent     int // dials that failed and writes that failed
 	closedIdle int // kept connections whose end was seen before a request was written
 }
@@ -165,6 +166,7 @@
 	r.unsent++
 	if r.closing[n] {
 		r.closing[n], r.closeDelay = false, time.Since(r.stops[n])
+		r.closes++
 	}
 }
 
