intake: a slow count of a queue holds up no other call

What callers saw: while neither the leader nor the store answers, queries of a job's state and submissions wait for counts of the queue, and counts wait for one another, beyond their deadlines. A planned stop then cuts queries that would have been answered after a second.

Cause: Service.Pending held the mutex of the service's caches while it asked the leader (400 ms) and listed the store (2 s a page); Status, Submit and the next count need the same mutex.

TestSlowCountsHoldUpNoOtherCall fails on the code before: the state of a job is known after 312 ms, when the first count gives up.

Change: callers that wait at the same time share one query, each until its own deadline, and the mutex is held only to read and write the caches.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/singleflight"
 
 	"peridotgw.example/peridotgw/internal/clock"
 	"peridotgw.example/peridotgw/internal/kv"
@@ -27,7 +28,8 @@
 	refusedRetryTime = 900 * time.Millisecond
 	ownerTimeout     = 400 * time.Millisecond
 	pendingMaxAge    = 500 * time.Millisecond
-	maxCachedJobs    = 20_000 // in each of the caches of a Service; a full one is emptied
+	pendingTimeout   = 2 * time.Second // of a query that its callers share
+	maxCachedJobs    = 20_000          // in each of the caches of a Service; a full one is emptied
 )
 
 // RefusedError reports a change that certainly did not take effect and will not do so later.
@@ -89,6 +91,8 @@
 	// watch; nil for none. It must not block.
 	Announce func(Announcement)
 
+	pendingQueries singleflight.Group
+
 	mu            sync.Mutex // guards the fields below
 	finalStates   map[model.JobID]work.State
 	accepted      map[model.JobID]bool   // jobs that this instance has accepted
@@ -328,24 +332,51 @@
 	return work.StateQueued, nil
 }
 
-// Pending returns the number of jobs of a queue none of whose tasks has started; the count is up to pendingMaxAge old.
+// Pending returns the number of jobs of a queue none of whose tasks has started; the count is up to pendingMaxAge old. Callers that
+// wait at the same time share one query, which holds up no other call.
 func (s *Service) Pending(ctx context.Context, queue work.QueueName) (int, error) {
+	if count, fresh := s.cachedPending(queue); fresh {
+		return count, nil
+	}
+	results := s.pendingQueries.DoChan("", func() (any, error) { return nil, s.queryPending(context.WithoutCancel(ctx)) })
+	var err error
+	select {
+	case result := <-results:
+		err = result.Err
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	if err != nil {
+		return 0, &RefusedError{Cause: err, RetryAfter: retryAfter}
+	}
+	count, _ := s.cachedPending(queue)
+	return count, nil
+}
+
+// cachedPending returns the last count of a queue, and reports whether it is recent.
+func (s *Service) cachedPending(queue work.QueueName) (count int, fresh bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.pendingCounts[queue], s.pendingCounts != nil && s.Now().Sub(s.countedAt).Abs() < pendingMaxAge
+}
+
+// queryPending counts the pending jobs of all queues: it asks the owner or, if that does not answer, the store.
+func (s *Service) queryPending(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, pendingTimeout)
+	defer cancel()
 	now := s.Now()
-	if s.pendingCounts != nil && now.Sub(s.countedAt).Abs() < pendingMaxAge {
-		return s.pendingCounts[queue], nil
-	}
-	ownerCtx, cancel := context.WithTimeout(ctx, ownerTimeout)
-	pendingCounts, err := s.Owner.Pending(ownerCtx)
-	cancel()
+	ownerCtx, cancelOwner := context.WithTimeout(ctx, ownerTimeout)
+	counts, err := s.Owner.Pending(ownerCtx)
+	cancelOwner()
 	if err != nil {
-		if pendingCounts, err = s.countUnfinished(ctx); err != nil {
-			return 0, &RefusedError{Cause: err, RetryAfter: retryAfter}
+		if counts, err = s.countUnfinished(ctx); err != nil {
+			return err
 		}
 	}
-	s.pendingCounts, s.countedAt = pendingCounts, now
-	return pendingCounts[queue], nil
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pendingCounts, s.countedAt = counts, now
+	return nil
 }
 
 // countUnfinished counts the stored jobs without a final state. This includes running jobs, so it is used only when the owner
