soak: some requests reach an instance in two parts

Six callers of each instance pause up to 100 ms within each request, so that some are half read when a planned stop closes their connection. A request whose second half was written must be answered; one whose connection has ended before that does not count. The summary also names the longest time that an answer took.

--- a/soak/rawcaller_test.go
+++ b/soak/rawcaller_test.go
@@ -22,8 +22,9 @@
 	rawAnswerTimeout = 6 * time.Second        // longer than any answer takes, with a deadline of callTimeout
 	rawSmallPause    = 2 * time.Millisecond   // between two requests of a caller
 	rawIdlePause     = 300 * time.Millisecond // longest one of a pausing caller
-	rawLongPause     = 6 * time.Second        // longest one of an idle caller; it exceeds the drain of an instance
-	closeSpread      = 60 * time.Millisecond  // of the requests that are sent about the close of a listener
+	rawSplitPause    = 100 * time.Millisecond
+	rawLongPause     = 6 * time.Second       // longest one of an idle caller; it exceeds the drain of an instance
+	closeSpread      = 60 * time.Millisecond // of the requests that are sent about the close of a listener
 	stopPollInterval = 10 * time.Millisecond
 	recentJobs       = 32
 	// promptCut separates ends of connections that were due to a stop's last step from those of requests that waited.
@@ -38,12 +39,13 @@
 	useKept                   // one connection until an answer closes it
 	usePausing                // as useKept, with pauses of up to rawIdlePause
 	useIdle                   // as useKept, with pauses of up to rawLongPause
+	useSplit                  // as useKept, with a pause of up to rawSplitPause within each request
 	useAtClose                // as useKept, idle during a stop until about the moment at which the last one closed the listener
 )
 
 // rawMix is the number of callers of each instance by use.
 func rawMix() map[connUse]int {
-	return map[connUse]int{useFresh: 6, useKept: 6, usePausing: 6, useIdle: 6, useAtClose: 16}
+	return map[connUse]int{useFresh: 6, useKept: 6, usePausing: 6, useIdle: 6, useSplit: 6, useAtClose: 16}
 }
 
 // cut is a request that was written in full and whose connection ended without a whole answer.
@@ -73,6 +75,7 @@
 	closeDelay time.Duration  // from SIGTERM to the first dial that failed, in the latest stop
 	jobs       []string       // accepted ones, the latest recentJobs
 	answers    map[string]int
+	longest    time.Duration // that an answer took
 	cuts       []cut
 	closes     int // stops in which a dial failed
 	unsent     int // dials that failed and writes that failed
@@ -126,7 +129,7 @@
 func (r *rawCallers) callRepeatedly(ctx context.Context, n *node, use connUse, random *rand.Rand) {
 	var conn *rawConn
 	for ctx.Err() == nil {
-		conn = r.callOnce(ctx, n, conn, random)
+		conn = r.callOnce(ctx, n, conn, use, random)
 		if use == useFresh && conn != nil {
 			closeAll(conn)
 			conn = nil
@@ -183,7 +186,7 @@
 }
 
 // callOnce sends one request and returns the connection if it can carry another.
-func (r *rawCallers) callOnce(ctx context.Context, n *node, conn *rawConn, random *rand.Rand) *rawConn {
+func (r *rawCallers) callOnce(ctx context.Context, n *node, conn *rawConn, use connUse, random *rand.Rand) *rawConn {
 	method, id, body := r.nextRequest(random)
 	request := formatRequest(method, id, body)
 	if conn != nil && conn.ended() {
@@ -198,6 +201,16 @@
 			return nil
 		}
 	}
+	if use == useSplit {
+		half := len(request) / 2
+		_, err := conn.Write(request[:half])
+		time.Sleep(time.Duration(random.Int64N(int64(rawSplitPause))))
+		if request = request[half:]; err != nil || conn.ended() {
+			r.count(&r.unsent)
+			closeAll(conn)
+			return nil
+		}
+	}
 	return r.exchange(n, conn, method, id, request)
 }
 
@@ -210,10 +223,11 @@
 	}
 	written := time.Now()
 	status, _, closing, err := conn.readAnswer(written.Add(rawAnswerTimeout), method)
+	took := time.Since(written)
 	if err != nil {
-		r.recordCut(n, cut{node: n.name, method: method, path: id, kept: conn.answers > 0, age: time.Since(written), err: err})
+		r.recordCut(n, cut{node: n.name, method: method, path: id, kept: conn.answers > 0, age: took, err: err})
 	} else {
-		r.recordAnswer(method, id, status)
+		r.recordAnswer(method, id, status, took)
 	}
 	if err != nil || closing {
 		closeAll(conn)
@@ -288,9 +302,10 @@
 	return http.MethodGet, fresh, ""
 }
 
-func (r *rawCallers) recordAnswer(method, id string, status int) {
+func (r *rawCallers) recordAnswer(method, id string, status int, took time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.longest = max(r.longest, took)
 	r.answers[fmt.Sprintf("%s %d", method, status)]++
 	if method != http.MethodPost || status != http.StatusOK {
 		return
@@ -341,7 +356,7 @@
 	fresh, kept := r.countCuts()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	lines := []string{fmt.Sprintf("answers %v; %d dials or writes failed, %d kept connections closed between requests", r.answers, r.unsent, r.closedIdle)}
+	lines := []string{fmt.Sprintf("answers %v, the slowest after %v; %d dials or writes failed, %d kept connections closed between requests", r.answers, r.longest.Round(time.Millisecond), r.unsent, r.closedIdle)}
 	lines = append(lines, fmt.Sprintf("cut on new connections: %d within %v, %d later; on kept connections: %d and %d",
 		fresh.prompt, promptCut, fresh.late, kept.prompt, kept.late))
 	for _, c := range r.cuts[:min(len(r.cuts), 40)] {
