--- a/soak/loss_test.go
+++ b/soak/loss_test.go
@@ -332,6 +332,20 @@
 			present := l.c.present()
 			return l.c.replaceWorkers(ctx, present[:len(present)/2])
 		}},
+		{"all instances stopped at once", func(_ context.Context, l *ledger) error {
+			for _, n := range l.c.nodes {
+				n.signal(syscall.SIGTERM)
+			}
+			return nil
+		}},
+		{"all instances stopped within a few seconds, workers restarted", func(_ context.Context, l *ledger) error {
+			for _, n := range l.c.nodes {
+				n.signal(syscall.SIGTERM)
+				time.Sleep(time.Duration(l.draw(int64(leaderLease))))
+			}
+			l.c.restartWorkers()
+			return nil
+		}},
 		{"half of the workers replaced, then leaders stopped in turn", func(ctx context.Context, l *ledger) error {
 			present := l.c.present()
 			err := l.c.replaceWorkers(ctx, present[:len(present)/2])
