--- a/internal/chief/env_test.go
+++ b/internal/chief/env_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -47,7 +48,10 @@
 	jobIntake *intake.Service
 	// outOfService takes the data centre of all workers out of service.
 	outOfService atomic.Bool
-	clockJump    atomic.Int64 // by which the instances' time of day is ahead, in nanoseconds
+	advise       chief.Adviser // set before an instance is started; nil for none
+	// quiet keeps the workers from renewing their registrations, which stay in the store: no event reports them again.
+	quiet     atomic.Bool
+	clockJump atomic.Int64 // by which the instances' time of day is ahead, in nanoseconds
 }
 
 // withTestEnv calls body with a number of workers in two racks, each with 8 accelerators.
@@ -104,7 +108,7 @@
 	e.heartbeat(w)
 	go func() {
 		for clock.Sleep(e.ctx, heartbeatInterval) == nil {
-			if e.store.Value(platform.RegistryKeyPrefix+id) != nil {
+			if !e.quiet.Load() && e.store.Value(platform.RegistryKeyPrefix+id) != nil {
 				e.heartbeat(w)
 			}
 		}
@@ -127,13 +131,17 @@
 	stop    context.CancelFunc
 	// unproved makes TermValid report false, as while the store is unreachable.
 	unproved atomic.Bool
-	// store may be wrapped by the change function of start.
+	// store may be wrapped by the change function of start, and log replaced.
 	store *kv.Store
+	log   zerolog.Logger
+
+	endsMu sync.Mutex // guards ends
+	ends   map[chief.EndStep]int
 }
 
 // start runs an instance; change may modify it before.
 func (e *testEnv) start(name string, change func(*instance)) *instance {
-	i := &instance{name: memnet.Host(name), store: e.kv(memnet.Host(name))}
+	i := &instance{name: memnet.Host(name), store: e.kv(memnet.Host(name)), log: testLog()}
 	if change != nil {
 		change(i)
 	}
@@ -146,7 +154,7 @@
 	i.elector.Lead = func(ctx context.Context, term elect.Term) error {
 		scheduler := &chief.Scheduler{
 			Store: i.store, Workers: platform.NewWorkerClient(e.net.Client(i.name)), Term: term,
-			Log: testLog(), Now: now, WallClock: func() time.Time { return time.Now().Add(time.Duration(e.clockJump.Load())) },
+			Log: i.log, Now: now, WallClock: func() time.Time { return time.Now().Add(time.Duration(e.clockJump.Load())) },
 			Limits: chief.Limits{
 				MaxLease: 6 * time.Second, StatusRetention: 120 * time.Second, ReclaimBound: reclaimBound, RemoteSlowdown: 3,
 				CheckpointInterval: time.Second, RestoreTime: 250 * time.Millisecond,
@@ -154,10 +162,10 @@
 			},
 			Config: e.inForce.Load, OutOfService: func(model.DataCentreID) bool { return e.outOfService.Load() },
 			TermValid: func() bool { return !i.unproved.Load() && i.elector.TermValid(term) }, EndTerm: func() { i.elector.EndTerm(term) },
-			Registry: platform.RegistryKeyPrefix, DecodeWorker: platform.DecodeWorker,
+			Registry: platform.RegistryKeyPrefix, DecodeWorker: platform.DecodeWorker, Advise: e.advise,
 			Observe: chief.Observer{
 				CallResult: func(string, string) {}, RunEnded: func(work.How) {}, PassDuration: func(time.Duration) {},
-				JobStarted: func(work.QueueName, time.Duration) {},
+				JobStarted: func(work.QueueName, time.Duration) {}, JobStep: func(chief.JobStep) {}, EndStep: i.countEnds,
 			},
 		}
 		i.chief.Store(scheduler)
@@ -171,6 +179,22 @@
 	return i
 }
 
+// countEnds adds to the ends that came to a step in terms of this instance.
+func (i *instance) countEnds(step chief.EndStep, ends int) {
+	i.endsMu.Lock()
+	defer i.endsMu.Unlock()
+	if i.ends == nil {
+		i.ends = map[chief.EndStep]int{}
+	}
+	i.ends[step] += ends
+}
+
+func (i *instance) endsAt(step chief.EndStep) int {
+	i.endsMu.Lock()
+	defer i.endsMu.Unlock()
+	return i.ends[step]
+}
+
 // kill stops an instance.
 func (i *instance) kill() { i.stop() }
 
--- a/internal/chief/orders.go
+++ b/internal/chief/orders.go
@@ -47,6 +47,7 @@
 func (c *Scheduler) startRun(t *task, w *worker, number work.RunNumber, g *gang) {
 	now := c.Now()
 	s := t.stage
+	c.endWait(s, now)
 	r := &run{
 		key: runKey{t.id(), number}, task: t, worker: w, resources: s.step.Resources(), gang: g,
 		createdAt: now, progressedAt: now, pace: fullPace, checkpoint: t.checkpoint, fromStart: t.checkpoint == "",
@@ -82,10 +83,10 @@
 	now := c.Now()
 	c.dirty = true
 	if err == nil {
-		w.updateClock(reading, now)
+		w.updateClock(reading, now, r.sentToBorn)
 		w.missedCalls = 0
 		if r.phase == starting {
-			r.phase, r.ackedAt, r.progressedAt = running, now, now
+			r.phase, r.ackedAt, r.startedAt, r.progressedAt = running, now, now, now
 		}
 		r.task.stage.job.markStarted(c)
 		c.pollIfDue(w)
@@ -109,6 +110,7 @@
 			j.state, j.durableState = work.StateRunning, work.StateRunning
 			c.publishState(j)
 		}
+		c.Observe.JobStep(JobStarted)
 		c.Observe.JobStarted(j.spec.Queue, c.Now().Sub(j.knownAt))
 	}
 }
@@ -122,6 +124,8 @@
 	var rejected *agent.RejectedError
 	var refused *agent.RefusedError
 	switch {
+	case errors.As(err, &gone) && r.sentToBorn != w.born: // Only the incarnation that the order was sent to is gone.
+		c.endRun(r, work.EndedStopped, "")
 	case errors.As(err, &gone):
 		w.registered = false
 		c.endAllRuns(w, "another worker at the address")
@@ -147,7 +151,7 @@
 
 func (c *Scheduler) handleStartRejection(r *run, rejected *agent.RejectedError) {
 	w, now := r.worker, c.Now()
-	w.updateClock(rejected.Clock, now)
+	w.updateClock(rejected.Clock, now, r.sentToBorn)
 	switch rejected.Reason {
 	case agent.ReasonToken:
 		c.EndTerm()
@@ -208,9 +212,11 @@
 	var rejected *agent.RejectedError
 	switch {
 	case err == nil:
-		w.updateClock(reading, now)
+		w.updateClock(reading, now, r.sentToBorn)
 		r.ackedAt = now
 		c.pollIfDue(w)
+	case errors.As(err, &gone) && r.sentToBorn != w.born:
+		r.ackedAt = now // The run ended with that incarnation; the next poll does not list it.
 	case errors.As(err, &gone):
 		c.endAllRuns(w, "another worker at the address")
 	case errors.As(err, &rejected) && rejected.Reason == agent.ReasonToken:
--- a/internal/chief/poll.go
+++ b/internal/chief/poll.go
@@ -34,8 +34,9 @@
 		return
 	}
 	order := agent.PollOrder{Token: c.Term.Token}
-	if w.durableEnd > w.ackedEnd {
-		// A repeated number could reach a later incarnation, which numbers its ends from the start again.
+	if w.durableEnd > w.ackedEnd && w.missedCalls == 0 {
+		// A repeated number, or one that is sent after an unanswered call, could reach a later incarnation, which numbers its ends from
+		// the start again.
 		order.Seen = w.durableEnd
 	}
 	if w.missedCalls == 0 && !c.hidesEndsForGood(w) {
@@ -47,23 +48,35 @@
 	}
 	w.pollInFlight = true
 	target := w.target()
+	sent := pollSent{order: order, born: w.born}
 	go func() {
 		ctx, cancel := context.WithTimeout(c.ctx, order.Wait+pollTimeoutMargin)
 		defer cancel()
-		sent := c.Now()
+		sent.at = c.Now()
 		report, err := c.Workers.Poll(ctx, target, order)
-		c.post(func() { c.handlePollReport(w, order, sent, report, err) })
+		c.post(func() { c.handlePollReport(w, sent, report, err) })
 	}()
 }
 
-func (c *Scheduler) handlePollReport(w *worker, order agent.PollOrder, sent clock.Instant, report work.Report, err error) {
+// pollSent is a poll as it was sent.
+type pollSent struct {
+	order agent.PollOrder
+	born  int64 // of the incarnation that was known then
+	at    clock.Instant
+}
+
+func (c *Scheduler) handlePollReport(w *worker, sent pollSent, report work.Report, err error) {
 	now := c.Now()
 	w.pollInFlight = false
 	if w.removed {
 		return
 	}
 	if err != nil {
-		c.handlePollError(w, now, err)
+		c.handlePollError(w, sent, now, err)
+		return
+	}
+	if report.Born != 0 && report.Born < w.born && sent.born != w.born {
+		c.pollIfDue(w) // The answer is of an earlier incarnation, with other ends and another clock.
 		return
 	}
 	if report.Born > w.born && w.born != 0 {
@@ -73,15 +86,18 @@
 		c.Log.Info().Str("worker", string(w.info.ID)).Msg("chief: worker answers again")
 	}
 	w.missedCalls, w.reportedAt = 0, now
-	w.ackedEnd = max(w.ackedEnd, order.Seen)
-	w.updateClock(report.Clock, now)
+	if sent.born == w.born && sent.order.Seen > w.ackedEnd {
+		c.Observe.EndStep(EndAcknowledged, int(sent.order.Seen-max(w.ackedEnd, w.listedFrom)))
+		w.ackedEnd = sent.order.Seen
+	}
+	w.updateClock(report.Clock, now, w.born)
 	for _, end := range report.Ended {
 		c.handleListedEnd(w, end)
 	}
 	c.noteListedEnds(w, len(report.Ended))
 	c.applyListedRuns(w, report.Running)
 	if !c.mayHideEnds(w) {
-		c.endUnlistedRuns(w, sent, report.Running)
+		c.endUnlistedRuns(w, sent.at, report.Running)
 	}
 	c.adjustPace(w)
 	c.scheduleNextPoll(w, now)
@@ -103,11 +119,12 @@
 	}
 }
 
-func (c *Scheduler) handlePollError(w *worker, now clock.Instant, err error) {
+func (c *Scheduler) handlePollError(w *worker, sent pollSent, now clock.Instant, err error) {
 	c.Observe.CallResult("look", resultOf(err))
 	var gone *agent.GoneError
 	var rejected *agent.RejectedError
 	switch {
+	case errors.As(err, &gone) && sent.born != w.born: // It has restarted since, and is registered at its new address.
 	case errors.As(err, &gone):
 		c.Log.Info().Str("worker", string(w.info.ID)).Int("runs", len(w.runs)).Msg("chief: worker is gone")
 		w.registered, w.polled = false, true
@@ -136,7 +153,11 @@
 	if end.Number <= w.handledEnd {
 		return
 	}
+	if w.handledEnd == 0 {
+		w.listedFrom = end.Number - 1
+	}
 	w.handledEnd = end.Number
+	c.Observe.EndStep(EndListed, 1)
 	r := w.runs[runKey{end.Task, end.Run}]
 	if r == nil {
 		r = c.adoptRun(w, end.Task, end.Run)
@@ -173,6 +194,8 @@
 	}
 	w.runs[r.key] = r
 	w.used = w.used.Add(r.resources)
+	c.Log.Info().Str("task", id.String()).Int64("run", int64(number)).Str("worker", string(w.info.ID)).Bool("task-known", t != nil).
+		Bool("task-done", t != nil && t.done).Uint64("token", uint64(c.Term.Token)).Msg("chief: run taken over")
 	return r
 }
 
@@ -237,6 +260,7 @@
 	default:
 		t.activeRun = r
 		t.stage.job.started = true
+		c.endWait(t.stage, c.Now())
 	}
 	c.dirty = true
 }
@@ -246,7 +270,7 @@
 	now := c.Now()
 	if r.phase == starting {
 		r.phase = running
-		r.ackedAt = now
+		r.ackedAt, r.startedAt = now, now
 		r.task.stage.job.started = true
 	}
 	r.listedAt = now
--- a/internal/chief/scheduler.go
+++ b/internal/chief/scheduler.go
@@ -80,17 +80,20 @@
 	placementTxns       int                             // writes of placements in flight
 	nextPlacementAt     clock.Instant                   // earliest next write of placements
 	cancelRequested     map[model.JobID]bool
-	lastForgotten       kv.Revision   // highest revision at which a job was created that is removed by now
-	writeInFlight       bool          // of job records
-	nextWriteAt         clock.Instant // earliest next write of progress
-	loadedAt            clock.Instant // when the jobs were loaded
-	jobsLoaded          bool
-	dirty               bool // a planning pass is needed
-	adviceInFlight      bool
-	urgentDemand        urgentDemand
-	nextPlanAt          clock.Instant
-	speedsComparedAt    clock.Instant
-	runTimes            map[work.QueueName]*runTimes
+	lastForgotten       kv.Revision // highest revision at which a job was created that is removed by now
+	// forgotten holds the jobs that were removed within forgottenRetention: a list that was read before still has them.
+	forgotten          map[model.JobID]forgottenJob
+	writeInFlight      bool          // of job records
+	writesFailingSince clock.Instant // 0 while progress can be stored
+	nextWriteAt        clock.Instant // earliest next write of progress
+	loadedAt           clock.Instant // when the jobs were loaded
+	jobsLoaded         bool
+	dirty              bool // a planning pass is needed
+	adviceInFlight     bool
+	urgentDemand       urgentDemand
+	nextPlanAt         clock.Instant
+	speedsComparedAt   clock.Instant
+	runTimes           map[work.QueueName]*runTimes
 
 	// mu guards the fields below, which other goroutines read.
 	mu            sync.Mutex
@@ -105,8 +108,34 @@
 	RunEnded     func(how work.How)
 	PassDuration func(took time.Duration)                         // of a planning pass
 	JobStarted   func(queue work.QueueName, waited time.Duration) // waited since this term knew the job
+	// JobStep and EndStep count how far jobs and the ends that workers list have come, so that the sums can be compared.
+	JobStep func(step JobStep)
+	EndStep func(step EndStep, ends int)
 }
 
+// JobStep is a step of a job's way through the scheduler.
+type JobStep string
+
+// Steps of a job.
+const (
+	JobKnown     JobStep = "known"
+	JobTakenOver JobStep = "taken-over" // known from an earlier term, without a stored final state
+	JobStarted   JobStep = "started"    // its first run in this term
+	JobOver      JobStep = "over"       // its final state is decided
+	JobStored    JobStep = "stored"     // its final state is stored
+	JobRemoved   JobStep = "removed"    // its records are deleted
+)
+
+// EndStep is a step of the end of a run on its way from the worker's list.
+type EndStep string
+
+// Steps of the end of a run.
+const (
+	EndListed       EndStep = "listed"
+	EndStored       EndStep = "stored"
+	EndAcknowledged EndStep = "acknowledged" // the worker has the acknowledgement
+)
+
 // storedProgress is a progress record and its revision.
 type storedProgress struct {
 	progress work.Progress
@@ -121,6 +150,7 @@
 	c.unclaimedProgress = map[model.JobID]storedProgress{}
 	c.unclaimedPlacements = map[model.JobID]storedPlacement{}
 	c.cancelRequested = map[model.JobID]bool{}
+	c.forgotten = map[model.JobID]forgottenJob{}
 	c.mu.Lock()
 	c.durableStates = map[model.JobID]work.State{}
 	c.mu.Unlock()
@@ -147,6 +177,7 @@
 		return c.loop(ctx)
 	})
 	err := group.Wait()
+	c.logTermEnd()
 	c.mu.Lock()
 	c.pendingKnown = false
 	c.mu.Unlock()
@@ -216,6 +247,9 @@
 	for _, w := range c.workers {
 		c.checkWorker(w, now)
 	}
+	if c.roster.stale {
+		c.saveRoster()
+	}
 	c.compareSpeeds(now)
 	c.removeExpiredJobs(now)
 	c.dirty = true
@@ -261,6 +295,23 @@
 	return nil
 }
 
+// logTermEnd logs what this term leaves behind. Ends that are not stored are known to their workers alone.
+func (c *Scheduler) logTermEnd() {
+	unstoredJobs, runs, unstoredEnds := 0, 0, 0
+	for _, j := range c.jobs {
+		if j.dirty || j.state.Final() && !j.durableState.Final() {
+			unstoredJobs++
+		}
+	}
+	for _, w := range c.workers {
+		runs += len(w.runs)
+		unstoredEnds += int(w.handledEnd - max(w.durableEnd, w.listedFrom))
+	}
+	c.Log.Info().Uint64("token", uint64(c.Term.Token)).Int("jobs", len(c.jobs)).Int("live", len(c.liveJobs)).Int("runs", runs).
+		Int("unstored-jobs", unstoredJobs).Int("unstored-ends", unstoredEnds).
+		Bool("write-in-flight", c.writeInFlight).Msg("chief: term left")
+}
+
 // State returns the stored state of a job, and whether the job is known.
 func (c *Scheduler) State(id model.JobID) (work.State, bool) {
 	c.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -183,7 +183,7 @@
 
 // openServers opens all listeners; the servers do not serve yet.
 func (n *Node) openServers(ctx context.Context) (*servers, error) {
-	jobAPI := &platform.JobAPI{Log: n.Log, Config: n.config.Config, Jobs: n.jobIntake, Observe: n.meters.call}
+	jobAPI := &platform.JobAPI{Log: n.Log, Config: n.config.Config, Jobs: n.jobIntake, Closing: n.closing.Load, Observe: n.meters.call}
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET /readyz", n.ready)
 	peers := http.NewServeMux()
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -116,13 +116,14 @@
 // Guards against the graceful shutdown of net/http, which closes a connection right after it has read a request from it.
 func TestDrainAnswersTheFirstRequestOfAConnection(t *testing.T) {
 	r := newRig(t, answerOK)
+	r.Linger = time.Minute
 	r.run(t)
 	waiting := r.dial()
 	used := r.dial()
 	r.send(used)
 	r.answer(used)
 	drained := make(chan error, 1)
-	go func() { drained <- r.drain(5 * time.Second) }()
+	go func() { drained <- r.drain(time.Minute) }()
 	time.Sleep(100 * time.Millisecond) // The listener is closed, and the connections are not.
 	for _, c := range []net.Conn{waiting, used} {
 		r.send(c)
@@ -150,8 +151,10 @@
 
 // Guards against requests that are cut because they wait for something when the time of the drain ends.
 func TestDrainEndsTheContextsOfWaitingRequests(t *testing.T) {
+	cause := make(chan error, 1)
 	r := newRig(t, func(w http.ResponseWriter, req *http.Request) {
 		<-req.Context().Done()
+		cause <- context.Cause(req.Context())
 		w.WriteHeader(http.StatusServiceUnavailable)
 	})
 	r.run(t)
@@ -160,6 +163,8 @@
 	time.Sleep(50 * time.Millisecond)
 	r.g.Expect(r.drain(time.Second)).To(Succeed())
 	r.g.Expect(r.answer(c).StatusCode).To(Equal(http.StatusServiceUnavailable))
+	var stopping *serve.StoppingError
+	r.g.Expect(errors.As(<-cause, &stopping)).To(BeTrue())
 }
 
 // Guards against a drain that hides the requests that it could not answer.
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -43,6 +43,12 @@
 	return fmt.Sprintf("%s: %d connections closed with a request unanswered", e.Server, e.Conns)
 }
 
+// StoppingError is the cause with which the contexts of requests end that would outlast the drain of their server.
+type StoppingError struct{ Server string }
+
+// Error names the server.
+func (e *StoppingError) Error() string { return e.Server + ": the server stops" }
+
 // Server serves HTTP on one listener. Its exported fields must be set before Run is called, which may be called once; the other methods
 // may be called from any goroutine.
 type Server struct {
@@ -61,7 +67,7 @@
 	mu             sync.Mutex // guards the fields below
 	listener       *listener  // nil until Run
 	listenerClosed chan struct{}
-	cancelRequests context.CancelFunc
+	cancelRequests context.CancelCauseFunc
 	conns          map[*conn]bool
 	connClosed     chan struct{} // closed and replaced when a connection has closed
 	ends           map[End]int   // of connections that closed since the drain began
@@ -75,7 +81,7 @@
 // still waits for ctx.
 func (s *Server) Run(ctx context.Context) error {
 	closed, cancelRequests := s.prepare(ctx)
-	defer cancelRequests()
+	defer cancelRequests(nil)
 	served := make(chan error, 1)
 	go func() {
 		served <- s.HTTP.Serve(s.listener)
@@ -97,10 +103,10 @@
 
 // prepare sets the HTTP server up. It returns the channel that is closed when no connection is accepted any more, and a function that
 // ends the contexts of all requests.
-func (s *Server) prepare(ctx context.Context) (listenerClosed chan struct{}, cancelRequests context.CancelFunc) {
+func (s *Server) prepare(ctx context.Context) (listenerClosed chan struct{}, cancelRequests context.CancelCauseFunc) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	requestCtx, cancelRequests := context.WithCancel(context.WithoutCancel(ctx))
+	requestCtx, cancelRequests := context.WithCancelCause(context.WithoutCancel(ctx))
 	s.cancelRequests = cancelRequests
 	s.conns, s.ends = map[*conn]bool{}, map[End]int{}
 	s.connClosed, s.listenerClosed = make(chan struct{}), make(chan struct{})
@@ -141,7 +147,7 @@
 	closed, cancelRequests := s.listenerClosed, s.cancelRequests
 	s.mu.Unlock()
 	if end, ok := ctx.Deadline(); ok {
-		timer := time.AfterFunc(time.Until(end.Add(-answerMargin)), cancelRequests)
+		timer := time.AfterFunc(time.Until(end.Add(-answerMargin)), func() { cancelRequests(&StoppingError{Server: s.Name}) })
 		defer timer.Stop()
 	}
 	s.logStep("accepts no more connections")
