--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -19,7 +19,7 @@
 	// DefaultLinger is the Linger of a Server that sets none.
 	DefaultLinger = 250 * time.Millisecond
 	// answerMargin is how long before the end of a drain the contexts of unfinished requests end, so that they are still answered.
-	answerMargin = 300 * time.Millisecond
+	answerMargin = 500 * time.Millisecond
 )
 
 // End is how a connection ended while its server drained.
--- a/soak/stop_test.go
+++ b/soak/stop_test.go
@@ -21,6 +21,7 @@
 var (
 	seedFlag  = flag.Uint64("seed", 301, "seed of the tests of stops and kills")
 	eventFlag = flag.String("event", "", "part of the names of the total losses to test; all without it")
+	drawsFlag = flag.Int("draws", 3, "total losses to test, drawn by the seed")
 	logsFlag  = flag.String("logs", "", "folder for the instances' logs; a temporary one without it")
 )
 
