--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -156,7 +156,7 @@
 // stage starts the waiting tasks of a stage, or its gang.
 func (p *planner) stage(s *stage) {
 	if s.gang == nil && !p.ensureAdvice(s) {
-		p.noteWait(s, "advice")
+		p.noteWait(s, waitAdvice)
 		return
 	}
 	p.creditReservation(s)
@@ -239,7 +239,7 @@
 	}
 	for index := range s.tasks {
 		if s.tasks[index].activeRun != nil {
-			p.noteWait(s, "members of an earlier run")
+			p.noteWait(s, waitGang)
 			return
 		}
 		if p.mayExceedAttempts(s, &s.tasks[index], len(s.failedRuns)) {
--- a/internal/chief/wait.go
+++ b/internal/chief/wait.go
@@ -13,7 +13,9 @@
 
 // Reasons why a step waits.
 const (
-	waitRoom = "room"
+	waitRoom   = "room"
+	waitAdvice = "advice"
+	waitGang   = "members of an earlier run"
 	// waitLastAttempt is for workers that may hold a failure that was not reported yet.
 	waitLastAttempt = "a silent worker before the last attempt"
 )
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -91,7 +91,7 @@
 	Listener net.Listener
 	// IdleLinger is how long Drain keeps idle connections open; zero means DefaultIdleLinger.
 	IdleLinger time.Duration
-	// ShutdownHTTP stops the HTTP server at the end of Drain; nil means a graceful shutdown. Tests cut connections instead.
+	// ShutdownHTTP stops the HTTP server in place of its drain; nil for none. Tests cut connections.
 	ShutdownHTTP func(context.Context, *http.Server) error
 
 	inFlight inFlightTracker
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -34,7 +34,7 @@
 	// shrink in proportion when the grace time is shorter.
 	shutdownReserve = 2200 * time.Millisecond
 	leaveTimeout    = 300 * time.Millisecond
-	drainTimeout    = 1500 * time.Millisecond
+	drainTimeout    = 1500 * time.Millisecond // includes the time that package serve keeps for the last answers
 )
 
 // Node is one instance on the platform. Fields are set before Run.
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -127,8 +127,9 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	go func() { ended <- instance.Run(ctx) }()
+	client := &http.Client{Timeout: time.Second}
 	g.Eventually(func() bool {
-		res, err := http.Get("http://" + settings.Ready + "/readyz")
+		res, err := client.Get("http://" + settings.Ready + "/readyz")
 		return err == nil && res.Body.Close() == nil && res.StatusCode == http.StatusOK
 	}, 5*time.Second, 20*time.Millisecond).Should(BeTrue())
 	return settings, func() error {
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -54,7 +54,7 @@
 type Server struct {
 	Name     string // in logs, errors and metrics
 	Listener net.Listener
-	// HTTP holds the handler, the timeouts and the limits; Run sets its Handler, ConnState and BaseContext.
+	// HTTP holds the handler, the timeouts and the limits. Run wraps its Handler, and sets its ConnState and BaseContext.
 	HTTP *http.Server
 	Log  zerolog.Logger
 	// Linger is how long after the listener is closed a new connection without a request stays open; 0 means DefaultLinger.
@@ -73,7 +73,7 @@
 	conns          map[*conn]bool
 	connClosed     chan struct{} // closed and replaced when a connection has closed
 	ends           map[End]int   // of connections that closed since the drain began
-	stopped        bool          // Drain was called before Run
+	drainedEarly   bool          // Drain was called before Run
 }
 
 // SetDraining makes each answer close its connection; requests on open and on new connections are still served.
@@ -120,7 +120,7 @@
 			tracked.setState(state)
 		}
 	}
-	if s.stopped {
+	if s.drainedEarly {
 		s.listener.stop()
 	}
 	return s.listenerClosed, cancelRequests
@@ -142,7 +142,7 @@
 	s.SetDraining()
 	s.mu.Lock()
 	if s.listener == nil {
-		s.stopped = true
+		s.drainedEarly = true
 		s.mu.Unlock()
 		return nil
 	}
