chief: the spec of a stored end waits for a write that fails

The fault of the store was lifted between the line of the job's end and the first write of its progress, so that no write had failed. The spec waits for the failed write now, and then checks as before that the end is not shown as stored. 10 of 10 runs under the race detector.

--- a/internal/chief/trail_test.go
+++ b/internal/chief/trail_test.go
@@ -64,6 +64,7 @@
 			return fakepl.Healthy
 		})
 		env.await(4*time.Second, "the job is over", func() bool { return lines.count("chief: job over", "00000000000000f1") == 1 })
+		env.await(4*time.Second, "a write of it fails", func() bool { return lines.count("chief: write failed", `"what":"progress"`) > 0 })
 		env.Expect(lines.count("chief: end of job stored")).To(Equal(0))
 		env.Expect(leader.state("00000000000000f1")).NotTo(Equal(work.StateCompleted))
 		env.store.SetFault(nil)
