serve: refuse on idle connections before a stop closes them

What callers saw: at a planned stop, a request on a kept connection ended with "connection reset by peer" without an answer.

Cause: a drain closes idle connections after a last look for bytes that have arrived. A request that arrives between that look and the close is reset. On an idle machine the gap is microseconds, beside load it is milliseconds. HTTP/1.1 has no way for a server to close an idle connection that excludes it, so that the gap can't be closed, only answered.

Change: before an idle connection closes in a drain, the server writes the refusal of its API on it (503 with Retry-After), ends its side, and reads until the caller closes the connection or 250 ms have passed, so that no reset overtakes the refusal. A request that was on its way is answered by it, and was certainly not executed; a caller that sent nothing sees the refusal and the end of the connection. Both forms of the daemon do this for callers. Ruled out: waiting longer (the gap remains at the end of any wait), ending the server's side first and answering later (the answer can't be sent), 408 (callers know 503 as "not accepted").

Tests: TestDrainAnswersARequestThatArrivesDuringTheClose failed before with the same reset; TestPlannedStopRefusesOnIdleConnections and the spec "refuses on idle connections before it closes them" cover the two daemons.

--- a/internal/front/drain_test.go
+++ b/internal/front/drain_test.go
@@ -1,6 +1,7 @@
 package front_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"net"
@@ -15,6 +16,7 @@
 
 	"peridotgw.example/peridotgw/internal/fakeep"
 	"peridotgw.example/peridotgw/model"
+	"peridotgw.example/peridotgw/reply"
 )
 
 // countLostInDrain drains one of two instances under load and counts the requests without a whole answer. The load balancer moves
@@ -115,4 +117,23 @@
 		_, err = net.Dial("tcp", address)
 		Expect(err).To(HaveOccurred())
 	})
+
+	It("refuses on idle connections before it closes them; guards against a request without an answer that arrives just then", func() {
+		gw := newGateway(1, nil, "a")
+		defer gw.close()
+		gw.server.IdleLinger = 100 * time.Millisecond
+		Expect(gw.mustSend(gw.request("check", "r-0", "")).status).To(Equal(http.StatusOK), "the instance serves")
+		conn, err := net.Dial("tcp", strings.TrimPrefix(gw.url, "http://"))
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+		defer cancel()
+		Expect(gw.server.Drain(ctx)).To(Succeed())
+		refusal, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(refusal.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(refusal.Header.Get(reply.HeaderReason)).To(Equal(string(reply.ReasonDraining)))
+		Expect(refusal.Close).To(BeTrue())
+		Expect(refusal.Body.Close()).To(Succeed())
+	})
 })
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -117,14 +117,26 @@
 // httpServer returns the HTTP server, which Run, SetDraining and Drain may ask for in any order.
 func (s *Server) httpServer() *serve.Server {
 	s.once.Do(func() {
-		s.server = &serve.Server{Name: "callers", Listener: s.Listener, KeepIdle: true, Log: s.Log, Observe: s.countDrainedConn, HTTP: &http.Server{
-			Handler: s.Handler(), ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, WriteTimeout: writeTimeout,
-			IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		}}
+		s.server = &serve.Server{
+			Name: "callers", Listener: s.Listener, KeepIdle: true, Refuse: s.refuseStopping, Log: s.Log, Observe: s.countDrainedConn,
+			HTTP: &http.Server{
+				Handler: s.Handler(), ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, WriteTimeout: writeTimeout,
+				IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+			},
+		}
 	})
 	return s.server
 }
 
+// refuseStopping writes the answer to a request that the stopping instance does not read.
+func (s *Server) refuseStopping(w http.ResponseWriter) {
+	w.Header().Set(reply.HeaderInstance, string(s.Instance))
+	refused := reply.Refused(reply.ReasonDraining, "the instance stops; repeat at another one")
+	if err := refused.Write(w); err != nil {
+		s.Log.Debug().Err(err).Msg("front: refusal not written")
+	}
+}
+
 func (s *Server) countDrainedConn(end serve.End) {
 	if s.Metrics != nil {
 		s.Metrics.DrainedConns.WithLabelValues("callers", string(end)).Inc()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -204,6 +204,7 @@
 		ready:   n.newServer("ready", n.Settings.Ready, ready),
 		metrics: n.newServer("metrics", n.Settings.Metrics, metrics),
 	}
+	s.callers.Refuse = platform.RefuseStopping
 	for _, server := range s.all() {
 		listener, err := serve.Listen(ctx, server.HTTP.Addr)
 		if err != nil {
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -163,6 +163,24 @@
 	g.Expect(callers.unanswered).To(BeEmpty(), "%d requests were answered", callers.answered)
 }
 
+// Guards against requests that end without an answer because they arrive while their instance closes an idle connection.
+func TestPlannedStopRefusesOnIdleConnections(t *testing.T) {
+	g := NewWithT(t)
+	settings, stop := startNode(t, g, fakepl.NewStore(), shortGrace)
+	c, err := net.Dial("tcp", settings.Callers)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	g.Expect(stop()).To(Succeed())
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	g.Expect(err).NotTo(HaveOccurred(), "the answer to what the caller may have sent")
+	g.Expect(res.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(res.Header.Get("Retry-After")).To(Equal("1"))
+	g.Expect(res.Close).To(BeTrue())
+	content, err := io.ReadAll(res.Body)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(content).To(MatchJSON(`{"error":"the instance stops"}`))
+}
+
 // Guards against requests that wait for the store when their instance stops, and are cut because a peer holds a connection without a
 // request on it, or because the time of the stop ends before theirs.
 func TestPlannedStopAnswersWaitingRequests(t *testing.T) {
--- a/internal/serve/conn.go
+++ b/internal/serve/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -22,6 +23,7 @@
 	used         bool       // a request on it has been answered
 	ending       bool       // it closes as soon as no request is waiting on it
 	cut          bool       // it is closed although a request may be unanswered
+	closing      bool       // Close has been called
 	readDeadline time.Time  // that the HTTP server has set
 }
 
@@ -83,23 +85,42 @@
 	return nil
 }
 
-// Close closes the connection.
+// Close closes the connection. One that ends without a request is refused first, so that a request which arrives just now is answered, too.
 func (c *conn) Close() error {
-	c.server.remove(c, c.end())
+	end, first := c.beginClose()
+	if first && end == EndIdle && c.server.Refuse != nil {
+		c.refuse()
+	}
+	c.server.remove(c, end)
 	return c.Conn.Close()
 }
 
-// end returns how a connection that is being closed ends.
-func (c *conn) end() End {
+// beginClose returns how a connection that is being closed ends, and whether this is its first close.
+func (c *conn) beginClose() (end End, first bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	first, c.closing = !c.closing, true
 	switch {
 	case c.cut:
-		return EndCut
+		return EndCut, first
 	case c.ending && !c.busy:
-		return EndIdle
+		return EndIdle, first
+	}
+	return EndAnswered, first
+}
+
+// refuse writes the refusal and waits until the caller closes the connection, but no longer than refusalTimeout.
+func (c *conn) refuse() {
+	if err := c.SetDeadline(time.Now().Add(refusalTimeout)); err != nil {
+		return // The connection is closed.
+	}
+	if err := newRefusal(c.server.Refuse).send(c.Conn); err != nil {
+		return // The caller has left.
+	}
+	if err := c.CloseWrite(); err != nil {
+		return
 	}
-	return EndAnswered
+	_, _ = io.Copy(io.Discard, c.Conn) //nolint:errcheck // It ends with the caller or with the deadline.
 }
 
 // markCut records that the connection is about to be closed, whatever is waiting on it.
--- /dev/null
+++ b/internal/serve/refusal.go
@@ -0,0 +1,44 @@
+package serve
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"time"
+)
+
+// refusalTimeout is how long a refused connection stays open for its caller to close it. A connection that is closed with unread bytes
+// is reset, and its caller may never see the refusal.
+const refusalTimeout = 250 * time.Millisecond
+
+// refusal is an http.ResponseWriter that keeps the answer.
+type refusal struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+// newRefusal returns the answer that refuse writes.
+func newRefusal(refuse func(http.ResponseWriter)) *refusal {
+	r := &refusal{header: http.Header{}, status: http.StatusOK}
+	refuse(r)
+	return r
+}
+
+// Header returns the headers of the answer.
+func (r *refusal) Header() http.Header { return r.header }
+
+// Write adds to the body.
+func (r *refusal) Write(p []byte) (int, error) { return r.body.Write(p) }
+
+// WriteHeader sets the status.
+func (r *refusal) WriteHeader(status int) { r.status = status }
+
+// send writes the answer to a connection, as the last one on it.
+func (r *refusal) send(w io.Writer) error {
+	answer := http.Response{
+		ProtoMajor: 1, ProtoMinor: 1, StatusCode: r.status, Header: r.header, Close: true,
+		ContentLength: int64(r.body.Len()), Body: io.NopCloser(&r.body),
+	}
+	return answer.Write(w)
+}
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"testing"
 	"time"
@@ -133,6 +134,92 @@
 	r.g.Expect(r.countEnds(serve.EndAnswered)).To(Equal(2))
 }
 
+// pausingCloser is a listener whose connections pause between the end of their last read and their close.
+type pausingCloser struct {
+	net.Listener
+	pausing chan struct{} // gets an element for each connection that pauses
+	release chan struct{} // closed to let them close
+}
+
+func (l pausingCloser) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return pausingCloserConn{c, l}, err
+}
+
+type pausingCloserConn struct {
+	net.Conn
+	listener pausingCloser
+}
+
+func (c pausingCloserConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.listener.pausing <- struct{}{}
+		<-c.listener.release
+	}
+	return n, err
+}
+
+// Guards against a request without an answer that arrives between the last look at an idle connection and its close.
+func TestDrainAnswersARequestThatArrivesDuringTheClose(t *testing.T) {
+	r := newRig(t, answerOK)
+	closer := pausingCloser{Listener: r.Listener, pausing: make(chan struct{}, 8), release: make(chan struct{})}
+	r.Listener = closer
+	r.Refuse = func(w http.ResponseWriter) {
+		w.Header().Set("Retry-After", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	r.run(t)
+	used, unused := r.dial(), r.dial()
+	r.send(used)
+	r.answer(used)
+	drained := make(chan error, 1)
+	go func() { drained <- r.drain(5 * time.Second) }()
+	for range 2 {
+		<-closer.pausing
+	}
+	for _, c := range []net.Conn{used, unused} {
+		r.send(c)
+	}
+	close(closer.release)
+	r.g.Expect(<-drained).To(Succeed())
+	for _, c := range []net.Conn{used, unused} {
+		refusal := r.answer(c)
+		r.g.Expect(refusal.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		r.g.Expect(refusal.Header.Get("Retry-After")).To(Equal("1"))
+		r.g.Expect(refusal.Close).To(BeTrue())
+	}
+	r.g.Expect(r.countEnds(serve.EndIdle)).To(Equal(2))
+	r.g.Expect(r.countEnds(serve.EndCut)).To(BeZero())
+}
+
+// Guards against a drain that takes longer because a caller does not read the refusal, or never stops sending.
+func TestDrainDoesNotWaitForRefusedCallers(t *testing.T) {
+	r := newRig(t, answerOK)
+	r.Linger = 50 * time.Millisecond
+	r.Refuse = func(w http.ResponseWriter) { w.WriteHeader(http.StatusServiceUnavailable) }
+	r.run(t)
+	r.dial()
+	talking := r.dial()
+	r.send(talking)
+	r.answer(talking)
+	began := time.Now()
+	drained := make(chan error, 1)
+	go func() { drained <- r.drain(5 * time.Second) }()
+	var talker sync.WaitGroup
+	talker.Go(func() {
+		for time.Since(began) < 4*time.Second {
+			if _, err := io.WriteString(talking, requestText); err != nil {
+				return
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	})
+	r.g.Expect(<-drained).To(Succeed())
+	r.g.Expect(time.Since(began)).To(BeNumerically("<", 2*time.Second))
+	talker.Wait()
+}
+
 // Guards against a drain that waits for callers who keep a connection open without a request.
 func TestDrainClosesUnusedConnections(t *testing.T) {
 	r := newRig(t, answerOK)
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -61,6 +61,9 @@
 	Linger time.Duration
 	// KeepIdle makes Linger hold for connections that wait for a further request, too; otherwise they close before the listener.
 	KeepIdle bool
+	// Refuse answers a request that arrives while the drain closes its idle connection, which no handler sees. The answer is written to
+	// each such connection, since it can't be known whether a request is on its way. Nil closes them without an answer.
+	Refuse func(http.ResponseWriter)
 	// Observe is called with the end of each connection that closes while the server drains; nil for none. It must not block.
 	Observe func(End)
 
