serve: refuse on unused connections within the time of a drain

What callers saw: where the time of a drain ends before Linger, unused connections were refused only after it, in the time that the process keeps for its end.

Cause: the wait for Linger ended with the time of the drain, and the connections were closed by http.Server.Close.

Change: a drain shortens Linger so that answerMargin of its time is left for the refusals.

--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -220,6 +220,24 @@
 	talker.Wait()
 }
 
+// Guards against a drain whose time is shorter than Linger, and which refuses on unused connections only when its time is over.
+func TestDrainRefusesWithinItsTime(t *testing.T) {
+	const drainTime = 2 * time.Second
+	r := newRig(t, answerOK)
+	r.Linger = time.Minute
+	r.Refuse = func(w http.ResponseWriter) { w.WriteHeader(http.StatusServiceUnavailable) }
+	r.run(t)
+	conns := []net.Conn{r.dial(), r.dial(), r.dial()}
+	began := time.Now()
+	drained := make(chan error, 1)
+	go func() { drained <- r.drain(drainTime) }()
+	for _, c := range conns {
+		r.g.Expect(r.answer(c).StatusCode).To(Equal(http.StatusServiceUnavailable))
+	}
+	r.g.Expect(time.Since(began)).To(BeNumerically("<", drainTime))
+	r.g.Expect(<-drained).To(Succeed())
+}
+
 // Guards against a drain that waits for callers who keep a connection open without a request.
 func TestDrainClosesUnusedConnections(t *testing.T) {
 	r := newRig(t, answerOK)
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -18,7 +18,8 @@
 const (
 	// DefaultLinger is the Linger of a Server that sets none.
 	DefaultLinger = 250 * time.Millisecond
-	// answerMargin is how long before the end of a drain the contexts of unfinished requests end, so that they are still answered.
+	// answerMargin is how long before the end of a drain the contexts of unfinished requests end, so that they are still answered, and
+	// unused connections close at the latest, so that they are still refused.
 	answerMargin = 500 * time.Millisecond
 )
 
@@ -57,7 +58,8 @@
 	// HTTP holds the handler, the timeouts and the limits. Run wraps its Handler, and sets its ConnState and BaseContext.
 	HTTP *http.Server
 	Log  zerolog.Logger
-	// Linger is how long after the listener is closed a new connection without a request stays open; 0 means DefaultLinger.
+	// Linger is how long after the listener is closed a new connection without a request stays open; 0 means DefaultLinger. A drain
+	// with little time shortens it.
 	Linger time.Duration
 	// KeepIdle makes Linger hold for connections that wait for a further request, too; otherwise they close before the listener.
 	KeepIdle bool
@@ -171,7 +173,7 @@
 
 // closeConns waits until the connections are closed by their answers, and closes those without a request after Linger.
 func (s *Server) closeConns(ctx context.Context) error {
-	if s.waitClosed(ctx, s.linger()) {
+	if s.waitClosed(ctx, s.linger(ctx)) {
 		return nil
 	}
 	s.logStep("closes connections without a request")
@@ -196,11 +198,16 @@
 		Int("idle", s.ends[EndIdle]).Int("cut", s.ends[EndCut]).Msg("serve: " + step)
 }
 
-func (s *Server) linger() time.Duration {
+// linger returns Linger, or less where that would not leave answerMargin of the drain's time.
+func (s *Server) linger(ctx context.Context) time.Duration {
+	linger := DefaultLinger
 	if s.Linger > 0 {
-		return s.Linger
+		linger = s.Linger
 	}
-	return DefaultLinger
+	if end, ok := ctx.Deadline(); ok {
+		linger = min(linger, max(0, time.Until(end)-answerMargin))
+	}
+	return linger
 }
 
 // closeUnused closes the chosen connections as soon as no request is waiting on them: now, or after their next answer.
