serve: a connection is refused by its own goroutine, not by its close

Cause: the refusal was part of Close. The end of a drain calls http.Server.Close, which closes one connection after another, with its lock held. A connection that had not closed by itself by then, as on a machine without processor time, was refused there.

Change: Read refuses once it has found no bytes, before it reports the timeout. Close never waits.

--- a/internal/serve/conn.go
+++ b/internal/serve/conn.go
@@ -23,16 +23,18 @@
 	used         bool       // a request on it has been answered
 	ending       bool       // it closes as soon as no request is waiting on it
 	cut          bool       // it is closed although a request may be unanswered
-	closing      bool       // Close has been called
 	readDeadline time.Time  // that the HTTP server has set
 }
 
-// Read reads from the connection. One that is ending reports a timeout only after it has looked for bytes that have already arrived.
+// Read reads from the connection. One that is ending reports a timeout only after it has looked for bytes that have already arrived, and has
+// refused requests that arrive later. This is not left to Close, which the end of a drain calls for one connection after another.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.endsUnused() {
 		if n = readArrived(c.Conn, p); n > 0 {
 			err = nil
+		} else if c.server.Refuse != nil {
+			c.refuse()
 		}
 	}
 	if n > 0 {
@@ -85,28 +87,23 @@
 	return nil
 }
 
-// Close closes the connection. One that ends without a request is refused first, so that a request which arrives just now is answered, too.
+// Close closes the connection.
 func (c *conn) Close() error {
-	end, first := c.beginClose()
-	if first && end == EndIdle && c.server.Refuse != nil {
-		c.refuse()
-	}
-	c.server.remove(c, end)
+	c.server.remove(c, c.end())
 	return c.Conn.Close()
 }
 
-// beginClose returns how a connection that is being closed ends, and whether this is its first close.
-func (c *conn) beginClose() (end End, first bool) {
+// end returns how a connection that is being closed ends.
+func (c *conn) end() End {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	first, c.closing = !c.closing, true
 	switch {
 	case c.cut:
-		return EndCut, first
+		return EndCut
 	case c.ending && !c.busy:
-		return EndIdle, first
+		return EndIdle
 	}
-	return EndAnswered, first
+	return EndAnswered
 }
 
 // refuse writes the refusal and waits until the caller closes the connection, but no longer than refusalTimeout.
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -238,6 +239,52 @@
 	r.g.Expect(<-drained).To(Succeed())
 }
 
+// pausingReader is a listener whose connections pause once, behind a read that timed out.
+type pausingReader struct {
+	net.Listener
+	release chan struct{} // closed to end the pauses
+}
+
+func (l pausingReader) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return &pausingReaderConn{Conn: c, release: l.release}, err
+}
+
+type pausingReaderConn struct {
+	net.Conn
+	release chan struct{}
+	paused  atomic.Bool
+}
+
+func (c *pausingReaderConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) && !c.paused.Swap(true) {
+		<-c.release
+	}
+	return n, err
+}
+
+// Guards against a drain that outlasts its time, and the process that is killed then, since it refuses on one connection after another.
+func TestDrainEndsInTimeWithUnusedConnections(t *testing.T) {
+	const (
+		drainTime = 600 * time.Millisecond
+		conns     = 40 // 250 ms each, one after another, take 10 s
+	)
+	r := newRig(t, answerOK)
+	paused := pausingReader{Listener: r.Listener, release: make(chan struct{})}
+	r.Listener = paused
+	r.Linger = 50 * time.Millisecond
+	r.Refuse = func(w http.ResponseWriter) { w.WriteHeader(http.StatusServiceUnavailable) }
+	r.run(t)
+	defer close(paused.release)
+	for range conns {
+		defer r.dial().Close() // They stay open until then.
+	}
+	began := time.Now()
+	r.g.Expect(r.drain(drainTime)).To(Succeed())
+	r.g.Expect(time.Since(began)).To(BeNumerically("<", 8*time.Second))
+}
+
 // Guards against a drain that waits for callers who keep a connection open without a request.
 func TestDrainClosesUnusedConnections(t *testing.T) {
 	r := newRig(t, answerOK)
