serve: no refusal behind the end of a caller's stream

What callers saw: one that sent the end of its stream behind its request got the answer, and a refusal behind it. It had nothing more to ask.

Cause: the last look at a connection took the end of the stream for no bytes.

Change: the look reports the end of the stream, upon which the connection closes.

--- a/internal/serve/conn.go
+++ b/internal/serve/conn.go
@@ -31,9 +31,8 @@
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.endsUnused() {
-		if n = readArrived(c.Conn, p); n > 0 {
-			err = nil
-		} else if c.server.Refuse != nil {
+		n, err = readArrived(c.Conn, p)
+		if errors.Is(err, os.ErrDeadlineExceeded) && c.server.Refuse != nil {
 			c.refuse()
 		}
 	}
@@ -43,23 +42,27 @@
 	return n, err
 }
 
-// readArrived reads bytes that have arrived, without waiting for more. It returns their number, also when there is none.
-func readArrived(c net.Conn, p []byte) int {
+// readArrived reads bytes that have arrived, without waiting for more. It returns io.EOF at the end of the stream, and
+// os.ErrDeadlineExceeded if there is none.
+func readArrived(c net.Conn, p []byte) (int, error) {
 	withDescriptor, ok := c.(syscall.Conn)
 	if !ok {
-		return 0
+		return 0, os.ErrDeadlineExceeded
 	}
 	raw, err := withDescriptor.SyscallConn()
 	if err != nil {
-		return 0
+		return 0, os.ErrDeadlineExceeded
 	}
 	n := 0
 	var readErr error
 	err = raw.Control(func(fd uintptr) { n, readErr = unix.Read(int(fd), p) })
-	if err != nil || readErr != nil {
-		return 0
+	switch {
+	case err != nil || readErr != nil:
+		return 0, os.ErrDeadlineExceeded
+	case n == 0:
+		return 0, io.EOF
 	}
-	return n
+	return n, nil
 }
 
 func (c *conn) endsUnused() bool {
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -285,6 +285,36 @@
 	r.g.Expect(time.Since(began)).To(BeNumerically("<", 8*time.Second))
 }
 
+// Guards against a second answer to a caller that sends the end of its stream behind a request, and can send no further one.
+func TestDrainDoesNotRefuseBehindTheEndOfTheStream(t *testing.T) {
+	began, release := make(chan struct{}), make(chan struct{})
+	r := newRig(t, func(http.ResponseWriter, *http.Request) {
+		close(began)
+		<-release
+	})
+	r.Linger = 20 * time.Millisecond
+	r.Refuse = func(w http.ResponseWriter) { w.WriteHeader(http.StatusServiceUnavailable) }
+	r.run(t)
+	c := r.dial()
+	r.send(c)
+	<-began
+	halfCloser, ok := c.(*net.TCPConn)
+	r.g.Expect(ok).To(BeTrue())
+	r.g.Expect(halfCloser.CloseWrite()).To(Succeed())
+	time.Sleep(50 * time.Millisecond) // The server has read it.
+	drained := make(chan error, 1)
+	go func() { drained <- r.drain(5 * time.Second) }()
+	time.AfterFunc(200*time.Millisecond, func() { close(release) })
+	answers := bufio.NewReader(c)
+	res, err := http.ReadResponse(answers, nil)
+	r.g.Expect(err).NotTo(HaveOccurred())
+	r.g.Expect(res.StatusCode).To(Equal(http.StatusOK))
+	rest, err := io.ReadAll(answers)
+	r.g.Expect(err).NotTo(HaveOccurred())
+	r.g.Expect(string(rest)).To(BeEmpty())
+	r.g.Expect(<-drained).To(Succeed())
+}
+
 // Guards against a drain that waits for callers who keep a connection open without a request.
 func TestDrainClosesUnusedConnections(t *testing.T) {
 	r := newRig(t, answerOK)
