serve: later steps of a drain leave a refused connection open

What callers saw: a refused connection could close at the next step of the drain instead of after 250 ms. One with a request on its way then ends with a reset behind the refusal; where a packet of the refusal is lost, the caller never sees it.

Cause: the step that closes connections without a request ended their reads again, also those that wait for the caller of a refused one.

With the Linger of 250 ms it takes a refusal that begins late.

Change: closeWhenUnused leaves refused connections as they are.

--- a/internal/serve/conn.go
+++ b/internal/serve/conn.go
@@ -22,6 +22,7 @@
 	busy         bool       // bytes of a request have been read, and it is not answered
 	used         bool       // a request on it has been answered
 	ending       bool       // it closes as soon as no request is waiting on it
+	refusing     bool       // a refusal has been written, or is about to be
 	cut          bool       // it is closed although a request may be unanswered
 	readDeadline time.Time  // that the HTTP server has set
 }
@@ -111,7 +112,7 @@
 
 // refuse writes the refusal and waits until the caller closes the connection, but no longer than refusalTimeout.
 func (c *conn) refuse() {
-	if err := c.SetDeadline(time.Now().Add(refusalTimeout)); err != nil {
+	if err := c.beginRefusal(); err != nil {
 		return // The connection is closed.
 	}
 	if err := newRefusal(c.server.Refuse).send(c.Conn); err != nil {
@@ -123,6 +124,14 @@
 	_, _ = io.Copy(io.Discard, c.Conn) //nolint:errcheck // It ends with the caller or with the deadline.
 }
 
+// beginRefusal sets the deadline of a refusal, which later steps of the drain leave as it is.
+func (c *conn) beginRefusal() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refusing = true
+	return c.SetDeadline(time.Now().Add(refusalTimeout))
+}
+
 // markCut records that the connection is about to be closed, whatever is waiting on it.
 func (c *conn) markCut() {
 	c.mu.Lock()
@@ -177,7 +186,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ending = true
-	if !c.busy {
+	if !c.busy && !c.refusing {
 		c.expire()
 	}
 }
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -315,6 +315,23 @@
 	r.g.Expect(<-drained).To(Succeed())
 }
 
+// Guards against a refused connection that the next step of the drain closes at once, so that the refusal may be lost with a reset.
+func TestDrainLeavesRefusedConnectionsOpen(t *testing.T) {
+	const refusalTime = 250 * time.Millisecond // of a caller that does not close its connection
+	r := newRig(t, answerOK)
+	r.Linger = 20 * time.Millisecond
+	r.Refuse = func(w http.ResponseWriter) { w.WriteHeader(http.StatusServiceUnavailable) }
+	r.run(t)
+	c := r.dial()
+	defer c.Close() // It stays open until then.
+	r.send(c)
+	r.answer(c)
+	began := time.Now()
+	r.g.Expect(r.drain(5 * time.Second)).To(Succeed())
+	r.g.Expect(time.Since(began)).To(BeNumerically(">=", refusalTime))
+	r.g.Expect(r.countEnds(serve.EndIdle)).To(Equal(1))
+}
+
 // Guards against a drain that waits for callers who keep a connection open without a request.
 func TestDrainClosesUnusedConnections(t *testing.T) {
 	r := newRig(t, answerOK)
