serve: a request that is read while the server closes counts as cut

What callers saw: nothing new; the log and drained_connections_total could hide a request that a stop has cut.

Cause: at the end of its time a server noted which connections had a request unanswered, and closed them all after that. A request that began to arrive in between was read and dropped by net/http, and its connection counted as answered, or not at all.

Change: whether a request is cut is looked at when its connection closes.

--- a/internal/serve/conn.go
+++ b/internal/serve/conn.go
@@ -23,7 +23,7 @@
 	used         bool       // a request on it has been answered
 	ending       bool       // it closes as soon as no request is waiting on it
 	refusing     bool       // a refusal has been written, or is about to be
-	cut          bool       // it is closed although a request may be unanswered
+	cut          bool       // it is closed whether a request is unanswered or not
 	readDeadline time.Time  // that the HTTP server has set
 }
 
@@ -102,7 +102,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case c.cut:
+	case c.cut && c.busy:
 		return EndCut
 	case c.ending && !c.busy:
 		return EndIdle
@@ -132,11 +132,11 @@
 	return c.SetDeadline(time.Now().Add(refusalTimeout))
 }
 
-// markCut records that the connection is about to be closed, whatever is waiting on it.
+// markCut records that the connection is about to be closed, whatever is waiting on it or arrives meanwhile.
 func (c *conn) markCut() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.cut = c.busy
+	c.cut = true
 }
 
 // wasUsed reports whether a request on the connection has been answered.
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -493,6 +493,55 @@
 	r.g.Expect(r.countEnds(serve.EndCut)).To(Equal(1))
 }
 
+// observedListener is a listener that calls a function before it closes, and tells when a connection begins to be read.
+type observedListener struct {
+	net.Listener
+	beforeClose func()
+	reading     chan struct{}
+}
+
+func (l observedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return observedConn{c, l.reading}, err
+}
+
+func (l observedListener) Close() error {
+	l.beforeClose()
+	return l.Listener.Close()
+}
+
+type observedConn struct {
+	net.Conn
+	reading chan struct{}
+}
+
+func (c observedConn) Read(p []byte) (int, error) {
+	select {
+	case c.reading <- struct{}{}:
+	default:
+	}
+	return c.Conn.Read(p)
+}
+
+// Guards against a request that is cut without a report, because it is read while the server closes its connections.
+func TestServerReportsARequestThatItReadsWhileItCloses(t *testing.T) {
+	r := newRig(t, answerOK)
+	c := r.dial()
+	reading := make(chan struct{}, 1)
+	r.Listener = observedListener{Listener: r.Listener, reading: reading, beforeClose: func() {
+		r.send(c)
+		_, err := http.ReadResponse(bufio.NewReader(c), nil)
+		r.g.Expect(err).To(HaveOccurred(), "the server is closing")
+	}}
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { r.ended <- r.Run(ctx) }()
+	<-reading
+	cancel()
+	var cut *serve.CutError
+	r.g.Expect(errors.As(<-r.ended, &cut)).To(BeTrue())
+	r.g.Expect(cut.Conns).To(Equal(1))
+}
+
 // Guards against requests that are lost between the last look at an idle connection and its end, under callers that keep asking.
 func TestDrainUnderLoad(t *testing.T) {
 	for range 20 {
