serve: a refusal is written in one piece

What callers saw: the refusal in several packets, the first with the status line alone (a read on a connection to a real process returned just that).

Cause: http.Response.Write writes line by line; the connection has no buffer of its own.

A drain did so for each unused connection, when processor time is scarce.

Change: the answer is put together first.

--- a/internal/serve/refusal.go
+++ b/internal/serve/refusal.go
@@ -34,11 +34,16 @@
 // WriteHeader sets the status.
 func (r *refusal) WriteHeader(status int) { r.status = status }
 
-// send writes the answer to a connection, as the last one on it.
+// send writes the answer to a connection, as the last one on it, in one piece.
 func (r *refusal) send(w io.Writer) error {
 	answer := http.Response{
 		ProtoMajor: 1, ProtoMinor: 1, StatusCode: r.status, Header: r.header, Close: true,
 		ContentLength: int64(r.body.Len()), Body: io.NopCloser(&r.body),
 	}
-	return answer.Write(w)
+	var content bytes.Buffer
+	if err := answer.Write(&content); err != nil {
+		return err
+	}
+	_, err := w.Write(content.Bytes())
+	return err
 }
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -332,6 +332,45 @@
 	r.g.Expect(r.countEnds(serve.EndIdle)).To(Equal(1))
 }
 
+// writeCounter is a listener that counts the writes to its connections.
+type writeCounter struct {
+	net.Listener
+	writes *atomic.Int32
+}
+
+func (l writeCounter) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return countedConn{c, l.writes}, err
+}
+
+type countedConn struct {
+	net.Conn
+	writes *atomic.Int32
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	c.writes.Add(1)
+	return c.Conn.Write(p)
+}
+
+// Guards against a refusal in several packets, the first of which makes a caller close its idle connection.
+func TestDrainWritesARefusalInOnePiece(t *testing.T) {
+	r := newRig(t, answerOK)
+	var writes atomic.Int32
+	r.Listener = writeCounter{r.Listener, &writes}
+	r.Linger = 20 * time.Millisecond
+	r.Refuse = func(w http.ResponseWriter) {
+		w.Header().Set("Retry-After", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = io.WriteString(w, "the instance stops") //nolint:errcheck // It is kept in memory.
+	}
+	r.run(t)
+	c := r.dial()
+	r.g.Expect(r.drain(5 * time.Second)).To(Succeed())
+	r.g.Expect(r.answer(c).StatusCode).To(Equal(http.StatusServiceUnavailable))
+	r.g.Expect(int(writes.Load())).To(Equal(1))
+}
+
 // Guards against a drain that waits for callers who keep a connection open without a request.
 func TestDrainClosesUnusedConnections(t *testing.T) {
 	r := newRig(t, answerOK)
