--- a/internal/serve/conn.go
+++ b/internal/serve/conn.go
@@ -23,7 +23,7 @@
 	used         bool       // a request on it has been answered
 	ending       bool       // it closes as soon as no request is waiting on it
 	refusing     bool       // a refusal has been written, or is about to be
-	cut          bool       // it is closed whether a request is unanswered or not
+	cut          bool       // it is closed whether a request is unanswered or not, and without waiting for its caller
 	readDeadline time.Time  // that the HTTP server has set
 }
 
@@ -91,12 +91,22 @@
 	return nil
 }
 
-// Close closes the connection.
+// Close closes the connection. At the end of a drain, one that has not been refused is refused without a wait.
 func (c *conn) Close() error {
-	c.server.remove(c, c.end())
+	end := c.end()
+	if end == EndIdle && c.isCut() && c.server.Refuse != nil {
+		c.refuse()
+	}
+	c.server.remove(c, end)
 	return c.Conn.Close()
 }
 
+func (c *conn) isCut() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cut
+}
+
 // end returns how a connection that is being closed ends.
 func (c *conn) end() End {
 	c.mu.Lock()
@@ -110,33 +120,42 @@
 	return EndAnswered
 }
 
-// refuse writes the refusal and waits until the caller closes the connection, but no longer than refusalTimeout.
+// refuse writes the refusal, once. If there is time, it waits until the caller closes the connection.
 func (c *conn) refuse() {
-	if err := c.beginRefusal(); err != nil {
-		return // The connection is closed.
+	begun, wait := c.beginRefusal()
+	if !begun {
+		return
 	}
 	if err := newRefusal(c.server.Refuse).send(c.Conn); err != nil {
 		return // The caller has left.
 	}
-	if err := c.CloseWrite(); err != nil {
+	if err := c.CloseWrite(); err != nil || !wait {
 		return
 	}
 	_, _ = io.Copy(io.Discard, c.Conn) //nolint:errcheck // It ends with the caller or with the deadline.
 }
 
-// beginRefusal sets the deadline of a refusal, which later steps of the drain leave as it is.
-func (c *conn) beginRefusal() error {
+// beginRefusal sets the deadline of a refusal, which later steps of the drain leave as it is, and reports whether there is time to wait for
+// the caller. Nothing begins on a connection that is refused already, or closed.
+func (c *conn) beginRefusal() (begun, wait bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.refusing {
+		return false, false
+	}
 	c.refusing = true
-	return c.SetDeadline(time.Now().Add(refusalTimeout))
+	timeout := refusalTimeout
+	if c.cut {
+		timeout = lastRefusalTimeout
+	}
+	return c.SetDeadline(time.Now().Add(timeout)) == nil, !c.cut
 }
 
 // markCut records that the connection is about to be closed, whatever is waiting on it or arrives meanwhile.
 func (c *conn) markCut() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.cut = true
+	c.cut, c.ending = true, true
 }
 
 // wasUsed reports whether a request on the connection has been answered.
