serve: refusals at the end of a drain's time do not wait

What callers saw: nothing yet; found while reading. When the time of a drain is over, http.Server.Close closes the connections one after the other, and each idle one waited up to 250 ms for its caller: with 20 of them the drain took 5.4 s instead of its 400 ms, beyond the grace time, after which the process is killed. And a connection that had not been marked as ending by then closed without the refusal.

Change: connections that close at the end of the time are refused without a wait.

TestDrainWithoutTimeLeftDoesNotWaitForRefusedCallers failed with the wait (5.4 s).

--- a/internal/serve/conn.go
+++ b/internal/serve/conn.go
@@ -23,6 +23,7 @@
 	used         bool       // a request on it has been answered
 	ending       bool       // it closes as soon as no request is waiting on it
 	cut          bool       // it is closed although a request may be unanswered
+	noTimeLeft   bool       // it is closed without waiting for its caller
 	closing      bool       // Close has been called
 	readDeadline time.Time  // that the HTTP server has set
 }
@@ -109,25 +110,36 @@
 	return EndAnswered, first
 }
 
-// refuse writes the refusal and waits until the caller closes the connection, but no longer than refusalTimeout.
+// refuse writes the refusal. If there is time, it waits until the caller closes the connection.
 func (c *conn) refuse() {
-	if err := c.SetDeadline(time.Now().Add(refusalTimeout)); err != nil {
+	timeout := refusalTimeout
+	wait := c.hasTimeLeft()
+	if !wait {
+		timeout = lastRefusalTimeout
+	}
+	if err := c.SetDeadline(time.Now().Add(timeout)); err != nil {
 		return // The connection is closed.
 	}
 	if err := newRefusal(c.server.Refuse).send(c.Conn); err != nil {
 		return // The caller has left.
 	}
-	if err := c.CloseWrite(); err != nil {
+	if err := c.CloseWrite(); err != nil || !wait {
 		return
 	}
 	_, _ = io.Copy(io.Discard, c.Conn) //nolint:errcheck // It ends with the caller or with the deadline.
 }
 
-// markCut records that the connection is about to be closed, whatever is waiting on it.
-func (c *conn) markCut() {
+func (c *conn) hasTimeLeft() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.noTimeLeft
+}
+
+// markLast records that the connection is about to be closed, whatever is waiting on it.
+func (c *conn) markLast() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.cut = c.busy
+	c.cut, c.ending, c.noTimeLeft = c.busy, true, true
 }
 
 // wasUsed reports whether a request on the connection has been answered.
--- a/internal/serve/refusal.go
+++ b/internal/serve/refusal.go
@@ -7,9 +7,13 @@
 	"time"
 )
 
-// refusalTimeout is how long a refused connection stays open for its caller to close it. A connection that is closed with unread bytes
-// is reset, and its caller may never see the refusal.
-const refusalTimeout = 250 * time.Millisecond
+const (
+	// refusalTimeout is how long a refused connection stays open for its caller to close it. A connection that is closed with unread
+	// bytes is reset, and its caller may never see the refusal.
+	refusalTimeout = 250 * time.Millisecond
+	// lastRefusalTimeout bounds the write to a connection that closes at the end of a drain, one after the other.
+	lastRefusalTimeout = 10 * time.Millisecond
+)
 
 // refusal is an http.ResponseWriter that keeps the answer.
 type refusal struct {
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -67,6 +68,13 @@
 	})
 }
 
+// tcpListener returns the listener for one that embeds it and keeps its deadlines, without which a drain resets the backlog.
+func (r *rig) tcpListener() *net.TCPListener {
+	tcp, ok := r.Listener.(*net.TCPListener)
+	r.g.Expect(ok).To(BeTrue())
+	return tcp
+}
+
 func (r *rig) dial() net.Conn {
 	c, err := net.Dial("tcp", r.Listener.Addr().String())
 	r.g.Expect(err).NotTo(HaveOccurred())
@@ -79,6 +87,15 @@
 	r.g.Expect(err).NotTo(HaveOccurred())
 }
 
+// awaitServing waits until the server serves, and leaves no connection open.
+func (r *rig) awaitServing() {
+	c := r.dial()
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+	r.g.Expect(err).NotTo(HaveOccurred())
+	_, err = io.ReadAll(c)
+	r.g.Expect(err).NotTo(HaveOccurred())
+}
+
 // answer reads a whole answer.
 func (r *rig) answer(c net.Conn) *http.Response {
 	res, err := http.ReadResponse(bufio.NewReader(c), nil)
@@ -136,24 +153,30 @@
 
 // pausingCloser is a listener whose connections pause between the end of their last read and their close.
 type pausingCloser struct {
-	net.Listener
+	*net.TCPListener
+	armed   *atomic.Bool  // no connection pauses before it is set
 	pausing chan struct{} // gets an element for each connection that pauses
 	release chan struct{} // closed to let them close
 }
 
+func newPausingCloser(r *rig, conns int) pausingCloser {
+	return pausingCloser{TCPListener: r.tcpListener(), armed: &atomic.Bool{}, pausing: make(chan struct{}, conns), release: make(chan struct{})}
+}
+
 func (l pausingCloser) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	return pausingCloserConn{c, l}, err
+	c, err := l.TCPListener.Accept()
+	return &pausingCloserConn{Conn: c, listener: l}, err
 }
 
 type pausingCloserConn struct {
 	net.Conn
 	listener pausingCloser
+	paused   atomic.Bool
 }
 
-func (c pausingCloserConn) Read(p []byte) (int, error) {
+func (c *pausingCloserConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.listener.armed.Load() && !c.paused.Swap(true) {
 		c.listener.pausing <- struct{}{}
 		<-c.listener.release
 	}
@@ -163,7 +186,7 @@
 // Guards against a request without an answer that arrives between the last look at an idle connection and its close.
 func TestDrainAnswersARequestThatArrivesDuringTheClose(t *testing.T) {
 	r := newRig(t, answerOK)
-	closer := pausingCloser{Listener: r.Listener, pausing: make(chan struct{}, 8), release: make(chan struct{})}
+	closer := newPausingCloser(r, 2)
 	r.Listener = closer
 	r.Refuse = func(w http.ResponseWriter) {
 		w.Header().Set("Retry-After", "1")
@@ -173,6 +196,7 @@
 	used, unused := r.dial(), r.dial()
 	r.send(used)
 	r.answer(used)
+	closer.armed.Store(true)
 	drained := make(chan error, 1)
 	go func() { drained <- r.drain(5 * time.Second) }()
 	for range 2 {
@@ -193,6 +217,31 @@
 	r.g.Expect(r.countEnds(serve.EndCut)).To(BeZero())
 }
 
+// Guards against a drain that refuses on one connection after the other when its time is over.
+func TestDrainWithoutTimeLeftDoesNotWaitForRefusedCallers(t *testing.T) {
+	const conns = 20
+	r := newRig(t, answerOK)
+	closer := newPausingCloser(r, conns)
+	defer close(closer.release)
+	r.Listener = closer
+	r.Linger = 50 * time.Millisecond
+	r.Refuse = func(w http.ResponseWriter) { w.WriteHeader(http.StatusServiceUnavailable) }
+	r.run(t)
+	var callers []net.Conn
+	for range conns {
+		callers = append(callers, r.dial())
+	}
+	r.awaitServing()
+	closer.armed.Store(true)
+	began := time.Now()
+	r.g.Expect(r.drain(time.Second)).To(Succeed())
+	r.g.Expect(time.Since(began)).To(BeNumerically("<", 3*time.Second))
+	for _, c := range callers {
+		r.g.Expect(r.answer(c).StatusCode).To(Equal(http.StatusServiceUnavailable))
+	}
+	r.g.Expect(r.countEnds(serve.EndIdle)).To(Equal(conns))
+}
+
 // Guards against a drain that takes longer because a caller does not read the refusal, or never stops sending.
 func TestDrainDoesNotWaitForRefusedCallers(t *testing.T) {
 	r := newRig(t, answerOK)
@@ -308,12 +357,12 @@
 
 // slowReader is a listener whose connections return what they have read after a delay.
 type slowReader struct {
-	net.Listener
+	*net.TCPListener
 	delay time.Duration
 }
 
 func (l slowReader) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
+	c, err := l.TCPListener.Accept()
 	return slowReaderConn{c, l.delay}, err
 }
 
@@ -334,7 +383,7 @@
 func TestDrainAnswersARequestWhoseFirstBytesAreBeingRead(t *testing.T) {
 	r := newRig(t, answerOK)
 	r.Linger = 50 * time.Millisecond
-	r.Listener = slowReader{Listener: r.Listener, delay: 300 * time.Millisecond}
+	r.Listener = slowReader{TCPListener: r.tcpListener(), delay: 300 * time.Millisecond}
 	r.run(t)
 	c := r.dial()
 	_, err := io.WriteString(c, requestText[:5])
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -239,7 +239,7 @@
 func (s *Server) closeAll() error {
 	s.mu.Lock()
 	for c := range s.conns {
-		c.markCut()
+		c.markLast()
 	}
 	s.mu.Unlock()
 	if err := s.HTTP.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
