--- /dev/null
+++ b/internal/intake/change.go
@@ -0,0 +1,223 @@
+package intake
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"peridotgw.example/peridotgw/internal/clock"
+	"peridotgw.example/peridotgw/internal/kv"
+	"peridotgw.example/peridotgw/internal/work"
+	"peridotgw.example/peridotgw/model"
+)
+
+const (
+	retryDelay = 60 * time.Millisecond
+	// relayDelay is how long an attempt waits for the store before the change is also sent through another instance.
+	relayDelay = 200 * time.Millisecond
+	// refusedRetryTime bounds the retries of a change that certainly did not take effect.
+	refusedRetryTime = 900 * time.Millisecond
+)
+
+var errNoTime = errors.New("the caller does not wait long enough") //nolint:gochecknoglobals // a constant error
+
+// Change is a submission or a cancellation; exactly one field is set. It may be relayed to another instance.
+type Change struct {
+	Submit *work.Job   `cbor:"1,keyasint,omitempty"`
+	Cancel model.JobID `cbor:"2,keyasint,omitempty"`
+}
+
+// Announcement is a change that is durable, and the revision at which it was stored.
+type Announcement struct {
+	Change   Change      `cbor:"1,keyasint"`
+	Revision kv.Revision `cbor:"2,keyasint"`
+}
+
+// Submit stores a job durably. After a RefusedError the job never runs; after any other error it may.
+func (s *Service) Submit(ctx context.Context, job *work.Job) error {
+	job.Accepted = s.Now()
+	result, err := s.change(ctx, Change{Submit: job})
+	result.log(s.Log.Info(), job.ID, err).Str("queue", string(job.Queue)).Msg("intake: job submitted")
+	if err == nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.accepted == nil || len(s.accepted) >= maxCachedJobs {
+			s.accepted = map[model.JobID]time.Time{}
+		}
+		s.accepted[job.ID] = job.Accepted
+	}
+	return err
+}
+
+// Cancel stores the cancellation of a job durably. Errors are RefusedError, InDoubtError or UnknownJobError.
+func (s *Service) Cancel(ctx context.Context, id model.JobID) error {
+	result, err := s.change(ctx, Change{Cancel: id})
+	result.log(s.Log.Info(), id, err).Msg("intake: job cancelled")
+	return err
+}
+
+// change retries a change until its result is final or the caller's deadline is near. While every attempt is refused, retries end
+// after refusedRetryTime.
+func (s *Service) change(ctx context.Context, change Change) (changeResult, error) {
+	startedAt := time.Now()
+	var result changeResult
+	err := s.retryChange(ctx, change, &result)
+	result.took, result.callEnded = time.Since(startedAt), context.Cause(ctx)
+	return result, err
+}
+
+func (s *Service) retryChange(ctx context.Context, change Change, result *changeResult) error {
+	if deadline, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-replyMargin))
+		defer cancel()
+	}
+	startedAt := time.Now()
+	doubtful := false
+	if ctx.Err() != nil {
+		return &RefusedError{Cause: errNoTime, RetryAfter: retryAfter}
+	}
+	for {
+		result.attempts++
+		err, doubt := s.attemptChange(ctx, change, result)
+		if isFinal(err) {
+			return err
+		}
+		doubtful = doubtful || doubt
+		if !doubtful && time.Since(startedAt) > refusedRetryTime {
+			return err
+		}
+		if sleepErr := clock.Sleep(ctx, retryDelay); sleepErr != nil {
+			if doubtful {
+				return &InDoubtError{Cause: err}
+			}
+			return err
+		}
+	}
+}
+
+// attemptChange applies a change through this instance's store and, when that fails or takes longer than relayDelay, through another
+// instance as well. The first final result wins, as a change is idempotent; doubt is true when neither result is final and one of
+// the attempts may have taken effect.
+func (s *Service) attemptChange(ctx context.Context, change Change, final *changeResult) (result error, doubt bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type attempt struct {
+		applied applied
+		err     error
+	}
+	results := make(chan attempt, 2)
+	go func() {
+		done, err := s.apply(ctx, change)
+		results <- attempt{done, err}
+	}()
+	relayTimer := time.NewTimer(relayDelay)
+	defer relayTimer.Stop()
+	relayed := s.Relay == nil
+	for inFlight := 1; inFlight > 0; {
+		select {
+		case <-relayTimer.C:
+		case ended := <-results:
+			inFlight--
+			if isFinal(ended.err) {
+				final.applied = ended.applied
+				return ended.err, false
+			}
+			doubt = doubt || !isRefused(ended.err)
+			result = ended.err
+		}
+		if !relayed {
+			relayed = true
+			inFlight++
+			go func() { results <- attempt{applied{relayed: true}, s.Relay(ctx, change)} }()
+		}
+	}
+	return result, doubt
+}
+
+// isFinal reports whether a result holds whatever the other attempts return.
+func isFinal(err error) bool {
+	var unknown *UnknownJobError
+	return err == nil || errors.As(err, &unknown)
+}
+
+func isRefused(err error) bool {
+	var refused *RefusedError
+	return errors.As(err, &refused)
+}
+
+// Apply makes one attempt to apply a change of another instance through this instance's store. Errors are those of Cancel, or of the
+// store when the result is unknown.
+func (s *Service) Apply(ctx context.Context, change Change) error {
+	startedAt := time.Now()
+	done, err := s.apply(ctx, change)
+	result := changeResult{applied: done, attempts: 1, took: time.Since(startedAt), callEnded: context.Cause(ctx)}
+	id, what := change.Cancel, "cancel"
+	if change.Submit != nil {
+		id, what = change.Submit.ID, "submit"
+	}
+	result.log(s.Log.Info(), id, err).Str("what", what).Msg("intake: change of another instance")
+	return err
+}
+
+func (s *Service) apply(ctx context.Context, change Change) (applied, error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	if change.Submit != nil {
+		return s.createJob(ctx, change.Submit)
+	}
+	return s.markCancelled(ctx, change.Cancel)
+}
+
+func (s *Service) createJob(ctx context.Context, job *work.Job) (applied, error) {
+	value, err := work.Encode(job)
+	if err != nil {
+		return applied{}, &RefusedError{Cause: err, RetryAfter: retryAfter}
+	}
+	key := work.JobKey(job.ID)
+	revision, err := s.Store.Txn(ctx, kv.Txn{Expect: []kv.Expect{{Key: key}}, Writes: []kv.Write{{Key: key, Value: value}}})
+	if err == nil {
+		s.announce(Announcement{Change: Change{Submit: job}, Revision: revision})
+	}
+	return createResult(key, revision, err)
+}
+
+func (s *Service) announce(announcement Announcement) {
+	if s.Announce != nil {
+		s.Announce(announcement)
+	}
+}
+
+func (s *Service) markCancelled(ctx context.Context, id model.JobID) (applied, error) {
+	item, found, err := s.Store.Get(ctx, work.JobKey(id))
+	if err != nil {
+		return applied{}, &RefusedError{Cause: err, RetryAfter: retryAfter}
+	}
+	if !found {
+		return applied{}, &UnknownJobError{ID: id}
+	}
+	cancelKey := work.CancelKey(id)
+	revision, err := s.Store.Txn(ctx, kv.Txn{
+		Expect: []kv.Expect{{Key: item.Key, Revision: item.Revision}, {Key: cancelKey}},
+		Writes: []kv.Write{{Key: cancelKey}},
+	})
+	if err == nil {
+		s.announce(Announcement{Change: Change{Cancel: id}, Revision: revision})
+	}
+	return createResult(cancelKey, revision, err)
+}
+
+// createResult returns the result of a change that creates a key, for the revision or error of its transaction. A conflict is a
+// success: an earlier attempt of the same change has created the key.
+func createResult(key string, revision kv.Revision, err error) (applied, error) {
+	var conflict *kv.ConflictError
+	if errors.As(err, &conflict) {
+		item, _ := conflict.Item(key)
+		return applied{revision: item.Revision, before: true}, nil
+	}
+	var refused *kv.RefusedError
+	if errors.As(err, &refused) {
+		return applied{}, &RefusedError{Cause: err, RetryAfter: retryAfter}
+	}
+	return applied{revision: revision}, err
+}
