fakepl, specs: one function for a fault on the calls of some paths

Specs with a fault for a number of calls keep their own functions. The spec of a stored end named the path of transactions by its last letters.

--- a/internal/chief/ends_test.go
+++ b/internal/chief/ends_test.go
@@ -89,7 +89,7 @@
 		})
 		for _, w := range env.workers {
 			if w.ID != silent {
-				w.SetFault(refuseStarts) // All later work goes to the worker with the end that is not acknowledged.
+				w.SetFault(fakepl.FaultOn(fakepl.Refused, fakepl.PathStart)) // All later work goes to the worker with the end that is not acknowledged.
 			}
 		}
 		job := newSmallTasks("0000000000000e04", manyEnds)
@@ -151,14 +151,6 @@
 	})
 }
 
-// refuseStarts refuses start orders and executes all others.
-func refuseStarts(path string) fakepl.Fault {
-	if path == fakepl.PathStart {
-		return fakepl.Refused
-	}
-	return fakepl.Healthy
-}
-
 // repeatOnOtherWorker submits a job whose run is done while its worker is cut off, waits until its task runs elsewhere, and returns the
 // first worker, reachable again: it lists an end that must not be acknowledged.
 func (e *testEnv) repeatOnOtherWorker(id string) string {
--- a/internal/chief/failures_test.go
+++ b/internal/chief/failures_test.go
@@ -56,7 +56,7 @@
 		refused.Store(true) // No end is stored.
 		for _, w := range env.workers {
 			if w.ID == first {
-				w.SetFault(faultOn(fakepl.PathStart, fakepl.Refused)) // The second run goes elsewhere.
+				w.SetFault(fakepl.FaultOn(fakepl.Refused, fakepl.PathStart)) // The second run goes elsewhere.
 			}
 		}
 		env.await(3*time.Second, "the second run is there", func() bool { return env.fleet.StartCount(taskID("00000000000000c8", 0)) == 2 })
@@ -83,15 +83,6 @@
 	}
 }
 
-func faultOn(path string, fault fakepl.Fault) func(string) fakepl.Fault {
-	return func(called string) fakepl.Fault {
-		if called == path {
-			return fault
-		}
-		return fakepl.Healthy
-	}
-}
-
 // Guards against a task that is started once too often because a silent worker has not reported its last failure.
 func TestLastAttemptWaitsForASilentWorker(t *testing.T) {
 	withTestEnv(t, 2, func(env *testEnv) {
--- a/internal/chief/trail_test.go
+++ b/internal/chief/trail_test.go
@@ -57,12 +57,7 @@
 		leader := env.start("a", logTo(&lines))
 		env.submit(newJob("00000000000000f1", "scan", 1, 1))
 		env.await(5*time.Second, "it runs", func() bool { return len(env.fleet.RunningOn(taskID("00000000000000f1", 0))) == 1 })
-		env.store.SetFault(func(path string) fakepl.Fault {
-			if strings.HasSuffix(path, "txn") {
-				return fakepl.Silent
-			}
-			return fakepl.Healthy
-		})
+		env.store.SetFault(fakepl.FaultOn(fakepl.Silent, fakepl.PathTxn))
 		env.await(4*time.Second, "the job is over", func() bool { return lines.count("chief: job over", "00000000000000f1") == 1 })
 		env.await(4*time.Second, "a write of it fails", func() bool { return lines.count("chief: write failed", `"what":"progress"`) > 0 })
 		env.Expect(lines.count("chief: end of job stored")).To(Equal(0))
--- a/internal/intake/pending_test.go
+++ b/internal/intake/pending_test.go
@@ -27,12 +27,7 @@
 	)
 	g := NewWithT(t)
 	store := fakepl.NewStore()
-	store.SetFault(func(path string) fakepl.Fault {
-		if path == fakepl.PathRange {
-			return fakepl.Silent
-		}
-		return fakepl.Healthy
-	})
+	store.SetFault(fakepl.FaultOn(fakepl.Silent, fakepl.PathRange))
 	service := newService(store)
 	service.Owner.Pending = func(ctx context.Context) (map[work.QueueName]int, error) {
 		<-ctx.Done()
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -187,12 +187,7 @@
 	g := NewWithT(t)
 	store := fakepl.NewStore()
 	settings, stop := startNode(t, g, store, shortGrace)
-	store.SetFault(func(path string) fakepl.Fault {
-		if path == fakepl.PathTxn {
-			return fakepl.Silent
-		}
-		return fakepl.Healthy
-	})
+	store.SetFault(fakepl.FaultOn(fakepl.Silent, fakepl.PathTxn))
 	peer, err := net.Dial("tcp", settings.Peers)
 	g.Expect(err).NotTo(HaveOccurred())
 	defer peer.Close()
@@ -267,12 +262,7 @@
 	g := NewWithT(t)
 	store := fakepl.NewStore()
 	settings, stop := startNode(t, g, store, grace)
-	store.SetFault(func(path string) fakepl.Fault {
-		if path == fakepl.PathTxn {
-			return fakepl.Silent
-		}
-		return fakepl.Healthy
-	})
+	store.SetFault(fakepl.FaultOn(fakepl.Silent, fakepl.PathTxn))
 	c, err := net.Dial("tcp", settings.Callers)
 	g.Expect(err).NotTo(HaveOccurred())
 	defer c.Close()
@@ -353,12 +343,7 @@
 	leader, stop := startNode(t, g, store, longGrace)
 	g.Eventually(func() string { return leaderOf(g, store) }, 5*time.Second, 20*time.Millisecond).Should(Equal(leader.Peers))
 	successor, stopSuccessor := startNode(t, g, store, shortGrace)
-	store.SetFault(func(path string) fakepl.Fault {
-		if path == fakepl.PathTxn {
-			return fakepl.Silent
-		}
-		return fakepl.Healthy
-	})
+	store.SetFault(fakepl.FaultOn(fakepl.Silent, fakepl.PathTxn))
 	ended := make(chan error, 1)
 	go func() { ended <- stop() }()
 	time.Sleep(outage)
--- a/soak/loss_test.go
+++ b/soak/loss_test.go
@@ -399,12 +399,7 @@
 // stopDuringSubmissions sends jobs to one instance while the store's transactions have a fault, and stops it with them in flight.
 func stopDuringSubmissions(fault fakepl.Fault) func(context.Context, *ledger) error {
 	return func(ctx context.Context, l *ledger) error {
-		l.c.store.SetFault(func(path string) fakepl.Fault {
-			if path == fakepl.PathTxn {
-				return fault
-			}
-			return fakepl.Healthy
-		})
+		l.c.store.SetFault(fakepl.FaultOn(fault, fakepl.PathTxn))
 		n := l.c.nodes[0]
 		var group sync.WaitGroup
 		for range jobsPerEvent {
--- a/soak/stop_test.go
+++ b/soak/stop_test.go
@@ -78,6 +78,8 @@
 	defer cancel()
 	c, dir, random := startCluster(ctx, t, stopTestWorkers)
 	callers := newRawCallers(c.nodes)
+	// The store does not answer the calls that read and write jobs, while leases and watches are served.
+	silentJobCalls := fakepl.FaultOn(fakepl.Silent, fakepl.PathTxn, fakepl.PathKey, fakepl.PathRange)
 	for i, n := range []*node{c.leader(), c.nodes[random.IntN(len(c.nodes))]} {
 		c.store.SetFault(silentJobCalls)
 		callers.callUntilRefused(ctx, n, random)
@@ -106,14 +108,6 @@
 	return c, dir, random
 }
 
-// silentJobCalls lets the store not answer the calls that read and write jobs, while leases and watches are served.
-func silentJobCalls(path string) fakepl.Fault {
-	if path == fakepl.PathTxn || path == fakepl.PathKey || path == fakepl.PathRange {
-		return fakepl.Silent
-	}
-	return fakepl.Healthy
-}
-
 // callUntilRefused stops an instance and sends it submissions, queries of jobs and queries of their number, each over a new connection, until it takes no more.
 func (r *rawCallers) callUntilRefused(ctx context.Context, n *node, random *rand.Rand) {
 	var group sync.WaitGroup
