--- a/internal/chief/dispatch.go
+++ b/internal/chief/dispatch.go
@@ -65,9 +65,15 @@
 
 // whyNotStart returns why a run that was planned may not start any more; an empty text if it may.
 func (c *Scheduler) whyNotStart(r *run) string {
-	switch w := r.worker; {
-	case r.phase != starting:
+	if r.phase != starting {
 		return "run is being stopped"
+	}
+	return c.whyUnusable(r.worker)
+}
+
+// whyUnusable returns why no run may be started on a worker; an empty text if one may.
+func (c *Scheduler) whyUnusable(w *worker) string {
+	switch {
 	case !w.registered:
 		return "its worker has left"
 	case w.info.Draining:
--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -60,8 +60,7 @@
 			p.noteUnseen(w)
 		}
 		p.settling = p.settling || w.registered && !w.polled && w.missedCalls == 0 && p.now.Sub(p.c.loadedAt) < settleTime
-		if !w.registered || !w.polled || p.c.mayHideEnds(w) || w.info.Draining || w.missedCalls > 0 || p.now < w.quarantinedUntil ||
-			!p.c.inRoster(w) || p.c.OutOfService(w.info.Zone) {
+		if p.c.whyUnusable(w) != "" || !w.polled || p.c.mayHideEnds(w) || w.missedCalls > 0 || p.now < w.quarantinedUntil {
 			continue
 		}
 		p.workers = append(p.workers, w)
