front: the spec of cut requests needs no seam in the server

ShutdownHTTP let one spec close the HTTP server in place of its drain. The spec now drains without time, which cuts the connections, and also expects that Drain reports it.

--- a/internal/front/drain.go
+++ b/internal/front/drain.go
@@ -22,11 +22,7 @@
 	if server.Linger <= 0 {
 		server.Linger = DefaultIdleLinger
 	}
-	drain := server.Drain
-	if s.ShutdownHTTP != nil {
-		drain = func(ctx context.Context) error { return s.ShutdownHTTP(ctx, server.HTTP) }
-	}
-	if err := drain(ctx); err != nil {
+	if err := server.Drain(ctx); err != nil {
 		return eris.Wrap(err, "draining callers")
 	}
 	return s.waitInFlight(ctx)
--- a/internal/front/drain_test.go
+++ b/internal/front/drain_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -15,19 +16,20 @@
 	. "github.com/onsi/gomega"
 
 	"peridotgw.example/peridotgw/internal/fakeep"
+	"peridotgw.example/peridotgw/internal/front"
+	"peridotgw.example/peridotgw/internal/serve"
 	"peridotgw.example/peridotgw/model"
 	"peridotgw.example/peridotgw/reply"
 )
 
 // countLostInDrain drains one of two instances under load and counts the requests without a whole answer. The load balancer moves
-// the load to the other instance 1.5 s after the drain began.
-func countLostInDrain(setUp func(*gateway)) (lost, sent int) {
+// the load to the other instance 1.5 s after the instance began to close connections, and then drain is called.
+func countLostInDrain(drain func(*front.Server)) (lost, sent int) {
 	inVirtualTime(func() {
 		network := fakeep.NewNetwork()
 		draining, successor := newGateway(2, network, "a"), newGateway(2, network, "b")
 		defer successor.close()
 		defer draining.close()
-		setUp(draining)
 		for _, endpoint := range append(draining.endpoints, successor.endpoints...) {
 			endpoint.ServiceTime = func(model.RequestClassID) time.Duration { return 300 * time.Millisecond }
 		}
@@ -57,9 +59,7 @@
 		time.Sleep(1500 * time.Millisecond)
 		target.Store(successor)
 		time.Sleep(50 * time.Millisecond)
-		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
-		defer cancel()
-		Expect(draining.server.Drain(ctx)).To(Succeed())
+		drain(draining.server)
 		callers.Wait()
 	})
 	return lost, sent
@@ -67,16 +67,22 @@
 
 var _ = Describe("drain", func() {
 	It("P8: loses no request under load; guards against a stop that cuts requests in flight", func() {
-		lost, sent := countLostInDrain(func(*gateway) {})
+		lost, sent := countLostInDrain(func(server *front.Server) {
+			ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+			defer cancel()
+			Expect(server.Drain(ctx)).To(Succeed())
+		})
 		Expect(lost).To(Equal(0))
 		Expect(sent).To(BeNumerically(">", 200))
 	})
 
 	// Guards against a check that cannot detect a lost request.
 	It("P8: the check reports lost requests when connections are cut", func() {
-		lost, _ := countLostInDrain(func(gw *gateway) {
-			gw.server.IdleLinger = time.Millisecond
-			gw.server.ShutdownHTTP = func(_ context.Context, server *http.Server) error { return server.Close() }
+		lost, _ := countLostInDrain(func(server *front.Server) {
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel() // A drain without time cuts the connections.
+			var cut *serve.CutError
+			Expect(errors.As(server.Drain(ctx), &cut)).To(BeTrue())
 		})
 		Expect(lost).To(BeNumerically(">", 0))
 	})
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -91,8 +91,6 @@
 	Listener net.Listener
 	// IdleLinger is how long Drain keeps idle connections open; zero means DefaultIdleLinger.
 	IdleLinger time.Duration
-	// ShutdownHTTP stops the HTTP server in place of its drain; nil for none. Tests cut connections.
-	ShutdownHTTP func(context.Context, *http.Server) error
 
 	inFlight inFlightTracker
 	once     sync.Once
