--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -87,6 +87,15 @@
 	r.g.Expect(err).NotTo(HaveOccurred())
 }
 
+// awaitServing waits until the server serves, and leaves no connection open.
+func (r *rig) awaitServing() {
+	c := r.dial()
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+	r.g.Expect(err).NotTo(HaveOccurred())
+	_, err = io.ReadAll(c)
+	r.g.Expect(err).NotTo(HaveOccurred())
+}
+
 // answer reads a whole answer.
 func (r *rig) answer(c net.Conn) *http.Response {
 	res, err := http.ReadResponse(bufio.NewReader(c), nil)
@@ -145,10 +154,15 @@
 // pausingCloser is a listener whose connections pause between the end of their last read and their close.
 type pausingCloser struct {
 	*net.TCPListener
+	armed   *atomic.Bool  // no connection pauses before it is set
 	pausing chan struct{} // gets an element for each connection that pauses
 	release chan struct{} // closed to let them close
 }
 
+func newPausingCloser(r *rig, conns int) pausingCloser {
+	return pausingCloser{TCPListener: r.tcpListener(), armed: &atomic.Bool{}, pausing: make(chan struct{}, conns), release: make(chan struct{})}
+}
+
 func (l pausingCloser) Accept() (net.Conn, error) {
 	c, err := l.TCPListener.Accept()
 	return &pausingCloserConn{Conn: c, listener: l}, err
@@ -162,7 +176,7 @@
 
 func (c *pausingCloserConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if errors.Is(err, os.ErrDeadlineExceeded) && !c.paused.Swap(true) {
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.listener.armed.Load() && !c.paused.Swap(true) {
 		c.listener.pausing <- struct{}{}
 		<-c.listener.release
 	}
@@ -172,7 +186,7 @@
 // Guards against a request without an answer that arrives between the last look at an idle connection and its close.
 func TestDrainAnswersARequestThatArrivesDuringTheClose(t *testing.T) {
 	r := newRig(t, answerOK)
-	closer := pausingCloser{TCPListener: r.tcpListener(), pausing: make(chan struct{}, 8), release: make(chan struct{})}
+	closer := newPausingCloser(r, 2)
 	r.Listener = closer
 	r.Refuse = func(w http.ResponseWriter) {
 		w.Header().Set("Retry-After", "1")
@@ -182,6 +196,7 @@
 	used, unused := r.dial(), r.dial()
 	r.send(used)
 	r.answer(used)
+	closer.armed.Store(true)
 	drained := make(chan error, 1)
 	go func() { drained <- r.drain(5 * time.Second) }()
 	for range 2 {
@@ -206,7 +221,7 @@
 func TestDrainWithoutTimeLeftDoesNotWaitForRefusedCallers(t *testing.T) {
 	const conns = 20
 	r := newRig(t, answerOK)
-	closer := pausingCloser{TCPListener: r.tcpListener(), pausing: make(chan struct{}, conns), release: make(chan struct{})}
+	closer := newPausingCloser(r, conns)
 	defer close(closer.release)
 	r.Listener = closer
 	r.Linger = 50 * time.Millisecond
@@ -216,8 +231,8 @@
 	for range conns {
 		callers = append(callers, r.dial())
 	}
-	r.send(callers[0])
-	r.answer(callers[0])
+	r.awaitServing()
+	closer.armed.Store(true)
 	began := time.Now()
 	r.g.Expect(r.drain(time.Second)).To(Succeed())
 	r.g.Expect(time.Since(began)).To(BeNumerically("<", 3*time.Second))
