serve: specs of drains wait for events instead of pauses

Four specs took a pause of 50 or 100 ms for the time in which the server has begun to run, or a handler has begun. With a Run that starts 100 ms late, and no load, TestDrainAnswersARequestThatArrivedBehindAnother, TestDrainAnswersARequestWhoseFirstBytesAreBeingRead, TestDrainClosesAConnectionBehindItsLastAnswer and TestDrainReportsWhatItCuts failed. They now wait for the first Accept, and for the handler.

TestDrainAnswersARequestThatArrivesDuringTheClose hung until its timeout if a connection was accepted 100 ms late: its listener hid SetDeadline, so that the drain reset what waited to be accepted. Its used connection also paused in the read that net/http ends after each answer, before the drain, and not between the last look and the close. Both are corrected; without the refusal the spec fails as before.

TestDrainDoesNotWaitForIdleConnections held with a drain that waits for idle connections: it returned after the whole 10 s, without an error. It now bounds the time by half of that of the drain, and fails without the close of used connections. It sends two requests, as the server may not have seen the end of the first when its answer has arrived.

--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -26,18 +26,41 @@
 	g       Gomega
 	stopRun context.CancelFunc
 	ended   chan error
+	accepts *watchedListener
 
 	mu   sync.Mutex
 	ends map[serve.End]int
 }
 
+// watchedListener reports its first Accept and its Close. Like all listeners of these tests it keeps the methods of net.TCPListener, with
+// which a drain accepts the connections that wait.
+type watchedListener struct {
+	*net.TCPListener
+	accepting, closed         chan struct{} // closed when it happens
+	acceptingOnce, closedOnce sync.Once
+}
+
+func (l *watchedListener) Accept() (net.Conn, error) {
+	l.acceptingOnce.Do(func() { close(l.accepting) })
+	return l.TCPListener.Accept()
+}
+
+func (l *watchedListener) Close() error {
+	err := l.TCPListener.Close()
+	l.closedOnce.Do(func() { close(l.closed) })
+	return err
+}
+
 func newRig(t *testing.T, handler http.HandlerFunc) *rig {
 	t.Helper()
 	r := &rig{g: NewWithT(t), ended: make(chan error, 1), ends: map[serve.End]int{}}
 	listener, err := serve.Listen(t.Context(), "127.0.0.1:0")
 	r.g.Expect(err).NotTo(HaveOccurred())
+	tcp, ok := listener.(*net.TCPListener)
+	r.g.Expect(ok).To(BeTrue())
+	r.accepts = &watchedListener{TCPListener: tcp, accepting: make(chan struct{}), closed: make(chan struct{})}
 	r.Server = &serve.Server{
-		Name: "test", Listener: listener, HTTP: &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}, Log: zerolog.Nop(),
+		Name: "test", Listener: r.accepts, HTTP: &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}, Log: zerolog.Nop(),
 		Linger: 200 * time.Millisecond, Observe: r.observe,
 	}
 	return r
@@ -55,7 +78,7 @@
 	return r.ends[end]
 }
 
-// run starts the server; it ends with the test.
+// run starts the server and waits until it accepts connections; a drain before that ends without waiting for any. It ends with the test.
 func (r *rig) run(t *testing.T) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
@@ -65,6 +88,12 @@
 		cancel()
 		<-r.ended
 	})
+	r.await(r.accepts.accepting)
+}
+
+// await waits for an event of the set-up.
+func (r *rig) await(event <-chan struct{}) {
+	r.g.Eventually(event, 10*time.Second).Should(BeClosed())
 }
 
 func (r *rig) dial() net.Conn {
@@ -125,7 +154,7 @@
 	r.answer(used)
 	drained := make(chan error, 1)
 	go func() { drained <- r.drain(time.Minute) }()
-	time.Sleep(100 * time.Millisecond) // The listener is closed, and the connections are not.
+	r.await(r.accepts.closed) // The connections are not closed.
 	for _, c := range []net.Conn{waiting, used} {
 		r.send(c)
 		r.g.Expect(r.answer(c).Close).To(BeTrue())
@@ -136,24 +165,34 @@
 
 // pausingCloser is a listener whose connections pause between the end of their last read and their close.
 type pausingCloser struct {
-	net.Listener
+	*watchedListener
 	pausing chan struct{} // gets an element for each connection that pauses
 	release chan struct{} // closed to let them close
 }
 
 func (l pausingCloser) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	return pausingCloserConn{c, l}, err
+	c, err := l.watchedListener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &pausingCloserConn{Conn: c, listener: l}, nil
 }
 
 type pausingCloserConn struct {
 	net.Conn
-	listener pausingCloser
+	listener   pausingCloser
+	unanswered int // requests read; only one goroutine reads at a time
 }
 
-func (c pausingCloserConn) Read(p []byte) (int, error) {
+func (c *pausingCloserConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	switch {
+	case n > 0:
+		c.unanswered++
+	case !errors.Is(err, os.ErrDeadlineExceeded):
+	case c.unanswered > 0:
+		c.unanswered-- // net/http reads while a request is handled, and ends that read after its answer.
+	default:
 		c.listener.pausing <- struct{}{}
 		<-c.listener.release
 	}
@@ -163,7 +202,7 @@
 // Guards against a request without an answer that arrives between the last look at an idle connection and its close.
 func TestDrainAnswersARequestThatArrivesDuringTheClose(t *testing.T) {
 	r := newRig(t, answerOK)
-	closer := pausingCloser{Listener: r.Listener, pausing: make(chan struct{}, 8), release: make(chan struct{})}
+	closer := pausingCloser{watchedListener: r.accepts, pausing: make(chan struct{}, 8), release: make(chan struct{})}
 	r.Listener = closer
 	r.Refuse = func(w http.ResponseWriter) {
 		w.Header().Set("Retry-After", "1")
@@ -176,7 +215,7 @@
 	drained := make(chan error, 1)
 	go func() { drained <- r.drain(5 * time.Second) }()
 	for range 2 {
-		<-closer.pausing
+		r.g.Eventually(closer.pausing, 10*time.Second).Should(Receive())
 	}
 	for _, c := range []net.Conn{used, unused} {
 		r.send(c)
@@ -242,9 +281,13 @@
 	r.Linger = time.Minute
 	r.run(t)
 	c := r.dial()
-	r.send(c)
-	r.answer(c)
-	r.g.Expect(r.drain(10 * time.Second)).To(Succeed())
+	for range 2 { // The second answer shows that the server has seen the end of the first request.
+		r.send(c)
+		r.answer(c)
+	}
+	began := time.Now()
+	r.g.Expect(r.drain(20 * time.Second)).To(Succeed())
+	r.g.Expect(time.Since(began)).To(BeNumerically("<", 10*time.Second), "a drain that waits for the connection takes its whole time")
 	r.g.Expect(r.countEnds(serve.EndIdle)).To(Equal(1))
 }
 
@@ -269,9 +312,10 @@
 // Guards against a request that is lost because its connection is closed after an answer without a look at what has arrived meanwhile, and
 // against a deadline in the past for the rest of that request.
 func TestDrainAnswersARequestThatArrivedBehindAnother(t *testing.T) {
-	release := make(chan struct{})
+	handling, release := make(chan struct{}), make(chan struct{})
 	r := newRig(t, func(w http.ResponseWriter, req *http.Request) {
 		if req.Method == http.MethodGet {
+			close(handling)
 			<-release
 			return
 		}
@@ -284,7 +328,7 @@
 	r.run(t)
 	c := r.dial()
 	r.send(c)
-	time.Sleep(50 * time.Millisecond)
+	r.await(handling)
 	drained := make(chan error, 1)
 	go func() { drained <- r.drain(5 * time.Second) }()
 	time.Sleep(200 * time.Millisecond) // Unused connections are closed by now.
@@ -308,12 +352,12 @@
 
 // slowReader is a listener whose connections return what they have read after a delay.
 type slowReader struct {
-	net.Listener
+	*watchedListener
 	delay time.Duration
 }
 
 func (l slowReader) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
+	c, err := l.watchedListener.Accept()
 	return slowReaderConn{c, l.delay}, err
 }
 
@@ -334,7 +378,7 @@
 func TestDrainAnswersARequestWhoseFirstBytesAreBeingRead(t *testing.T) {
 	r := newRig(t, answerOK)
 	r.Linger = 50 * time.Millisecond
-	r.Listener = slowReader{Listener: r.Listener, delay: 300 * time.Millisecond}
+	r.Listener = slowReader{watchedListener: r.accepts, delay: 300 * time.Millisecond}
 	r.run(t)
 	c := r.dial()
 	_, err := io.WriteString(c, requestText[:5])
@@ -351,13 +395,16 @@
 
 // Guards against a drain that waits for its whole time for a connection whose last answer did not close it.
 func TestDrainClosesAConnectionBehindItsLastAnswer(t *testing.T) {
-	release := make(chan struct{})
-	r := newRig(t, func(http.ResponseWriter, *http.Request) { <-release })
+	handling, release := make(chan struct{}), make(chan struct{})
+	r := newRig(t, func(http.ResponseWriter, *http.Request) {
+		close(handling)
+		<-release
+	})
 	r.Linger = 50 * time.Millisecond
 	r.run(t)
 	c := r.dial()
 	r.send(c)
-	time.Sleep(50 * time.Millisecond)
+	r.await(handling)
 	time.AfterFunc(200*time.Millisecond, func() { close(release) })
 	began := time.Now()
 	r.g.Expect(r.drain(5 * time.Second)).To(Succeed())
@@ -368,13 +415,16 @@
 
 // Guards against a drain that hides the requests that it could not answer.
 func TestDrainReportsWhatItCuts(t *testing.T) {
-	release := make(chan struct{})
-	r := newRig(t, func(http.ResponseWriter, *http.Request) { <-release })
+	handling, release := make(chan struct{}), make(chan struct{})
+	r := newRig(t, func(http.ResponseWriter, *http.Request) {
+		close(handling)
+		<-release
+	})
 	r.run(t)
 	defer close(release)
 	c := r.dial()
 	r.send(c)
-	time.Sleep(50 * time.Millisecond)
+	r.await(handling)
 	var cut *serve.CutError
 	r.g.Expect(errors.As(r.drain(400*time.Millisecond), &cut)).To(BeTrue())
 	r.g.Expect(cut.Conns).To(Equal(1))
@@ -427,11 +477,11 @@
 }
 
 // slowListener accepts more slowly than its callers connect.
-type slowListener struct{ *net.TCPListener }
+type slowListener struct{ *watchedListener }
 
 func (l slowListener) Accept() (net.Conn, error) {
 	time.Sleep(2 * time.Millisecond)
-	return l.TCPListener.Accept()
+	return l.watchedListener.Accept()
 }
 
 // Guards against a drain whose whole time passes with new connections where the packet filter is not available, so that it cuts them all.
@@ -444,7 +494,8 @@
 	r.g.Expect(err).NotTo(HaveOccurred())
 	tcp, ok := listener.(*net.TCPListener)
 	r.g.Expect(ok).To(BeTrue())
-	r.Listener = slowListener{tcp}
+	r.accepts.TCPListener = tcp
+	r.Listener = slowListener{r.accepts}
 	r.run(t)
 	var callers sync.WaitGroup
 	for range 8 {
