--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -27,18 +27,41 @@
 	g       Gomega
 	stopRun context.CancelFunc
 	ended   chan error
+	accepts *watchedListener
 
 	mu   sync.Mutex
 	ends map[serve.End]int
 }
 
+// watchedListener reports its first Accept and its Close. Like all listeners of these tests it keeps the methods of net.TCPListener, with
+// which a drain accepts the connections that wait.
+type watchedListener struct {
+	*net.TCPListener
+	accepting, closed         chan struct{} // closed when it happens
+	acceptingOnce, closedOnce sync.Once
+}
+
+func (l *watchedListener) Accept() (net.Conn, error) {
+	l.acceptingOnce.Do(func() { close(l.accepting) })
+	return l.TCPListener.Accept()
+}
+
+func (l *watchedListener) Close() error {
+	err := l.TCPListener.Close()
+	l.closedOnce.Do(func() { close(l.closed) })
+	return err
+}
+
 func newRig(t *testing.T, handler http.HandlerFunc) *rig {
 	t.Helper()
 	r := &rig{g: NewWithT(t), ended: make(chan error, 1), ends: map[serve.End]int{}}
 	listener, err := serve.Listen(t.Context(), "127.0.0.1:0")
 	r.g.Expect(err).NotTo(HaveOccurred())
+	tcp, ok := listener.(*net.TCPListener)
+	r.g.Expect(ok).To(BeTrue())
+	r.accepts = &watchedListener{TCPListener: tcp, accepting: make(chan struct{}), closed: make(chan struct{})}
 	r.Server = &serve.Server{
-		Name: "test", Listener: listener, HTTP: &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}, Log: zerolog.Nop(),
+		Name: "test", Listener: r.accepts, HTTP: &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}, Log: zerolog.Nop(),
 		Linger: 200 * time.Millisecond, Observe: r.observe,
 	}
 	return r
@@ -56,7 +79,7 @@
 	return r.ends[end]
 }
 
-// run starts the server; it ends with the test.
+// run starts the server and waits until it accepts connections; a drain before that ends without waiting for any. It ends with the test.
 func (r *rig) run(t *testing.T) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
@@ -66,13 +89,12 @@
 		cancel()
 		<-r.ended
 	})
+	r.await(r.accepts.accepting)
 }
 
-// tcpListener returns the listener for one that embeds it and keeps its deadlines, without which a drain resets the backlog.
-func (r *rig) tcpListener() *net.TCPListener {
-	tcp, ok := r.Listener.(*net.TCPListener)
-	r.g.Expect(ok).To(BeTrue())
-	return tcp
+// await waits for an event of the set-up.
+func (r *rig) await(event <-chan struct{}) {
+	r.g.Eventually(event, 10*time.Second).Should(BeClosed())
 }
 
 func (r *rig) dial() net.Conn {
@@ -87,15 +109,6 @@
 	r.g.Expect(err).NotTo(HaveOccurred())
 }
 
-// awaitServing waits until the server serves, and leaves no connection open.
-func (r *rig) awaitServing() {
-	c := r.dial()
-	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
-	r.g.Expect(err).NotTo(HaveOccurred())
-	_, err = io.ReadAll(c)
-	r.g.Expect(err).NotTo(HaveOccurred())
-}
-
 // answer reads a whole answer.
 func (r *rig) answer(c net.Conn) *http.Response {
 	res, err := http.ReadResponse(bufio.NewReader(c), nil)
@@ -142,7 +155,7 @@
 	r.answer(used)
 	drained := make(chan error, 1)
 	go func() { drained <- r.drain(time.Minute) }()
-	time.Sleep(100 * time.Millisecond) // The listener is closed, and the connections are not.
+	r.await(r.accepts.closed) // The connections are not closed.
 	for _, c := range []net.Conn{waiting, used} {
 		r.send(c)
 		r.g.Expect(r.answer(c).Close).To(BeTrue())
@@ -153,30 +166,38 @@
 
 // pausingCloser is a listener whose connections pause between the end of their last read and their close.
 type pausingCloser struct {
-	*net.TCPListener
-	armed   *atomic.Bool  // no connection pauses before it is set
+	*watchedListener
 	pausing chan struct{} // gets an element for each connection that pauses
 	release chan struct{} // closed to let them close
 }
 
 func newPausingCloser(r *rig, conns int) pausingCloser {
-	return pausingCloser{TCPListener: r.tcpListener(), armed: &atomic.Bool{}, pausing: make(chan struct{}, conns), release: make(chan struct{})}
+	return pausingCloser{watchedListener: r.accepts, pausing: make(chan struct{}, conns), release: make(chan struct{})}
 }
 
 func (l pausingCloser) Accept() (net.Conn, error) {
-	c, err := l.TCPListener.Accept()
-	return &pausingCloserConn{Conn: c, listener: l}, err
+	c, err := l.watchedListener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &pausingCloserConn{Conn: c, listener: l}, nil
 }
 
 type pausingCloserConn struct {
 	net.Conn
-	listener pausingCloser
-	paused   atomic.Bool
+	listener   pausingCloser
+	unanswered int // requests read; only one goroutine reads at a time
 }
 
 func (c *pausingCloserConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.listener.armed.Load() && !c.paused.Swap(true) {
+	switch {
+	case n > 0:
+		c.unanswered++
+	case !errors.Is(err, os.ErrDeadlineExceeded):
+	case c.unanswered > 0:
+		c.unanswered-- // net/http reads while a request is handled, and ends that read after its answer.
+	default:
 		c.listener.pausing <- struct{}{}
 		<-c.listener.release
 	}
@@ -196,11 +217,10 @@
 	used, unused := r.dial(), r.dial()
 	r.send(used)
 	r.answer(used)
-	closer.armed.Store(true)
 	drained := make(chan error, 1)
 	go func() { drained <- r.drain(5 * time.Second) }()
 	for range 2 {
-		<-closer.pausing
+		r.g.Eventually(closer.pausing, 10*time.Second).Should(Receive())
 	}
 	for _, c := range []net.Conn{used, unused} {
 		r.send(c)
@@ -231,8 +251,6 @@
 	for range conns {
 		callers = append(callers, r.dial())
 	}
-	r.awaitServing()
-	closer.armed.Store(true)
 	began := time.Now()
 	r.g.Expect(r.drain(time.Second)).To(Succeed())
 	r.g.Expect(time.Since(began)).To(BeNumerically("<", 3*time.Second))
@@ -276,7 +294,6 @@
 	r.Linger = time.Minute
 	r.Refuse = func(w http.ResponseWriter) { w.WriteHeader(http.StatusServiceUnavailable) }
 	r.run(t)
-	r.awaitServing()
 	conns := []net.Conn{r.dial(), r.dial(), r.dial()}
 	began := time.Now()
 	drained := make(chan error, 1)
@@ -337,12 +354,12 @@
 
 // writeCounter is a listener that counts the writes to its connections.
 type writeCounter struct {
-	*net.TCPListener
+	*watchedListener
 	writes *atomic.Int32
 }
 
 func (l writeCounter) Accept() (net.Conn, error) {
-	c, err := l.TCPListener.Accept()
+	c, err := l.watchedListener.Accept()
 	return countedConn{c, l.writes}, err
 }
 
@@ -360,7 +377,7 @@
 func TestDrainWritesARefusalInOnePiece(t *testing.T) {
 	r := newRig(t, answerOK)
 	var writes atomic.Int32
-	r.Listener = writeCounter{r.tcpListener(), &writes}
+	r.Listener = writeCounter{r.accepts, &writes}
 	r.Linger = 20 * time.Millisecond
 	r.Refuse = func(w http.ResponseWriter) {
 		w.Header().Set("Retry-After", "1")
@@ -368,8 +385,6 @@
 		_, _ = io.WriteString(w, "the instance stops") //nolint:errcheck // It is kept in memory.
 	}
 	r.run(t)
-	r.awaitServing()
-	writes.Store(0)
 	c := r.dial()
 	r.g.Expect(r.drain(5 * time.Second)).To(Succeed())
 	r.g.Expect(r.answer(c).StatusCode).To(Equal(http.StatusServiceUnavailable))
@@ -398,9 +413,13 @@
 	r.Linger = time.Minute
 	r.run(t)
 	c := r.dial()
-	r.send(c)
-	r.answer(c)
-	r.g.Expect(r.drain(10 * time.Second)).To(Succeed())
+	for range 2 { // The second answer shows that the server has seen the end of the first request.
+		r.send(c)
+		r.answer(c)
+	}
+	began := time.Now()
+	r.g.Expect(r.drain(20 * time.Second)).To(Succeed())
+	r.g.Expect(time.Since(began)).To(BeNumerically("<", 10*time.Second), "a drain that waits for the connection takes its whole time")
 	r.g.Expect(r.countEnds(serve.EndIdle)).To(Equal(1))
 }
 
@@ -425,9 +444,10 @@
 // Guards against a request that is lost because its connection is closed after an answer without a look at what has arrived meanwhile, and
 // against a deadline in the past for the rest of that request.
 func TestDrainAnswersARequestThatArrivedBehindAnother(t *testing.T) {
-	release := make(chan struct{})
+	handling, release := make(chan struct{}), make(chan struct{})
 	r := newRig(t, func(w http.ResponseWriter, req *http.Request) {
 		if req.Method == http.MethodGet {
+			close(handling)
 			<-release
 			return
 		}
@@ -440,7 +460,7 @@
 	r.run(t)
 	c := r.dial()
 	r.send(c)
-	time.Sleep(50 * time.Millisecond)
+	r.await(handling)
 	drained := make(chan error, 1)
 	go func() { drained <- r.drain(5 * time.Second) }()
 	time.Sleep(200 * time.Millisecond) // Unused connections are closed by now.
@@ -464,12 +484,12 @@
 
 // slowReader is a listener whose connections return what they have read after a delay.
 type slowReader struct {
-	*net.TCPListener
+	*watchedListener
 	delay time.Duration
 }
 
 func (l slowReader) Accept() (net.Conn, error) {
-	c, err := l.TCPListener.Accept()
+	c, err := l.watchedListener.Accept()
 	return slowReaderConn{c, l.delay}, err
 }
 
@@ -490,7 +510,7 @@
 func TestDrainAnswersARequestWhoseFirstBytesAreBeingRead(t *testing.T) {
 	r := newRig(t, answerOK)
 	r.Linger = 50 * time.Millisecond
-	r.Listener = slowReader{TCPListener: r.tcpListener(), delay: 300 * time.Millisecond}
+	r.Listener = slowReader{watchedListener: r.accepts, delay: 300 * time.Millisecond}
 	r.run(t)
 	c := r.dial()
 	_, err := io.WriteString(c, requestText[:5])
@@ -507,13 +527,16 @@
 
 // Guards against a drain that waits for its whole time for a connection whose last answer did not close it.
 func TestDrainClosesAConnectionBehindItsLastAnswer(t *testing.T) {
-	release := make(chan struct{})
-	r := newRig(t, func(http.ResponseWriter, *http.Request) { <-release })
+	handling, release := make(chan struct{}), make(chan struct{})
+	r := newRig(t, func(http.ResponseWriter, *http.Request) {
+		close(handling)
+		<-release
+	})
 	r.Linger = 50 * time.Millisecond
 	r.run(t)
 	c := r.dial()
 	r.send(c)
-	time.Sleep(50 * time.Millisecond)
+	r.await(handling)
 	time.AfterFunc(200*time.Millisecond, func() { close(release) })
 	began := time.Now()
 	r.g.Expect(r.drain(5 * time.Second)).To(Succeed())
@@ -524,13 +547,16 @@
 
 // Guards against a drain that hides the requests that it could not answer.
 func TestDrainReportsWhatItCuts(t *testing.T) {
-	release := make(chan struct{})
-	r := newRig(t, func(http.ResponseWriter, *http.Request) { <-release })
+	handling, release := make(chan struct{}), make(chan struct{})
+	r := newRig(t, func(http.ResponseWriter, *http.Request) {
+		close(handling)
+		<-release
+	})
 	r.run(t)
 	defer close(release)
 	c := r.dial()
 	r.send(c)
-	time.Sleep(50 * time.Millisecond)
+	r.await(handling)
 	var cut *serve.CutError
 	r.g.Expect(errors.As(r.drain(400*time.Millisecond), &cut)).To(BeTrue())
 	r.g.Expect(cut.Conns).To(Equal(1))
@@ -632,11 +658,11 @@
 }
 
 // slowListener accepts more slowly than its callers connect.
-type slowListener struct{ *net.TCPListener }
+type slowListener struct{ *watchedListener }
 
 func (l slowListener) Accept() (net.Conn, error) {
 	time.Sleep(2 * time.Millisecond)
-	return l.TCPListener.Accept()
+	return l.watchedListener.Accept()
 }
 
 // Guards against a drain whose whole time passes with new connections where the packet filter is not available, so that it cuts them all.
@@ -649,7 +675,8 @@
 	r.g.Expect(err).NotTo(HaveOccurred())
 	tcp, ok := listener.(*net.TCPListener)
 	r.g.Expect(ok).To(BeTrue())
-	r.Listener = slowListener{tcp}
+	r.accepts.TCPListener = tcp
+	r.Listener = slowListener{r.accepts}
 	r.run(t)
 	var callers sync.WaitGroup
 	for range 8 {
