serve: a drain waits for the start that it overtakes

A SIGTERM during the start may reach Drain before the server's Run was scheduled. Drain returned at once, its caller ended Run, and the connections that waited to be accepted were reset.

Cause: Drain had nothing to wait on before Run. It waits for Run now, and only when its time ends first leaves the backlog to a later Run, as before.

TestDrainThatOvertakesRunAnswersTheBacklog failed before with "connection reset by peer".

--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -144,6 +144,27 @@
 	r.g.Expect(err).To(HaveOccurred())
 }
 
+// Guards against requests that are reset because their instance is stopped while it starts: its servers drain before they run.
+func TestDrainThatOvertakesRunAnswersTheBacklog(t *testing.T) {
+	r := newRig(t, answerOK)
+	c := r.dial()
+	r.send(c)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	drained := make(chan error, 1)
+	go func() {
+		drained <- r.drain(10 * time.Second)
+		cancel() // As the daemons do once their servers are drained.
+	}()
+	select {
+	case err := <-drained:
+		r.g.Expect(err).NotTo(HaveOccurred())
+	case <-time.After(50 * time.Millisecond): // It waits for Run.
+	}
+	r.g.Expect(r.Run(ctx)).To(Succeed())
+	r.g.Expect(r.answer(c).Close).To(BeTrue())
+}
+
 // Guards against the graceful shutdown of net/http, which closes a connection right after it has read a request from it.
 func TestDrainAnswersTheFirstRequestOfAConnection(t *testing.T) {
 	r := newRig(t, answerOK)
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -71,14 +71,15 @@
 
 	draining atomic.Bool
 
-	mu             sync.Mutex // guards the fields below
-	listener       *listener  // nil until Run
+	mu             sync.Mutex    // guards the fields below
+	running        chan struct{} // closed by Run; see awaitRun
+	listener       *listener     // nil until Run
 	listenerClosed chan struct{}
 	cancelRequests context.CancelCauseFunc
 	conns          map[*conn]bool
 	connClosed     chan struct{} // closed and replaced when a connection has closed
 	ends           map[End]int   // of connections that closed since the drain began
-	drainedEarly   bool          // Drain was called before Run
+	drainedEarly   bool          // the time of a Drain ended before Run
 }
 
 // SetDraining makes each answer close its connection; requests on open and on new connections are still served.
@@ -128,6 +129,7 @@
 	if s.drainedEarly {
 		s.listener.stop()
 	}
+	close(s.runningLocked())
 	return s.listenerClosed, cancelRequests
 }
 
@@ -145,12 +147,10 @@
 // The contexts of requests end shortly before ctx does. It returns once all connections are closed, or a CutError when ctx ends first.
 func (s *Server) Drain(ctx context.Context) error {
 	s.SetDraining()
-	s.mu.Lock()
-	if s.listener == nil {
-		s.drainedEarly = true
-		s.mu.Unlock()
+	if !s.awaitRun(ctx) {
 		return nil
 	}
+	s.mu.Lock()
 	closed, cancelRequests := s.listenerClosed, s.cancelRequests
 	s.mu.Unlock()
 	if end, ok := ctx.Deadline(); ok {
@@ -171,6 +171,31 @@
 	return err
 }
 
+// awaitRun waits until Run has been called, since a stop may overtake the start of a server. It reports false if ctx ends first; a later
+// Run then only serves the connections that wait to be accepted.
+func (s *Server) awaitRun(ctx context.Context) bool {
+	s.mu.Lock()
+	running := s.runningLocked()
+	s.mu.Unlock()
+	select {
+	case <-running:
+		return true
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.drainedEarly = s.listener == nil
+	return !s.drainedEarly
+}
+
+// runningLocked returns the channel that Run closes; s.mu is held.
+func (s *Server) runningLocked() chan struct{} {
+	if s.running == nil {
+		s.running = make(chan struct{})
+	}
+	return s.running
+}
+
 // closeConns waits until the connections are closed by their answers, and closes those without a request after Linger.
 func (s *Server) closeConns(ctx context.Context) error {
 	if s.waitClosed(ctx, s.linger(ctx)) {
