--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -53,8 +53,8 @@
 // Server serves HTTP on one listener. Its exported fields must be set before Run is called, which may be called once; the other methods
 // may be called from any goroutine.
 type Server struct {
-	Name     string // in logs, errors and metrics
-	Listener net.Listener
+	Name     string       // in logs, errors and metrics
+	Listener net.Listener // nil for a server that never runs
 	// HTTP holds the handler, the timeouts and the limits. Run wraps its Handler, and sets its ConnState and BaseContext.
 	HTTP *http.Server
 	Log  zerolog.Logger
@@ -174,6 +174,9 @@
 // awaitRun waits until Run has been called, since a stop may overtake the start of a server. It reports false if ctx ends first; a later
 // Run then only serves the connections that wait to be accepted.
 func (s *Server) awaitRun(ctx context.Context) bool {
+	if s.Listener == nil {
+		return false
+	}
 	s.mu.Lock()
 	running := s.runningLocked()
 	s.mu.Unlock()
