chief: name what keeps free room from a step that waits, and count jobs with nothing running

The lines of such a job could not tell a full service from room that is left idle on purpose: one word, room, stood for both, and pauses after a preemption left no line.

A step that waits now names the hold (rack, room kept or reserved for urgent work, quarantine, pause), the number of its tasks that would fit into all free room, and how long its job has had nothing running. No decision changes.

TestWaitNamesWhatKeepsRoomFree fails without the new reasons (why is room, and there is no field room).

--- a/internal/chief/fit.go
+++ b/internal/chief/fit.go
@@ -14,9 +14,12 @@
 
 // eligible reports whether a worker may run one more task of a stage, regardless of its free capacity.
 func (p *planner) eligible(s *stage, w *worker) bool {
-	if p.keptIdle[w] && p.yieldsToUrgent(s) {
-		return false
-	}
+	kept := p.keptIdle[w] && p.yieldsToUrgent(s)
+	return !kept && p.suits(s, w)
+}
+
+// suits reports whether a worker can run one more task of a stage, regardless of its free capacity and of what is kept for other work.
+func (p *planner) suits(s *stage, w *worker) bool {
 	return w.info.Pool == s.job.spec.Pool && w.info.Has(s.step.Label) && (s.step.PerWorker == 0 || s.runsOn[w] < s.step.PerWorker) &&
 		p.c.listableRuns(w) > 0 && p.hasTicket(s, w)
 }
--- a/internal/chief/orders.go
+++ b/internal/chief/orders.go
@@ -59,6 +59,7 @@
 	w.runs[r.key] = r
 	w.used = w.used.Add(r.resources)
 	s.runsOn[w]++
+	s.job.runs++
 	c.Log.Info().Str("task", r.key.task.String()).Int64("run", int64(number)).Str("worker", string(w.info.ID)).
 		Str("rack", string(w.info.Rack())).Bool("gang", g != nil).Str("saved", string(t.checkpoint)).
 		Dur("waited", now.Sub(s.waitingSince)).Uint64("config", c.configVersion()).Msg("chief: run ordered")
@@ -87,6 +88,7 @@
 		w.missedCalls = 0
 		if r.phase == starting {
 			r.phase, r.ackedAt, r.startedAt, r.progressedAt = running, now, now, now
+			r.task.stage.job.ranAt = now
 		}
 		r.task.stage.job.markStarted(c)
 		c.pollIfDue(w)
@@ -187,6 +189,9 @@
 		return
 	}
 	r.phase, r.reason, r.ackedAt = stopping, reason, 0
+	if r.task != nil {
+		r.task.stage.job.runs--
+	}
 	r.worker.usedByStopping = r.worker.usedByStopping.Add(r.resources)
 	c.Log.Info().Str("task", r.key.task.String()).Int64("run", int64(r.key.number)).Str("worker", string(r.worker.info.ID)).
 		Str("why", reason).Int("percent", r.percent).Msg("chief: stop ordered")
--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -24,6 +24,7 @@
 	now         clock.Instant
 	config      *work.Config
 	workers     []*worker // that may get new runs, by id
+	resting     []*worker // that could get new runs but for their quarantine
 	racks       map[work.Label][]*worker
 	unseenRuns  map[model.WorkerID]bool                 // workers that were not polled yet and may have runs of an earlier term
 	keptIdle    map[*worker]bool                        // idle workers that work which is not urgent may not take
@@ -60,7 +61,11 @@
 			p.noteUnseen(w)
 		}
 		p.settling = p.settling || w.registered && !w.polled && w.missedCalls == 0 && p.now.Sub(p.c.loadedAt) < settleTime
-		if p.c.whyUnusable(w) != "" || !w.polled || p.c.mayHideEnds(w) || w.missedCalls > 0 || p.now < w.quarantinedUntil {
+		if p.c.whyUnusable(w) != "" || !w.polled || p.c.mayHideEnds(w) || w.missedCalls > 0 {
+			continue
+		}
+		if p.now < w.quarantinedUntil {
+			p.resting = append(p.resting, w)
 			continue
 		}
 		p.workers = append(p.workers, w)
@@ -123,13 +128,14 @@
 func (p *planner) job(j *job) {
 	if j.mayHaveRunsOn(p.unseenRuns) {
 		p.noteUnseenWait(j)
+		p.noteStanding(j)
 		return
 	}
 	p.c.endJobWait(j, p.now)
 	for occurrence, stages := range j.stages {
 		if due := j.dueAt(occurrence); p.now < due {
 			p.c.postAfter(min(due.Sub(p.now), tickInterval), func() { p.c.dirty = true })
-			return
+			break
 		}
 		for _, s := range stages {
 			if s.unfinished > 0 && p.dependenciesDone(stages, s) {
@@ -137,18 +143,27 @@
 			}
 		}
 	}
+	p.noteStanding(j)
 }
 
 // dependenciesDone reports whether all steps that a stage depends on are done, and starts its waiting time.
 func (p *planner) dependenciesDone(stages []*stage, s *stage) bool {
+	if !s.dependenciesDone(stages) {
+		return false
+	}
+	if s.waitingSince == 0 {
+		s.waitingSince = p.now
+	}
+	return true
+}
+
+// dependenciesDone reports whether all steps of the same occurrence that a stage depends on are done.
+func (s *stage) dependenciesDone(stages []*stage) bool {
 	for _, before := range s.step.After {
 		if stages[before].unfinished > 0 {
 			return false
 		}
 	}
-	if s.waitingSince == 0 {
-		s.waitingSince = p.now
-	}
 	return true
 }
 
@@ -171,7 +186,11 @@
 func (p *planner) startTasks(s *stage) {
 	for index := range s.tasks {
 		t := &s.tasks[index]
-		if t.done || t.activeRun != nil || p.now < t.notBefore {
+		if t.done || t.activeRun != nil {
+			continue
+		}
+		if p.now < t.notBefore {
+			p.noteWait(s, waitPause)
 			continue
 		}
 		if p.mayExceedAttempts(s, t, len(t.failedRuns)) {
@@ -234,6 +253,7 @@
 		return
 	}
 	if p.now < s.tasks[0].notBefore {
+		p.noteWait(s, waitPause)
 		return
 	}
 	for index := range s.tasks {
--- a/internal/chief/poll.go
+++ b/internal/chief/poll.go
@@ -185,6 +185,7 @@
 		t.lastRun = max(t.lastRun, number)
 		r.resources = t.stage.step.Resources()
 		t.stage.runsOn[w]++
+		t.stage.job.runs++
 		if t.stage.step.Gang {
 			r.gang = c.adoptGangRun(t.stage, number)
 			if r.gang != nil {
@@ -274,6 +275,9 @@
 		r.task.stage.job.started = true
 	}
 	r.listedAt = now
+	if r.task != nil {
+		r.task.stage.job.ranAt = now
+	}
 	if item.Percent != r.percent {
 		r.percent, r.progressedAt = item.Percent, now
 	}
--- a/internal/chief/scheduler.go
+++ b/internal/chief/scheduler.go
@@ -108,6 +108,9 @@
 	RunEnded     func(how work.How)
 	PassDuration func(took time.Duration)                         // of a planning pass
 	JobStarted   func(queue work.QueueName, waited time.Duration) // waited since this term knew the job
+	// JobStood reports a time of at least a second in which a job that was due had nothing running, and whether it was longer than
+	// allowed beside workers with room.
+	JobStood func(stood time.Duration, besideRoom bool)
 	// JobStep and EndStep count how far jobs and the ends that workers list have come, so that the sums can be compared.
 	JobStep func(step JobStep)
 	EndStep func(step EndStep, ends int)
--- a/internal/chief/state.go
+++ b/internal/chief/state.go
@@ -122,7 +122,10 @@
 	dirty        bool          // has progress that is not stored
 	record       kv.Revision   // of the stored progress; 0 while there is none
 	wait         wait          // for workers of an earlier term
-	inherited    bool          // may have runs of an earlier term on workers that were not polled yet
+	runs         int           // that are being started or run, without those being stopped
+	ranAt        clock.Instant // when one of its runs was last known to run; 0 if none was in this term
+	standing     standing
+	inherited    bool // may have runs of an earlier term on workers that were not polled yet
 	knownAt      clock.Instant
 	finishedAt   clock.Instant
 }
--- a/internal/chief/trail_test.go
+++ b/internal/chief/trail_test.go
@@ -117,3 +117,27 @@
 		}
 	})
 }
+
+// Guards against one word for workers that are full and for room that is kept free: an engineer could not tell which of them holds a
+// step back.
+func TestWaitNamesWhatKeepsRoomFree(t *testing.T) {
+	withTestEnv(t, 2, func(env *testEnv) { // One worker in each of two racks.
+		var lines logBuffer
+		env.fleet.Outcome = func(string, int64, string) fakepl.Outcome { return fakepl.Outcome{After: time.Minute, How: "done"} }
+		env.start("a", logTo(&lines))
+		first := newJob("00000000000000f7", "scan", 1, 8)
+		first.Steps[0].DataRack = "r1"
+		env.submit(first)
+		env.await(5*time.Second, "it runs", func() bool { return len(env.fleet.RunningOn(taskID("00000000000000f7", 0))) == 1 })
+		second := newJob("00000000000000f8", "scan", 1, 8)
+		second.Steps[0].DataRack = "r1"
+		env.submit(second)
+		env.await(1500*time.Millisecond, "its wait is logged", func() bool { return lines.count("chief: step waits\"", "00000000000000f8") == 1 })
+		env.Expect(lines.count("00000000000000f8", `"why":"rack of its data, or one rack"`, `"room":1`)).To(Equal(1))
+		env.await(8*time.Second, "it runs in the other rack", func() bool { return len(env.fleet.RunningOn(taskID("00000000000000f8", 0))) == 1 })
+		third := newJob("00000000000000f9", "scan", 1, 8)
+		env.submit(third)
+		env.await(1500*time.Millisecond, "its wait is logged", func() bool { return lines.count("chief: step waits\"", "00000000000000f9") == 1 })
+		env.Expect(lines.count("00000000000000f9", `"why":"room"`, `"room":0`)).To(Equal(1))
+	})
+}
--- a/internal/chief/wait.go
+++ b/internal/chief/wait.go
@@ -13,9 +13,15 @@
 
 // Reasons why a step waits.
 const (
-	waitRoom   = "room"
-	waitAdvice = "advice"
-	waitGang   = "members of an earlier run"
+	waitRoom       = "room" // no worker has any
+	waitLocality   = "rack of its data, or one rack"
+	waitUrgentRoom = "room kept for urgent work"
+	waitReserved   = "room reserved for urgent work"
+	waitQuarantine = "workers in quarantine"
+	waitHolds      = "room that is kept free for several reasons"
+	waitPause      = "pause before the next attempt"
+	waitAdvice     = "advice"
+	waitGang       = "members of an earlier run"
 	// waitLastAttempt is for workers that may hold a failure that was not reported yet.
 	waitLastAttempt = "a silent worker before the last attempt"
 )
@@ -25,6 +31,7 @@
 	why      string
 	since    clock.Instant
 	loggedAt clock.Instant // 0 while it is not logged
+	logged   string        // why, as last logged
 }
 
 // update notes that the tasks wait, and reports whether this has to be logged now: once, and again when the reason changes.
@@ -46,6 +53,10 @@
 	if !s.wait.update(why, p.now) {
 		return
 	}
+	if why == waitRoom {
+		why = p.whyNoRoom(s)
+	}
+	s.wait.logged = why
 	eligible := 0
 	for _, w := range p.workers {
 		if p.eligible(s, w) {
@@ -53,13 +64,14 @@
 		}
 	}
 	p.c.Log.Info().Str("step", s.id.String()).Str("why", why).Dur("waited", p.now.Sub(s.wait.since)).Int("tasks", len(s.tasks)).
-		Int("open", s.unfinished).Int("workers", len(p.workers)).Int("eligible", eligible).Msg("chief: step waits")
+		Int("open", s.unfinished).Int("workers", len(p.workers)).Int("eligible", eligible).
+		Int("room", p.roomFor(s, allHolds)).Dur("standing", p.now.Sub(s.standingSince())).Int("runs", s.job.runs).Msg("chief: step waits")
 }
 
 // endWait notes that a task of a stage has a run.
 func (c *Scheduler) endWait(s *stage, now clock.Instant) {
 	if s.wait.loggedAt != 0 {
-		c.Log.Info().Str("step", s.id.String()).Str("why", s.wait.why).Dur("waited", now.Sub(s.wait.since)).Msg("chief: step waits no more")
+		c.Log.Info().Str("step", s.id.String()).Str("why", s.wait.logged).Dur("waited", now.Sub(s.wait.since)).Msg("chief: step waits no more")
 	}
 	s.wait = wait{}
 }
--- a/internal/chief/workers.go
+++ b/internal/chief/workers.go
@@ -31,6 +31,12 @@
 		if s.runsOn[w]--; s.runsOn[w] <= 0 {
 			delete(s.runsOn, w)
 		}
+		if r.phase != stopping {
+			s.job.runs--
+		}
+		if r.hasRun(how) {
+			s.job.ranAt = c.Now()
+		}
 	}
 	c.Observe.RunEnded(how)
 	line := c.Log.Info().Str("task", r.key.task.String()).Int64("run", int64(r.key.number)).Str("worker", string(w.info.ID)).
