elect: log on each instance who leads

Only the accepting instance and the leaders have such lines, and no line of the others said who leads, so that the record cannot tell a leader that does not know the job from one whose log is not shown.

TestEachInstanceLogsWhoLeads fails without the lines.

--- a/internal/chief/env_test.go
+++ b/internal/chief/env_test.go
@@ -149,7 +149,7 @@
 	i.stop = stop
 	now := func() clock.Instant { return clock.Instant(time.Since(e.startedAt) + time.Hour) }
 	i.elector = &elect.Elector{
-		Store: i.store, Self: elect.Node{ID: model.InstanceID(name), Address: name + ":1", Share: 1}, Log: zerolog.Nop(), Now: now,
+		Store: i.store, Self: elect.Node{ID: model.InstanceID(name), Address: name + ":1", Share: 1}, Log: i.log, Now: now,
 	}
 	i.elector.Lead = func(ctx context.Context, term elect.Term) error {
 		scheduler := &chief.Scheduler{
--- a/internal/chief/trail_test.go
+++ b/internal/chief/trail_test.go
@@ -141,3 +141,17 @@
 		env.Expect(lines.count("00000000000000f9", `"why":"room"`, `"room":0`)).To(Equal(1))
 	})
 }
+
+// Guards against logs of an instance that does not lead from which nobody can tell whose log has the lines of a job.
+func TestEachInstanceLogsWhoLeads(t *testing.T) {
+	withTestEnv(t, 1, func(env *testEnv) {
+		var lines logBuffer
+		leader := env.start("a", nil)
+		env.await(5*time.Second, "a leads", func() bool { return leader.chief.Load() != nil })
+		env.start("b", logTo(&lines))
+		env.await(time.Second, "b logs it", func() bool { return lines.count("elect: leader known", `"leader":"a"`) == 1 })
+		leader.kill()
+		env.await(5*time.Second, "b leads", func() bool { return lines.count("elect: leader known", `"leader":"b"`) == 1 })
+		env.Expect(lines.count("elect: no leader known")).To(Equal(1))
+	})
+}
--- a/internal/elect/elect.go
+++ b/internal/elect/elect.go
@@ -66,10 +66,12 @@
 	synced      bool          // the first snapshot of Prefix has been applied
 	leaderSeen  bool          // an instance has led since this one started
 	leader      kv.Item       // revision 0 while there is no leader
-	nodes       map[string]Node
-	term        *Term // nil while this instance does not lead
-	cancelTerm  context.CancelFunc
-	stoppingAt  clock.Instant // when StopSoon was called; 0 before
+	// loggedLeader is the revision of the last leader that was logged: a new snapshot may hold the same one.
+	loggedLeader kv.Revision
+	nodes        map[string]Node
+	term         *Term // nil while this instance does not lead
+	cancelTerm   context.CancelFunc
+	stoppingAt   clock.Instant // when StopSoon was called; 0 before
 	// nextHandOver is the earliest time of the next attempt to release the leadership before a stop.
 	nextHandOver clock.Instant
 	resigning    bool
--- a/internal/elect/follow.go
+++ b/internal/elect/follow.go
@@ -36,11 +36,8 @@
 		if event.Revision < e.leader.Revision {
 			return
 		}
-		e.leader = event.Item
 		e.leaderSeen = true
-		if event.Removed {
-			e.leader = kv.Item{}
-		}
+		e.setLeader(event)
 		return
 	}
 	id, found := strings.CutPrefix(event.Key, nodePrefix)
@@ -59,6 +56,23 @@
 	e.nodes[id] = node
 }
 
+// setLeader takes over a change of the leader key; e.mu is held. It is logged on each instance: the lines of a job are on the accepting
+// instance and on the leaders alone.
+func (e *Elector) setLeader(event kv.Event) {
+	if event.Removed {
+		e.leader = kv.Item{}
+		e.Log.Info().Uint64("revision", uint64(event.Revision)).Msg("elect: no leader known")
+		return
+	}
+	if event.Revision == e.loggedLeader {
+		e.leader = event.Item
+		return
+	}
+	e.leader, e.loggedLeader = event.Item, event.Revision
+	node, err := work.Decode[Node](event.Value)
+	e.Log.Info().Err(err).Str("leader", string(node.ID)).Uint64("token", uint64(event.Revision)).Msg("elect: leader known")
+}
+
 // endTermIfSuperseded ends the current term when the store has a newer leader; e.mu is held.
 func (e *Elector) endTermIfSuperseded() {
 	if e.term != nil && e.leader.Revision > kv.Revision(e.term.Token) {
