chief: room is not kept free from a job that stands too long

Cause: each way of leaving room idle on purpose has a length of its own, and none looks at how long the job has had nothing running: idle workers and accelerators kept for urgent work (3 s after each peak, renewed by the next one, so without an end while urgent work comes and goes), the wait for the rack of the data or for one rack (twice the estimate, 22 s for the longest tasks, begun anew after each pause and after the lease of a lost worker), pauses after preemptions (up to 3.2 s). They also add up.

Specs on the old code, as the rule counts: data rack 20 s, one rack 20 s, kept accelerators 8.7 s, kept workers of another pool 6.5 s, pause 3.15 s, pause and kept accelerators 5.75 s, lost worker and then its rack 4.49 s; allowed are 3 s.

Change: the scheduler knows for how long a job has had nothing running beside ample room: none of its runs listed, and its next task, or gang, fits twice into all free room. After 2 s of that, no hold keeps room from its next task; the job's other tasks wait as before. The wait for a rack counts on through pauses. Runs on a worker that lists nothing do not count as running, so that the time before a lost worker's leases end counts as well.

--- a/Makefile
+++ b/Makefile
@@ -32,13 +32,6 @@
 	TestWaitForLostWorkersIsNotRepeatedByEachTerm \
 	TestJobDoesNotStandForAWorkerLostWithTheLeader \
 	TestJobDoesNotStandForAWorkerWhereItsRunsHaveEnded \
-	TestLostWorkerAndRackOfTheDataAreNotWaitedForInTurn \
-	TestTaskDoesNotStandForTheRackOfItsData \
-	TestGangDoesNotStandForASingleRack \
-	TestJobDoesNotStandBesideAcceleratorsKeptForUrgentWork \
-	TestWorkersAreNotKeptForUrgentWorkOfAnotherPool \
-	TestPreemptedTaskDoesNotPauseTooLong \
-	TestPauseAndKeptAcceleratorsDoNotAddUp \
 	TestSoundWorkersOpenSoonAfterTheirFailures \
 	TestHopelessJobsDoNotCloseAllWorkers \
 	TestWorkersWithLongTasksGetStarts \
--- a/internal/chief/headroom.go
+++ b/internal/chief/headroom.go
@@ -72,9 +72,9 @@
 	}
 }
 
-// yieldsToUrgent reports whether a stage leaves the accelerators that are kept for urgent work.
+// yieldsToUrgent reports whether a stage leaves the accelerators that are kept for urgent work to it.
 func (p *planner) yieldsToUrgent(s *stage) bool {
-	return p.priority(s) != 0 && s.step.Need.GPU > 0 && !s.step.Lasts
+	return p.priority(s) != 0 && s.step.Need.GPU > 0 && !s.step.Lasts && !s.unheld
 }
 
 // withinSpare reports whether a number of a stage's tasks may start without taking accelerators that are kept for urgent work.
--- a/internal/chief/jobs.go
+++ b/internal/chief/jobs.go
@@ -255,7 +255,7 @@
 	}
 	s := t.stage
 	if t.activeRun == r {
-		t.activeRun = nil
+		t.activeRun, t.endedAt = nil, c.Now()
 	}
 	if checkpoint != "" {
 		c.setCheckpoint(s, t, checkpoint)
--- a/internal/chief/orders.go
+++ b/internal/chief/orders.go
@@ -60,6 +60,7 @@
 	w.used = w.used.Add(r.resources)
 	s.runsOn[w]++
 	s.job.runs++
+	s.job.lastStartAt = now
 	c.Log.Info().Str("task", r.key.task.String()).Int64("run", int64(number)).Str("worker", string(w.info.ID)).
 		Str("rack", string(w.info.Rack())).Bool("gang", g != nil).Str("saved", string(t.checkpoint)).
 		Dur("waited", now.Sub(s.waitingSince)).Uint64("config", c.configVersion()).Msg("chief: run ordered")
--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -174,27 +174,27 @@
 		return
 	}
 	p.creditReservation(s)
+	s.unheld = p.standsTooLong(s)
 	if s.step.Gang {
 		p.planGang(s)
 	} else {
 		p.startTasks(s)
 	}
+	s.unheld = false
 	p.deductReservation(s)
 }
 
 // startTasks starts the waiting tasks of a stage. If it is urgent, workers are reserved for those that do not fit.
 func (p *planner) startTasks(s *stage) {
+	allStarted := true
 	for index := range s.tasks {
 		t := &s.tasks[index]
 		if t.done || t.activeRun != nil {
 			continue
 		}
-		if p.now < t.notBefore {
-			p.noteWait(s, waitPause)
-			continue
-		}
-		if p.mayExceedAttempts(s, t, len(t.failedRuns)) {
-			p.noteWait(s, waitLastAttempt)
+		if why := p.whyNotYet(s, t, len(t.failedRuns)); why != "" {
+			p.noteWait(s, why)
+			allStarted = false
 			continue
 		}
 		if !p.startTask(s, t) {
@@ -203,8 +203,23 @@
 			return
 		}
 		s.reserved = nil // The remaining tasks reserve anew.
+		s.unheld = s.unheld && s.step.Lasts
+	}
+	s.reserved = nil
+	if allStarted {
+		s.waitingSince = 0
+	}
+}
+
+// whyNotYet returns why a task, or a gang with it, may not start now even if there is room; an empty text if it may.
+func (p *planner) whyNotYet(s *stage, t *task, failures int) string {
+	switch {
+	case p.now < t.notBefore || p.now < t.pausedUntil && !s.unheld:
+		return waitPause
+	case p.mayExceedAttempts(s, t, failures):
+		return waitLastAttempt
 	}
-	s.waitingSince, s.reserved = 0, nil
+	return ""
 }
 
 // mayExceedAttempts reports whether one more failure ends the job while a silent worker may hold a failure that was not
@@ -239,6 +254,9 @@
 // mayRunRemote reports whether a stage's tasks have waited long enough to run outside the rack of their data or on several racks.
 // They take several times longer there: waiting is better until the wait exceeds the extra run time.
 func (p *planner) mayRunRemote(s *stage) bool {
+	if s.unheld {
+		return true
+	}
 	longer := (p.c.Limits.RemoteSlowdown - 1) * float64(p.c.estimate(s))
 	return p.now.Sub(s.waitingSince) > max(time.Duration(longer), minLocalWait)
 }
@@ -252,17 +270,13 @@
 		}
 		return
 	}
-	if p.now < s.tasks[0].notBefore {
-		p.noteWait(s, waitPause)
-		return
-	}
 	for index := range s.tasks {
 		if s.tasks[index].activeRun != nil {
 			p.noteWait(s, waitGang)
 			return
 		}
-		if p.mayExceedAttempts(s, &s.tasks[index], len(s.failedRuns)) {
-			p.noteWait(s, waitLastAttempt)
+		if why := p.whyNotYet(s, &s.tasks[index], len(s.failedRuns)); why != "" {
+			p.noteWait(s, why)
 			return
 		}
 	}
--- a/internal/chief/preempt.go
+++ b/internal/chief/preempt.go
@@ -177,7 +177,7 @@
 		return
 	}
 	t.preemptions = min(t.preemptions+1, maxPreemptedPauses)
-	t.notBefore = max(t.notBefore, p.now.Add(time.Duration(t.preemptions)*preemptedPause))
+	t.pausedUntil = p.now.Add(time.Duration(t.preemptions) * preemptedPause)
 }
 
 func (p *planner) preemptGang(g *gang, reason string) {
--- a/internal/chief/standing.go
+++ b/internal/chief/standing.go
@@ -10,8 +10,12 @@
 const (
 	// standingBound is how long a job may have nothing running while one of its tasks is due and workers have room for it.
 	standingBound = 3 * time.Second
+	// standingLimit is the time after which room is no longer kept from a job; the rest of standingBound is for its start.
+	standingLimit = standingBound - time.Second
 	// roomCheckPause is the least time between two checks of the room for a job that has nothing running.
 	roomCheckPause = 250 * time.Millisecond
+	// listedInterval is the time within which each worker that answers lists its runs.
+	listedInterval = pollWait + pollTimeoutMargin
 	// ampleRoom is how often a waiting task, or gang, must fit into the free room for its job to count as standing beside free workers.
 	ampleRoom = 2
 )
@@ -59,14 +63,41 @@
 	return nil
 }
 
+// stands reports whether none of a job's runs is known to run.
+func (j *job) stands(now clock.Instant) bool {
+	return j.runs == 0 || now.Sub(j.ranAt) >= listedInterval
+}
+
 // standingSince returns since when a job whose stage is due has nothing running, as far as this term knows.
 func (s *stage) standingSince() clock.Instant { return max(s.job.ranAt, s.job.dueAt(s.id.Occurrence)) }
 
+// standsTooLong reports whether a stage's job, or a task of it that lasts, has had nothing running for so long, beside ample room, that
+// the room must not be kept free for anything else.
+func (p *planner) standsTooLong(s *stage) bool {
+	if s.step.Lasts {
+		return s.lastingTaskStands(p.now)
+	}
+	j := s.job
+	startInFlight := j.runs > 0 && p.now.Sub(j.lastStartAt) < listedInterval
+	return !startInFlight && j.stands(p.now) && j.standing.besideRoom(p.now) >= standingLimit
+}
+
+// lastingTaskStands reports whether a task that lasts has had no run for standingLimit; each of them counts by itself.
+func (s *stage) lastingTaskStands(now clock.Instant) bool {
+	for index := range s.tasks {
+		t := &s.tasks[index]
+		if t.activeRun == nil && now.Sub(max(t.endedAt, s.job.dueAt(s.id.Occurrence))) >= standingLimit {
+			return true
+		}
+	}
+	return false
+}
+
 // noteStanding notes whether a planning pass leaves a job that is due with nothing running, and logs it once that is longer than
 // allowed beside ample room.
 func (p *planner) noteStanding(j *job) {
 	var s *stage
-	if j.runs == 0 {
+	if j.stands(p.now) {
 		s = j.firstDue(p.now)
 	}
 	if s == nil {
--- a/internal/chief/state.go
+++ b/internal/chief/state.go
@@ -75,7 +75,9 @@
 	lastRun     work.RunNumber
 	checkpoint  work.Checkpoint
 	activeRun   *run
-	notBefore   clock.Instant // earliest next start
+	notBefore   clock.Instant // earliest next start after a rejected one or, for a task that lasts, after a failure
+	pausedUntil clock.Instant // earliest next start after a preemption, unless its job stands for too long
+	endedAt     clock.Instant // when its last run in this term ended
 	preemptions int           // at most maxPreemptedPauses
 	failedOn    model.WorkerID
 	failedRuns  []work.RunNumber // that count as attempts
@@ -95,7 +97,9 @@
 	waitingSince clock.Instant    // 0 while no task waits
 	wait         wait             // why the last planning pass started none of its tasks
 	gang         *gang            // the current run of a gang
-	finishedAt   clock.Instant
+	// unheld is valid during a planning pass: the job stands for too long, so that no hold keeps room from this stage.
+	unheld     bool
+	finishedAt clock.Instant
 	// reserved holds a worker for each waiting task while runs there are being stopped.
 	reserved           []*worker
 	reservedAt         clock.Instant
@@ -123,6 +127,7 @@
 	record       kv.Revision   // of the stored progress; 0 while there is none
 	wait         wait          // for workers of an earlier term
 	runs         int           // that are being started or run, without those being stopped
+	lastStartAt  clock.Instant // when the last of them was created
 	ranAt        clock.Instant // when one of its runs was last known to run; 0 if none was in this term
 	standing     standing
 	inherited    bool // may have runs of an earlier term on workers that were not polled yet
