chief: a worker at rest is probed, and one burst of failures closes it once

Cause: each failed run beyond the second doubled a worker's time without starts, also those that fail together, so that one burst of five closed it for 24 s; so did first failures of hopeless jobs, on all workers at once. Nothing but time ended a quarantine, and a worker with the longer tasks of a step counted as slow again every half second.

Change: runs that were started before a quarantine do not extend it. A worker at rest may be given one run at a time as a probe, 2 s after the last failure, by a job that stands too long, though never a task's last attempt where tasks fail; a probe that has made progress for a second, or is done, ends the quarantine. A slow worker works, so that its probe needs no pause and ends nothing.

TestFaultyWorkersDoNotUseUpTheAttemptsOfManyJobs holds.

--- a/Makefile
+++ b/Makefile
@@ -32,9 +32,6 @@
 	TestWaitForLostWorkersIsNotRepeatedByEachTerm \
 	TestJobDoesNotStandForAWorkerLostWithTheLeader \
 	TestJobDoesNotStandForAWorkerWhereItsRunsHaveEnded \
-	TestSoundWorkersOpenSoonAfterTheirFailures \
-	TestHopelessJobsDoNotCloseAllWorkers \
-	TestWorkersWithLongTasksGetStarts \
 	TestStartsLeaveAWorkerThatAnswersNone \
 	TestWorkersWithAFullListOfEndsTakeStarts
 RED_CHIEF := ^($(subst $(SPACE),|,$(strip $(RED_CHIEF_TESTS))))$$
--- a/internal/chief/fit.go
+++ b/internal/chief/fit.go
@@ -90,6 +90,25 @@
 	return false
 }
 
+// probeable returns the workers at rest that may run a task of a stage which has failed some times: none unless its job stands for too
+// long. One that may still fail everything never gets the last attempt.
+func (p *planner) probeable(s *stage, failures int) []*worker {
+	if !s.unheld {
+		return nil
+	}
+	lastAttempt := failures+1 >= p.c.maxAttempts(s.job)
+	var list []*worker
+	for _, w := range p.resting {
+		if lastAttempt && p.now < w.quarantinedUntil {
+			continue
+		}
+		if w.mayProbe(p.now) {
+			list = append(list, w)
+		}
+	}
+	return list
+}
+
 // placeGang returns a worker for each member, or nil.
 func (p *planner) placeGang(s *stage) []*worker {
 	if dataRack := s.step.DataRack; dataRack != "" {
@@ -164,6 +183,9 @@
 		if s.step.PerWorker > 0 {
 			count = min(count, s.step.PerWorker-s.runsOn[w])
 		}
+		if w.rests(p.now) {
+			count = min(count, 1) // A single probe.
+		}
 		if count > 0 {
 			options = append(options, option{w, count})
 			total += count
@@ -174,6 +196,9 @@
 	}
 	sort.SliceStable(options, func(i, j int) bool {
 		a, b := options[i].worker, options[j].worker
+		if rests := b.rests(p.now); a.rests(p.now) != rests {
+			return rests
+		}
 		if a.suspect() != b.suspect() {
 			return b.suspect()
 		}
--- a/internal/chief/health.go
+++ b/internal/chief/health.go
@@ -19,6 +19,10 @@
 	// gangEndGrace is how long the members of a gang may take to end after the first is done.
 	gangEndGrace = time.Second
 	fullPercent  = 100
+	// probePause is the least time from the beginning of a quarantine, or its last failed probe, to a probe.
+	probePause = 2 * time.Second
+	// probeTime is how long a probe must have made progress to end the quarantine of its worker: faulty workers fail tasks at once.
+	probeTime = time.Second
 )
 
 // recordOutcome updates the failure counts of a worker. A task that has failed elsewhere says nothing about this worker.
@@ -26,12 +30,19 @@
 	switch how {
 	case work.EndedDone:
 		w.failures, w.quarantines, w.lastDoneAt = 0, 0, c.Now()
+		if w.probe == r && c.Now() < w.quarantinedUntil {
+			c.endQuarantine(w)
+		}
 	case work.EndedFailed:
 		if r.task == nil || r.task.failedOn != "" && r.task.failedOn != w.info.ID {
 			return
 		}
+		if r.createdAt < w.closedAt {
+			return // All runs of that time fail together: they say no more than the first ones.
+		}
 		w.failures++
 		if w.failures >= failuresToQuarantine {
+			w.closedAt = c.Now()
 			c.quarantine(w, failureQuarantine<<min(w.quarantines, maxQuarantineDoublings), "its tasks fail")
 			w.quarantines++
 			w.failures = failuresToQuarantine - 1
@@ -39,6 +50,27 @@
 	}
 }
 
+// rests reports whether a worker gets no starts, but for a probe, since its tasks fail, make no progress or are slow.
+func (w *worker) rests(now clock.Instant) bool { return now < w.quarantinedUntil || now < w.slowUntil }
+
+// mayProbe reports whether a worker at rest may get a run that shows whether it works again.
+func (w *worker) mayProbe(now clock.Instant) bool {
+	return w.probe == nil && (now >= w.quarantinedUntil || now.Sub(w.quarantinedAt) >= probePause)
+}
+
+// endProvenQuarantine ends the quarantine of a worker whose probe has made progress for some time.
+func (c *Scheduler) endProvenQuarantine(w *worker, r *run, now clock.Instant) {
+	if w.probe == r && now < w.quarantinedUntil && r.rate > minRate && now.Sub(r.createdAt) >= probeTime {
+		c.endQuarantine(w)
+	}
+}
+
+func (c *Scheduler) endQuarantine(w *worker) {
+	w.probe, w.quarantinedUntil = nil, 0
+	c.dirty = true
+	c.Log.Info().Str("worker", string(w.info.ID)).Msg("chief: worker works again and gets starts")
+}
+
 // suspect reports whether the last run that counts for or against a worker failed.
 func (w *worker) suspect() bool { return w.failures > 0 }
 
--- a/internal/chief/orders.go
+++ b/internal/chief/orders.go
@@ -56,6 +56,9 @@
 		g.members[r] = true
 	}
 	t.activeRun, t.lastRun = r, number
+	if w.rests(now) {
+		w.probe = r
+	}
 	w.runs[r.key] = r
 	w.used = w.used.Add(r.resources)
 	s.runsOn[w]++
@@ -171,11 +174,17 @@
 
 // quarantine keeps new runs off a worker for a time. One that does not extend the quarantine in force is not logged.
 func (c *Scheduler) quarantine(w *worker, d time.Duration, reason string) {
-	until := c.Now().Add(d)
+	now := c.Now()
+	until := now.Add(d)
+	w.quarantinedAt = now
 	if until <= w.quarantinedUntil {
 		return
 	}
 	w.quarantinedUntil = until
+	c.logNoStarts(w, d, reason)
+}
+
+func (c *Scheduler) logNoStarts(w *worker, d time.Duration, reason string) {
 	c.Log.Info().Str("worker", string(w.info.ID)).Dur("for", d).Str("why", reason).Msg("chief: worker gets no starts")
 }
 
--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -1,6 +1,7 @@
 package chief
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -64,7 +65,7 @@
 		if p.c.whyUnusable(w) != "" || !w.polled || p.c.mayHideEnds(w) || w.missedCalls > 0 {
 			continue
 		}
-		if p.now < w.quarantinedUntil {
+		if w.rests(p.now) {
 			p.resting = append(p.resting, w)
 			continue
 		}
@@ -237,7 +238,11 @@
 	if !p.withinSpare(s, 1) {
 		return false
 	}
-	if w := p.bestWorker(s, p.workers, p.mayRunRemote(s)); w != nil {
+	w := p.bestWorker(s, p.workers, p.mayRunRemote(s))
+	if w == nil {
+		w = p.tightestFit(s, p.probeable(s, len(t.failedRuns)), s.step.Resources())
+	}
+	if w != nil {
 		p.spend(s, 1)
 		p.c.startRun(t, w, nextRunNumber(s.job, t.lastRun), nil)
 		w.available = w.available.Sub(s.step.Resources())
@@ -288,6 +293,9 @@
 	if places == nil {
 		places = p.reservedPlaces(s)
 	}
+	if probes := p.probeable(s, len(s.failedRuns)); places == nil && len(probes) > 0 {
+		places = p.placeTasks(s, append(slices.Clone(p.workers), probes...), len(s.tasks), availableNow)
+	}
 	if places == nil {
 		p.noteWait(s, waitRoom)
 		p.reserveForUrgent(s)
--- a/internal/chief/speed.go
+++ b/internal/chief/speed.go
@@ -108,7 +108,8 @@
 		return
 	}
 	w.slowRounds++
-	c.quarantine(w, slowQuarantine, "its tasks are slow")
+	w.slowUntil = c.Now().Add(slowQuarantine)
+	c.logNoStarts(w, slowQuarantine, "its tasks are slow")
 	if w.slowRounds >= slowRoundsToMove {
 		c.moveFromSlowWorker(w)
 	}
--- a/internal/chief/state.go
+++ b/internal/chief/state.go
@@ -151,7 +151,11 @@
 	reportedAt       clock.Instant    // when it last answered a poll
 	nextPaceAt       clock.Instant    // earliest next change of pace
 	missedCalls      int              // consecutive calls without an answer
-	quarantinedUntil clock.Instant    // no starts before
+	quarantinedUntil clock.Instant    // no starts before, but for a probe
+	quarantinedAt    clock.Instant    // when there was last a reason for a quarantine
+	slowUntil        clock.Instant    // no starts before, but for a probe: its tasks are slow
+	closedAt         clock.Instant    // when it was last quarantined for failed tasks
+	probe            *run             // that was started in quarantine and shows whether it works again; nil for none
 	leavesAt         clock.Instant    // earliest end of a draining worker; 0 while it does not drain
 	listedFrom       work.EndNumber   // end before the first one that it listed in this term
 	handledEnd       work.EndNumber   // last end that was handled
