chief: starts leave a worker that answers none

What callers see: jobs have nothing running beside sound workers while one worker answers polls and leaves starts unanswered.

Cause: an unanswered start marked its worker as silent until the next poll, which it answered, so that the next start went there again: it fits best, since nothing runs on it. And what never ran has no end that ends a poll's wait, so that each try took 3 s.

Evidence: TestStartsLeaveAWorkerThatAnswersNone, three jobs stand for all 20 s of the spec beside three idle workers.

Change: a worker gets no starts for 1.5 s after an unanswered one, 3 s after each further one, and polls wait 0.2 s while a start has no answer.

--- a/internal/chief/orders.go
+++ b/internal/chief/orders.go
@@ -89,7 +89,7 @@
 	c.dirty = true
 	if err == nil {
 		w.updateClock(reading, now, r.sentToBorn)
-		w.missedCalls = 0
+		w.missedCalls, w.unanswered = 0, 0
 		if r.phase == starting {
 			r.phase, r.ackedAt, r.startedAt, r.progressedAt = running, now, now, now
 			r.task.stage.job.ranAt = now
@@ -136,6 +136,7 @@
 		w.registered = false
 		c.endAllRuns(w, "another worker at the address")
 	case doubtful:
+		c.avoidUnanswering(w)
 		c.stopRun(r, "start without an answer")
 	case errors.As(err, &rejected):
 		c.handleStartRejection(r, rejected)
@@ -146,15 +147,24 @@
 		c.endRun(r, work.EndedStopped, "")
 	default:
 		c.recordMissedCall(w, err)
+		c.avoidUnanswering(w)
 		c.stopRun(r, "start without an answer")
 	}
 }
 
 const (
-	refusedQuarantine  = 1500 * time.Millisecond
-	rejectedQuarantine = 300 * time.Millisecond
+	refusedQuarantine    = 1500 * time.Millisecond
+	rejectedQuarantine   = 300 * time.Millisecond
+	unansweredQuarantine = 1500 * time.Millisecond
 )
 
+// avoidUnanswering keeps new runs off a worker that left a start without an answer, longer if it does so again: it may answer polls all
+// the while, and the same tasks would be started there again and again.
+func (c *Scheduler) avoidUnanswering(w *worker) {
+	c.quarantine(w, unansweredQuarantine<<min(w.unanswered, 1), "it leaves starts unanswered")
+	w.unanswered++
+}
+
 func (c *Scheduler) handleStartRejection(r *run, rejected *agent.RejectedError) {
 	w, now := r.worker, c.Now()
 	w.updateClock(rejected.Clock, now, r.sentToBorn)
--- a/internal/chief/poll.go
+++ b/internal/chief/poll.go
@@ -12,6 +12,7 @@
 
 const (
 	pollWait          = 1200 * time.Millisecond // how long a worker holds a poll open for the next end
+	doubtfulPollWait  = 200 * time.Millisecond  // the same while a start has no answer: what never ran has no end that ends the wait
 	pollTimeoutMargin = 600 * time.Millisecond  // beyond the wait, for the answer to arrive
 	pollRetryPause    = 200 * time.Millisecond
 	// undurablePause delays the next poll while ends are not stored: the worker would list them again at once.
@@ -45,6 +46,9 @@
 	}
 	if w.polled && !c.mayHideEnds(w) && w.missedCalls == 0 && len(w.runs) > 0 && w.handledEnd == w.durableEnd {
 		order.Wait = pollWait
+		if w.hasDoubtfulRun() {
+			order.Wait = doubtfulPollWait
+		}
 	}
 	w.pollInFlight = true
 	target := w.target()
@@ -58,6 +62,16 @@
 	}()
 }
 
+// hasDoubtfulRun reports whether a start of a run on the worker was sent again, since it had no answer, and still has none.
+func (w *worker) hasDoubtfulRun() bool {
+	for _, r := range w.runs {
+		if r.attempts > 1 && r.startedAt == 0 && r.listedAt == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // pollSent is a poll as it was sent.
 type pollSent struct {
 	order agent.PollOrder
--- a/internal/chief/state.go
+++ b/internal/chief/state.go
@@ -151,6 +151,7 @@
 	reportedAt       clock.Instant    // when it last answered a poll
 	nextPaceAt       clock.Instant    // earliest next change of pace
 	missedCalls      int              // consecutive calls without an answer
+	unanswered       int              // consecutive starts without an answer
 	quarantinedUntil clock.Instant    // no starts before, but for a probe
 	quarantinedAt    clock.Instant    // when there was last a reason for a quarantine
 	slowUntil        clock.Instant    // no starts before, but for a probe: its tasks are slow
