--- a/internal/chief/headroom.go
+++ b/internal/chief/headroom.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"peridotgw.example/peridotgw/internal/clock"
+	"peridotgw.example/peridotgw/internal/work"
 	"peridotgw.example/peridotgw/model"
 )
 
@@ -17,7 +18,7 @@
 	maxPreemptedPauses = 8
 )
 
-// urgentDemand holds the peak of the accelerators that urgent runs used in each part of the last headroomWindow.
+// urgentDemand holds the peak of the accelerators that urgent runs used in a pool in each part of the last headroomWindow.
 type urgentDemand struct {
 	peaks [headroomSlots]model.Accelerators
 	slot  int64
@@ -38,36 +39,51 @@
 	return peak
 }
 
-// measureSpare computes how many accelerators work that is not urgent may still take.
+// headroom is what urgent work has free in one pool.
+type headroom struct {
+	urgent, free model.Accelerators
+	kept         model.Accelerators // for more urgent work
+}
+
+// measureSpare computes, for each pool, how many accelerators work that is not urgent may still take.
 func (p *planner) measureSpare() {
-	var urgent, free model.Accelerators
+	pools := map[work.PoolName]*headroom{}
+	pool := func(w *worker) *headroom {
+		if pools[w.info.Pool] == nil {
+			pools[w.info.Pool] = &headroom{}
+		}
+		return pools[w.info.Pool]
+	}
 	for _, w := range p.c.workers {
 		for _, r := range w.runs {
 			if r.task != nil && r.phase != stopping && p.priority(r.task.stage) == 0 {
-				urgent += r.resources.GPU
+				pool(w).urgent += r.resources.GPU
 			}
 		}
 	}
 	for _, w := range p.workers {
-		free += max(0, w.available.GPU)
+		pool(w).free += max(0, w.available.GPU)
 	}
-	peak := p.c.urgentDemand.record(p.now, urgent)
-	kept := max(0, peak-urgent)
-	p.spare = free - kept
-	p.keepIdleWorkers(kept)
+	p.spare = map[work.PoolName]model.Accelerators{}
+	for name, h := range pools {
+		if p.c.urgentDemand[name] == nil {
+			p.c.urgentDemand[name] = &urgentDemand{}
+		}
+		h.kept = max(0, p.c.urgentDemand[name].record(p.now, h.urgent)-h.urgent)
+		p.spare[name] = h.free - h.kept
+	}
+	p.keepIdleWorkers(pools)
 }
 
-// keepIdleWorkers keeps idle workers for urgent work, up to a number of accelerators: tasks that use a whole worker do not fit into
-// as many accelerators spread over several.
-func (p *planner) keepIdleWorkers(accelerators model.Accelerators) {
+// keepIdleWorkers keeps idle workers for urgent work, up to the accelerators that are kept in their pool: tasks that use a whole worker do
+// not fit into as many accelerators spread over several.
+func (p *planner) keepIdleWorkers(pools map[work.PoolName]*headroom) {
 	p.keptIdle = map[*worker]bool{}
 	for _, w := range p.workers {
-		if accelerators <= 0 {
-			return
-		}
-		if w.info.Capacity.GPU > 0 && w.available.GPU == w.info.Capacity.GPU {
+		h := pools[w.info.Pool]
+		if h.kept > 0 && w.info.Capacity.GPU > 0 && w.available.GPU == w.info.Capacity.GPU {
 			p.keptIdle[w] = true
-			accelerators -= w.info.Capacity.GPU
+			h.kept -= w.info.Capacity.GPU
 		}
 	}
 }
@@ -82,8 +98,10 @@
 	if !p.yieldsToUrgent(s) {
 		return true
 	}
-	return s.step.Need.GPU*model.Accelerators(tasks) <= p.spare
+	return s.step.Need.GPU*model.Accelerators(tasks) <= p.spare[s.job.spec.Pool]
 }
 
 // spend deducts the accelerators of tasks that start from those that work which is not urgent may take.
-func (p *planner) spend(s *stage, tasks int) { p.spare -= s.step.Need.GPU * model.Accelerators(tasks) }
+func (p *planner) spend(s *stage, tasks int) {
+	p.spare[s.job.spec.Pool] -= s.step.Need.GPU * model.Accelerators(tasks)
+}
--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -30,7 +30,7 @@
 	unseenRuns  map[model.WorkerID]bool                 // workers that were not polled yet and may have runs of an earlier term
 	keptIdle    map[*worker]bool                        // idle workers that work which is not urgent may not take
 	settling    bool                                    // registered workers have not been polled yet: their free capacity is unknown
-	spare       model.Accelerators                      // that work which is not urgent may take
+	spare       map[work.PoolName]model.Accelerators    // that work which is not urgent may take
 	urgentNeeds map[model.CustomerID]model.Accelerators // of unfinished urgent jobs, by tenant
 	unseenEnds  map[model.WorkerID]bool                 // workers that were not polled yet and may list ends of an earlier term
 }
--- a/internal/chief/room.go
+++ b/internal/chief/room.go
@@ -67,7 +67,7 @@
 		room = bestRack
 	}
 	if ignoring&holdUrgent == 0 && p.yieldsToUrgent(s) && s.step.Need.GPU > 0 {
-		room = min(room, max(0, int(p.spare/s.step.Need.GPU)))
+		room = min(room, max(0, int(p.spare[s.job.spec.Pool]/s.step.Need.GPU)))
 	}
 	return room
 }
--- a/internal/chief/scheduler.go
+++ b/internal/chief/scheduler.go
@@ -90,7 +90,7 @@
 	jobsLoaded         bool
 	dirty              bool // a planning pass is needed
 	adviceInFlight     bool
-	urgentDemand       urgentDemand
+	urgentDemand       map[work.PoolName]*urgentDemand
 	nextPlanAt         clock.Instant
 	speedsComparedAt   clock.Instant
 	runTimes           map[work.QueueName]*runTimes
@@ -154,6 +154,7 @@
 	c.unclaimedPlacements = map[model.JobID]storedPlacement{}
 	c.cancelRequested = map[model.JobID]bool{}
 	c.forgotten = map[model.JobID]forgottenJob{}
+	c.urgentDemand = map[work.PoolName]*urgentDemand{}
 	c.mu.Lock()
 	c.durableStates = map[model.JobID]work.State{}
 	c.mu.Unlock()
