chief: a first start that a poll reports counts as one

A job whose first start had its answer lost was shown as queued while it ran, and missing in peridot_job_wait_seconds and peridot_job_steps_total. TestStartThatAPollReportsCounts fails before. The line of a term's end says how many jobs it leaves with nothing running: their wait begins anew with the next leader.

--- a/internal/chief/poll.go
+++ b/internal/chief/poll.go
@@ -286,7 +286,7 @@
 	if r.phase == starting {
 		r.phase = running
 		r.ackedAt, r.startedAt = now, now
-		r.task.stage.job.started = true
+		r.task.stage.job.markStarted(c)
 	}
 	r.listedAt = now
 	if r.task != nil {
--- a/internal/chief/scheduler.go
+++ b/internal/chief/scheduler.go
@@ -301,8 +301,11 @@
 
 // logTermEnd logs what this term leaves behind. Ends that are not stored are known to their workers alone.
 func (c *Scheduler) logTermEnd() {
-	unstoredJobs, runs, unstoredEnds := 0, 0, 0
+	unstoredJobs, runs, unstoredEnds, standing := 0, 0, 0, 0
 	for _, j := range c.jobs {
+		if j.standing.since != 0 {
+			standing++
+		}
 		if j.dirty || j.state.Final() && !j.durableState.Final() {
 			unstoredJobs++
 		}
@@ -311,7 +314,7 @@
 		runs += len(w.runs)
 		unstoredEnds += int(w.handledEnd - max(w.durableEnd, w.listedFrom))
 	}
-	c.Log.Info().Uint64("token", uint64(c.Term.Token)).Int("jobs", len(c.jobs)).Int("live", len(c.liveJobs)).Int("runs", runs).
+	c.Log.Info().Uint64("token", uint64(c.Term.Token)).Int("jobs", len(c.jobs)).Int("live", len(c.liveJobs)).Int("runs", runs).Int("standing", standing).
 		Int("unstored-jobs", unstoredJobs).Int("unstored-ends", unstoredEnds).
 		Bool("write-in-flight", c.writeInFlight).Msg("chief: term left")
 }
--- a/internal/chief/trail_test.go
+++ b/internal/chief/trail_test.go
@@ -155,3 +155,16 @@
 		env.Expect(lines.count("elect: no leader known")).To(Equal(1))
 	})
 }
+
+// Guards against a job that is shown as queued, and counted as never started, while it runs: the answer to its start was lost, and a poll
+// reports the run.
+func TestStartThatAPollReportsCounts(t *testing.T) {
+	withTestEnv(t, 1, func(env *testEnv) {
+		env.fleet.Outcome = func(string, int64, string) fakepl.Outcome { return fakepl.Outcome{After: time.Minute, How: "done"} }
+		leader := env.start("a", nil)
+		env.sleep(3 * time.Second)
+		env.workers[0].SetFault(fakepl.FaultOn(fakepl.LostAnswer, fakepl.PathStart))
+		env.submit(newJob("00000000000000fb", "scan", 1, 1))
+		env.await(3*time.Second, "it is shown as running", func() bool { return leader.state("00000000000000fb") == work.StateRunning })
+	})
+}
