chief: the spec of a start that a poll reports keeps the start unanswered until then

As committed before it failed with and without the change: the answers were lost at once, so that the start was given up before a poll. It now fails without the change (not within 3 s) and passes with it.

--- a/internal/chief/trail_test.go
+++ b/internal/chief/trail_test.go
@@ -163,7 +163,8 @@
 		env.fleet.Outcome = func(string, int64, string) fakepl.Outcome { return fakepl.Outcome{After: time.Minute, How: "done"} }
 		leader := env.start("a", nil)
 		env.sleep(3 * time.Second)
-		env.workers[0].SetFault(fakepl.FaultOn(fakepl.LostAnswer, fakepl.PathStart))
+		env.workers[0].LateBy = 100 * time.Millisecond
+		env.workers[0].SetFault(fakepl.FaultOn(fakepl.DelayedExecution, fakepl.PathStart))
 		env.submit(newJob("00000000000000fb", "scan", 1, 1))
 		env.await(3*time.Second, "it is shown as running", func() bool { return leader.state("00000000000000fb") == work.StateRunning })
 	})
