chief: a spec of advised jobs that wait for workers at rest

What callers see: a job of a queue with advice has nothing running for 7.4 s (12.6 s with a longer quarantine) beside two sound workers with room. The same job without advice starts a probe at once after 2 s.

Cause: ensureAdvice counts and asks the workers of planner.workers, which leaves out those at rest. The stage has no ticket, so stage returns before probeable is reached; roomFor is 0 for the same reason (hasTicket), so that neither the log nor the metric shows that the job stands.

--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,8 @@
 	TestJobDoesNotStandForAWorkerWhereItsRunsHaveEnded \
 	TestWorkersWithAFullListOfEndsTakeStarts \
 	TestHopelessJobsDoNotTakeAllProbes \
-	TestLateFailuresDoNotUseUpTheAttemptsOfManyJobs
+	TestLateFailuresDoNotUseUpTheAttemptsOfManyJobs \
+	TestAdvisedJobsDoNotStandForWorkersAtRest
 RED_CHIEF := ^($(subst $(SPACE),|,$(strip $(RED_CHIEF_TESTS))))$$
 RED_FAULT := the store is down: scans go on, tallies are refused without a run and work again afterwards
 
--- a/internal/chief/probe_test.go
+++ b/internal/chief/probe_test.go
@@ -1,6 +1,7 @@
 package chief_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -68,3 +69,57 @@
 		env.Expect(ended[work.StateFailed]).To(BeNumerically("<=", len(jobs)/5))
 	})
 }
+
+// closeWorkers fills two of four workers, and makes one task after the other fail on each of the others, so that these get no starts for
+// 12 s from now on. They are sound from here on.
+func (w *standingWatch) closeWorkers() {
+	e := w.env
+	e.config.Queue("tally").MaxAttempts = 1
+	closing := e.workers[2:]
+	for i, worker := range closing {
+		e.label(worker, "a", "r2", fmt.Sprintf("x%d", i))
+	}
+	e.sleep(3 * time.Second)
+	w.load(newLoad("f000000000000001", "r1", 2, 8))
+	e.sleep(time.Second)
+	w.beginDisruption()
+	e.failOn(closing, time.Now().Add(11*time.Second))
+	// Two failures in a row close a worker for 3 s, each further one for twice as long.
+	for n, failure := range []struct {
+		tasks int
+		pause time.Duration
+	}{{2, 3500 * time.Millisecond}, {1, 6500 * time.Millisecond}, {1, time.Second}} {
+		for i := range closing {
+			job := newJob(fmt.Sprintf("d0000000000000%d%d", n, i), "tally", failure.tasks, 1)
+			job.Steps[0].Label = work.Label(fmt.Sprintf("x%d", i))
+			w.load(job)
+		}
+		e.sleep(failure.pause)
+	}
+	w.endDisruption()
+}
+
+// Guards against jobs of a queue with advice that wait for workers at rest to their end: without a ticket they start no probe.
+func TestAdvisedJobsDoNotStandForWorkersAtRest(t *testing.T) {
+	withTestEnv(t, 4, func(env *testEnv) {
+		env.config.Queue("scan").Advised = true
+		env.advise = func(
+			_ context.Context, _ work.StepID, workers []model.WorkerID,
+		) (map[model.WorkerID]string, time.Duration, error) {
+			tickets := map[model.WorkerID]string{}
+			for _, worker := range workers {
+				tickets[worker] = "ticket"
+			}
+			return tickets, ticketLife, nil
+		}
+		watch := env.watchStanding()
+		env.fleet.Outcome = runsOf(2 * time.Second)
+		env.start("a", nil)
+		watch.closeWorkers()
+		for i := range 3 {
+			watch.submit(newJob(fmt.Sprintf("0000000000000e1%d", i), "scan", 1, 1))
+		}
+		env.sleep(28 * time.Second)
+		watch.expectNoneStood()
+	})
+}
