chief: a spec of jobs behind a long probe

What callers see: jobs have nothing running beside two sound workers whose probes are tasks that last, or long ones.

Cause: a probe ends the quarantine by whole percents of progress. A task of 1000 s reports one in 10 s, a task that lasts none. Until then no other run starts there (mayProbe needs probe to be nil).

The field probe is also kept when a quarantine runs out by itself, which is usual: the first one is 3 s, and a probe starts 2 s after it began at the earliest. Such a run forbids each later probe of its worker if it lasts, and ends the next quarantine within a second if it gets on (seen in a log: a quarantine of 6 s ended early by an old run, and a job lost its last attempt to that worker).

--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,8 @@
 	TestHopelessJobsDoNotTakeAllProbes \
 	TestLateFailuresDoNotUseUpTheAttemptsOfManyJobs \
 	TestAdvisedJobsDoNotStandForWorkersAtRest \
-	TestSlowWorkersTakeTheRunsOfSeveralJobs
+	TestSlowWorkersTakeTheRunsOfSeveralJobs \
+	TestJobsDoNotStandBehindALongProbe
 RED_CHIEF := ^($(subst $(SPACE),|,$(strip $(RED_CHIEF_TESTS))))$$
 RED_FAULT := the store is down: scans go on, tallies are refused without a run and work again afterwards
 
--- a/internal/chief/probe_test.go
+++ b/internal/chief/probe_test.go
@@ -159,3 +159,46 @@
 		watch.expectNoneStood()
 	})
 }
+
+// Guards against a probe whose progress says nothing for long, while other jobs stand beside its worker: of a task that lasts, or of one
+// that takes a quarter of an hour.
+func TestJobsDoNotStandBehindALongProbe(t *testing.T) {
+	for _, lasts := range []bool{false, true} {
+		t.Run(fmt.Sprintf("the task lasts: %v", lasts), func(t *testing.T) {
+			withTestEnv(t, 4, func(env *testEnv) {
+				watch := env.watchStanding()
+				env.fleet.Outcome = func(task string, run int64, worker string) fakepl.Outcome {
+					if task[0] == '9' {
+						return fakepl.Outcome{Hang: true}
+					}
+					return runsOf(2*time.Second)(task, run, worker)
+				}
+				begun := map[string]time.Time{}
+				env.fleet.Percent = func(task, _ string) int {
+					switch {
+					case task[0] != '9':
+						return int(time.Since(env.startedAt)/(200*time.Millisecond)) % 100
+					case lasts:
+						return 0
+					case begun[task].IsZero():
+						begun[task] = time.Now()
+					}
+					return int(time.Since(begun[task]) / (10 * time.Second))
+				}
+				env.start("a", nil)
+				watch.closeWorkers()
+				for i := range 2 {
+					job := newJob(fmt.Sprintf("900000000000000%d", i), "check", 1, 1)
+					job.Steps[0].Lasts, job.Steps[0].Estimate = lasts, 1000*time.Second
+					watch.submit(job)
+				}
+				env.sleep(200 * time.Millisecond)
+				for i := range 2 {
+					watch.submit(newJob(fmt.Sprintf("0000000000000e3%d", i), "scan", 1, 1))
+				}
+				env.sleep(28 * time.Second)
+				watch.expectNoneStood()
+			})
+		})
+	}
+}
