chief: a spec of hanging tasks that put off the probes of their workers

What callers see: jobs have nothing running for 5.6 s beside four sound workers on which the tasks of several hanging jobs are found one after the other.

Cause: quarantine sets quarantinedAt each time, also for runs that were started before the quarantine began, and mayProbe waits 2 s from then. For failures closedAt leaves such runs out; for runs that stand still nothing does. The time grows with the estimate of the hanging tasks (12 % of it).

--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,8 @@
 	TestAdvisedJobsDoNotStandForWorkersAtRest \
 	TestSlowWorkersTakeTheRunsOfSeveralJobs \
 	TestJobsDoNotStandBehindALongProbe \
-	TestJobsOfOneAttemptDoNotStandForWorkersAtRest
+	TestJobsOfOneAttemptDoNotStandForWorkersAtRest \
+	TestHangingTasksFoundInTurnDoNotPutOffProbes
 RED_CHIEF := ^($(subst $(SPACE),|,$(strip $(RED_CHIEF_TESTS))))$$
 RED_FAULT := the store is down: scans go on, tallies are refused without a run and work again afterwards
 
--- a/internal/chief/probe_test.go
+++ b/internal/chief/probe_test.go
@@ -218,3 +218,37 @@
 		watch.expectNoneStood()
 	})
 }
+
+// Guards against runs that stand still and are found one after another, each of which puts off the probe of its worker.
+func TestHangingTasksFoundInTurnDoNotPutOffProbes(t *testing.T) {
+	withTestEnv(t, 4, func(env *testEnv) {
+		watch := env.watchStanding()
+		env.fleet.Outcome = func(task string, run int64, worker string) fakepl.Outcome {
+			if task[0] == 'e' {
+				return fakepl.Outcome{Hang: true}
+			}
+			return runsOf(2*time.Second)(task, run, worker)
+		}
+		env.fleet.Percent = func(task, _ string) int {
+			if task[0] == 'e' {
+				return 0
+			}
+			return int(time.Since(env.startedAt)/(100*time.Millisecond)) % 100
+		}
+		env.start("a", nil)
+		env.sleep(4 * time.Second)
+		for i := range 6 {
+			job := newJob(fmt.Sprintf("e%015d", i), "scan", 4, 1)
+			job.Steps[0].PerWorker, job.Steps[0].Estimate = 1, 40*time.Second
+			watch.load(job)
+			env.sleep(700 * time.Millisecond)
+		}
+		env.sleep(1400 * time.Millisecond)
+		for i := range 8 {
+			watch.submit(newJob(fmt.Sprintf("0000000000000e4%d", i), "scan", 1, 1))
+			env.sleep(700 * time.Millisecond)
+		}
+		env.sleep(20 * time.Second)
+		watch.expectNoneStood()
+	})
+}
