chief: a spec of room reserved for tasks that wait for a rack

What callers see: a job has nothing running for 19.5 s beside a wholly idle worker.

Cause: an urgent task that finds no worker in the rack of its data reserves one anywhere (reserveForUrgent knows no racks but for SameRack), may not start there before twice its estimate, and reserves it again after each 2.5 s. Only the first task of a standing job is let go; the second holds its reservation.

--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,8 @@
 	TestSlowWorkersTakeTheRunsOfSeveralJobs \
 	TestJobsDoNotStandBehindALongProbe \
 	TestJobsOfOneAttemptDoNotStandForWorkersAtRest \
-	TestHangingTasksFoundInTurnDoNotPutOffProbes
+	TestHangingTasksFoundInTurnDoNotPutOffProbes \
+	TestJobDoesNotStandBesideRoomReservedForTasksThatWaitForARack
 RED_CHIEF := ^($(subst $(SPACE),|,$(strip $(RED_CHIEF_TESTS))))$$
 RED_FAULT := the store is down: scans go on, tallies are refused without a run and work again afterwards
 
--- /dev/null
+++ b/internal/chief/standing_steps_test.go
@@ -0,0 +1,26 @@
+package chief_test
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against a job that has nothing running beside idle workers, which an urgent job has reserved while its tasks wait for the rack of
+// their data.
+func TestJobDoesNotStandBesideRoomReservedForTasksThatWaitForARack(t *testing.T) {
+	withTestEnv(t, 4, func(env *testEnv) {
+		watch := env.watchStanding()
+		env.fleet.Outcome = runsOf(40 * time.Second)
+		env.start("a", nil)
+		env.sleep(3 * time.Second)
+		watch.load(newLoad("f000000000000001", "r1", 2, 8))
+		env.sleep(time.Second)
+		urgent := newJob("a000000000000001", "check", 2, 8)
+		urgent.Steps[0].DataRack, urgent.Steps[0].Estimate = "r1", 10*time.Second
+		watch.load(urgent)
+		env.sleep(500 * time.Millisecond)
+		watch.submit(newJob("0000000000000e01", "scan", 1, 1))
+		env.sleep(28 * time.Second)
+		watch.expectNoneStood()
+	})
+}
