chief: a spec of a second due step that is held back

What callers see: a job with two steps that are due has nothing running for 20 s beside idle workers.

Cause: noteStanding measures the room for firstDue, the first stage that is due and not done. If that has no room, roomSince stays 0, and the holds keep room from the second stage as long as they like; metric and log line stay silent too. The same holds for a later occurrence of a timed job.

--- a/Makefile
+++ b/Makefile
@@ -40,7 +40,8 @@
 	TestJobsDoNotStandBehindALongProbe \
 	TestJobsOfOneAttemptDoNotStandForWorkersAtRest \
 	TestHangingTasksFoundInTurnDoNotPutOffProbes \
-	TestJobDoesNotStandBesideRoomReservedForTasksThatWaitForARack
+	TestJobDoesNotStandBesideRoomReservedForTasksThatWaitForARack \
+	TestSecondDueStepOfAJobDoesNotStand
 RED_CHIEF := ^($(subst $(SPACE),|,$(strip $(RED_CHIEF_TESTS))))$$
 RED_FAULT := the store is down: scans go on, tallies are refused without a run and work again afterwards
 
--- a/internal/chief/standing_steps_test.go
+++ b/internal/chief/standing_steps_test.go
@@ -24,3 +24,23 @@
 		watch.expectNoneStood()
 	})
 }
+
+// Guards against a job with two steps that are due, of which the first has no room, so that the second is held back beside idle workers.
+func TestSecondDueStepOfAJobDoesNotStand(t *testing.T) {
+	withTestEnv(t, 4, func(env *testEnv) {
+		watch := env.watchStanding()
+		env.fleet.Outcome = runsOf(2 * time.Second)
+		env.start("a", nil)
+		env.sleep(3 * time.Second)
+		watch.load(newLoad("f000000000000001", "r1", 2, 8))
+		env.sleep(time.Second)
+		job := newJob("0000000000000e02", "scan", 1, 1)
+		second := job.Steps[0]
+		job.Steps[0].Label = "r1" // Its workers are full.
+		second.DataRack, second.Estimate = "r1", 10*time.Second
+		job.Steps = append(job.Steps, second)
+		watch.submit(job)
+		env.sleep(28 * time.Second)
+		watch.expectNoneStood()
+	})
+}
