chief: a spec of the time of standing over planned changes of the leader

What callers see: while instances are stopped as planned, one after the other, a job that waits for the rack of its data has nothing running for 8 s.

Cause: roomSince and waitingSince begin with the term. A job that no worker runs, and that has no placement, has never run: its time could count from its acceptance, which its record has.

--- a/Makefile
+++ b/Makefile
@@ -41,7 +41,8 @@
 	TestJobsOfOneAttemptDoNotStandForWorkersAtRest \
 	TestHangingTasksFoundInTurnDoNotPutOffProbes \
 	TestJobDoesNotStandBesideRoomReservedForTasksThatWaitForARack \
-	TestSecondDueStepOfAJobDoesNotStand
+	TestSecondDueStepOfAJobDoesNotStand \
+	TestTimeOfStandingIsCountedOverPlannedChangesOfTheLeader
 RED_CHIEF := ^($(subst $(SPACE),|,$(strip $(RED_CHIEF_TESTS))))$$
 RED_FAULT := the store is down: scans go on, tallies are refused without a run and work again afterwards
 
--- a/internal/chief/standing_steps_test.go
+++ b/internal/chief/standing_steps_test.go
@@ -1,6 +1,7 @@
 package chief_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -44,3 +45,28 @@
 		watch.expectNoneStood()
 	})
 }
+
+// Guards against a job whose time of standing begins anew with each term, while leaders hand over as planned, one after the other.
+func TestTimeOfStandingIsCountedOverPlannedChangesOfTheLeader(t *testing.T) {
+	withTestEnv(t, 4, func(env *testEnv) {
+		watch := env.watchStanding()
+		env.fleet.Outcome = runsOf(2 * time.Second)
+		leader := env.start("a", nil)
+		env.sleep(3 * time.Second)
+		next := env.start("b", nil)
+		watch.load(newLoad("f000000000000001", "r1", 2, 8))
+		env.sleep(time.Second)
+		job := newJob("0000000000000e03", "scan", 1, 1)
+		job.Steps[0].DataRack, job.Steps[0].Estimate = "r1", 10*time.Second
+		watch.submit(job)
+		for change := range 3 {
+			env.sleep(1500 * time.Millisecond)
+			leader.elector.StopSoon(env.ctx)
+			env.await(2*time.Second, "the next instance leads", func() bool { return next.chief.Load() != nil })
+			leader.kill()
+			leader, next = next, env.start(fmt.Sprintf("c%d", change), nil)
+		}
+		env.sleep(10 * time.Second)
+		watch.expectNoneStood()
+	})
+}
