chief: a spec of guaranteed tasks that wait for the rack of their data

What callers see: a job of priority 0 within its guarantee has begun all tasks after 20.1 s; the rule RECLAIM allows 2.7 s in this configuration.

Cause: mayRunRemote does not look at the priority. Since a job that stands is let go, its first task starts after 2 s, and the second after twice the estimate. The reserved worker elsewhere is free all the while. A gang is not concerned: it starts on its reserved places.

--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,8 @@
 	TestHangingTasksFoundInTurnDoNotPutOffProbes \
 	TestJobDoesNotStandBesideRoomReservedForTasksThatWaitForARack \
 	TestSecondDueStepOfAJobDoesNotStand \
-	TestTimeOfStandingIsCountedOverPlannedChangesOfTheLeader
+	TestTimeOfStandingIsCountedOverPlannedChangesOfTheLeader \
+	TestGuaranteedTasksDoNotWaitForTheRackOfTheirData
 RED_CHIEF := ^($(subst $(SPACE),|,$(strip $(RED_CHIEF_TESTS))))$$
 RED_FAULT := the store is down: scans go on, tallies are refused without a run and work again afterwards
 
--- a/internal/chief/standing_steps_test.go
+++ b/internal/chief/standing_steps_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	. "github.com/onsi/gomega"
 )
 
 // Guards against a job that has nothing running beside idle workers, which an urgent job has reserved while its tasks wait for the rack of
@@ -70,3 +72,19 @@
 		watch.expectNoneStood()
 	})
 }
+
+// Guards against urgent tasks within the guarantee of their customer that wait for the rack of their data beside idle workers.
+func TestGuaranteedTasksDoNotWaitForTheRackOfTheirData(t *testing.T) {
+	withTestEnv(t, 4, func(env *testEnv) {
+		env.fleet.Outcome = runsOf(40 * time.Second)
+		env.start("a", nil)
+		env.sleep(3 * time.Second)
+		env.submit(newLoad("f000000000000001", "r1", 2, 8))
+		env.sleep(time.Second)
+		urgent := newJob("a000000000000002", "check", 2, 4)
+		urgent.Steps[0].DataRack, urgent.Steps[0].Estimate = "r1", 10*time.Second
+		env.submit(urgent)
+		took := env.await(30*time.Second, "all tasks run", func() bool { return env.totalStarts(urgent.ID, 2) == 2 })
+		env.Expect(took).To(BeNumerically("<", reclaimBound))
+	})
+}
