chief: waits for the leases of a lost worker once, not once a term

Each leader counted the leases of a worker that it had not reached from the start of its own term, and so waited 6.4 s anew, whatever its predecessors knew.

A leader that a worker does not answer now writes into the worker's roster entry that nothing extends its leases any more, and for how long they may still hold. The same transaction writes a notice key that all instances watch: the revision that they saw it at bounds the age of the write on their own clock, so that no clocks of two instances are compared, and no lease of the store is relied upon (they may expire while the store is down). A successor waits for the rest of that time. From the moment at which such a write is composed until a write without the entry's stop has succeeded, neither polls nor starts extend the worker's leases.

--- a/internal/chief/dispatch.go
+++ b/internal/chief/dispatch.go
@@ -80,6 +80,8 @@
 		return "its worker drains"
 	case !c.inRoster(w):
 		return "its worker has another address"
+	case c.leaseStopStored(w):
+		return "its leases must not be extended yet"
 	case c.OutOfService(w.info.Zone):
 		return "its data centre is out of service"
 	}
--- a/internal/chief/env_test.go
+++ b/internal/chief/env_test.go
@@ -162,7 +162,8 @@
 			},
 			Config: e.inForce.Load, OutOfService: func(model.DataCentreID) bool { return e.outOfService.Load() },
 			TermValid: func() bool { return !i.unproved.Load() && i.elector.TermValid(term) }, EndTerm: func() { i.elector.EndTerm(term) },
-			Registry: platform.RegistryKeyPrefix, DecodeWorker: platform.DecodeWorker, Advise: e.advise,
+			NoticeSeen: i.elector.NoticeSeen,
+			Registry:   platform.RegistryKeyPrefix, DecodeWorker: platform.DecodeWorker, Advise: e.advise,
 			Observe: chief.Observer{
 				CallResult: func(string, string) {}, RunEnded: func(work.How) {}, PassDuration: func(time.Duration) {},
 				JobStarted: func(work.QueueName, time.Duration) {}, JobStep: func(chief.JobStep) {}, EndStep: i.countEnds,
--- a/internal/chief/lease.go
+++ b/internal/chief/lease.go
@@ -15,9 +15,10 @@
 	leaseExpiryMargin = 250 * time.Millisecond // beyond its computed end, before a lease counts as expired
 )
 
-// lease returns the end of a lease that starts now, on the worker's clock; 0 while that clock is unknown.
+// lease returns the end of a lease that starts now, on the worker's clock; 0 while that clock is unknown, or while the stored roster may
+// say that nothing extends the worker's leases.
 func (c *Scheduler) lease(w *worker, now clock.Instant) work.WorkerClock {
-	if w.clockReadAt == 0 {
+	if w.clockReadAt == 0 || c.leaseStopStored(w) {
 		return 0
 	}
 	lease := c.Limits.MaxLease
@@ -30,16 +31,29 @@
 }
 
 // leasesExpired reports whether all leases of a worker's runs have certainly expired, even if its clock is the slowest allowed.
-func (c *Scheduler) leasesExpired(w *worker, now clock.Instant) bool {
-	// Leases of earlier terms, and those on the clock of an earlier incarnation, started before this time.
-	knownSince := max(c.Term.Since, w.knownSince)
-	if now.Sub(knownSince) <= time.Duration(float64(c.Limits.MaxLease)/slowClock)+leaseExpiryMargin {
-		return false
+func (c *Scheduler) leasesExpired(w *worker, now clock.Instant) bool { return now > c.leasesEnd(w) }
+
+// leasesEnd returns when the last lease of a worker's runs has certainly expired, if none is extended from now on.
+func (c *Scheduler) leasesEnd(w *worker) clock.Instant {
+	longest := slowed(c.Limits.MaxLease) + leaseExpiryMargin
+	// Leases of earlier terms, and those on the clock of an earlier incarnation, started before the time that they are counted from.
+	end := c.Term.Since.Add(longest)
+	if w.inherited.known {
+		end = min(end, w.inherited.end)
+	}
+	if w.knownSince != 0 {
+		end = max(end, w.knownSince.Add(longest))
 	}
-	earliest := w.clock + work.WorkerClock(float64((now.Sub(w.clockReadAt)-leaseExpiryMargin).Milliseconds())*slowClock)
-	return w.clockReadAt == 0 || earliest > w.leaseUntil
+	if w.clockReadAt != 0 {
+		left := time.Duration(w.leaseUntil-w.clock) * time.Millisecond
+		end = max(end, w.clockReadAt.Add(slowed(left)+leaseExpiryMargin))
+	}
+	return end
 }
 
+// slowed returns how long a clock of the slowest rate takes for d.
+func slowed(d time.Duration) time.Duration { return time.Duration(float64(d) / slowClock) }
+
 // updateClock records a reading of the clock of the incarnation that started at born. One of an earlier incarnation would make leases
 // seem to hold for as long as that one ran.
 func (w *worker) updateClock(reading work.WorkerClock, at clock.Instant, born int64) {
@@ -55,6 +69,6 @@
 // mayAnswerYet reports whether a silent worker whose leases have expired is worth waiting for. If this instance is too slow to read
 // its answers, the worker has listed ends that are not known here, and their tasks must not start again.
 func (c *Scheduler) mayAnswerYet(w *worker, now clock.Instant) bool {
-	lease := time.Duration(float64(c.Limits.MaxLease) / slowClock)
+	lease := slowed(c.Limits.MaxLease)
 	return w.registered && now.Sub(max(w.reportedAt, c.Term.Since)) < lease+registeredGrace
 }
--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -74,7 +74,7 @@
 
 // noteUnseen notes what a worker of an earlier term may hold that was not polled yet.
 func (p *planner) noteUnseen(w *worker) {
-	expired := p.c.leasesExpired(w, p.now)
+	expired := p.c.leasesExpired(w, p.now) && !p.c.awaitsFirstAnswer(w, p.now)
 	if !expired {
 		p.unseenRuns[w.info.ID] = true
 	}
--- a/internal/chief/poll.go
+++ b/internal/chief/poll.go
@@ -17,6 +17,7 @@
 	// undurablePause delays the next poll while ends are not stored: the worker would list them again at once.
 	undurablePause    = 60 * time.Millisecond
 	unackablePause    = 300 * time.Millisecond
+	leaseStopPause    = 100 * time.Millisecond // while a worker's leases must not be extended yet
 	silentAfterMisses = 2 // consecutive unanswered calls after which a worker counts as silent
 )
 
@@ -43,7 +44,7 @@
 		// An unanswered poll may be executed later: it must not extend the leases of a silent worker.
 		order.Until = c.lease(w, now)
 	}
-	if w.polled && !c.mayHideEnds(w) && w.missedCalls == 0 && len(w.runs) > 0 && w.handledEnd == w.durableEnd {
+	if w.polled && !c.mayHideEnds(w) && w.missedCalls == 0 && len(w.runs) > 0 && w.handledEnd == w.durableEnd && !c.leaseStopStored(w) {
 		order.Wait = pollWait
 	}
 	w.pollInFlight = true
@@ -112,6 +113,8 @@
 		pause = unackablePause
 	case w.ackableEnd() > w.durableEnd:
 		pause = undurablePause
+	case c.leaseStopStored(w):
+		pause = leaseStopPause
 	}
 	w.nextPollAt = now.Add(pause)
 	if pause > 0 {
--- a/internal/chief/roster.go
+++ b/internal/chief/roster.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"peridotgw.example/peridotgw/internal/elect"
 	"peridotgw.example/peridotgw/internal/kv"
 	"peridotgw.example/peridotgw/internal/work"
 	"peridotgw.example/peridotgw/model"
@@ -21,11 +22,13 @@
 	ID      model.WorkerID `cbor:"1,keyasint"`
 	Address string         `cbor:"2,keyasint"`
 	Born    int64          `cbor:"3,keyasint,omitempty"` // as in work.WorkerInfo; 0 if unknown
+	Stop    *leaseStop     `cbor:"4,keyasint,omitempty"` // nil while leaders may extend its leases
 }
 
 // roster is the stored roster as this instance last read or wrote it.
 type roster struct {
 	entries     map[model.WorkerID]rosterEntry
+	stops       map[model.WorkerID]bool // workers for which the stored roster may have a leaseStop, by a write without an answer too
 	revision    kv.Revision
 	writing     bool // a write is in flight
 	retryNeeded bool // the last write failed
@@ -39,7 +42,7 @@
 	if err != nil {
 		return err
 	}
-	c.roster = roster{entries: map[model.WorkerID]rosterEntry{}}
+	c.roster = roster{entries: map[model.WorkerID]rosterEntry{}, stops: map[model.WorkerID]bool{}}
 	if !found {
 		return nil
 	}
@@ -51,7 +54,12 @@
 	for _, entry := range entries {
 		c.roster.entries[entry.ID] = entry
 		info := work.WorkerInfo{ID: entry.ID, Address: entry.Address, Born: entry.Born}
-		c.workers[entry.ID] = &worker{info: info, born: entry.Born, runs: map[runKey]*run{}, roster: true}
+		w := &worker{info: info, born: entry.Born, runs: map[runKey]*run{}, roster: true}
+		c.workers[entry.ID] = w
+		if entry.Stop != nil {
+			c.roster.stops[entry.ID] = true
+			c.inheritStop(w, *entry.Stop)
+		}
 	}
 	return nil
 }
@@ -62,7 +70,7 @@
 	return found && entry.Address == w.info.Address
 }
 
-// saveRoster writes the roster if workers were added, removed or moved. What it cannot write now is written on a later tick: the
+// saveRoster writes the roster if workers were added, removed or moved, or their leaseStops are outdated. What it cannot write now is written on a later tick: the
 // registry need not report a worker again.
 func (c *Scheduler) saveRoster() {
 	c.roster.stale = true
@@ -71,11 +79,12 @@
 	}
 	c.roster.stale = false
 	// A worker that has left must be removed too: the next leader waits for the leases of those it cannot reach.
-	changed := c.roster.retryNeeded || len(c.workers) != len(c.roster.entries)
+	now := c.Now()
+	changed := c.roster.retryNeeded || len(c.workers) != len(c.roster.entries) || c.leaseStopsOutdated(now)
 	entries := map[model.WorkerID]rosterEntry{}
 	var list []rosterEntry
 	for id, w := range c.workers {
-		entry := rosterEntry{ID: id, Address: w.info.Address, Born: w.born}
+		entry := rosterEntry{ID: id, Address: w.info.Address, Born: w.born, Stop: c.leaseStopOf(w, now)}
 		entries[id] = entry
 		list = append(list, entry)
 		if old, found := c.roster.entries[id]; !found || old.Address != entry.Address {
@@ -91,7 +100,11 @@
 		return
 	}
 	c.roster.writing = true
+	// Expecting the revision keeps an unanswered write, which may be executed seconds later, from replacing a newer one.
 	txn := kv.Txn{Expect: []kv.Expect{c.Term.Proof, {Key: rosterKey, Revision: c.roster.revision}}, Writes: []kv.Write{{Key: rosterKey, Value: value}}}
+	if c.stopLeases(list) {
+		txn.Writes = append(txn.Writes, kv.Write{Key: elect.NoticeKey})
+	}
 	go func() {
 		ctx, cancel := context.WithTimeout(c.ctx, rosterTimeout)
 		defer cancel()
@@ -114,6 +127,7 @@
 		c.handleWriteError("roster", err)
 		return
 	}
+	c.resumeLeases(entries)
 	c.roster.entries, c.roster.revision = entries, revision
 	c.dirty = true
 }
--- a/internal/chief/scheduler.go
+++ b/internal/chief/scheduler.go
@@ -56,6 +56,8 @@
 	TermValid func() bool
 	// EndTerm is called when a worker or the store shows that the term has ended.
 	EndTerm func()
+	// NoticeSeen returns the latest revision of elect.NoticeKey that this instance has seen, and when it first saw it. It need not be set.
+	NoticeSeen func() (kv.Revision, clock.Instant)
 	// Registry is the key prefix of the workers' entries; DecodeWorker decodes one.
 	Registry     string
 	DecodeWorker func(key string, value []byte) (work.WorkerInfo, error)
@@ -247,7 +249,7 @@
 	for _, w := range c.workers {
 		c.checkWorker(w, now)
 	}
-	if c.roster.stale {
+	if c.roster.stale || c.leaseStopsOutdated(now) {
 		c.saveRoster()
 	}
 	c.compareSpeeds(now)
--- a/internal/chief/state.go
+++ b/internal/chief/state.go
@@ -138,6 +138,7 @@
 	polled           bool           // has listed all its runs and ends in this term, or is gone
 	born             int64          // of the incarnation; 0 while unknown
 	knownSince       clock.Instant  // when the incarnation became known; 0 for the first of the term
+	inherited        inheritedStop
 	pollInFlight     bool
 	nextPollAt       clock.Instant    // earliest next poll
 	reportedAt       clock.Instant    // when it last answered a poll
--- a/internal/chief/wait.go
+++ b/internal/chief/wait.go
@@ -70,12 +70,14 @@
 		return
 	}
 	var unseen []string
+	var left time.Duration // of the longest lease among them
 	for id := range p.unseenRuns {
 		if j.placement.unknown || j.placement.stored[id] {
 			unseen = append(unseen, string(id))
+			left = max(left, p.c.leasesEnd(p.c.workers[id]).Sub(p.now))
 		}
 	}
-	p.c.Log.Info().Str("job", string(j.spec.ID)).Strs("workers", unseen).Uint64("placement", uint64(j.placement.revision)).
+	p.c.Log.Info().Str("job", string(j.spec.ID)).Strs("workers", unseen).Dur("leases-left", left).Uint64("placement", uint64(j.placement.revision)).
 		Bool("placed-anywhere", j.placement.unknown).Dur("waited", p.now.Sub(j.wait.since)).Msg("chief: job waits for workers of an earlier term")
 }
 
--- a/internal/elect/elect.go
+++ b/internal/elect/elect.go
@@ -67,6 +67,7 @@
 	leaderSeen  bool          // an instance has led since this one started
 	leader      kv.Item       // revision 0 while there is no leader
 	nodes       map[string]Node
+	notice      noticeSeen
 	term        *Term // nil while this instance does not lead
 	cancelTerm  context.CancelFunc
 	stoppingAt  clock.Instant // when StopSoon was called; 0 before
--- a/internal/elect/follow.go
+++ b/internal/elect/follow.go
@@ -43,6 +43,10 @@
 		}
 		return
 	}
+	if event.Key == NoticeKey && !event.Removed {
+		e.noteNotice(event.Revision)
+		return
+	}
 	id, found := strings.CutPrefix(event.Key, nodePrefix)
 	if !found {
 		return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -173,7 +173,8 @@
 		Limits: n.Settings.Limits,
 		Config: n.config.Config, OutOfService: n.config.OutOfService,
 		TermValid: func() bool { return n.elector.TermValid(term) }, EndTerm: func() { n.elector.EndTerm(term) },
-		Registry: platform.RegistryKeyPrefix, DecodeWorker: platform.DecodeWorker, Advise: n.advise, Observe: n.meters.observer(),
+		NoticeSeen: n.elector.NoticeSeen,
+		Registry:   platform.RegistryKeyPrefix, DecodeWorker: platform.DecodeWorker, Advise: n.advise, Observe: n.meters.observer(),
 	}
 	n.chief.Store(scheduler)
 	defer n.chief.CompareAndSwap(scheduler, nil)
