--- a/internal/chief/env_test.go
+++ b/internal/chief/env_test.go
@@ -196,6 +196,12 @@
 	return i.ends[step]
 }
 
+// leads reports whether the instance is certain to lead.
+func (i *instance) leads() bool {
+	scheduler := i.chief.Load()
+	return scheduler != nil && scheduler.TermValid()
+}
+
 // kill stops an instance.
 func (i *instance) kill() { i.stop() }
 
--- a/internal/chief/leasestop.go
+++ b/internal/chief/leasestop.go
@@ -28,10 +28,10 @@
 // leaseStopStored reports whether the stored roster may say that nothing extends a worker's leases.
 func (c *Scheduler) leaseStopStored(w *worker) bool { return c.roster.stops[w.info.ID] }
 
-// wantsLeaseStop reports whether a worker's roster entry is to have a leaseStop: while the worker is silent, or, if an earlier term wrote
-// one, until the worker answers.
+// wantsLeaseStop reports whether a worker's roster entry is to have a leaseStop: while the worker is silent, and until its first answer in
+// this term if it misses a call or an earlier term wrote one.
 func (c *Scheduler) wantsLeaseStop(w *worker) bool {
-	return w.missedCalls >= silentAfterMisses || w.reportedAt == 0 && c.leaseStopStored(w)
+	return w.missedCalls >= silentAfterMisses || w.reportedAt == 0 && (c.leaseStopStored(w) || w.roster && w.missedCalls > 0)
 }
 
 // leaseStopOf returns the leaseStop for a worker's roster entry; nil for none.
--- a/internal/chief/poll.go
+++ b/internal/chief/poll.go
@@ -18,7 +18,7 @@
 	undurablePause    = 60 * time.Millisecond
 	unackablePause    = 300 * time.Millisecond
 	leaseStopPause    = 100 * time.Millisecond // while a worker's leases must not be extended yet
-	silentAfterMisses = 2 // consecutive unanswered calls after which a worker counts as silent
+	silentAfterMisses = 2                      // consecutive unanswered calls after which a worker counts as silent
 )
 
 // needsPoll reports whether there is a reason to poll a worker.
