--- a/internal/chief/leasestop_test.go
+++ b/internal/chief/leasestop_test.go
@@ -39,6 +39,12 @@
 	}
 }
 
+// handOver ends an instance that leads; another one leads at once.
+func (e *testEnv) handOver(leader *instance) {
+	leader.elector.Resign(e.ctx)
+	leader.kill()
+}
+
 // Guards against a second run of a task whose worker answered again after an earlier leader had recorded that its leases end: the leases
 // were extended, and the worker is cut off again while the leader changes.
 func TestExtendedLeasesAreWaitedFor(t *testing.T) {
@@ -59,6 +65,26 @@
 	})
 }
 
+// Guards against the same where the worker answers the next leader, which only knows the record.
+func TestLeasesExtendedByTheSuccessorAreWaitedFor(t *testing.T) {
+	withTestEnv(t, 3, func(env *testEnv) {
+		leader := env.start("a", nil)
+		env.sleep(time.Second)
+		successor := env.start("b", nil)
+		env.sleep(time.Second)
+		task, worker := env.hangingJob("00000000000000a9")
+		env.cutOff(worker, true, "a")
+		env.sleep(3 * time.Second)
+		env.handOver(leader)
+		env.start("c", nil)
+		env.sleep(10 * time.Second)
+		env.Expect(env.fleet.StartCount(task)).To(Equal(1), "its leases are extended again")
+		env.cutOff(worker, true, "b", "c")
+		env.handOver(successor)
+		env.await(9*time.Second, "it runs elsewhere", func() bool { return env.fleet.StartCount(task) == 2 })
+	})
+}
+
 // Guards against leases that are extended while the store still says that they end: the answering worker is not known to the store as such
 // when the leader changes.
 func TestNoLeaseIsExtendedBeforeTheRosterSaysSo(t *testing.T) {
@@ -108,7 +134,7 @@
 				task, worker := env.hangingJob("00000000000000a3")
 				doubtful.Store(true)
 				env.cutOff(worker, true, "a")
-				env.sleep(2500 * time.Millisecond)
+				env.sleep(3200 * time.Millisecond)
 				doubtful.Store(false)
 				env.cutOff(worker, false, "a")
 				env.sleep(10 * time.Second)
@@ -121,6 +147,29 @@
 	}
 }
 
+// Guards against leases that are extended after a write without an answer, which has recorded their end.
+func TestNoLeaseIsExtendedAfterADoubtfulRecord(t *testing.T) {
+	withTestEnv(t, 3, func(env *testEnv) {
+		var doubtful, refused atomic.Bool
+		leader := env.start("a", func(i *instance) {
+			doubtfulRosterWrites(&doubtful, 100*time.Millisecond)(i)
+			refuseWrites(&refused, rosterKey)(i)
+		})
+		env.sleep(time.Second)
+		env.start("b", nil)
+		task, worker := env.hangingJob("00000000000000aa")
+		doubtful.Store(true)
+		env.cutOff(worker, true, "a")
+		env.sleep(2900 * time.Millisecond) // The record is written by now, and its write not answered.
+		refused.Store(true)
+		env.cutOff(worker, false, "a")
+		env.sleep(5 * time.Second)
+		env.cutOff(worker, true, "a", "b")
+		env.handOver(leader)
+		env.await(9*time.Second, "it runs elsewhere", func() bool { return env.fleet.StartCount(task) == 2 })
+	})
+}
+
 // Guards against a second run beside one on a worker that restarted under its id after the end of its leases was recorded.
 func TestRestartedWorkerIsWaitedFor(t *testing.T) {
 	withTestEnv(t, 1, func(env *testEnv) {
@@ -130,9 +179,9 @@
 		task, worker := env.hangingJob("00000000000000a4")
 		env.cutOff(worker, true, "a")
 		env.sleep(3 * time.Second)
+		env.quiet.Store(true) // The leader learns of the restart from the worker's answer.
 		env.workers[0].Crash()
 		env.workers[0].Start()
-		env.heartbeat(env.workers[0])
 		env.cutOff(worker, false, "a")
 		env.await(9*time.Second, "it runs again", func() bool { return env.fleet.StartCount(task) == 2 })
 		env.addWorker(1, 2)
@@ -160,7 +209,7 @@
 		silentAt := time.Now()
 		for range 2 {
 			leader := slices.IndexFunc(instances, (*instance).leads)
-			instances[leader].kill()
+			env.handOver(instances[leader])
 			env.await(4*time.Second, "another leads", func() bool { return slices.ContainsFunc(instances, (*instance).leads) })
 			env.sleep(time.Second)
 		}
