--- a/internal/chief/leasestop.go
+++ b/internal/chief/leasestop.go
@@ -29,9 +29,12 @@
 func (c *Scheduler) leaseStopStored(w *worker) bool { return c.roster.stops[w.info.ID] }
 
 // wantsLeaseStop reports whether a worker's roster entry is to have a leaseStop: while the worker is silent, and until its first answer in
-// this term if it misses a call or an earlier term wrote one.
+// this term if an earlier term wrote one, or if it has left the registry and misses a call.
 func (c *Scheduler) wantsLeaseStop(w *worker) bool {
-	return w.missedCalls >= silentAfterMisses || w.reportedAt == 0 && (c.leaseStopStored(w) || w.roster && w.missedCalls > 0)
+	if w.missedCalls >= silentAfterMisses {
+		return true
+	}
+	return w.reportedAt == 0 && (c.leaseStopStored(w) || w.roster && !w.registered && w.missedCalls > 0)
 }
 
 // leaseStopOf returns the leaseStop for a worker's roster entry; nil for none.
--- a/internal/chief/leasestop_test.go
+++ b/internal/chief/leasestop_test.go
@@ -172,23 +172,28 @@
 
 // Guards against a second run beside one on a worker that restarted under its id after the end of its leases was recorded.
 func TestRestartedWorkerIsWaitedFor(t *testing.T) {
-	withTestEnv(t, 1, func(env *testEnv) {
+	withTestEnv(t, 2, func(env *testEnv) {
 		leader := env.start("a", nil)
 		env.sleep(time.Second)
 		env.start("b", nil)
-		task, worker := env.hangingJob("00000000000000a4")
-		env.cutOff(worker, true, "a")
+		task, id := env.hangingJob("00000000000000a4")
+		worker, other := env.workers[0], env.workers[1]
+		if worker.ID != id {
+			worker, other = other, worker
+		}
+		other.SetFault(fakepl.FaultOn(fakepl.Refused, fakepl.PathStart))
+		env.cutOff(id, true, "a")
 		env.sleep(3 * time.Second)
 		env.quiet.Store(true) // The leader learns of the restart from the worker's answer.
-		env.workers[0].Crash()
-		env.workers[0].Start()
-		env.cutOff(worker, false, "a")
+		worker.Crash()
+		worker.Start()
+		env.cutOff(id, false, "a")
 		env.await(9*time.Second, "it runs again", func() bool { return env.fleet.StartCount(task) == 2 })
-		env.addWorker(1, 2)
+		other.SetFault(nil)
 		env.sleep(8 * time.Second)
-		env.cutOff(worker, true, "a", "b")
-		leader.kill()
-		env.await(12*time.Second, "it runs elsewhere", func() bool { return env.fleet.StartCount(task) == 3 })
+		env.cutOff(id, true, "a", "b")
+		env.handOver(leader)
+		env.await(9*time.Second, "it runs elsewhere", func() bool { return env.fleet.StartCount(task) == 3 })
 	})
 }
 
