--- a/internal/chief/leasestop_test.go
+++ b/internal/chief/leasestop_test.go
@@ -45,6 +45,17 @@
 	leader.kill()
 }
 
+// lose takes a worker away for good and without a word.
+func (e *testEnv) lose(id string) {
+	for _, w := range e.workers {
+		if w.ID == id {
+			w.Crash()
+			w.SetFault(func(string) fakepl.Fault { return fakepl.Silent })
+		}
+	}
+	e.store.Remove(fakepl.WorkerKey(id))
+}
+
 // Guards against a second run of a task whose worker answered again after an earlier leader had recorded that its leases end: the leases
 // were extended, and the worker is cut off again while the leader changes.
 func TestExtendedLeasesAreWaitedFor(t *testing.T) {
@@ -229,13 +240,7 @@
 		leader := env.start("a", nil)
 		env.sleep(time.Second)
 		task, worker := env.hangingJob("00000000000000a7")
-		for _, w := range env.workers {
-			if w.ID == worker {
-				w.Crash()
-				w.SetFault(func(string) fakepl.Fault { return fakepl.Silent })
-			}
-		}
-		env.store.Remove(fakepl.WorkerKey(worker))
+		env.lose(worker)
 		for _, name := range []string{"b", "c", "d"} {
 			env.sleep(2 * time.Second)
 			leader.kill()
@@ -266,3 +271,25 @@
 		env.Expect(writes.Load()).To(Equal(settled))
 	})
 }
+
+// Guards against a last attempt that waits longer for a worker that is gone than its leases may hold, after a change of the leader.
+func TestLastAttemptWaitsForTheLeasesOfALostWorkerOnly(t *testing.T) {
+	withTestEnv(t, 3, func(env *testEnv) {
+		leader := env.start("a", nil)
+		env.sleep(time.Second)
+		env.start("b", nil)
+		env.sleep(time.Second)
+		env.fleet.WithLock(func() {
+			env.fleet.Outcome = func(_ string, run int64, _ string) fakepl.Outcome {
+				return fakepl.Outcome{After: time.Second, How: "failed", Hang: run > 1}
+			}
+		})
+		task := taskID("00000000000000ab", 0)
+		env.submit(newJob("00000000000000ab", "tally", 1, 1)) // two attempts
+		env.await(5*time.Second, "the second run is there", func() bool { return env.fleet.StartCount(task) == 2 })
+		env.lose(env.fleet.RunningOn(task)[0])
+		env.sleep(4 * time.Second) // The poll that it holds open, and two more, are over.
+		env.handOver(leader)
+		env.await(longestLease-2*time.Second, "it runs again", func() bool { return env.fleet.StartCount(task) == 3 })
+	})
+}
