--- a/internal/chief/leasestop_random_test.go
+++ b/internal/chief/leasestop_random_test.go
@@ -137,4 +137,3 @@
 		h.doubtful.Store(false)
 	}
 }
-
