--- a/internal/chief/env_test.go
+++ b/internal/chief/env_test.go
@@ -157,7 +157,7 @@
 	i.stop = stop
 	now := func() clock.Instant { return clock.Instant(time.Since(e.startedAt) + time.Hour) }
 	i.elector = &elect.Elector{
-		Store: i.store, Self: elect.Node{ID: model.InstanceID(name), Address: name + ":1", Share: 1}, Log: zerolog.Nop(), Now: now,
+		Store: i.store, Self: elect.Node{ID: model.InstanceID(name), Address: name + ":1", Share: 1}, Log: i.log, Now: now,
 	}
 	i.elector.Lead = func(ctx context.Context, term elect.Term) error {
 		scheduler := &chief.Scheduler{
@@ -174,7 +174,7 @@
 			Registry:   platform.RegistryKeyPrefix, DecodeWorker: platform.DecodeWorker, Advise: e.advise,
 			Observe: chief.Observer{
 				CallResult: func(string, string) {}, RunEnded: func(work.How) {}, PassDuration: func(time.Duration) {},
-				JobStarted: func(work.QueueName, time.Duration) {}, JobStep: func(chief.JobStep) {}, EndStep: i.countEnds,
+				JobStarted: func(work.QueueName, time.Duration) {}, JobStep: func(chief.JobStep) {}, JobStood: func(time.Duration, bool) {}, EndStep: i.countEnds,
 			},
 		}
 		i.chief.Store(scheduler)
--- a/internal/chief/orders.go
+++ b/internal/chief/orders.go
@@ -56,9 +56,14 @@
 		g.members[r] = true
 	}
 	t.activeRun, t.lastRun = r, number
+	if w.rests(now) {
+		w.probe = r
+	}
 	w.runs[r.key] = r
 	w.used = w.used.Add(r.resources)
 	s.runsOn[w]++
+	s.job.runs++
+	s.job.lastStartAt = now
 	c.Log.Info().Str("task", r.key.task.String()).Int64("run", int64(number)).Str("worker", string(w.info.ID)).
 		Str("rack", string(w.info.Rack())).Bool("gang", g != nil).Str("saved", string(t.checkpoint)).
 		Dur("waited", now.Sub(s.waitingSince)).Uint64("config", c.configVersion()).Msg("chief: run ordered")
@@ -84,9 +89,10 @@
 	c.dirty = true
 	if err == nil {
 		w.updateClock(reading, now, r.sentToBorn)
-		w.missedCalls = 0
+		w.missedCalls, w.unanswered = 0, 0
 		if r.phase == starting {
 			r.phase, r.ackedAt, r.startedAt, r.progressedAt = running, now, now, now
+			r.task.stage.job.ranAt = now
 		}
 		r.task.stage.job.markStarted(c)
 		c.pollIfDue(w)
@@ -130,6 +136,7 @@
 		w.registered = false
 		c.endAllRuns(w, "another worker at the address")
 	case doubtful:
+		c.avoidUnanswering(w)
 		c.stopRun(r, "start without an answer")
 	case errors.As(err, &rejected):
 		c.handleStartRejection(r, rejected)
@@ -140,15 +147,24 @@
 		c.endRun(r, work.EndedStopped, "")
 	default:
 		c.recordMissedCall(w, err)
+		c.avoidUnanswering(w)
 		c.stopRun(r, "start without an answer")
 	}
 }
 
 const (
-	refusedQuarantine  = 1500 * time.Millisecond
-	rejectedQuarantine = 300 * time.Millisecond
+	refusedQuarantine    = 1500 * time.Millisecond
+	rejectedQuarantine   = 300 * time.Millisecond
+	unansweredQuarantine = 1500 * time.Millisecond
 )
 
+// avoidUnanswering keeps new runs off a worker that left a start without an answer, longer if it does so again: it may answer polls all
+// the while, and the same tasks would be started there again and again.
+func (c *Scheduler) avoidUnanswering(w *worker) {
+	c.quarantine(w, unansweredQuarantine<<min(w.unanswered, 1), "it leaves starts unanswered")
+	w.unanswered++
+}
+
 func (c *Scheduler) handleStartRejection(r *run, rejected *agent.RejectedError) {
 	w, now := r.worker, c.Now()
 	w.updateClock(rejected.Clock, now, r.sentToBorn)
@@ -168,11 +184,17 @@
 
 // quarantine keeps new runs off a worker for a time. One that does not extend the quarantine in force is not logged.
 func (c *Scheduler) quarantine(w *worker, d time.Duration, reason string) {
-	until := c.Now().Add(d)
+	now := c.Now()
+	until := now.Add(d)
+	w.quarantinedAt = now
 	if until <= w.quarantinedUntil {
 		return
 	}
 	w.quarantinedUntil = until
+	c.logNoStarts(w, d, reason)
+}
+
+func (c *Scheduler) logNoStarts(w *worker, d time.Duration, reason string) {
 	c.Log.Info().Str("worker", string(w.info.ID)).Dur("for", d).Str("why", reason).Msg("chief: worker gets no starts")
 }
 
@@ -187,6 +209,9 @@
 		return
 	}
 	r.phase, r.reason, r.ackedAt = stopping, reason, 0
+	if r.task != nil {
+		r.task.stage.job.runs--
+	}
 	r.worker.usedByStopping = r.worker.usedByStopping.Add(r.resources)
 	c.Log.Info().Str("task", r.key.task.String()).Int64("run", int64(r.key.number)).Str("worker", string(r.worker.info.ID)).
 		Str("why", reason).Int("percent", r.percent).Msg("chief: stop ordered")
--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -1,6 +1,7 @@
 package chief
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -26,11 +27,12 @@
 	now         clock.Instant
 	config      *work.Config
 	workers     []*worker // that may get new runs, by id
+	resting     []*worker // that could get new runs but for their quarantine
 	racks       map[work.Label][]*worker
 	unseenRuns  map[model.WorkerID]bool                 // workers that were not polled yet and may have runs of an earlier term
 	keptIdle    map[*worker]bool                        // idle workers that work which is not urgent may not take
 	settling    bool                                    // registered workers have not been polled yet: their free capacity is unknown
-	spare       model.Accelerators                      // that work which is not urgent may take
+	spare       map[work.PoolName]model.Accelerators    // that work which is not urgent may take
 	urgentNeeds map[model.CustomerID]model.Accelerators // of unfinished urgent jobs, by tenant
 	unseenEnds  map[model.WorkerID]bool                 // workers that were not polled yet and may list ends of an earlier term
 }
@@ -62,7 +64,11 @@
 			p.noteUnseen(w)
 		}
 		p.settling = p.settling || w.registered && !w.polled && w.missedCalls == 0 && p.now.Sub(p.c.loadedAt) < settleTime
-		if p.c.whyUnusable(w) != "" || !w.polled || p.c.mayHideEnds(w) || w.missedCalls > 0 || p.now < w.quarantinedUntil {
+		if p.c.whyUnusable(w) != "" || !w.polled || p.c.mayHideEnds(w) || w.missedCalls > 0 {
+			continue
+		}
+		if w.rests(p.now) {
+			p.resting = append(p.resting, w)
 			continue
 		}
 		p.workers = append(p.workers, w)
@@ -125,13 +131,14 @@
 func (p *planner) job(j *job) {
 	if j.mayHaveRunsOn(p.unseenRuns) {
 		p.noteUnseenWait(j)
+		p.noteStanding(j)
 		return
 	}
 	p.c.endJobWait(j, p.now)
 	for occurrence, stages := range j.stages {
 		if due := j.dueAt(occurrence); p.now < due {
 			p.c.postAfter(min(due.Sub(p.now), tickInterval), func() { p.c.dirty = true })
-			return
+			break
 		}
 		for _, s := range stages {
 			if s.unfinished > 0 && p.dependenciesDone(stages, s) {
@@ -139,18 +146,27 @@
 			}
 		}
 	}
+	p.noteStanding(j)
 }
 
 // dependenciesDone reports whether all steps that a stage depends on are done, and starts its waiting time.
 func (p *planner) dependenciesDone(stages []*stage, s *stage) bool {
+	if !s.dependenciesDone(stages) {
+		return false
+	}
+	if s.waitingSince == 0 {
+		s.waitingSince = p.now
+	}
+	return true
+}
+
+// dependenciesDone reports whether all steps of the same occurrence that a stage depends on are done.
+func (s *stage) dependenciesDone(stages []*stage) bool {
 	for _, before := range s.step.After {
 		if stages[before].unfinished > 0 {
 			return false
 		}
 	}
-	if s.waitingSince == 0 {
-		s.waitingSince = p.now
-	}
 	return true
 }
 
@@ -161,23 +177,27 @@
 		return
 	}
 	p.creditReservation(s)
+	s.unheld = p.standsTooLong(s)
 	if s.step.Gang {
 		p.planGang(s)
 	} else {
 		p.startTasks(s)
 	}
+	s.unheld = false
 	p.deductReservation(s)
 }
 
 // startTasks starts the waiting tasks of a stage. If it is urgent, workers are reserved for those that do not fit.
 func (p *planner) startTasks(s *stage) {
+	allStarted := true
 	for index := range s.tasks {
 		t := &s.tasks[index]
-		if t.done || t.activeRun != nil || p.now < t.notBefore {
+		if t.done || t.activeRun != nil {
 			continue
 		}
-		if p.mayExceedAttempts(s, t, len(t.failedRuns)) {
-			p.noteWait(s, waitLastAttempt)
+		if why := p.whyNotYet(s, t, len(t.failedRuns)); why != "" {
+			p.noteWait(s, why)
+			allStarted = false
 			continue
 		}
 		if !p.startTask(s, t) {
@@ -186,8 +206,23 @@
 			return
 		}
 		s.reserved = nil // The remaining tasks reserve anew.
+		s.unheld = s.unheld && s.step.Lasts
+	}
+	s.reserved = nil
+	if allStarted {
+		s.waitingSince = 0
+	}
+}
+
+// whyNotYet returns why a task, or a gang with it, may not start now even if there is room; an empty text if it may.
+func (p *planner) whyNotYet(s *stage, t *task, failures int) string {
+	switch {
+	case p.now < t.notBefore || p.now < t.pausedUntil && !s.unheld:
+		return waitPause
+	case p.mayExceedAttempts(s, t, failures):
+		return waitLastAttempt
 	}
-	s.waitingSince, s.reserved = 0, nil
+	return ""
 }
 
 // mayExceedAttempts reports whether one more failure ends the job while a silent worker may hold a failure that was not
@@ -205,7 +240,11 @@
 	if !p.withinSpare(s, 1) {
 		return false
 	}
-	if w := p.bestWorker(s, p.workers, p.mayRunRemote(s)); w != nil {
+	w := p.bestWorker(s, p.workers, p.mayRunRemote(s))
+	if w == nil {
+		w = p.tightestFit(s, p.probeable(s, len(t.failedRuns)), s.step.Resources())
+	}
+	if w != nil {
 		p.spend(s, 1)
 		p.c.startRun(t, w, nextRunNumber(s.job, t.lastRun), nil)
 		w.available = w.available.Sub(s.step.Resources())
@@ -222,6 +261,9 @@
 // mayRunRemote reports whether a stage's tasks have waited long enough to run outside the rack of their data or on several racks.
 // They take several times longer there: waiting is better until the wait exceeds the extra run time.
 func (p *planner) mayRunRemote(s *stage) bool {
+	if s.unheld {
+		return true
+	}
 	longer := (p.c.Limits.RemoteSlowdown - 1) * float64(p.c.estimate(s))
 	return p.now.Sub(s.waitingSince) > max(time.Duration(longer), minLocalWait)
 }
@@ -235,16 +277,13 @@
 		}
 		return
 	}
-	if p.now < s.tasks[0].notBefore {
-		return
-	}
 	for index := range s.tasks {
 		if s.tasks[index].activeRun != nil {
 			p.noteWait(s, waitGang)
 			return
 		}
-		if p.mayExceedAttempts(s, &s.tasks[index], len(s.failedRuns)) {
-			p.noteWait(s, waitLastAttempt)
+		if why := p.whyNotYet(s, &s.tasks[index], len(s.failedRuns)); why != "" {
+			p.noteWait(s, why)
 			return
 		}
 	}
@@ -256,6 +295,9 @@
 	if places == nil {
 		places = p.reservedPlaces(s)
 	}
+	if probes := p.probeable(s, len(s.failedRuns)); places == nil && len(probes) > 0 {
+		places = p.placeTasks(s, append(slices.Clone(p.workers), probes...), len(s.tasks), availableNow)
+	}
 	if places == nil {
 		p.noteWait(s, waitRoom)
 		p.reserveForUrgent(s)
--- a/internal/chief/poll.go
+++ b/internal/chief/poll.go
@@ -12,6 +12,7 @@
 
 const (
 	pollWait          = 1200 * time.Millisecond // how long a worker holds a poll open for the next end
+	doubtfulPollWait  = 200 * time.Millisecond  // the same while a start has no answer: what never ran has no end that ends the wait
 	pollTimeoutMargin = 600 * time.Millisecond  // beyond the wait, for the answer to arrive
 	pollRetryPause    = 200 * time.Millisecond
 	// undurablePause delays the next poll while ends are not stored: the worker would list them again at once.
@@ -46,6 +47,9 @@
 	}
 	if w.polled && !c.mayHideEnds(w) && w.missedCalls == 0 && len(w.runs) > 0 && w.handledEnd == w.durableEnd && !c.leaseStopStored(w) {
 		order.Wait = pollWait
+		if w.hasDoubtfulRun() {
+			order.Wait = doubtfulPollWait
+		}
 	}
 	w.pollInFlight = true
 	target := w.target()
@@ -59,6 +63,16 @@
 	}()
 }
 
+// hasDoubtfulRun reports whether a start of a run on the worker was sent again, since it had no answer, and still has none.
+func (w *worker) hasDoubtfulRun() bool {
+	for _, r := range w.runs {
+		if r.attempts > 1 && r.startedAt == 0 && r.listedAt == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // pollSent is a poll as it was sent.
 type pollSent struct {
 	order agent.PollOrder
@@ -188,6 +202,7 @@
 		t.lastRun = max(t.lastRun, number)
 		r.resources = t.stage.step.Resources()
 		t.stage.runsOn[w]++
+		t.stage.job.runs++
 		if t.stage.step.Gang {
 			r.gang = c.adoptGangRun(t.stage, number)
 			if r.gang != nil {
@@ -274,14 +289,18 @@
 	if r.phase == starting {
 		r.phase = running
 		r.ackedAt, r.startedAt = now, now
-		r.task.stage.job.started = true
+		r.task.stage.job.markStarted(c)
 	}
 	r.listedAt = now
+	if r.task != nil {
+		r.task.stage.job.ranAt = now
+	}
 	if item.Percent != r.percent {
 		r.percent, r.progressedAt = item.Percent, now
 	}
 	r.checkpoint, r.tailLatency = item.Saved, item.Load
 	r.updateRate(item.Percent, now)
+	c.endProvenQuarantine(r.worker, r, now)
 	if r.task != nil && item.Saved != "" && r.task.activeRun == r {
 		c.setCheckpoint(r.task.stage, r.task, item.Saved)
 	}
--- /dev/null
+++ b/internal/chief/standing.go
@@ -0,0 +1,152 @@
+package chief
+
+import (
+	"time"
+
+	"peridotgw.example/peridotgw/internal/clock"
+	"peridotgw.example/peridotgw/internal/work"
+)
+
+const (
+	// standingBound is how long a job may have nothing running while one of its tasks is due and workers have room for it.
+	standingBound = 3 * time.Second
+	// standingLimit is the time after which room is no longer kept from a job; the rest of standingBound is for its start.
+	standingLimit = standingBound - time.Second
+	// roomCheckPause is the least time between two checks of the room for a job that has nothing running.
+	roomCheckPause = 250 * time.Millisecond
+	// listedInterval is the time within which each worker that answers lists its runs.
+	listedInterval = pollWait + pollTimeoutMargin
+	// ampleRoom is how often a waiting task, or gang, must fit into the free room for its job to count as standing beside free workers.
+	ampleRoom = 2
+)
+
+// standing is a time in which a job with a task that is due has nothing running. The zero value is no such time.
+type standing struct {
+	since     clock.Instant
+	checkedAt clock.Instant // when the room for it was last added up
+	roomSince clock.Instant // since when there is ample room for it; 0 while there is not
+	loggedAt  clock.Instant // 0 while it is not longer than allowed beside ample room
+}
+
+// besideRoom returns for how long the job has had nothing running beside ample room.
+func (s *standing) besideRoom(now clock.Instant) time.Duration {
+	if s.since == 0 || s.roomSince == 0 {
+		return 0
+	}
+	return now.Sub(max(s.since, s.roomSince))
+}
+
+// hasRun reports whether a run that has ended in a certain way was at work until then.
+func (r *run) hasRun(how work.How) bool {
+	switch how {
+	case work.EndedDone, work.EndedFailed:
+		return true
+	case work.EndedLeaseExpired:
+		return false // It may have ended at any time since its worker was last heard of.
+	default:
+		return r.startedAt != 0 || r.listedAt != 0
+	}
+}
+
+// firstDue returns the first stage of a job that has tasks to run now, or nil.
+func (j *job) firstDue(now clock.Instant) *stage {
+	for occurrence, stages := range j.stages {
+		if now < j.dueAt(occurrence) {
+			return nil
+		}
+		for _, s := range stages {
+			if s.unfinished > 0 && s.dependenciesDone(stages) {
+				return s
+			}
+		}
+	}
+	return nil
+}
+
+// stands reports whether none of a job's runs is known to run.
+func (j *job) stands(now clock.Instant) bool {
+	return j.runs == 0 || now.Sub(j.ranAt) >= listedInterval
+}
+
+// standingSince returns since when a job whose stage is due has nothing running, as far as this term knows.
+func (s *stage) standingSince() clock.Instant { return max(s.job.ranAt, s.job.dueAt(s.id.Occurrence)) }
+
+// standsTooLong reports whether a stage's job, or a task of it that lasts, has had nothing running for so long, beside ample room, that
+// the room must not be kept free for anything else.
+func (p *planner) standsTooLong(s *stage) bool {
+	if s.step.Lasts {
+		return s.lastingTaskStands(p.now)
+	}
+	j := s.job
+	startInFlight := j.runs > 0 && p.now.Sub(j.lastStartAt) < listedInterval
+	return !startInFlight && j.stands(p.now) && j.standing.besideRoom(p.now) >= standingLimit
+}
+
+// lastingTaskStands reports whether a task that lasts has had no run for standingLimit; each of them counts by itself.
+func (s *stage) lastingTaskStands(now clock.Instant) bool {
+	for index := range s.tasks {
+		t := &s.tasks[index]
+		if t.activeRun == nil && now.Sub(max(t.endedAt, s.job.dueAt(s.id.Occurrence))) >= standingLimit {
+			return true
+		}
+	}
+	return false
+}
+
+// noteStanding notes whether a planning pass leaves a job that is due with nothing running, and logs it once that is longer than
+// allowed beside ample room.
+func (p *planner) noteStanding(j *job) {
+	var s *stage
+	if j.stands(p.now) {
+		s = j.firstDue(p.now)
+	}
+	if s == nil {
+		p.c.endStanding(j, p.now)
+		return
+	}
+	stands := &j.standing
+	stands.since = s.standingSince()
+	if stands.checkedAt != 0 && p.now.Sub(stands.checkedAt) < roomCheckPause {
+		return
+	}
+	stands.checkedAt = p.now
+	room := p.roomFor(s, allHolds)
+	switch {
+	case room < ampleRoom*s.placesNeeded():
+		stands.roomSince = 0
+	case stands.roomSince == 0:
+		stands.roomSince = p.now
+	}
+	if stands.besideRoom(p.now) < standingBound || stands.loggedAt != 0 && p.now.Sub(stands.loggedAt) < logWaitAgain {
+		return
+	}
+	stands.loggedAt = p.now
+	p.c.Log.Warn().Str("job", string(j.spec.ID)).Str("step", s.id.String()).Str("why", p.waitsFor(s)).
+		Dur("standing", p.now.Sub(stands.since)).Dur("beside-room", stands.besideRoom(p.now)).Int("room", room).
+		Bool("inherited", j.inherited).Uint64("token", uint64(p.c.Term.Token)).Msg("chief: job has nothing running beside free workers")
+}
+
+// waitsFor names what a job with a due stage waits for.
+func (p *planner) waitsFor(s *stage) string {
+	switch {
+	case s.job.wait.since != 0:
+		return s.job.wait.why
+	case s.wait.why == waitRoom:
+		return p.whyNoRoom(s)
+	}
+	return s.wait.why
+}
+
+// endStanding notes that something of a job runs, or that it has no task to run.
+func (c *Scheduler) endStanding(j *job, now clock.Instant) {
+	if j.standing.since == 0 {
+		return
+	}
+	if stood := now.Sub(j.standing.since); stood >= logWaitFrom {
+		c.Observe.JobStood(stood, j.standing.loggedAt != 0)
+	}
+	if j.standing.loggedAt != 0 {
+		c.Log.Info().Str("job", string(j.spec.ID)).Dur("standing", now.Sub(j.standing.since)).Msg("chief: job no longer stands")
+	}
+	j.standing = standing{}
+}
--- a/internal/chief/trail_test.go
+++ b/internal/chief/trail_test.go
@@ -117,3 +117,55 @@
 		}
 	})
 }
+
+// Guards against one word for workers that are full and for room that is kept free: an engineer could not tell which of them holds a
+// step back.
+func TestWaitNamesWhatKeepsRoomFree(t *testing.T) {
+	withTestEnv(t, 2, func(env *testEnv) { // One worker in each of two racks.
+		var lines logBuffer
+		env.fleet.Outcome = func(string, int64, string) fakepl.Outcome { return fakepl.Outcome{After: time.Minute, How: "done"} }
+		env.start("a", logTo(&lines))
+		first := newJob("00000000000000f7", "scan", 1, 8)
+		first.Steps[0].DataRack = "r1"
+		env.submit(first)
+		env.await(5*time.Second, "it runs", func() bool { return len(env.fleet.RunningOn(taskID("00000000000000f7", 0))) == 1 })
+		second := newJob("00000000000000f8", "scan", 1, 8)
+		second.Steps[0].DataRack = "r1"
+		env.submit(second)
+		env.await(1500*time.Millisecond, "its wait is logged", func() bool { return lines.count("chief: step waits\"", "00000000000000f8") == 1 })
+		env.Expect(lines.count("00000000000000f8", `"why":"rack of its data, or one rack"`, `"room":1`)).To(Equal(1))
+		env.await(8*time.Second, "it runs in the other rack", func() bool { return len(env.fleet.RunningOn(taskID("00000000000000f8", 0))) == 1 })
+		third := newJob("00000000000000f9", "scan", 1, 8)
+		env.submit(third)
+		env.await(1500*time.Millisecond, "its wait is logged", func() bool { return lines.count("chief: step waits\"", "00000000000000f9") == 1 })
+		env.Expect(lines.count("00000000000000f9", `"why":"room"`, `"room":0`)).To(Equal(1))
+	})
+}
+
+// Guards against logs of an instance that does not lead from which nobody can tell whose log has the lines of a job.
+func TestEachInstanceLogsWhoLeads(t *testing.T) {
+	withTestEnv(t, 1, func(env *testEnv) {
+		var lines logBuffer
+		leader := env.start("a", nil)
+		env.await(5*time.Second, "a leads", func() bool { return leader.chief.Load() != nil })
+		env.start("b", logTo(&lines))
+		env.await(time.Second, "b logs it", func() bool { return lines.count("elect: leader known", `"leader":"a"`) == 1 })
+		leader.kill()
+		env.await(5*time.Second, "b leads", func() bool { return lines.count("elect: leader known", `"leader":"b"`) == 1 })
+		env.Expect(lines.count("elect: no leader known")).To(Equal(1))
+	})
+}
+
+// Guards against a job that is shown as queued, and counted as never started, while it runs: the answer to its start was lost, and a poll
+// reports the run.
+func TestStartThatAPollReportsCounts(t *testing.T) {
+	withTestEnv(t, 1, func(env *testEnv) {
+		env.fleet.Outcome = func(string, int64, string) fakepl.Outcome { return fakepl.Outcome{After: time.Minute, How: "done"} }
+		leader := env.start("a", nil)
+		env.sleep(3 * time.Second)
+		env.workers[0].LateBy = 100 * time.Millisecond
+		env.workers[0].SetFault(fakepl.FaultOn(fakepl.DelayedExecution, fakepl.PathStart))
+		env.submit(newJob("00000000000000fb", "scan", 1, 1))
+		env.await(3*time.Second, "it is shown as running", func() bool { return leader.state("00000000000000fb") == work.StateRunning })
+	})
+}
