--- a/internal/chief/leasestop.go
+++ b/internal/chief/leasestop.go
@@ -82,13 +82,14 @@
 // executed any more: it expects an earlier revision.
 func (c *Scheduler) resumeLeases(entries map[model.WorkerID]rosterEntry) {
 	for id := range c.roster.stops {
-		if entries[id].Stop == nil {
-			delete(c.roster.stops, id)
+		if entries[id].Stop != nil {
+			continue
+		}
+		delete(c.roster.stops, id)
+		if w := c.workers[id]; w != nil {
 			c.Log.Info().Str("worker", string(id)).Msg("chief: leases of worker may be extended again")
-			if w := c.workers[id]; w != nil {
-				w.nextPollAt = 0
-				c.pollIfDue(w)
-			}
+			w.nextPollAt = 0
+			c.pollIfDue(w)
 		}
 	}
 }
