--- a/internal/elect/elect.go
+++ b/internal/elect/elect.go
@@ -69,6 +69,7 @@
 	// loggedLeader is the revision of the last leader that was logged: a new snapshot may hold the same one.
 	loggedLeader kv.Revision
 	nodes        map[string]Node
+	notice       noticeSeen
 	term         *Term // nil while this instance does not lead
 	cancelTerm   context.CancelFunc
 	stoppingAt   clock.Instant // when StopSoon was called; 0 before
--- a/internal/elect/follow.go
+++ b/internal/elect/follow.go
@@ -40,6 +40,10 @@
 		e.setLeader(event)
 		return
 	}
+	if event.Key == NoticeKey && !event.Removed {
+		e.noteNotice(event.Revision)
+		return
+	}
 	id, found := strings.CutPrefix(event.Key, nodePrefix)
 	if !found {
 		return
