chief: the pause after a planning pass is bounded

What callers see: nothing is started for seconds in a valid term. It is at most 250 ms now. TestPlanningGoesOnSoonAfterAPassWasHeldUp failed before, 20 of 20 runs.

--- a/Makefile
+++ b/Makefile
@@ -42,8 +42,7 @@
 	TestJobDoesNotStandBesideRoomReservedForTasksThatWaitForARack \
 	TestSecondDueStepOfAJobDoesNotStand \
 	TestTimeOfStandingIsCountedOverPlannedChangesOfTheLeader \
-	TestGuaranteedTasksDoNotWaitForTheRackOfTheirData \
-	TestPlanningGoesOnSoonAfterAPassWasHeldUp
+	TestGuaranteedTasksDoNotWaitForTheRackOfTheirData
 RED_CHIEF := ^($(subst $(SPACE),|,$(strip $(RED_CHIEF_TESTS))))$$
 RED_FAULT := the store is down: scans go on, tallies are refused without a run and work again afterwards
 
--- a/internal/chief/scheduler.go
+++ b/internal/chief/scheduler.go
@@ -24,6 +24,8 @@
 	planPause = 10 * time.Millisecond
 	// planShare is the part of the time that planning passes may take, so that calls to workers are handled on a small machine too.
 	planShare = 0.25
+	// maxPlanPause bounds the pause after a pass that was held up: the process may have had no processor time during it.
+	maxPlanPause = 250 * time.Millisecond
 	// settleTime is how long after the jobs are loaded a new leader waits for the workers' first answers before it preempts.
 	settleTime = 500 * time.Millisecond
 )
@@ -231,7 +233,7 @@
 	c.planStarts()
 	c.publishPending()
 	now := c.Now()
-	pause := max(planPause, time.Duration(float64(now.Sub(began))*(1-planShare)/planShare))
+	pause := max(planPause, min(maxPlanPause, time.Duration(float64(now.Sub(began))*(1-planShare)/planShare)))
 	c.nextPlanAt = now.Add(pause)
 	c.postAfter(pause, func() {})
 }
