chief: urgent work waits for a rack no longer than its bound allows

An urgent task waited for the rack of its data for twice its estimate, as other work does. Guaranteed tasks began after 20 s (bound 2.7 s), and what they reserved on workers of other racks meanwhile stayed idle, so that other jobs stood beside it for 19.5 s.

--- a/Makefile
+++ b/Makefile
@@ -39,10 +39,8 @@
 	TestJobsDoNotStandBehindALongProbe \
 	TestJobsOfOneAttemptDoNotStandForWorkersAtRest \
 	TestHangingTasksFoundInTurnDoNotPutOffProbes \
-	TestJobDoesNotStandBesideRoomReservedForTasksThatWaitForARack \
 	TestSecondDueStepOfAJobDoesNotStand \
-	TestTimeOfStandingIsCountedOverPlannedChangesOfTheLeader \
-	TestGuaranteedTasksDoNotWaitForTheRackOfTheirData
+	TestTimeOfStandingIsCountedOverPlannedChangesOfTheLeader
 RED_CHIEF := ^($(subst $(SPACE),|,$(strip $(RED_CHIEF_TESTS))))$$
 RED_FAULT := the store is down: scans go on, tallies are refused without a run and work again afterwards
 
--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -265,7 +265,11 @@
 		return true
 	}
 	longer := (p.c.Limits.RemoteSlowdown - 1) * float64(p.c.estimate(s))
-	return p.now.Sub(s.waitingSince) > max(time.Duration(longer), minLocalWait)
+	limit := max(time.Duration(longer), minLocalWait)
+	if p.priority(s) == 0 {
+		limit = min(limit, p.sameRackWait())
+	}
+	return p.now.Sub(s.waitingSince) > limit
 }
 
 // planGang starts all members of a gang at once, or none.
--- a/internal/chief/reservation.go
+++ b/internal/chief/reservation.go
@@ -124,7 +124,8 @@
 		Bool("possible", possible).Float64("lost-core-seconds", cost).Int("workers", len(p.workers)).Msg("chief: no room for urgent work")
 }
 
-// sameRackWait is how long an urgent gang waits for stops in flight to free capacity in a single rack.
+// sameRackWait is how long urgent work waits for the rack of its data, or for stops in flight to free capacity in a single rack: its
+// reservations in other racks keep room from others meanwhile.
 func (p *planner) sameRackWait() time.Duration {
 	return time.Duration(sameRackWaitShare * float64(p.c.Limits.ReclaimBound))
 }
