chief: a spec of starts that wait behind stops on a silent worker

What callers see: a new job has nothing running for 6.85 s beside three idle workers, after a job with 1,200 runs on a worker that was cut off has been cancelled; with 2,400 runs 8.85 s, until the leases of that worker end.

Cause: starts and stops share one queue, the oldest first, and 128 orders in flight. A stop on a silent worker takes its timeout of 0.5 s and is queued again 0.2 s later, so that some 770 such runs or more keep each start waiting for over 3 s.

The rule counts calm times only, which do not include the cut.

--- a/Makefile
+++ b/Makefile
@@ -44,7 +44,8 @@
 	TestSecondDueStepOfAJobDoesNotStand \
 	TestTimeOfStandingIsCountedOverPlannedChangesOfTheLeader \
 	TestGuaranteedTasksDoNotWaitForTheRackOfTheirData \
-	TestPlanningGoesOnSoonAfterAPassWasHeldUp
+	TestPlanningGoesOnSoonAfterAPassWasHeldUp \
+	TestStartsDoNotWaitBehindStopsOnASilentWorker
 RED_CHIEF := ^($(subst $(SPACE),|,$(strip $(RED_CHIEF_TESTS))))$$
 RED_FAULT := the store is down: scans go on, tallies are refused without a run and work again afterwards
 
--- a/internal/chief/dispatch_test.go
+++ b/internal/chief/dispatch_test.go
@@ -144,3 +144,30 @@
 		env.Expect(env.startCounts(job)).To(Equal(map[int]int{1: waitingStarts}))
 	})
 }
+
+// Guards against starts that wait behind the stops of many runs on a silent worker, each of which runs into its timeout and is sent again.
+// The rule counts calm times only; the callers wait all the same.
+func TestStartsDoNotWaitBehindStopsOnASilentWorker(t *testing.T) {
+	withTestEnv(t, 4, func(env *testEnv) {
+		watch := env.watchStanding()
+		env.fleet.Outcome = func(task string, run int64, worker string) fakepl.Outcome {
+			if task[0] == 'c' {
+				return fakepl.Outcome{Hang: true}
+			}
+			return runsOf(2*time.Second)(task, run, worker)
+		}
+		env.start("a", nil)
+		env.sleep(3 * time.Second)
+		const id model.JobID = "c000000000000001"
+		job := newJob(string(id), "scan", 1200, 0)
+		job.Steps[0].Label, job.Steps[0].Need = "r1", work.Resources{CPU: 10, Memory: 10}
+		watch.load(job)
+		env.await(4*time.Second, "all tasks run on one worker", func() bool { return len(env.workers[0].Running()) == job.Steps[0].Count })
+		env.cut("a", env.workers[0].ID, true)
+		env.Expect(env.jobIntake.Cancel(env.ctx, id)).To(Succeed())
+		env.sleep(100 * time.Millisecond)
+		watch.submit(newJob("0000000000000e90", "check", 1, 1))
+		env.sleep(20 * time.Second)
+		watch.expectNoneStood()
+	})
+}
