chief: a spec of tasks that last and wait for workers at rest

What callers see: of a job of six tasks that last, four do not run for 12 s beside two sound workers with room.

Cause: as with a long probe; each worker at rest takes one task, and that says nothing of its progress.

--- a/Makefile
+++ b/Makefile
@@ -45,7 +45,8 @@
 	TestTimeOfStandingIsCountedOverPlannedChangesOfTheLeader \
 	TestGuaranteedTasksDoNotWaitForTheRackOfTheirData \
 	TestPlanningGoesOnSoonAfterAPassWasHeldUp \
-	TestStartsDoNotWaitBehindStopsOnASilentWorker
+	TestStartsDoNotWaitBehindStopsOnASilentWorker \
+	TestEachLastingTaskStartsOnWorkersAtRest
 RED_CHIEF := ^($(subst $(SPACE),|,$(strip $(RED_CHIEF_TESTS))))$$
 RED_FAULT := the store is down: scans go on, tallies are refused without a run and work again afterwards
 
--- a/internal/chief/probe_test.go
+++ b/internal/chief/probe_test.go
@@ -252,3 +252,23 @@
 		watch.expectNoneStood()
 	})
 }
+
+// Guards against tasks that last and wait for workers at rest to their end, since each of these takes one task as a probe: every one of
+// them has to run, whether others of its job do or not.
+func TestEachLastingTaskStartsOnWorkersAtRest(t *testing.T) {
+	const id, tasks = "fa00000000000001", 6
+	withTestEnv(t, 4, func(env *testEnv) {
+		watch := env.watchStanding()
+		env.fleet.Outcome = runsOf(2 * time.Second)
+		env.fleet.Percent = func(string, string) int { return 0 }
+		env.start("a", nil)
+		watch.closeWorkers()
+		watch.load(newLoad(id, "r2", tasks, 1))
+		env.sleep(calmTime + standingLimit)
+		running := 0
+		for index := range tasks {
+			running += len(env.fleet.RunningOn(taskID(id, index)))
+		}
+		env.Expect(running).To(Equal(tasks))
+	})
+}
