--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,9 @@
 	TestJobDoesNotStandForAWorkerWhereItsRunsHaveEnded \
 	TestWorkersWithAFullListOfEndsTakeStarts \
 	TestHopelessJobsDoNotTakeAllProbes \
-	TestJobsOfOneAttemptDoNotStandForWorkersAtRest
+	TestJobsOfOneAttemptDoNotStandForWorkersAtRest \
+	TestEachLastingTaskStartsOnWorkersAtRest \
+	TestStartsDoNotWaitBehindStopsOnASilentWorker
 RED_CHIEF := ^($(subst $(SPACE),|,$(strip $(RED_CHIEF_TESTS))))$$
 RED_FAULT := the store is down: scans go on, tallies are refused without a run and work again afterwards
 
