chief: starts have places of their own beside stops

What callers see: jobs are not started for seconds although sound workers have room, while a worker with many runs to stop does not answer: each stop takes one of 128 places for its timeout of half a second, and is sent again.

Stops take at most half of the places.

--- a/internal/chief/dispatch.go
+++ b/internal/chief/dispatch.go
@@ -14,31 +14,41 @@
 	// maxOrdersInFlight keeps the orders of a large pass from each other's processor time: on a small machine they would all run into
 	// their timeouts, and be stopped and sent again.
 	maxOrdersInFlight = 128
+	// maxStopsInFlight leaves places for starts: each stop on a worker that does not answer takes one for its timeout, again and again.
+	maxStopsInFlight = maxOrdersInFlight / 2
 )
 
-// order is an order that waits to be sent: the start of a run or its stop.
-type order struct {
-	run  *run
-	stop bool
+// orders are the runs whose orders wait to be sent, the oldest first.
+type orders struct {
+	starts, stops []*run
+	// inFlight is the number of orders whose result is not known yet, and stopsInFlight the part of it that are stops.
+	inFlight, stopsInFlight int
 }
 
+// waiting returns the number of orders that wait.
+func (o *orders) waiting() int { return len(o.starts) + len(o.stops) }
+
 // queueStart queues the start order of a run.
-func (c *Scheduler) queueStart(r *run) { c.orders = append(c.orders, order{run: r}) }
+func (c *Scheduler) queueStart(r *run) { c.orders.starts = append(c.orders.starts, r) }
 
 // queueStop queues the stop order of a run.
-func (c *Scheduler) queueStop(r *run) { c.orders = append(c.orders, order{run: r, stop: true}) }
+func (c *Scheduler) queueStop(r *run) { c.orders.stops = append(c.orders.stops, r) }
 
-// sendOrders sends the orders that wait, the oldest first, while fewer than maxOrdersInFlight are in flight. Orders to workers that do
-// not answer can keep others waiting for seconds, so that a start is checked again when its turn comes.
+// sendOrders sends the orders that wait, stops first, while there are places for them. Orders to workers that do not answer can keep
+// others waiting for seconds, so that a start is checked again when its turn comes.
 func (c *Scheduler) sendOrders() {
-	for len(c.orders) > 0 && c.ordersInFlight < maxOrdersInFlight {
-		next := c.orders[0]
-		c.orders = c.orders[1:]
-		switch r := next.run; {
-		case !r.present():
-		case next.stop:
+	o := &c.orders
+	for len(o.stops) > 0 && o.inFlight < maxOrdersInFlight && o.stopsInFlight < maxStopsInFlight {
+		r := o.stops[0]
+		o.stops = o.stops[1:]
+		if r.present() {
 			c.sendStop(r)
-		default:
+		}
+	}
+	for len(o.starts) > 0 && o.inFlight < maxOrdersInFlight {
+		r := o.starts[0]
+		o.starts = o.starts[1:]
+		if r.present() {
 			c.startOrDrop(r)
 		}
 	}
@@ -92,12 +102,12 @@
 func (c *Scheduler) sendStart(r *run, start agent.StartOrder) {
 	r.attempts++
 	r.sentToBorn = r.worker.born
-	c.ordersInFlight++
+	c.orders.inFlight++
 	target := r.worker.target()
 	go func() {
 		reading, err := c.callInTerm(func(ctx context.Context) (work.WorkerClock, error) { return c.Workers.Start(ctx, target, start) })
 		c.post(func() {
-			c.ordersInFlight--
+			c.orders.inFlight--
 			c.handleStartResult(r, start, reading, err)
 		})
 	}()
@@ -107,12 +117,14 @@
 func (c *Scheduler) sendStop(r *run) {
 	r.sentToBorn = r.worker.born
 	stop := agent.StopOrder{Task: r.key.task, Run: r.key.number, Token: c.Term.Token}
-	c.ordersInFlight++
+	c.orders.inFlight++
+	c.orders.stopsInFlight++
 	target := r.worker.target()
 	go func() {
 		reading, err := c.callInTerm(func(ctx context.Context) (work.WorkerClock, error) { return c.Workers.Stop(ctx, target, stop) })
 		c.post(func() {
-			c.ordersInFlight--
+			c.orders.inFlight--
+			c.orders.stopsInFlight--
 			c.handleStopResult(r, reading, err)
 		})
 	}()
--- a/internal/chief/scheduler.go
+++ b/internal/chief/scheduler.go
@@ -72,9 +72,7 @@
 	jobs     map[model.JobID]*job
 	liveJobs []*job
 	workers  map[model.WorkerID]*worker
-	orders   []order // that wait to be sent, the oldest first
-	// ordersInFlight is the number of orders whose result is not known yet.
-	ordersInFlight int
+	orders   orders
 	// roster is the stored list of the workers that may have runs.
 	roster              roster
 	unclaimedProgress   map[model.JobID]storedProgress  // records whose job is not loaded yet
--- a/internal/chief/wait.go
+++ b/internal/chief/wait.go
@@ -115,5 +115,5 @@
 		step = "orders before it"
 	}
 	c.Log.Info().Str("task", r.key.task.String()).Int64("run", int64(r.key.number)).Str("worker", string(r.worker.info.ID)).
-		Str("waits-for", step).Int("attempts", r.attempts).Dur("age", r.age(now)).Int("orders", len(c.orders)).Msg("chief: run not started yet")
+		Str("waits-for", step).Int("attempts", r.attempts).Dur("age", r.age(now)).Int("orders", c.orders.waiting()).Msg("chief: run not started yet")
 }
