chief: the usual words for jobs with nothing running, avoided workers and holds

Stalled, avoided, ignores holds, readmit; the metric is peridot_job_stalled_seconds. No behaviour changes.

--- a/internal/chief/fit.go
+++ b/internal/chief/fit.go
@@ -177,8 +177,8 @@
 	}
 	sort.SliceStable(options, func(i, j int) bool {
 		a, b := options[i].worker, options[j].worker
-		if rests := b.rests(p.now); a.rests(p.now) != rests {
-			return rests
+		if avoided := b.avoided(p.now); a.avoided(p.now) != avoided {
+			return avoided
 		}
 		if a.suspect() != b.suspect() {
 			return b.suspect()
--- a/internal/chief/headroom.go
+++ b/internal/chief/headroom.go
@@ -90,7 +90,7 @@
 
 // yieldsToUrgent reports whether a stage leaves the accelerators that are kept for urgent work to it.
 func (p *planner) yieldsToUrgent(s *stage) bool {
-	return p.priority(s) != 0 && s.step.Need.GPU > 0 && !s.step.Lasts && !s.unheld
+	return p.priority(s) != 0 && s.step.Need.GPU > 0 && !s.step.Lasts && !s.ignoresHolds
 }
 
 // withinSpare reports whether a number of a stage's tasks may start without taking accelerators that are kept for urgent work.
--- a/internal/chief/health.go
+++ b/internal/chief/health.go
@@ -27,7 +27,7 @@
 	case work.EndedDone:
 		w.failures, w.quarantines, w.lastDoneAt = 0, 0, c.Now()
 		if r.probe {
-			c.openWorker(w)
+			c.readmit(w)
 		}
 	case work.EndedFailed:
 		if r.task == nil || r.task.failedOn != "" && r.task.failedOn != w.info.ID {
@@ -46,8 +46,8 @@
 	}
 }
 
-// rests reports whether a worker gets no starts, but for a probe, since its tasks fail, make no progress or are slow.
-func (w *worker) rests(now clock.Instant) bool {
+// avoided reports whether a worker gets no starts, but for a probe, since its tasks fail, make no progress or are slow.
+func (w *worker) avoided(now clock.Instant) bool {
 	return now < w.quarantinedUntil || now < w.slowUntil || w.unproven && !w.probeDue(now)
 }
 
--- a/internal/chief/jobs.go
+++ b/internal/chief/jobs.go
@@ -218,7 +218,7 @@
 	j.state, j.reason, j.endedAt, j.finishedAt = state, reason, c.WallClock(), c.Now()
 	j.dirty = true
 	c.dirty = true
-	c.endStanding(j, j.finishedAt)
+	c.endStall(j, j.finishedAt)
 	for _, stages := range j.stages {
 		for _, s := range stages {
 			for index := range s.tasks {
--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -27,10 +27,10 @@
 	now         clock.Instant
 	config      *work.Config
 	workers     []*worker // that may get new runs, by id
-	resting     []*worker // that could get new runs but for their quarantine
+	avoided     []*worker // that could get new runs but for their quarantine
 	racks       map[work.Label][]*worker
 	unseenRuns  map[model.WorkerID]bool                 // workers that were not polled yet and may have runs of an earlier term
-	rooms       map[roomKind]int                        // results of unheldRoom
+	rooms       map[roomKind]int                        // results of allRoom
 	keptIdle    map[*worker]bool                        // idle workers that work which is not urgent may not take
 	settling    bool                                    // registered workers have not been polled yet: their free capacity is unknown
 	spare       map[work.PoolName]model.Accelerators    // that work which is not urgent may take
@@ -69,8 +69,8 @@
 		if p.c.whyUnusable(w) != "" || !w.polled || p.c.mayHideEnds(w) || w.missedCalls > 0 {
 			continue
 		}
-		if w.rests(p.now) {
-			p.resting = append(p.resting, w)
+		if w.avoided(p.now) {
+			p.avoided = append(p.avoided, w)
 			continue
 		}
 		p.workers = append(p.workers, w)
@@ -82,8 +82,8 @@
 	}
 }
 
-// candidates returns the workers that may get new runs, and those at rest, which may get probes.
-func (p *planner) candidates() []*worker { return slices.Concat(p.workers, p.resting) }
+// candidates returns the workers that may get new runs, and those that are avoided, which may get probes.
+func (p *planner) candidates() []*worker { return slices.Concat(p.workers, p.avoided) }
 
 // noteUnseen notes what a worker of an earlier term may hold that was not polled yet.
 func (p *planner) noteUnseen(w *worker) {
@@ -136,7 +136,7 @@
 func (p *planner) job(j *job) {
 	if j.mayHaveRunsOn(p.unseenRuns) {
 		p.noteUnseenWait(j)
-		p.noteStanding(j)
+		p.noteStall(j)
 		return
 	}
 	p.c.endJobWait(j, p.now)
@@ -151,7 +151,7 @@
 			}
 		}
 	}
-	p.noteStanding(j)
+	p.noteStall(j)
 }
 
 // dependenciesDone reports whether all steps that a stage depends on are done, and starts its waiting time.
@@ -182,13 +182,13 @@
 		return
 	}
 	p.creditReservation(s)
-	s.unheld = p.standsTooLong(s)
+	s.ignoresHolds = p.stalledTooLong(s)
 	if s.step.Gang {
 		p.planGang(s)
 	} else {
 		p.startTasks(s)
 	}
-	s.unheld = false
+	s.ignoresHolds = false
 	p.deductReservation(s)
 }
 
@@ -211,7 +211,7 @@
 			return
 		}
 		s.reserved = nil // The remaining tasks reserve anew.
-		s.unheld = s.unheld && s.step.Lasts
+		s.ignoresHolds = s.ignoresHolds && s.step.Lasts
 	}
 	s.reserved = nil
 	if allStarted {
@@ -222,7 +222,7 @@
 // whyNotYet returns why a task, or a gang with it, may not start now even if there is room; an empty text if it may.
 func (p *planner) whyNotYet(s *stage, t *task, failures int) string {
 	switch {
-	case p.now < t.notBefore || p.now < t.pausedUntil && !s.unheld:
+	case p.now < t.notBefore || p.now < t.pausedUntil && !s.ignoresHolds:
 		return waitPause
 	case p.mayExceedAttempts(s, t, failures):
 		return waitLastAttempt
@@ -267,7 +267,7 @@
 // mayRunRemote reports whether a stage's tasks have waited long enough to run outside the rack of their data or on several racks.
 // They take several times longer there: waiting is better until the wait exceeds the extra run time.
 func (p *planner) mayRunRemote(s *stage) bool {
-	if s.unheld {
+	if s.ignoresHolds {
 		return true
 	}
 	longer := (p.c.Limits.RemoteSlowdown - 1) * float64(p.c.estimate(s))
--- a/internal/chief/poll.go
+++ b/internal/chief/poll.go
@@ -300,7 +300,7 @@
 	}
 	r.checkpoint, r.tailLatency = item.Saved, item.Load
 	r.updateRate(item.Percent, now)
-	c.openIfProven(r.worker, r, now)
+	c.readmitIfProven(r.worker, r, now)
 	if r.task != nil && item.Saved != "" && r.task.activeRun == r {
 		c.setCheckpoint(r.task.stage, r.task, item.Saved)
 	}
--- a/internal/chief/probe.go
+++ b/internal/chief/probe.go
@@ -33,7 +33,7 @@
 	return w.probes.runs == 0 || now.Sub(w.probes.since) >= time.Duration(w.probes.runs)*probeInterval
 }
 
-// mayProbe reports whether a worker at rest may get a run of a job that stands. One that is only slow works, so that it may get more.
+// mayProbe reports whether an avoided worker may get a run of a stalled job. One that is only slow works, so that it may get more.
 func (w *worker) mayProbe(now clock.Instant) bool {
 	return !w.needsProbe(now) || w.probeDue(now) && now.Sub(w.quarantinedAt) >= probePause
 }
@@ -66,15 +66,15 @@
 	}
 }
 
-// openIfProven opens a worker whose tasks made no progress once a probe has made some for a time.
-func (c *Scheduler) openIfProven(w *worker, r *run, now clock.Instant) {
+// readmitIfProven opens a worker whose tasks made no progress once a probe has made some for a time.
+func (c *Scheduler) readmitIfProven(w *worker, r *run, now clock.Instant) {
 	if r.probe && !w.unproven && r.rate > minRate && now.Sub(r.createdAt) >= probeTime {
-		c.openWorker(w)
+		c.readmit(w)
 	}
 }
 
-// openWorker ends the quarantine of a worker that works again.
-func (c *Scheduler) openWorker(w *worker) {
+// readmit ends the quarantine of a worker that works again.
+func (c *Scheduler) readmit(w *worker) {
 	for _, r := range w.runs {
 		w.endProbe(r)
 	}
@@ -83,15 +83,15 @@
 	c.Log.Info().Str("worker", string(w.info.ID)).Msg("chief: worker works again and gets starts")
 }
 
-// probeable returns the workers at rest that may run a task of a stage: none unless its job stands for too long. One that may still fail
+// probeable returns the avoided workers that may run a task of a stage: none unless its job is stalled for too long. One that may still fail
 // everything gets neither a last attempt nor a job that others have waited longer than.
 func (p *planner) probeable(s *stage) []*worker {
-	if !s.unheld {
+	if !s.ignoresHolds {
 		return nil
 	}
 	mayFail := !s.lastAttempt && p.mayLoseAttempts(s.job)
 	var list []*worker
-	for _, w := range p.resting {
+	for _, w := range p.avoided {
 		if w.mayProbe(p.now) && (mayFail || p.now >= w.quarantinedUntil) {
 			list = append(list, w)
 		}
@@ -100,39 +100,39 @@
 }
 
 // mayLoseAttempts reports whether a job is among those that probe workers in quarantine in this pass, as many as there are such workers:
-// jobs without failures first, and then those that stand longest. Hopeless jobs of a higher rank would otherwise take all probes, and the
-// failures of their tasks keep the workers closed.
+// jobs without failures first, and then those that are stalled longest. Hopeless jobs of a higher rank would otherwise take all probes,
+// and the failures of their tasks keep the workers closed.
 func (p *planner) mayLoseAttempts(j *job) bool {
 	if p.probers == nil {
 		p.probers = map[*job]bool{}
-		for _, prober := range p.jobsByStanding()[:p.openProbes()] {
+		for _, prober := range p.jobsByStall()[:p.probesDue()] {
 			p.probers[prober] = true
 		}
 	}
 	return p.probers[j]
 }
 
-// openProbes returns how many workers in quarantine may get a probe, at most the number of jobs that stand.
-func (p *planner) openProbes() int {
+// probesDue returns how many workers in quarantine may get a probe, at most the number of stalled jobs.
+func (p *planner) probesDue() int {
 	workers, jobs := 0, 0
-	for _, w := range p.resting {
+	for _, w := range p.avoided {
 		if p.now < w.quarantinedUntil && w.mayProbe(p.now) {
 			workers++
 		}
 	}
 	for _, j := range p.c.liveJobs {
-		if j.standing.since != 0 {
+		if j.stall.since != 0 {
 			jobs++
 		}
 	}
 	return min(workers, jobs)
 }
 
-// jobsByStanding returns the jobs that have nothing running: those without failures first, and then by how long they stand.
-func (p *planner) jobsByStanding() []*job {
+// jobsByStall returns the jobs that have nothing running: those without failures first, and then by how long they are stalled.
+func (p *planner) jobsByStall() []*job {
 	var list []*job
 	for _, j := range p.c.liveJobs {
-		if j.standing.since != 0 {
+		if j.stall.since != 0 {
 			list = append(list, j)
 		}
 	}
@@ -143,7 +143,7 @@
 			}
 			return -1
 		}
-		return cmp.Compare(a.standing.since, b.standing.since)
+		return cmp.Compare(a.stall.since, b.stall.since)
 	})
 	return list
 }
--- a/internal/chief/room.go
+++ b/internal/chief/room.go
@@ -26,7 +26,7 @@
 // whyNoRoom names the hold for which a stage finds no room; waitRoom if there is not enough even without any of them.
 func (p *planner) whyNoRoom(s *stage) string {
 	need := s.placesNeeded()
-	if p.unheldRoom(s) < need {
+	if p.allRoom(s) < need {
 		return waitRoom
 	}
 	for _, h := range []struct {
@@ -47,9 +47,9 @@
 	resources work.Resources
 }
 
-// unheldRoom returns how many tasks of a stage fit into all room that is free now. Jobs that wait are many, and their kinds few, so that it
+// allRoom returns how many tasks of a stage fit into all room that is free now. Jobs that wait are many, and their kinds few, so that it
 // is added up once in a pass for each kind.
-func (p *planner) unheldRoom(s *stage) int {
+func (p *planner) allRoom(s *stage) int {
 	if s.step.PerWorker > 0 || p.needsAdvice(s) {
 		return p.roomFor(s, allHolds)
 	}
@@ -66,7 +66,7 @@
 func (p *planner) roomFor(s *stage, ignoring holds) int {
 	room := p.roomAmong(s, p.workers, ignoring)
 	if ignoring&holdQuarantine != 0 {
-		room += p.roomAmong(s, p.resting, ignoring)
+		room += p.roomAmong(s, p.avoided, ignoring)
 	}
 	switch {
 	case ignoring&holdLocality != 0 || p.mayRunRemote(s):
--- a/internal/chief/roster.go
+++ b/internal/chief/roster.go
@@ -70,8 +70,8 @@
 	return found && entry.Address == w.info.Address
 }
 
-// saveRoster writes the roster if workers were added, removed or moved, or their leaseStops are outdated. What it cannot write now is written on a later tick: the
-// registry need not report a worker again.
+// saveRoster writes the roster if workers were added, removed or moved, or their leaseStops are outdated. What it cannot write now is
+// written on a later tick: the registry need not report a worker again.
 func (c *Scheduler) saveRoster() {
 	c.roster.stale = true
 	if c.roster.writing || !c.TermValid() {
--- a/internal/chief/scheduler.go
+++ b/internal/chief/scheduler.go
@@ -110,9 +110,9 @@
 	RunEnded     func(how work.How)
 	PassDuration func(took time.Duration)                         // of a planning pass
 	JobStarted   func(queue work.QueueName, waited time.Duration) // waited since this term knew the job
-	// JobStood reports a time of at least a second in which a job that was due had nothing running, and whether it was longer than
+	// JobStalled reports a time of at least a second in which a job that was due had nothing running, and whether it was longer than
 	// allowed beside workers with room.
-	JobStood func(stood time.Duration, besideRoom bool)
+	JobStalled func(stalled time.Duration, besideRoom bool)
 	// JobStep and EndStep count how far jobs and the ends that workers list have come, so that the sums can be compared.
 	JobStep func(step JobStep)
 	EndStep func(step EndStep, ends int)
@@ -303,10 +303,10 @@
 
 // logTermEnd logs what this term leaves behind. Ends that are not stored are known to their workers alone.
 func (c *Scheduler) logTermEnd() {
-	unstoredJobs, runs, unstoredEnds, standing := 0, 0, 0, 0
+	unstoredJobs, runs, unstoredEnds, stalled := 0, 0, 0, 0
 	for _, j := range c.jobs {
-		if j.standing.since != 0 {
-			standing++
+		if j.stall.since != 0 {
+			stalled++
 		}
 		if j.dirty || j.state.Final() && !j.durableState.Final() {
 			unstoredJobs++
@@ -316,7 +316,7 @@
 		runs += len(w.runs)
 		unstoredEnds += int(w.handledEnd - max(w.durableEnd, w.listedFrom))
 	}
-	c.Log.Info().Uint64("token", uint64(c.Term.Token)).Int("jobs", len(c.jobs)).Int("live", len(c.liveJobs)).Int("runs", runs).Int("standing", standing).
+	c.Log.Info().Uint64("token", uint64(c.Term.Token)).Int("jobs", len(c.jobs)).Int("live", len(c.liveJobs)).Int("runs", runs).Int("stalled", stalled).
 		Int("unstored-jobs", unstoredJobs).Int("unstored-ends", unstoredEnds).
 		Bool("write-in-flight", c.writeInFlight).Msg("chief: term left")
 }
--- a/internal/chief/standing.go
+++ b/internal/chief/stall.go
@@ -8,27 +8,27 @@
 )
 
 const (
-	// standingBound is how long a job may have nothing running while one of its tasks is due and workers have room for it.
-	standingBound = 3 * time.Second
-	// standingLimit is the time after which room is no longer kept from a job; the rest of standingBound is for its start.
-	standingLimit = standingBound - time.Second
+	// stallBound is how long a job may have nothing running while one of its tasks is due and workers have room for it.
+	stallBound = 3 * time.Second
+	// stallLimit is the time after which room is no longer kept from a job; the rest of stallBound is for its start.
+	stallLimit = stallBound - time.Second
 	// roomCheckPause is the least time between two checks of the room for a job that has nothing running.
 	roomCheckPause = 250 * time.Millisecond
 	// listedInterval is the time within which each worker that answers lists its runs.
 	listedInterval = pollWait + pollTimeoutMargin
-	// ampleRoom is how often a waiting task, or gang, must fit into the free room for its job to count as standing beside free workers.
+	// ampleRoom is how often a waiting task, or gang, must fit into the free room for its job to count as stalled beside free workers.
 	ampleRoom = 2
 )
 
-// standing is a time in which a job with a task that is due has nothing running. The zero value is no such time.
-type standing struct {
+// stall is a time in which a job with a task that is due has nothing running. The zero value is no such time.
+type stall struct {
 	since     clock.Instant
 	checkedAt clock.Instant // when the room for its stages was last added up
 	loggedAt  clock.Instant // 0 while it is not longer than allowed beside ample room
 }
 
-// hasRun reports whether a run that has ended in a certain way was at work until then.
-func (r *run) hasRun(how work.How) bool {
+// wasRunning reports whether a run that has ended in a certain way was at work until then.
+func (r *run) wasRunning(how work.How) bool {
 	switch how {
 	case work.EndedDone, work.EndedFailed:
 		return true
@@ -55,61 +55,61 @@
 	return due
 }
 
-// stands reports whether none of a job's runs is known to run.
-func (j *job) stands(now clock.Instant) bool {
+// stalled reports whether none of a job's runs is known to run.
+func (j *job) stalled(now clock.Instant) bool {
 	return j.runs == 0 || now.Sub(j.ranAt) >= listedInterval
 }
 
-// standingSince returns since when a job whose stage is due has nothing running, as far as this term knows.
-func (s *stage) standingSince() clock.Instant { return max(s.job.ranAt, s.job.dueAt(s.id.Occurrence)) }
+// stalledSince returns since when a job whose stage is due has nothing running, as far as this term knows.
+func (s *stage) stalledSince() clock.Instant { return max(s.job.ranAt, s.job.dueAt(s.id.Occurrence)) }
 
 // besideRoom returns for how long a stage's job has had nothing running beside ample room for the stage.
 func (s *stage) besideRoom(now clock.Instant) time.Duration {
-	if s.job.standing.since == 0 || s.roomSince == 0 {
+	if s.job.stall.since == 0 || s.roomSince == 0 {
 		return 0
 	}
-	return now.Sub(max(s.job.standing.since, s.roomSince))
+	return now.Sub(max(s.job.stall.since, s.roomSince))
 }
 
-// standsTooLong reports whether a stage's job, or a task of it that lasts, has had nothing running for so long, beside ample room, that
+// stalledTooLong reports whether a stage's job, or a task of it that lasts, has had nothing running for so long, beside ample room, that
 // the room must not be kept free for anything else.
-func (p *planner) standsTooLong(s *stage) bool {
+func (p *planner) stalledTooLong(s *stage) bool {
 	if s.step.Lasts {
-		return s.lastingTaskStands(p.now)
+		return s.lastingTaskStalled(p.now)
 	}
 	j := s.job
 	startInFlight := j.runs > 0 && p.now.Sub(j.lastStartAt) < listedInterval
-	return !startInFlight && j.stands(p.now) && s.besideRoom(p.now) >= standingLimit
+	return !startInFlight && j.stalled(p.now) && s.besideRoom(p.now) >= stallLimit
 }
 
-// lastingTaskStands reports whether a task that lasts has had no run for standingLimit; each of them counts by itself.
-func (s *stage) lastingTaskStands(now clock.Instant) bool {
+// lastingTaskStalled reports whether a task that lasts has had no run for stallLimit; each of them counts by itself.
+func (s *stage) lastingTaskStalled(now clock.Instant) bool {
 	for index := range s.tasks {
 		t := &s.tasks[index]
-		if t.activeRun == nil && now.Sub(max(t.endedAt, s.job.dueAt(s.id.Occurrence))) >= standingLimit {
+		if t.activeRun == nil && now.Sub(max(t.endedAt, s.job.dueAt(s.id.Occurrence))) >= stallLimit {
 			return true
 		}
 	}
 	return false
 }
 
-// noteStanding notes whether a planning pass leaves a job that is due with nothing running, and logs it once that is longer than
+// noteStall notes whether a planning pass leaves a job that is due with nothing running, and logs it once that is longer than
 // allowed beside ample room.
-func (p *planner) noteStanding(j *job) {
-	stands := &j.standing
-	if !j.stands(p.now) {
-		p.c.endStanding(j, p.now)
+func (p *planner) noteStall(j *job) {
+	stall := &j.stall
+	if !j.stalled(p.now) {
+		p.c.endStall(j, p.now)
 		return
 	}
-	if stands.checkedAt != 0 && p.now.Sub(stands.checkedAt) < roomCheckPause {
+	if stall.checkedAt != 0 && p.now.Sub(stall.checkedAt) < roomCheckPause {
 		return
 	}
 	due := j.dueStages(p.now)
 	if len(due) == 0 {
-		p.c.endStanding(j, p.now)
+		p.c.endStall(j, p.now)
 		return
 	}
-	stands.since = due[0].standingSince()
+	stall.since = due[0].stalledSince()
 	longest := due[0]
 	for _, s := range due {
 		p.checkRoom(s)
@@ -117,25 +117,25 @@
 			longest = s
 		}
 	}
-	stands.checkedAt = p.now
-	if longest.besideRoom(p.now) < standingBound || stands.loggedAt != 0 && p.now.Sub(stands.loggedAt) < logWaitAgain {
+	stall.checkedAt = p.now
+	if longest.besideRoom(p.now) < stallBound || stall.loggedAt != 0 && p.now.Sub(stall.loggedAt) < logWaitAgain {
 		return
 	}
-	stands.loggedAt = p.now
+	stall.loggedAt = p.now
 	p.c.Log.Warn().Str("job", string(j.spec.ID)).Str("step", longest.id.String()).Str("why", p.waitsFor(longest)).
-		Dur("standing", p.now.Sub(stands.since)).Dur("beside-room", longest.besideRoom(p.now)).Int("room", p.unheldRoom(longest)).
+		Dur("stalled", p.now.Sub(stall.since)).Dur("beside-room", longest.besideRoom(p.now)).Int("room", p.allRoom(longest)).
 		Bool("inherited", j.inherited).Uint64("token", uint64(p.c.Term.Token)).Msg("chief: job has nothing running beside free workers")
 }
 
 // checkRoom updates since when there is ample room for a stage. An inherited job that finds room as soon as the workers have been polled
-// counts as standing beside it from before the term: the time must not begin anew with each leader.
+// counts as stalled beside it from before the term: the time must not begin anew with each leader.
 func (p *planner) checkRoom(s *stage) {
-	switch stands := &s.job.standing; {
-	case p.unheldRoom(s) < ampleRoom*s.placesNeeded():
+	switch stall := &s.job.stall; {
+	case p.allRoom(s) < ampleRoom*s.placesNeeded():
 		s.roomSince = 0
 	case s.roomSince != 0:
 	case s.job.inherited && s.job.ranAt == 0 && p.now.Sub(p.c.loadedAt) < listedInterval:
-		s.roomSince = stands.since
+		s.roomSince = stall.since
 	default:
 		s.roomSince = p.now
 	}
@@ -152,16 +152,16 @@
 	return s.wait.why
 }
 
-// endStanding notes that something of a job runs, or that it has no task to run.
-func (c *Scheduler) endStanding(j *job, now clock.Instant) {
-	if j.standing.since == 0 {
+// endStall notes that something of a job runs, or that it has no task to run.
+func (c *Scheduler) endStall(j *job, now clock.Instant) {
+	if j.stall.since == 0 {
 		return
 	}
-	if stood := now.Sub(j.standing.since); stood >= logWaitFrom {
-		c.Observe.JobStood(stood, j.standing.loggedAt != 0)
+	if stalled := now.Sub(j.stall.since); stalled >= logWaitFrom {
+		c.Observe.JobStalled(stalled, j.stall.loggedAt != 0)
 	}
-	if j.standing.loggedAt != 0 {
-		c.Log.Info().Str("job", string(j.spec.ID)).Dur("standing", now.Sub(j.standing.since)).Msg("chief: job no longer stands")
+	if j.stall.loggedAt != 0 {
+		c.Log.Info().Str("job", string(j.spec.ID)).Dur("stalled", now.Sub(j.stall.since)).Msg("chief: job runs again")
 	}
-	j.standing = standing{}
+	j.stall = stall{}
 }
--- a/internal/chief/state.go
+++ b/internal/chief/state.go
@@ -77,7 +77,7 @@
 	checkpoint  work.Checkpoint
 	activeRun   *run
 	notBefore   clock.Instant // earliest next start after a rejected one or, for a task that lasts, after a failure
-	pausedUntil clock.Instant // earliest next start after a preemption, unless its job stands for too long
+	pausedUntil clock.Instant // earliest next start after a preemption, unless its job is stalled for too long
 	endedAt     clock.Instant // when its last run in this term ended
 	preemptions int           // at most maxPreemptedPauses
 	failedOn    model.WorkerID
@@ -98,11 +98,11 @@
 	waitingSince clock.Instant    // 0 while no task waits
 	wait         wait             // why the last planning pass started none of its tasks
 	gang         *gang            // the current run of a gang
-	// unheld is valid during a planning pass: the job stands for too long, so that no hold keeps room from this stage.
-	unheld bool
+	// ignoresHolds is valid during a planning pass: the job is stalled for too long, so that no hold keeps room from this stage.
+	ignoresHolds bool
 	// lastAttempt is valid during a planning pass: a failure of the task that is being planned, or of the gang, ends the job.
 	lastAttempt bool
-	roomSince   clock.Instant // since when there is ample room for it while its job stands; 0 while there is not
+	roomSince   clock.Instant // since when there is ample room for it while its job is stalled; 0 while there is not
 	finishedAt  clock.Instant
 	// reserved holds a worker for each waiting task while runs there are being stopped.
 	reserved           []*worker
@@ -134,7 +134,7 @@
 	lastStartAt  clock.Instant // when the last of them was created
 	hasFailed    bool          // a run of it failed in this term
 	ranAt        clock.Instant // when one of its runs was last known to run; 0 if none was in this term
-	standing     standing
+	stall        stall
 	inherited    bool // may have runs of an earlier term on workers that were not polled yet
 	knownAt      clock.Instant
 	finishedAt   clock.Instant
--- a/internal/chief/wait.go
+++ b/internal/chief/wait.go
@@ -65,7 +65,7 @@
 	}
 	p.c.Log.Info().Str("step", s.id.String()).Str("why", why).Dur("waited", p.now.Sub(s.wait.since)).Int("tasks", len(s.tasks)).
 		Int("open", s.unfinished).Int("workers", len(p.workers)).Int("eligible", eligible).
-		Int("room", p.unheldRoom(s)).Dur("standing", p.now.Sub(s.standingSince())).Int("runs", s.job.runs).Msg("chief: step waits")
+		Int("room", p.allRoom(s)).Dur("stalled", p.now.Sub(s.stalledSince())).Int("runs", s.job.runs).Msg("chief: step waits")
 }
 
 // endWait notes that a task of a stage has a run.
--- a/internal/chief/workers.go
+++ b/internal/chief/workers.go
@@ -35,7 +35,7 @@
 		if r.phase != stopping {
 			s.job.runs--
 		}
-		if r.hasRun(how) {
+		if r.wasRunning(how) {
 			s.job.ranAt = c.Now()
 		}
 	}
--- a/internal/node/meters.go
+++ b/internal/node/meters.go
@@ -24,7 +24,7 @@
 	ends    *prometheus.CounterVec
 	plans   *prometheus.HistogramVec
 	waits   *prometheus.HistogramVec
-	stood   *prometheus.HistogramVec
+	stalled *prometheus.HistogramVec
 	jobs    *prometheus.CounterVec
 	endings *prometheus.CounterVec
 }
@@ -42,7 +42,7 @@
 		ends:    set.Counter("run_ends_total", "Runs that are over.", "how"),
 		plans:   set.Histogram("plan_seconds", "Time of a planning pass.", []float64{0.0001, 0.0005, 0.001, 0.005, 0.02, 0.1}),
 		waits:   set.Histogram("job_wait_seconds", "Time from a job's arrival to its first start.", latency, "queue"),
-		stood: set.Histogram("job_standing_seconds", "Times of a second or more in which a job that was due had nothing running.",
+		stalled: set.Histogram("job_stalled_seconds", "Times of a second or more in which a job that was due had nothing running.",
 			[]float64{2, 3, 5, 7, 10, 15, 25}, "beside_room"),
 		jobs:    set.Counter("job_steps_total", "Jobs by how far they have come.", "step"),
 		endings: set.Counter("end_steps_total", "Ends that workers list, by how far they have come.", "step"),
@@ -85,8 +85,8 @@
 		JobStarted: func(queue work.QueueName, waited time.Duration) {
 			m.waits.WithLabelValues(string(queue)).Observe(waited.Seconds())
 		},
-		JobStood: func(stood time.Duration, besideRoom bool) {
-			m.stood.WithLabelValues(strconv.FormatBool(besideRoom)).Observe(stood.Seconds())
+		JobStalled: func(stalled time.Duration, besideRoom bool) {
+			m.stalled.WithLabelValues(strconv.FormatBool(besideRoom)).Observe(stalled.Seconds())
 		},
 		JobStep: func(step chief.JobStep) { m.jobs.WithLabelValues(string(step)).Inc() },
 		EndStep: func(step chief.EndStep, ends int) { m.endings.WithLabelValues(string(step)).Add(float64(ends)) },
