--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -29,12 +30,16 @@
 	build.Stderr = os.Stderr
 	g.Expect(build.Run()).To(Succeed())
 	for _, c := range regressionSeeds {
-		violations, summary, err := runSeed(t.Context(), options{
-			binary: binary, dir: dir, nodes: 4, workers: 10, faults: 14 * time.Second, calm: 40 * time.Second, rate: 3,
-		}, c.seed)
-		g.Expect(err).NotTo(HaveOccurred())
-		t.Logf("seed %d: %s", c.seed, summary)
-		g.Expect(violations).To(BeEmpty(), "seed %d failed once: %s", c.seed, c.cause)
+		t.Run(fmt.Sprint(c.seed), func(t *testing.T) {
+			t.Parallel() // Each takes 20 s and little processor time.
+			g := NewWithT(t)
+			violations, summary, err := runSeed(t.Context(), options{
+				binary: binary, dir: dir, nodes: 4, workers: 10, faults: 14 * time.Second, calm: 40 * time.Second, rate: 3,
+			}, c.seed)
+			g.Expect(err).NotTo(HaveOccurred())
+			t.Logf("seed %d: %s", c.seed, summary)
+			g.Expect(violations).To(BeEmpty(), "seed %d failed once: %s", c.seed, c.cause)
+		})
 	}
 }
 
