--- a/soak/stop_test.go
+++ b/soak/stop_test.go
@@ -23,6 +23,8 @@
 	eventFlag = flag.String("event", "", "part of the names of the events to test; all without it")
 	drawsFlag = flag.Int("draws", 3, "events to test, drawn by the seed")
 	logsFlag  = flag.String("logs", "", "folder for the instances' logs; a temporary one without it")
+	redFlag   = flag.String("known-red", "", "names of events to pass over, separated by semicolons")
+	buildFlag = flag.String("peridotd", "", "path of the program; built from this tree without it")
 )
 
 const (
@@ -163,6 +165,9 @@
 // buildPeridotd builds the program and returns its path.
 func buildPeridotd(t *testing.T) string {
 	t.Helper()
+	if *buildFlag != "" {
+		return *buildFlag
+	}
 	binary := filepath.Join(t.TempDir(), "peridotd")
 	build := exec.CommandContext(t.Context(), "go", "build", "-buildvcs=false", "-o", binary, "peridotgw.example/peridotgw/peridotd")
 	build.Stderr = os.Stderr
