chief: a start in doubt holds its task for the lease of that start

What callers see: a job has nothing running for 8 s after a worker is lost. Each start that is sent to a lost worker, until somebody notices, extended the lease that the worker might hold by 6.4 s, and its tasks waited for that lease.

Change: a start carries a lease of 2 s, enough for its answer and the poll that follows, and polls extend leases to their full length as before; each unanswered attempt counts as a missed call, so that no more starts go to the worker.

--- a/internal/chief/dispatch.go
+++ b/internal/chief/dispatch.go
@@ -68,7 +68,7 @@
 	}
 	r.ordered = true
 	c.sendStart(r, agent.StartOrder{
-		Task: r.key.task, Run: r.key.number, Payload: r.task.stage.job.spec.Payload, Until: c.lease(r.worker, c.Now()),
+		Task: r.key.task, Run: r.key.number, Payload: r.task.stage.job.spec.Payload, Until: c.lease(r.worker, c.Now(), startLease),
 		Token: c.Term.Token, Saved: r.checkpoint, Ticket: r.task.stage.advice.tickets[r.worker.info.ID],
 	})
 }
--- a/internal/chief/lease.go
+++ b/internal/chief/lease.go
@@ -11,20 +11,28 @@
 	// drainLease is short, so that runs on a draining worker soon count as ended after it stops answering.
 	drainLease = 3 * time.Second
 	// slowClock is the rate of the slowest worker clock relative to this instance's clock.
-	slowClock         = 0.98
+	slowClock = 0.98
+	// startLease is long enough for the answer to a start and the poll that follows it. A start without an answer holds its task for this
+	// long, and not for the longest lease.
+	startLease        = 2 * time.Second
 	leaseExpiryMargin = 250 * time.Millisecond // beyond its computed end, before a lease counts as expired
 )
 
+// pollLease returns the end of the lease that a poll extends from now on, on the worker's clock; 0 if it extends none.
+func (c *Scheduler) pollLease(w *worker, now clock.Instant) work.WorkerClock {
+	lease := c.Limits.MaxLease
+	if w.info.Draining {
+		lease = min(lease, drainLease)
+	}
+	return c.lease(w, now, lease)
+}
+
 // lease returns the end of a lease that starts now, on the worker's clock; 0 while that clock is unknown, or while the stored roster may
 // say that nothing extends the worker's leases.
-func (c *Scheduler) lease(w *worker, now clock.Instant) work.WorkerClock {
+func (c *Scheduler) lease(w *worker, now clock.Instant, lease time.Duration) work.WorkerClock {
 	if w.clockReadAt == 0 || c.leaseStopStored(w) {
 		return 0
 	}
-	lease := c.Limits.MaxLease
-	if w.info.Draining {
-		lease = min(lease, drainLease)
-	}
 	leaseUntil := w.clock + work.WorkerClock((now.Sub(w.clockReadAt) + lease).Milliseconds())
 	w.leaseUntil = max(w.leaseUntil, leaseUntil)
 	return leaseUntil
--- a/internal/chief/orders.go
+++ b/internal/chief/orders.go
@@ -101,6 +101,7 @@
 	}
 	var inDoubt *agent.InDoubtError
 	if errors.As(err, &inDoubt) && r.attempts < maxStartAttempts && c.whyNotStart(r) == "" {
+		c.recordMissedCall(w, err)
 		c.sendStart(r, start)
 		return
 	}
--- a/internal/chief/poll.go
+++ b/internal/chief/poll.go
@@ -43,7 +43,7 @@
 	}
 	if w.missedCalls == 0 && !c.hidesEndsForGood(w) {
 		// An unanswered poll may be executed later: it must not extend the leases of a silent worker.
-		order.Until = c.lease(w, now)
+		order.Until = c.pollLease(w, now)
 	}
 	if w.polled && !c.mayHideEnds(w) && w.missedCalls == 0 && len(w.runs) > 0 && w.handledEnd == w.durableEnd && !c.leaseStopStored(w) {
 		order.Wait = pollWait
--- a/internal/chief/silent_test.go
+++ b/internal/chief/silent_test.go
@@ -43,3 +43,35 @@
 		env.await(11*time.Second, "it runs elsewhere", func() bool { return env.fleet.StartCount(taskID(string(id), 0)) == 2 })
 	})
 }
+
+// Guards against a task that is held for the longest lease since its start had no answer: its worker was lost, which nobody has noticed as
+// nothing ran on it, and its registration has not expired yet.
+func TestStartInDoubtHoldsItsTaskForAShortLease(t *testing.T) {
+	withTestEnv(t, 4, func(env *testEnv) {
+		watch := env.watchStanding()
+		env.start("a", nil)
+		env.sleep(5 * time.Second)
+		registration := env.store.Value(fakepl.WorkerKey(env.workers[0].ID))
+		watch.lose(env.workers[0].ID)
+		env.store.Put(fakepl.WorkerKey(env.workers[0].ID), registration)
+		env.sleep(2 * time.Second)
+		watch.submit(newJob("0000000000000e91", "scan", 1, 1))
+		env.sleep(2 * time.Second)
+		env.store.Remove(fakepl.WorkerKey(env.workers[0].ID))
+		env.sleep(10 * time.Second)
+		watch.expectNoneStood()
+		env.Expect(env.fleet.StartCount(taskID("0000000000000e91", 0))).To(Equal(1))
+	})
+}
+
+// Guards against a run that lapses, or that is started a second time, since only its short first lease was counted: polls extend it.
+func TestRunOutlivesTheLeaseOfItsStart(t *testing.T) {
+	withTestEnv(t, 2, func(env *testEnv) {
+		env.fleet.Outcome = runsOf(20 * time.Second)
+		leader := env.start("a", nil)
+		env.sleep(3 * time.Second)
+		env.submit(newJob("0000000000000e92", "scan", 1, 1))
+		env.await(24*time.Second, "it is done", func() bool { return leader.state("0000000000000e92") == work.StateCompleted })
+		env.Expect(env.fleet.StartCount(taskID("0000000000000e92", 0))).To(Equal(1))
+	})
+}
