chief: a poll does not extend the lease of a start in doubt

Workers are now polled for their runs once one of them has more than an unanswered start, or a call was missed. The lease of a start is 2.5 s.

--- a/internal/chief/env_test.go
+++ b/internal/chief/env_test.go
@@ -248,6 +248,9 @@
 	return time.Since(started)
 }
 
+// awaitPoll waits until the poll after a start has extended the short lease of that start.
+func (e *testEnv) awaitPoll() { e.sleep(100 * time.Millisecond) }
+
 func taskID(id string, index int) string { return fmt.Sprintf("%s.0.0.%d", id, index) }
 
 // asGang makes the first step of a job a gang.
--- a/internal/chief/lease.go
+++ b/internal/chief/lease.go
@@ -14,7 +14,7 @@
 	slowClock = 0.98
 	// startLease is long enough for the answer to a start and the poll that follows it. A start without an answer holds its task for this
 	// long, and not for the longest lease.
-	startLease        = 2 * time.Second
+	startLease        = 2500 * time.Millisecond
 	leaseExpiryMargin = 250 * time.Millisecond // beyond its computed end, before a lease counts as expired
 )
 
--- a/internal/chief/leasestop_test.go
+++ b/internal/chief/leasestop_test.go
@@ -29,6 +29,7 @@
 	task = taskID(id, 0)
 	e.submit(newJob(id, "scan", 1, 1))
 	e.await(5*time.Second, "it runs", func() bool { return len(e.fleet.RunningOn(task)) == 1 })
+	e.awaitPoll()
 	return task, e.fleet.RunningOn(task)[0]
 }
 
--- a/internal/chief/poll.go
+++ b/internal/chief/poll.go
@@ -25,8 +25,19 @@
 // needsPoll reports whether there is a reason to poll a worker.
 func (c *Scheduler) needsPoll(w *worker) bool {
 	// Runs and ends cannot be matched to tasks before the jobs are loaded.
-	return c.jobsLoaded && !w.removed && (!w.polled || len(w.runs) > 0 || w.ackableEnd() > w.durableEnd ||
-		w.durableEnd > w.ackedEnd || w.missedCalls > 0 && w.registered)
+	return c.jobsLoaded && !w.removed && (!w.polled || w.hasStartedRun() || w.ackableEnd() > w.durableEnd ||
+		w.durableEnd > w.ackedEnd || w.missedCalls > 0 && (w.registered || len(w.runs) > 0))
+}
+
+// hasStartedRun reports whether a run on the worker has more than a start without an answer so far. A poll that is sent to a lost worker
+// before that would extend the lease for which the start is in doubt.
+func (w *worker) hasStartedRun() bool {
+	for _, r := range w.runs {
+		if r.phase != starting {
+			return true
+		}
+	}
+	return false
 }
 
 // pollIfDue starts a poll of a worker if it needs one and none is in flight.
--- a/internal/chief/silent_test.go
+++ b/internal/chief/silent_test.go
@@ -21,6 +21,7 @@
 		env.fleet.Outcome = func(string, int64, string) fakepl.Outcome { return fakepl.Outcome{After: 3 * time.Second, How: "done"} }
 		env.submit(newJob(string(id), "scan", 1, 1))
 		env.await(5*time.Second, "it runs", func() bool { return len(env.fleet.RunningOn(taskID(string(id), 0))) == 1 })
+		env.awaitPoll()
 		worker := memnet.Host(env.fleet.RunningOn(taskID(string(id), 0))[0] + ":1")
 		env.net.SetFault("a", worker, memnet.Fault{DropRequests: true, DropAnswers: true})
 		env.sleep(7500 * time.Millisecond)
@@ -38,6 +39,7 @@
 		env.fleet.Outcome = func(string, int64, string) fakepl.Outcome { return fakepl.Outcome{After: time.Minute, How: "done"} }
 		env.submit(newJob(string(id), "scan", 1, 1))
 		env.await(5*time.Second, "it runs", func() bool { return len(env.fleet.RunningOn(taskID(string(id), 0))) == 1 })
+		env.awaitPoll()
 		worker := memnet.Host(env.fleet.RunningOn(taskID(string(id), 0))[0] + ":1")
 		env.net.SetFault("a", worker, memnet.Fault{DropRequests: true, DropAnswers: true})
 		env.await(11*time.Second, "it runs elsewhere", func() bool { return env.fleet.StartCount(taskID(string(id), 0)) == 2 })
