--- a/Makefile
+++ b/Makefile
@@ -60,9 +60,8 @@
 red:
 	go test -count=1 -timeout 5m $(RED_PACKAGE) -ginkgo.focus "$(RED_SPEC)"
 	go test -count=1 -timeout 5m ./faults/... -ginkgo.focus "$(RED_FAULT)"
-# The soak's events that break its check of rule LOST, separated by semicolons; rows soak-standing-... of KNOWN-RED.txt.
-RED_EVENTS := all instances killed, workers replaced;half of the workers replaced, then leaders stopped in turn
-
+	echo "$(RED_EVENTS)" | tr ';' '\n' | while read -r event; do \
+		go test -count=1 -timeout 5m ./soak/... -run TestAcceptedJobsSurviveTotalLoss -event "$$event"; done
 	go test -count=1 -timeout 5m $(RED_CHIEF_PACKAGE) -run '$(RED_CHIEF)'
 
 test: build lint unit
