--- a/internal/chief/closed_workers_test.go
+++ b/internal/chief/closed_workers_test.go
@@ -211,37 +211,44 @@
 	}
 }
 
+// makeWorkersSlow has two workers count as slow: their tasks of a step take longer than the others of it. They are left with room, and the
+// other workers are full. Other tasks take a time of their own.
+func (w *standingWatch) makeWorkersSlow(others time.Duration) {
+	const id = "b000000000000001"
+	env := w.env
+	took := map[string]time.Duration{
+		taskID(id, 0): time.Minute, taskID(id, 1): time.Minute, taskID(id, 2): 12 * time.Second, taskID(id, 3): 12 * time.Second,
+	}
+	begun := time.Time{}
+	env.fleet.Outcome = func(task string, run int64, worker string) fakepl.Outcome {
+		if after, found := took[task]; found {
+			begun = time.Now()
+			return fakepl.Outcome{After: after, How: "done"}
+		}
+		return runsOf(others)(task, run, worker)
+	}
+	env.fleet.Percent = func(task, _ string) int {
+		if after, found := took[task]; found {
+			return int(100 * time.Since(begun) / after)
+		}
+		return int(time.Since(env.startedAt)/(500*time.Millisecond)) % 100
+	}
+	env.start("a", nil)
+	env.sleep(3 * time.Second)
+	w.load(newJob(id, "scan", 4, 6))
+	env.sleep(time.Second)
+	for _, index := range []int{0, 1} { // The workers of the long tasks are left with room.
+		env.Expect(env.fleet.RunningOn(taskID(id, index))).To(Equal([]string{env.workers[index].ID}))
+	}
+	w.load(newLoad("f000000000000001", "r2", 2, 2))
+	env.sleep(4 * time.Second)
+}
+
 // Guards against sound workers that count as slow, and get no starts, because their tasks of a step are longer than the others of it.
 func TestWorkersWithLongTasksGetStarts(t *testing.T) {
-	const id = "b000000000000001"
 	withTestEnv(t, 4, func(env *testEnv) {
 		watch := env.watchStanding()
-		took := map[string]time.Duration{
-			taskID(id, 0): time.Minute, taskID(id, 1): time.Minute, taskID(id, 2): 12 * time.Second, taskID(id, 3): 12 * time.Second,
-		}
-		begun := time.Time{}
-		env.fleet.Outcome = func(task string, run int64, worker string) fakepl.Outcome {
-			if after, found := took[task]; found {
-				begun = time.Now()
-				return fakepl.Outcome{After: after, How: "done"}
-			}
-			return runsOf(2*time.Second)(task, run, worker)
-		}
-		env.fleet.Percent = func(task, _ string) int {
-			if after, found := took[task]; found {
-				return int(100 * time.Since(begun) / after)
-			}
-			return int(time.Since(env.startedAt)/(500*time.Millisecond)) % 100
-		}
-		env.start("a", nil)
-		env.sleep(3 * time.Second)
-		watch.load(newJob(id, "scan", 4, 6))
-		env.sleep(time.Second)
-		for _, index := range []int{0, 1} { // The workers of the long tasks are left with room.
-			env.Expect(env.fleet.RunningOn(taskID(id, index))).To(Equal([]string{env.workers[index].ID}))
-		}
-		watch.load(newLoad("f000000000000001", "r2", 2, 2))
-		env.sleep(4 * time.Second)
+		watch.makeWorkersSlow(2 * time.Second)
 		watch.submit(newJob("0000000000000c50", "scan", 1, 1))
 		env.sleep(14 * time.Second)
 		watch.expectNoneStood()
--- a/internal/chief/probe_test.go
+++ b/internal/chief/probe_test.go
@@ -126,32 +126,9 @@
 
 // Guards against workers that count as slow and take one run at a time, however long that takes, while several jobs stand beside them.
 func TestSlowWorkersTakeTheRunsOfSeveralJobs(t *testing.T) {
-	const id = "b000000000000001"
 	withTestEnv(t, 4, func(env *testEnv) {
 		watch := env.watchStanding()
-		took := map[string]time.Duration{
-			taskID(id, 0): time.Minute, taskID(id, 1): time.Minute, taskID(id, 2): 12 * time.Second, taskID(id, 3): 12 * time.Second,
-		}
-		begun := time.Time{}
-		env.fleet.Outcome = func(task string, run int64, worker string) fakepl.Outcome {
-			if after, found := took[task]; found {
-				begun = time.Now()
-				return fakepl.Outcome{After: after, How: "done"}
-			}
-			return runsOf(10*time.Second)(task, run, worker)
-		}
-		env.fleet.Percent = func(task, _ string) int {
-			if after, found := took[task]; found {
-				return int(100 * time.Since(begun) / after)
-			}
-			return int(time.Since(env.startedAt)/(200*time.Millisecond)) % 100
-		}
-		env.start("a", nil)
-		env.sleep(3 * time.Second)
-		watch.load(newJob(id, "scan", 4, 6))
-		env.sleep(time.Second)
-		watch.load(newLoad("f000000000000001", "r2", 2, 2))
-		env.sleep(4 * time.Second)
+		watch.makeWorkersSlow(10 * time.Second)
 		for i := range 4 {
 			watch.submit(newJob(fmt.Sprintf("0000000000000e2%d", i), "scan", 1, 1))
 		}
