chief: a wait is logged again while it lasts, with the room of then and what a rack can hold

Callers saw gangs with nothing running for seconds beside free workers. The line of a wait came once, with the room of its first second, so that it could not tell a wait for a rack that can never hold the gang from one for room that others take. It comes again each 5 s, and names the most tasks of the step that a rack could hold at all.

--- a/internal/chief/room.go
+++ b/internal/chief/room.go
@@ -113,3 +113,43 @@
 
 // maxRoom limits the count of tasks that fit on one worker: a task may need nothing.
 const maxRoom = 1 << 10
+
+// rackHolds returns how many tasks of a stage the rack of its data could hold at the same time, or, of a stage that runs best in a single
+// rack, the largest rack, if nothing ran there but tasks that last.
+func (p *planner) rackHolds(s *stage) int {
+	if s.step.DataRack != "" {
+		return p.rackCapacity(s, s.step.DataRack)
+	}
+	most := 0
+	for rack := range p.racks {
+		most = max(most, p.rackCapacity(s, rack))
+	}
+	return most
+}
+
+// rackCapacity returns how many tasks of a stage a rack could hold at the same time if nothing ran there but tasks that last.
+func (p *planner) rackCapacity(s *stage, rack work.Label) int {
+	capacity := 0
+	for _, w := range p.racks[rack] {
+		if !p.suits(s, w) {
+			continue
+		}
+		fits := countFits(w.info.Capacity.Sub(w.usedByLastingTasks()), s.step.Resources(), maxRoom)
+		if s.step.PerWorker > 0 {
+			fits = min(fits, s.step.PerWorker)
+		}
+		capacity += fits
+	}
+	return capacity
+}
+
+// usedByLastingTasks returns the resources of the worker's runs of tasks that last.
+func (w *worker) usedByLastingTasks() work.Resources {
+	var used work.Resources
+	for _, r := range w.runs {
+		if r.task != nil && r.task.stage.step.Lasts {
+			used = used.Add(r.resources)
+		}
+	}
+	return used
+}
--- a/internal/chief/trail_test.go
+++ b/internal/chief/trail_test.go
@@ -99,6 +99,23 @@
 	})
 }
 
+// Guards against a long wait of which only the room of its first second is known, and not whether a rack could hold the gang at all.
+func TestLongWaitIsLoggedAgainWithTheRoomOfThen(t *testing.T) {
+	withTestEnv(t, 4, func(env *testEnv) {
+		var lines logBuffer
+		env.fleet.Outcome = runsOf(2 * time.Second)
+		env.start("a", logTo(&lines))
+		env.sleep(3 * time.Second)
+		env.submit(newLoad("f000000000000003", "r1", 2, 8))
+		env.sleep(time.Second)
+		gang := newJob("00000000000000fa", "scan", 3, 8)
+		gang.Steps[0].SameRack = true
+		env.submit(env.asGang(gang))
+		env.sleep(12 * time.Second)
+		env.Expect(lines.count("chief: step waits\"", "00000000000000fa.0.0", `"room":2`, `"rack-holds":2`)).To(Equal(3))
+	})
+}
+
 // Guards against counts of ends that include those of earlier terms: a worker numbers its ends on, and a successor would seem to store
 // more ends than were listed to it.
 func TestCountsOfEndsCoverOneTerm(t *testing.T) {
--- a/internal/chief/wait.go
+++ b/internal/chief/wait.go
@@ -8,7 +8,7 @@
 
 const (
 	logWaitFrom  = time.Second     // from which on a wait is logged
-	logWaitAgain = 5 * time.Second // least time between two lines on a wait whose reason changes
+	logWaitAgain = 5 * time.Second // least time between two lines on a wait
 )
 
 // Reasons why a step waits.
@@ -34,14 +34,14 @@
 	logged   string        // why, as last logged
 }
 
-// update notes that the tasks wait, and reports whether this has to be logged now: once, and again when the reason changes.
+// update notes that the tasks wait, and reports whether this has to be logged now: the room of one moment does not tell why a longer wait
+// goes on, so that a wait is logged again and again.
 func (w *wait) update(why string, now clock.Instant) bool {
 	if w.since == 0 {
 		w.since = now
 	}
-	changed := w.why != why
 	w.why = why
-	if now.Sub(w.since) < logWaitFrom || w.loggedAt != 0 && (!changed || now.Sub(w.loggedAt) < logWaitAgain) {
+	if now.Sub(w.since) < logWaitFrom || w.loggedAt != 0 && now.Sub(w.loggedAt) < logWaitAgain {
 		return false
 	}
 	w.loggedAt = now
@@ -65,7 +65,8 @@
 	}
 	p.c.Log.Info().Str("step", s.id.String()).Str("why", why).Dur("waited", p.now.Sub(s.wait.since)).Int("tasks", len(s.tasks)).
 		Int("open", s.unfinished).Int("workers", len(p.workers)).Int("eligible", eligible).
-		Int("room", p.allRoom(s)).Dur("stalled", p.now.Sub(s.stalledSince())).Int("runs", s.job.runs).Msg("chief: step waits")
+		Int("room", p.allRoom(s)).Int("rack-holds", p.rackHolds(s)).Dur("stalled", p.now.Sub(s.stalledSince())).Int("runs", s.job.runs).
+		Msg("chief: step waits")
 }
 
 // endWait notes that a task of a stage has a run.
