chief: spec of gangs that stand beside room kept or reserved for urgent work

Between peaks of urgent work, each 1 to 3 s, a gang fits whole and never starts, since each peak keeps its accelerators for 3 s more; also where it fits twice over. Neither does a gang start beside workers that are reserved by urgent tasks which wait for the rack of their data, one after the other: a stalled job ignores no reservation. A gang that was preempted many times pauses for over 3 s.

--- a/internal/chief/standing_gang_test.go
+++ b/internal/chief/standing_gang_test.go
@@ -125,3 +125,97 @@
 		watch.expectNoneStood()
 	})
 }
+
+// waves submits waves of urgent jobs, of a tenant without a guarantee, for 24 s. 100 ms after the wave with the given number it calls
+// submit.
+func (w *standingWatch) waves(every time.Duration, jobs int, dataRack work.Label, number int, submit func()) {
+	for wave := 0; time.Duration(wave)*every < 24*time.Second; wave++ {
+		for i := range jobs {
+			urgent := newJob(fmt.Sprintf("a%07d%08d", wave, i), "check", 1, 8)
+			urgent.Tenant, urgent.Steps[0].Estimate, urgent.Steps[0].DataRack = "small", 200*time.Millisecond, dataRack
+			w.load(urgent)
+		}
+		w.env.sleep(100 * time.Millisecond)
+		if wave == number {
+			submit()
+		}
+		w.env.sleep(every - 100*time.Millisecond)
+	}
+}
+
+// Guards against a gang that fits between the peaks of urgent work and never starts, since each peak keeps its accelerators for 3 s more.
+func TestGangStartsBetweenPeaksOfUrgentWork(t *testing.T) {
+	for _, c := range []struct {
+		name                  string
+		every                 time.Duration
+		tasks, urgent, factor int
+	}{
+		{name: "each second, room once", every: time.Second, tasks: 5, urgent: 4, factor: 1},
+		{name: "each 2 s, room once", every: 2 * time.Second, tasks: 5, urgent: 4, factor: 1},
+		{name: "each 3 s, room once", every: 3 * time.Second, tasks: 5, urgent: 4, factor: 1},
+		{name: "each 2 s, room twice over", every: 2 * time.Second, tasks: 4, urgent: 5, factor: roomFactor},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withGangEnv(t, 2, 4, func(env *testEnv, watch *standingWatch) {
+				env.fleet.Outcome = func(task string, _ int64, _ string) fakepl.Outcome {
+					if task[0] == 'a' {
+						return fakepl.Outcome{After: 500 * time.Millisecond, How: "done"}
+					}
+					return fakepl.Outcome{After: 2 * time.Second, How: "done"}
+				}
+				watch.waves(c.every, c.urgent, "", 0, func() {
+					watch.watch(env.asGang(newJob("0000000000000b04", "scan", c.tasks, 8)), c.factor, 700*time.Millisecond)
+				})
+				watch.expectNoneStood()
+			})
+		})
+	}
+}
+
+// Guards against a gang that never starts beside workers that are reserved by one urgent task after the other, each of which waits for
+// the rack of its data.
+func TestGangStartsBesideReservationsForTasksThatWaitForTheirRack(t *testing.T) {
+	for _, c := range []struct {
+		name                  string
+		tasks, urgent, factor int
+	}{
+		{name: "room once", tasks: 4, urgent: 1, factor: 1},
+		{name: "room twice over", tasks: 2, urgent: 2, factor: roomFactor},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withGangEnv(t, 2, 4, func(env *testEnv, watch *standingWatch) {
+				env.fleet.Outcome = runsOf(100 * time.Millisecond)
+				watch.loadRacks(4, 0)
+				gang := newJob("b000000000000b05", "scan", c.tasks, 0) // Without accelerators, none are kept from it.
+				gang.Steps[0].Need.CPU = 64000
+				// By the fourth wave, the first tasks no longer wait for the rack, and as many as before them do.
+				watch.waves(500*time.Millisecond, c.urgent, "r0", 3, func() {
+					watch.watch(env.asGang(gang), c.factor, 300*time.Millisecond)
+				})
+				watch.expectNoneStood()
+			})
+		})
+	}
+}
+
+// Guards against a gang that was preempted many times and then pauses for over 3 s beside room for it once.
+func TestPreemptedGangStartsAgainWhereItFitsOnce(t *testing.T) {
+	withGangEnv(t, 2, 2, func(env *testEnv, watch *standingWatch) {
+		env.fleet.Outcome = func(task string, run int64, worker string) fakepl.Outcome {
+			if task[0] == 'b' {
+				return fakepl.Outcome{After: time.Minute, How: "done"}
+			}
+			return runsOf(20*time.Millisecond)(task, run, worker)
+		}
+		watch.loadRacks(0, 2)
+		watch.submitFitting(env.asGang(newJob("b000000000000b0b", "scan", 2, 8)), 0)
+		for wave := range 9 {
+			env.sleep(time.Second)
+			urgent := newJob(fmt.Sprintf("a%015d", wave), "check", 1, 4)
+			urgent.Steps[0].Label = "r0"
+			watch.load(urgent)
+			env.sleep(7 * time.Second) // Longer than the pause, and than the accelerators are kept.
+		}
+		watch.expectNoneStood()
+	})
+}
