chief: spec of work that stands beside workers open again after failures

A worker whose tasks failed gets one task at a time until one is done there, also after its quarantine. A gang that needs it for several members never starts, a last attempt does not start as long as a lasting task runs there, and of several jobs each starts 2 s after the one before it. A gang that fits once on workers that count as slow waits for them.

Room is counted once for the slow workers and one of the two gangs, and twice over for all others.

--- a/internal/chief/standing_gang_test.go
+++ b/internal/chief/standing_gang_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"peridotgw.example/peridotgw/internal/work"
+	"peridotgw.example/peridotgw/model"
 	"peridotgw.example/peridotgw/platform/fakepl"
 )
 
@@ -219,3 +220,82 @@
 		watch.expectNoneStood()
 	})
 }
+
+// closeFirstWorkers makes two tasks fail on each of the first workers, and waits until their quarantine of 3 s is over.
+func (w *standingWatch) closeFirstWorkers(count int) {
+	w.env.config.Queue("tally").MaxAttempts = 1
+	w.env.failOn(w.env.workers, time.Now().Add(3*time.Second))
+	w.beginDisruption()
+	for i := range count {
+		failing := newJob(fmt.Sprintf("d%015d", i), "tally", 2, 4)
+		failing.Steps[0].Label = work.Label(fmt.Sprintf("r%d", i))
+		w.load(failing)
+	}
+	w.env.sleep(10 * time.Second)
+	w.endDisruption()
+}
+
+// Guards against a gang that never starts since it needs a worker for several members that is open again after failures: such a worker
+// gets one task at a time until one is done there.
+func TestGangStartsOnWorkersThatAwaitAProbe(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		closed int
+		tasks  int
+		gpu    model.Accelerators
+		factor int
+	}{
+		{name: "one worker, room once", closed: 1, tasks: 8, gpu: 4, factor: 1},
+		{name: "all workers, room twice over", closed: 4, tasks: 16, gpu: 1, factor: roomFactor},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withGangEnv(t, 4, 1, func(env *testEnv, watch *standingWatch) {
+				watch.closeFirstWorkers(c.closed)
+				watch.watch(env.asGang(newJob("0000000000000b06", "scan", c.tasks, c.gpu)), c.factor, 0)
+				env.sleep(25 * time.Second)
+				watch.expectNoneStood()
+			})
+		})
+	}
+}
+
+// Guards against a task with one attempt left that waits for ever beside a worker that is open again after failures, as long as a task
+// that lasts runs there: only a task that is done would show that the worker is sound.
+func TestLastAttemptStartsBesideALastingProbe(t *testing.T) {
+	withGangEnv(t, 2, 1, func(env *testEnv, watch *standingWatch) {
+		watch.closeFirstWorkers(2)
+		for i := range 2 {
+			watch.load(newLoad(fmt.Sprintf("f%015d", i), work.Label(fmt.Sprintf("r%d", i)), 1, 1))
+		}
+		env.sleep(5 * time.Second)
+		watch.submit(newJob("0000000000000b08", "tally", 1, 1))
+		env.sleep(25 * time.Second)
+		watch.expectNoneStood()
+	})
+}
+
+// Guards against jobs that stand beside workers that are open again after failures, while long tasks run there: each further one starts
+// 2 s after the one before it, until one is done.
+func TestJobsStartBesideALongProbe(t *testing.T) {
+	withGangEnv(t, 2, 1, func(env *testEnv, watch *standingWatch) {
+		watch.closeFirstWorkers(2)
+		env.fleet.WithLock(func() { env.fleet.Outcome = runsOf(time.Minute) })
+		env.sleep(4 * time.Second) // The calm after the failures has begun.
+		for i := range 8 {
+			watch.submit(newJob(fmt.Sprintf("0000000000000b2%d", i), "scan", 1, 1))
+		}
+		env.sleep(25 * time.Second)
+		watch.expectNoneStood()
+	})
+}
+
+// Guards against a gang that waits until workers no longer count as slow, beside room for it once there.
+func TestGangStartsOnSlowWorkersWhereItFitsOnce(t *testing.T) {
+	withTestEnv(t, 4, func(env *testEnv) {
+		watch := env.watchStanding()
+		watch.makeWorkersSlow(10 * time.Second)
+		watch.submitFitting(env.asGang(newJob("0000000000000b0a", "scan", 4, 1)), 0)
+		env.sleep(14 * time.Second)
+		watch.expectNoneStood()
+	})
+}
