chief: spec of a task that gets no ticket while others ask for advice

Eight gangs that do not fit ask for advice before a task that does. One call is in flight at a time, and their tickets expire before the turn of the task comes.

go test -cpu 2 -count=20 ./internal/chief -run AgainAndAgain on: fails in 20 of 20 runs; 24.95 s, to the end of the spec. Calls take 300 ms and tickets are valid for 2.5 s, which are values of the spec and not of a site.

--- a/internal/chief/standing_gang_test.go
+++ b/internal/chief/standing_gang_test.go
@@ -1,10 +1,12 @@
 package chief_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
 
+	"peridotgw.example/peridotgw/internal/clock"
 	"peridotgw.example/peridotgw/internal/work"
 	"peridotgw.example/peridotgw/model"
 	"peridotgw.example/peridotgw/platform/fakepl"
@@ -299,3 +301,36 @@
 		watch.expectNoneStood()
 	})
 }
+
+// Guards against a task that fits and never gets a ticket, while calls for advice go to jobs before it that do not fit: their tickets
+// expire before its turn comes.
+func TestTaskStartsBesideJobsThatAskForAdviceAgainAndAgain(t *testing.T) {
+	withTestEnv(t, 4, func(env *testEnv) {
+		for i := range env.config.Queues {
+			env.config.Queues[i].Advised = env.config.Queues[i].Name != "check"
+		}
+		env.advise = func(
+			ctx context.Context, _ work.StepID, workers []model.WorkerID,
+		) (map[model.WorkerID]string, time.Duration, error) {
+			tickets := map[model.WorkerID]string{}
+			for _, worker := range workers {
+				tickets[worker] = "ticket"
+			}
+			return tickets, 2500 * time.Millisecond, clock.Sleep(ctx, 300*time.Millisecond)
+		}
+		watch := env.watchStanding()
+		env.fleet.Outcome = runsOf(2 * time.Second)
+		env.start("a", nil)
+		env.sleep(3 * time.Second)
+		load := newLoad("f000000000000001", "r1", 1, 8)
+		load.Queue = "check" // Needs no tickets.
+		watch.load(load)
+		env.sleep(time.Second)
+		for i := range 8 {
+			watch.load(env.asGang(newJob(fmt.Sprintf("e%015d", i), "scan", 4, 8)))
+		}
+		watch.submit(newJob("0000000000000b09", "tally", 1, 1))
+		env.sleep(25 * time.Second)
+		watch.expectNoneStood()
+	})
+}
