chief: no wait for a rack that can never hold a gang

Change: a rack counts only if it could hold the tasks with nothing running there but tasks that last.

--- a/internal/chief/fit.go
+++ b/internal/chief/fit.go
@@ -102,7 +102,7 @@
 			return places
 		}
 	}
-	if (s.step.DataRack != "" || s.step.SameRack) && !p.mayRunRemote(s) {
+	if !p.mayRunRemote(s) {
 		return nil
 	}
 	return p.placeTasks(s, p.workers, len(s.tasks), availableNow)
--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -264,10 +264,10 @@
 // priority returns the priority of a stage's queue; 0 is urgent.
 func (c *Scheduler) priority(s *stage) int { return c.Config().Terms(s.job.spec).Priority }
 
-// mayRunRemote reports whether a stage's tasks have waited long enough to run outside the rack of their data or on several racks.
-// They take several times longer there: waiting is better until the wait exceeds the extra run time.
+// mayRunRemote reports whether a stage's tasks may run outside the rack of their data or on several racks. They take several times longer
+// there: waiting is better until the wait exceeds the extra run time, unless no rack can ever hold them.
 func (p *planner) mayRunRemote(s *stage) bool {
-	if s.ignoresHolds {
+	if !s.prefersRack() || s.ignoresHolds {
 		return true
 	}
 	longer := (p.c.Limits.RemoteSlowdown - 1) * float64(p.c.estimate(s))
@@ -275,9 +275,12 @@
 	if p.priority(s) == 0 {
 		limit = min(limit, p.sameRackWait())
 	}
-	return p.now.Sub(s.waitingSince) > limit
+	return p.now.Sub(s.waitingSince) > limit || p.rackHolds(s) < s.placesNeeded()
 }
 
+// prefersRack reports whether a stage's tasks run faster in a certain rack, or in a single one.
+func (s *stage) prefersRack() bool { return s.step.DataRack != "" || s.step.SameRack && s.step.Gang }
+
 // planGang starts all members of a gang at once, or none.
 func (p *planner) planGang(s *stage) {
 	if g := s.gang; g != nil {
--- a/internal/chief/room.go
+++ b/internal/chief/room.go
@@ -47,13 +47,17 @@
 	resources work.Resources
 }
 
+func (s *stage) roomKind() roomKind {
+	return roomKind{s.job.spec.Pool, s.step.Label, s.step.Resources()}
+}
+
 // allRoom returns how many tasks of a stage fit into all room that is free now. Jobs that wait are many, and their kinds few, so that it
 // is added up once in a pass for each kind.
 func (p *planner) allRoom(s *stage) int {
 	if s.step.PerWorker > 0 || p.needsAdvice(s) {
 		return p.roomFor(s, allHolds)
 	}
-	kind := roomKind{s.job.spec.Pool, s.step.Label, s.step.Resources()}
+	kind := s.roomKind()
 	room, found := p.rooms[kind]
 	if !found {
 		room = p.roomFor(s, allHolds)
@@ -115,16 +119,20 @@
 const maxRoom = 1 << 10
 
 // rackHolds returns how many tasks of a stage the rack of its data could hold at the same time, or, of a stage that runs best in a single
-// rack, the largest rack, if nothing ran there but tasks that last.
+// rack, the rack that could hold the most, if nothing ran there but tasks that last.
 func (p *planner) rackHolds(s *stage) int {
+	if s.rackCheckedAt != 0 && p.now.Sub(s.rackCheckedAt) < roomCheckPause {
+		return s.rackHolds
+	}
+	s.rackCheckedAt, s.rackHolds = p.now, 0
 	if s.step.DataRack != "" {
-		return p.rackCapacity(s, s.step.DataRack)
+		s.rackHolds = p.rackCapacity(s, s.step.DataRack)
+		return s.rackHolds
 	}
-	most := 0
 	for rack := range p.racks {
-		most = max(most, p.rackCapacity(s, rack))
+		s.rackHolds = max(s.rackHolds, p.rackCapacity(s, rack))
 	}
-	return most
+	return s.rackHolds
 }
 
 // rackCapacity returns how many tasks of a stage a rack could hold at the same time if nothing ran there but tasks that last.
--- a/internal/chief/state.go
+++ b/internal/chief/state.go
@@ -102,8 +102,11 @@
 	ignoresHolds bool
 	// lastAttempt is valid during a planning pass: a failure of the task that is being planned, or of the gang, ends the job.
 	lastAttempt bool
-	roomSince   clock.Instant // since when there is ample room for it while its job is stalled; 0 while there is not
+	roomSince   clock.Instant // since when there is room for it while its job is stalled; 0 while there is not
 	finishedAt  clock.Instant
+	// rackHolds is how many of its tasks a rack could hold, as of rackCheckedAt.
+	rackHolds     int
+	rackCheckedAt clock.Instant
 	// reserved holds a worker for each waiting task while runs there are being stopped.
 	reserved           []*worker
 	reservedAt         clock.Instant
