chief: a hold ends a bounded time after the job last ran, whatever room there was meanwhile

Cause: holds of free room (accelerators and idle workers kept for urgent work, pauses, slow workers) ended only once a job had found room for itself twice over for 2 s on end. On a loaded service room comes and goes, so that the time began anew with each pass without that room and never passed; a job that fits once was never counted.

Change: the time counts from when the job last ran, or became due, over failures, preemptions and terms. After 2 s the next task, or gang, takes any room it fits into. Only the wait for a rack, which is in the job's own favour, still asks for room twice over, at that moment.

--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -265,9 +265,10 @@
 func (c *Scheduler) priority(s *stage) int { return c.Config().Terms(s.job.spec).Priority }
 
 // mayRunRemote reports whether a stage's tasks may run outside the rack of their data or on several racks. They take several times longer
-// there: waiting is better until the wait exceeds the extra run time, unless no rack can ever hold them.
+// there: waiting is better until the wait exceeds the extra run time, unless no rack can ever hold them, or free workers are plenty while
+// the job has nothing running.
 func (p *planner) mayRunRemote(s *stage) bool {
-	if !s.prefersRack() || s.ignoresHolds {
+	if !s.prefersRack() || s.ignoresHolds && p.allRoom(s) >= ampleRoom*s.placesNeeded() {
 		return true
 	}
 	longer := (p.c.Limits.RemoteSlowdown - 1) * float64(p.c.estimate(s))
--- a/internal/chief/stall.go
+++ b/internal/chief/stall.go
@@ -10,13 +10,13 @@
 const (
 	// stallBound is how long a job may have nothing running while one of its tasks is due and workers have room for it.
 	stallBound = 3 * time.Second
-	// stallLimit is the time after which room is no longer kept from a job; the rest of stallBound is for its start.
-	stallLimit = stallBound - time.Second
+	// holdLimit is how long free room may be kept from a job that has nothing running; the rest of stallBound is for its start.
+	holdLimit = stallBound - time.Second
 	// roomCheckPause is the least time between two checks of the room for a job that has nothing running.
 	roomCheckPause = 250 * time.Millisecond
 	// listedInterval is the time within which each worker that answers lists its runs.
 	listedInterval = pollWait + pollTimeoutMargin
-	// ampleRoom is how often a waiting task, or gang, must fit into the free room for its job to count as stalled beside free workers.
+	// ampleRoom is how often a waiting task, or gang, must fit into the free room for its job to give up a place near its data.
 	ampleRoom = 2
 )
 
@@ -24,7 +24,7 @@
 type stall struct {
 	since     clock.Instant
 	checkedAt clock.Instant // when the room for its stages was last added up
-	loggedAt  clock.Instant // 0 while it is not longer than allowed beside ample room
+	loggedAt  clock.Instant // 0 while it is not longer than allowed beside room
 }
 
 // wasRunning reports whether a run that has ended in a certain way was at work until then.
@@ -63,7 +63,7 @@
 // stalledSince returns since when a job whose stage is due has nothing running, as far as this term knows.
 func (s *stage) stalledSince() clock.Instant { return max(s.job.ranAt, s.job.dueAt(s.id.Occurrence)) }
 
-// besideRoom returns for how long a stage's job has had nothing running beside ample room for the stage.
+// besideRoom returns for how long a stage's job has had nothing running beside room for the stage.
 func (s *stage) besideRoom(now clock.Instant) time.Duration {
 	if s.job.stall.since == 0 || s.roomSince == 0 {
 		return 0
@@ -79,14 +79,14 @@
 	}
 	j := s.job
 	startInFlight := j.runs > 0 && p.now.Sub(j.lastStartAt) < listedInterval
-	return !startInFlight && j.stalled(p.now) && s.besideRoom(p.now) >= stallLimit
+	return !startInFlight && j.stalled(p.now) && p.now.Sub(s.stalledSince()) >= holdLimit
 }
 
-// lastingTaskStalled reports whether a task that lasts has had no run for stallLimit; each of them counts by itself.
+// lastingTaskStalled reports whether a task that lasts has had no run for holdLimit; each of them counts by itself.
 func (s *stage) lastingTaskStalled(now clock.Instant) bool {
 	for index := range s.tasks {
 		t := &s.tasks[index]
-		if t.activeRun == nil && now.Sub(max(t.endedAt, s.job.dueAt(s.id.Occurrence))) >= stallLimit {
+		if t.activeRun == nil && now.Sub(max(t.endedAt, s.job.dueAt(s.id.Occurrence))) >= holdLimit {
 			return true
 		}
 	}
@@ -94,7 +94,7 @@
 }
 
 // noteStall notes whether a planning pass leaves a job that is due with nothing running, and logs it once that is longer than
-// allowed beside ample room.
+// allowed beside room for it.
 func (p *planner) noteStall(j *job) {
 	stall := &j.stall
 	if !j.stalled(p.now) {
@@ -131,7 +131,7 @@
 // counts as stalled beside it from before the term: the time must not begin anew with each leader.
 func (p *planner) checkRoom(s *stage) {
 	switch stall := &s.job.stall; {
-	case p.allRoom(s) < ampleRoom*s.placesNeeded():
+	case p.allRoom(s) < s.placesNeeded():
 		s.roomSince = 0
 	case s.roomSince != 0:
 	case s.job.inherited && s.job.ranAt == 0 && p.now.Sub(p.c.loadedAt) < listedInterval:
