chief: a gang whole is the probe of a worker that is open again after failures

Callers would see a gang that needs several places on such a worker never start: after two failures a worker gets one run at a time until one is done, also when its quarantine is over, and its place for one member is no use to the gang.

Change: the members of a gang on a worker are one probe, if the gang has had nothing running for 2 s, has more than one attempt left, and the quarantine is over: they fail together and cost one attempt.

--- a/internal/chief/fit.go
+++ b/internal/chief/fit.go
@@ -164,7 +164,7 @@
 		if s.step.PerWorker > 0 {
 			count = min(count, s.step.PerWorker-s.runsOn[w])
 		}
-		if w.needsProbe(p.now) {
+		if w.needsProbe(p.now) && !p.mayProbeWithGang(s, w) {
 			count = min(count, 1)
 		}
 		if count > 0 {
--- a/internal/chief/probe.go
+++ b/internal/chief/probe.go
@@ -46,9 +46,15 @@
 	return w.probeDue(now) && (w.probes.runs == 0 || !s.lastAttempt)
 }
 
-// beginProbe notes that a run that has just been created is a probe, if its worker needs one.
+// mayProbeWithGang reports whether several members of a stalled gang may be the probe of a worker whose quarantine is over: they fail
+// together, at the cost of one attempt, and the gang might never start if it needs the worker for more than one of them.
+func (p *planner) mayProbeWithGang(s *stage, w *worker) bool {
+	return s.step.Gang && s.ignoresHolds && !s.lastAttempt && p.now >= w.quarantinedUntil
+}
+
+// beginProbe notes that a run that has just been created is a probe, if its worker needs one. The members of a gang are one probe.
 func (w *worker) beginProbe(r *run, now clock.Instant) {
-	if !w.needsProbe(now) {
+	if !w.needsProbe(now) || w.probedBy(r.gang) {
 		return
 	}
 	r.probe = true
@@ -58,6 +64,16 @@
 	w.probes.runs++
 }
 
+// probedBy reports whether a member of a gang is a probe of the worker.
+func (w *worker) probedBy(g *gang) bool {
+	for _, r := range w.runs {
+		if g != nil && r.gang == g && r.probe {
+			return true
+		}
+	}
+	return false
+}
+
 // endProbe notes that a run has ended.
 func (w *worker) endProbe(r *run) {
 	if r.probe {
