chief: calls for advice go first to stages that fit

Callers would see a task that fits never start: one call for advice is in flight at a time, in order of rank, also for stages that fit nowhere. Where the calls of those before it take longer than a ticket is valid, its turn never comes, or its ticket has expired by then.

Change: a stage that does not fit anywhere asks only if no other has asked in the pass. Urgent stages ask as before: they may preempt.

--- a/internal/chief/advise.go
+++ b/internal/chief/advise.go
@@ -55,6 +55,20 @@
 	return ticketed > 0
 }
 
+// mayFit reports whether a stage could start, or preempt others, if it had tickets for all workers.
+func (p *planner) mayFit(s *stage) bool {
+	if p.priority(s) == 0 {
+		return true
+	}
+	room := 0
+	for _, w := range p.candidates() {
+		if w.info.Pool == s.job.spec.Pool && w.info.Has(s.step.Label) {
+			room += countFits(w.free(), s.step.Resources(), maxRoom)
+		}
+	}
+	return room >= s.placesNeeded()
+}
+
 // ticketedWorkers returns how many of the workers that may get runs have a ticket for a stage, and how many of its waiting tasks fit
 // there now.
 func (p *planner) ticketedWorkers(s *stage, waiting int) (count, room int) {
@@ -79,11 +93,23 @@
 	return waiting
 }
 
-// requestAdvice calls the advice service for the workers that are wanted. Only one call is in flight: the service handles the calls of one machine in sequence.
+// requestAdvice calls the advice service for the workers that are wanted. Only one call is in flight: the service handles the calls of one
+// machine in sequence. A stage that does not fit anywhere asks only if no other has asked in this pass: tickets expire, and jobs behind many
+// such stages would never get theirs.
 func (p *planner) requestAdvice(s *stage, wanted func(*worker) bool) {
 	if p.c.adviceInFlight || p.now < s.advice.retryAt {
 		return
 	}
+	if !p.mayFit(s) {
+		if p.laterAdvice == nil {
+			p.laterAdvice = func() { p.callAdvice(s, wanted) }
+		}
+		return
+	}
+	p.callAdvice(s, wanted)
+}
+
+func (p *planner) callAdvice(s *stage, wanted func(*worker) bool) {
 	workers := p.adviceCandidates(s, wanted)
 	if len(workers) == 0 {
 		s.advice.retryAt = p.now.Add(adviceRetryPause)
--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -37,6 +37,7 @@
 	urgentNeeds map[model.CustomerID]model.Accelerators // of unfinished urgent jobs, by tenant
 	probers     map[*job]bool                           // that may probe workers in quarantine; nil until it is needed
 	unseenEnds  map[model.WorkerID]bool                 // workers that were not polled yet and may list ends of an earlier term
+	laterAdvice func()                                  // requests advice for a stage that does not fit anywhere; nil for none
 }
 
 // planStarts runs a planning pass: it starts tasks in order of rank and stops the runs that they preempt.
@@ -55,6 +56,9 @@
 	for _, j := range pass.rankJobs() {
 		pass.job(j)
 	}
+	if pass.laterAdvice != nil && !c.adviceInFlight {
+		pass.laterAdvice()
+	}
 	c.Observe.PassDuration(time.Since(began))
 }
 
--- a/internal/chief/stall.go
+++ b/internal/chief/stall.go
@@ -71,8 +71,9 @@
 	return now.Sub(max(s.job.stall.since, s.roomSince))
 }
 
-// stalledTooLong reports whether a stage's job, or a task of it that lasts, has had nothing running for so long, beside ample room, that
-// the room must not be kept free for anything else.
+// stalledTooLong reports whether a stage's job, or a task of it that lasts, has had nothing running for so long that free room must not be
+// kept for anything else. The time counts from its last run, over failures, preemptions and terms, whether there was room meanwhile or not:
+// on a loaded service room comes and goes, and a time that began anew with it would never pass.
 func (p *planner) stalledTooLong(s *stage) bool {
 	if s.step.Lasts {
 		return s.lastingTaskStalled(p.now)
@@ -127,7 +128,7 @@
 		Bool("inherited", j.inherited).Uint64("token", uint64(p.c.Term.Token)).Msg("chief: job has nothing running beside free workers")
 }
 
-// checkRoom updates since when there is ample room for a stage. An inherited job that finds room as soon as the workers have been polled
+// checkRoom updates since when there is room for a stage. An inherited job that finds room as soon as the workers have been polled
 // counts as stalled beside it from before the term: the time must not begin anew with each leader.
 func (p *planner) checkRoom(s *stage) {
 	switch stall := &s.job.stall; {
