chief: spec of gangs that run again after a failure, a takeover or a preemption

The specs measure that for the room once and twice over, after a change of leader, after urgent work, after the loss of a worker, and beside a faulty worker.

Cause where they fail: a gang with same_rack waits (remote_factor - 1) times its estimate for a single rack, also where no rack can hold it. The time counts from the start of its last run, and not from the failure.

--- a/internal/chief/standing_test.go
+++ b/internal/chief/standing_test.go
@@ -40,7 +40,10 @@
 // watchedJob is a job of a standingWatch and its longest time of standing, as the rule counts it.
 type watchedJob struct {
 	spec    *work.Job
-	since   time.Time // from which on it stands; zero while it does not
+	factor  int           // how often its task, or gang, must fit for it to stand
+	maxGap  time.Duration // for which there may be no room without an end of its standing
+	since   time.Time     // from which on it stands; zero while it does not
+	roomAt  time.Time     // when there was room for it last
 	longest time.Duration
 }
 
@@ -56,11 +59,17 @@
 }
 
 // submit submits a job that must not stand.
-func (w *standingWatch) submit(job *work.Job) {
+func (w *standingWatch) submit(job *work.Job) { w.watch(job, roomFactor, 0) }
+
+// submitFitting submits a job that must not stand beside room for it once. Spans of at most maxGap without that room do not end its
+// standing: it could have started before them.
+func (w *standingWatch) submitFitting(job *work.Job, maxGap time.Duration) { w.watch(job, 1, maxGap) }
+
+func (w *standingWatch) watch(job *work.Job, factor int, maxGap time.Duration) {
 	w.load(job)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.watched = append(w.watched, &watchedJob{spec: job})
+	w.watched = append(w.watched, &watchedJob{spec: job, factor: factor, maxGap: maxGap})
 }
 
 // load submits a job that only takes room.
@@ -152,10 +161,17 @@
 	}
 	workers, running := w.readWorkers()
 	for _, job := range w.watched {
-		if running[job.spec.ID] || !w.hasRoomForNext(job.spec, workers) {
+		if running[job.spec.ID] {
 			job.since = time.Time{}
 			continue
 		}
+		if !w.hasRoomForNext(job, workers) {
+			if now.Sub(job.roomAt) > job.maxGap {
+				job.since = time.Time{}
+			}
+			continue
+		}
+		job.roomAt = now
 		if job.since.IsZero() {
 			job.since = now
 		}
@@ -200,14 +216,15 @@
 	return workers, running
 }
 
-// hasRoomForNext reports whether a task of a job is due, or all of a gang, and fits roomFactor times.
-func (w *standingWatch) hasRoomForNext(job *work.Job, workers []watchedWorker) bool {
+// hasRoomForNext reports whether a task of a job is due, or all of a gang, and fits as often as its factor says.
+func (w *standingWatch) hasRoomForNext(watched *watchedJob, workers []watchedWorker) bool {
+	job := watched.spec
 	for index := range job.Steps {
 		step := &job.Steps[index]
 		if w.isDone(job, index) || !w.dependenciesDone(job, step) {
 			continue
 		}
-		needed := roomFactor
+		needed := watched.factor
 		if step.Gang {
 			needed *= step.Count
 		}
