chief: a registered worker that never answers a term is not waited for longer than one that has left

Callers would see a job with one attempt left stand for ever for a worker of an earlier term that stays registered and does not answer: only for unregistered workers the wait for ends that count has a limit.

Change: the limit of 15 s after the term's start holds for both.

--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -13,9 +13,8 @@
 const (
 	// minLocalWait is the least time that a task waits for the rack of its data, and a gang for a single rack.
 	minLocalWait = 2 * time.Second
-	// unseenEndsLimit is how long after a term's start an unregistered worker may return with ends of earlier terms. It is a last bound:
-	// a worker that does not return is removed, and waited for no more, once its leases have expired (hasLeft). Its ends are not noted
-	// after that: a lease that lapsed between an end and its acknowledgment keeps the end from counting.
+	// unseenEndsLimit is how long after a term's start a worker that has not answered yet may list ends of earlier terms that count. A lease
+	// that lapsed between an end and its acknowledgment keeps the end from counting, and all leases of earlier terms have lapsed by then.
 	unseenEndsLimit = 15 * time.Second
 	// lateFactor times its objective is the age from which a job is late: its completion has no value any more.
 	lateFactor = 3
@@ -98,7 +97,7 @@
 	if expired && p.c.hidesEndsForGood(w) {
 		return // It will list no further ends in this term.
 	}
-	if w.registered || p.now.Sub(p.c.Term.Since) < unseenEndsLimit {
+	if p.now.Sub(p.c.Term.Since) < unseenEndsLimit {
 		p.unseenEnds[w.info.ID] = true
 	}
 }
