chief: a preempted job that takes kept room must have found room for longer each time

Change: after n preemptions the room must have lasted for n times 0.4 s, 2 s at most, so that the bound of 3 s beside lasting room holds.

--- a/internal/chief/stall.go
+++ b/internal/chief/stall.go
@@ -73,14 +73,29 @@
 
 // stalledTooLong reports whether a stage's job, or a task of it that lasts, has had nothing running for so long that free room must not be
 // kept for anything else. The time counts from its last run, over failures, preemptions and terms, whether there was room meanwhile or not:
-// on a loaded service room comes and goes, and a time that began anew with it would never pass.
+// on a loaded service room comes and goes, and a time that began anew with it would never pass. A job that was preempted must have found
+// room for longer each time: it would be started in each pause between urgent jobs, and stopped by the next one.
 func (p *planner) stalledTooLong(s *stage) bool {
 	if s.step.Lasts {
 		return s.lastingTaskStalled(p.now)
 	}
 	j := s.job
 	startInFlight := j.runs > 0 && p.now.Sub(j.lastStartAt) < listedInterval
-	return !startInFlight && j.stalled(p.now) && p.now.Sub(s.stalledSince()) >= holdLimit
+	if startInFlight || !j.stalled(p.now) || p.now.Sub(s.stalledSince()) < holdLimit {
+		return false
+	}
+	return s.besideRoom(p.now) >= min(time.Duration(s.preemptions())*preemptedPause, holdLimit)
+}
+
+// preemptions returns how often the waiting task of a stage that was preempted least often was preempted, at most maxPreemptedPauses.
+func (s *stage) preemptions() int {
+	least := maxPreemptedPauses
+	for index := range s.tasks {
+		if t := &s.tasks[index]; !t.done && t.activeRun == nil {
+			least = min(least, t.preemptions)
+		}
+	}
+	return least
 }
 
 // lastingTaskStalled reports whether a task that lasts has had no run for holdLimit; each of them counts by itself.
