chief: reserve workers for gangs that do not fit

Cause: single tasks and small gangs take each worker as it becomes free, and nothing is reserved for a gang that needs several at once.

Change: a gang that is not urgent and not late, and has had nothing running for 2 s, gets a reservation: the workers on which running work, by its progress rate or estimate, leaves room for it first, and the time of that. Work of the same or a lower priority starts there only if it ends before that time by its estimate, or fits beside the gang. Urgent work and jobs that stand for too long ignore reservations; they only prefer other workers. At most two gangs in a pool have one. One that is over a second late moves, and is given up after five moves, or at the first one after 15 s.

--- a/internal/chief/fit.go
+++ b/internal/chief/fit.go
@@ -9,7 +9,7 @@
 
 // fits reports whether a worker can start one more task of a stage now.
 func (p *planner) fits(s *stage, w *worker, resources work.Resources) bool {
-	return p.eligible(s, w) && w.free().Fits(resources) && w.available.Fits(resources)
+	return p.eligible(s, w) && w.free().Fits(resources) && w.available.Fits(resources) && p.besideGang(s, w, w.available).Fits(resources)
 }
 
 // eligible reports whether a worker may run one more task of a stage, regardless of its free capacity.
@@ -60,6 +60,9 @@
 	if w.suspect() {
 		placementScore += suspectPenalty
 	}
+	if p.heldForOther(s, w) {
+		placementScore += heldPenalty
+	}
 	if s.step.Fills && w.runsServingTask() || s.step.TailTarget > 0 && w.runsFillingTask() {
 		placementScore += interferencePenalty
 	}
@@ -160,7 +163,7 @@
 		if !p.eligible(s, w) {
 			continue
 		}
-		count := min(countFits(capacityOf(w), resources, need), p.c.listableRuns(w))
+		count := min(countFits(p.besideGang(s, w, capacityOf(w)), resources, need), p.c.listableRuns(w))
 		if s.step.PerWorker > 0 {
 			count = min(count, s.step.PerWorker-s.runsOn[w])
 		}
@@ -183,6 +186,9 @@
 		if a.suspect() != b.suspect() {
 			return b.suspect()
 		}
+		if held := p.heldForOther(s, b); p.heldForOther(s, a) != held {
+			return held
+		}
 		// Where one worker fails every task, there may be others that are not suspect yet.
 		if idleA, idleB := p.secondsSinceDone(a), p.secondsSinceDone(b); len(s.failedRuns) > 0 && idleA != idleB {
 			return idleA < idleB
--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -52,6 +52,7 @@
 	pass.sumUrgentNeeds()
 	pass.measureSpare()
 	pass.applyReservations()
+	pass.applyGangReservations()
 	for _, j := range pass.rankJobs() {
 		pass.job(j)
 	}
@@ -306,6 +307,7 @@
 	}
 	if !p.withinSpare(s, len(s.tasks)) {
 		p.noteWait(s, waitRoom)
+		p.reserveForGang(s)
 		return
 	}
 	s.lastAttempt = len(s.failedRuns)+1 >= p.c.maxAttempts(s.job)
@@ -313,14 +315,19 @@
 	if places == nil {
 		places = p.reservedPlaces(s)
 	}
+	if places == nil {
+		places = p.gangReservationPlaces(s)
+	}
 	if probes := p.probeable(s); places == nil && len(probes) > 0 {
 		places = p.placeTasks(s, append(slices.Clone(p.workers), probes...), len(s.tasks), availableNow)
 	}
 	if places == nil {
 		p.noteWait(s, waitRoom)
 		p.reserveForUrgent(s)
+		p.reserveForGang(s)
 		return
 	}
+	p.c.dropGangReservation(s)
 	g := &gang{stage: s, members: map[*run]bool{}}
 	for index := range s.tasks {
 		g.number = max(g.number, nextRunNumber(s.job, s.tasks[index].lastRun))
--- a/internal/chief/room.go
+++ b/internal/chief/room.go
@@ -11,8 +11,9 @@
 	holdUrgent                       // accelerators and idle workers that are kept for urgent work
 	holdReserved                     // what is reserved for urgent tasks while runs there are being stopped
 	holdQuarantine                   // workers that get no starts for a time
+	holdGang                         // workers that are reserved for a gang that does not fit yet
 
-	allHolds = holdLocality | holdUrgent | holdReserved | holdQuarantine
+	allHolds = holdLocality | holdUrgent | holdReserved | holdQuarantine | holdGang
 )
 
 // placesNeeded returns how many tasks of a stage must find room at the same time.
@@ -32,7 +33,7 @@
 	for _, h := range []struct {
 		hold holds
 		why  string
-	}{{holdLocality, waitLocality}, {holdUrgent, waitUrgentRoom}, {holdReserved, waitReserved}, {holdQuarantine, waitQuarantine}} {
+	}{{holdLocality, waitLocality}, {holdUrgent, waitUrgentRoom}, {holdReserved, waitReserved}, {holdQuarantine, waitQuarantine}, {holdGang, waitReservedGang}} {
 		if p.roomFor(s, h.hold) >= need {
 			return h.why
 		}
@@ -104,6 +105,9 @@
 	if ignoring&holdReserved == 0 {
 		free = availableNow(w)
 	}
+	if ignoring&holdGang == 0 {
+		free = p.besideGang(s, w, free)
+	}
 	fits := countFits(free, resources, maxRoom)
 	if fits == 0 || !p.suits(s, w) || ignoring&holdUrgent == 0 && p.keptIdle[w] && p.yieldsToUrgent(s) {
 		return 0
--- a/internal/chief/scheduler.go
+++ b/internal/chief/scheduler.go
@@ -94,9 +94,12 @@
 	dirty              bool // a planning pass is needed
 	adviceInFlight     bool
 	urgentDemand       map[work.PoolName]*urgentDemand
-	nextPlanAt         clock.Instant
-	speedsComparedAt   clock.Instant
-	runTimes           map[work.QueueName]*runTimes
+	gangReservations   []*gangReservation
+	// reservationsTriedAt is when room for a gang was last looked for in each pool.
+	reservationsTriedAt map[work.PoolName]clock.Instant
+	nextPlanAt          clock.Instant
+	speedsComparedAt    clock.Instant
+	runTimes            map[work.QueueName]*runTimes
 
 	// mu guards the fields below, which other goroutines read.
 	mu            sync.Mutex
@@ -159,6 +162,7 @@
 	c.cancelRequested = map[model.JobID]bool{}
 	c.forgotten = map[model.JobID]forgottenJob{}
 	c.urgentDemand = map[work.PoolName]*urgentDemand{}
+	c.gangReservations, c.reservationsTriedAt = nil, map[work.PoolName]clock.Instant{}
 	c.mu.Lock()
 	c.durableStates = map[model.JobID]work.State{}
 	c.mu.Unlock()
--- a/internal/chief/state.go
+++ b/internal/chief/state.go
@@ -114,6 +114,9 @@
 	noCapacityLoggedAt clock.Instant
 	runsOn             map[*worker]int // number of runs by worker
 	advice             advice
+	// gangReservation is that of a gang that does not fit; nil for none. There is no new one before noReservationUntil.
+	gangReservation    *gangReservation
+	noReservationUntil clock.Instant
 }
 
 // job is the state of a job in memory.
@@ -186,6 +189,7 @@
 	removed          bool             // from Scheduler.workers
 	// available is valid during a planning pass: what is free once all stops are done, less reservations and new starts.
 	available work.Resources
+	held      *heldPlace // valid during a planning pass: the part of a gang's reservation; nil for none
 }
 
 func (w *worker) target() agent.Target { return agent.Target{ID: w.info.ID, Address: w.info.Address} }
--- a/internal/chief/wait.go
+++ b/internal/chief/wait.go
@@ -13,15 +13,16 @@
 
 // Reasons why a step waits.
 const (
-	waitRoom       = "room" // no worker has any
-	waitLocality   = "rack of its data, or one rack"
-	waitUrgentRoom = "room kept for urgent work"
-	waitReserved   = "room reserved for urgent work"
-	waitQuarantine = "workers in quarantine"
-	waitHolds      = "room that is kept free for several reasons"
-	waitPause      = "pause before the next attempt"
-	waitAdvice     = "advice"
-	waitGang       = "members of an earlier run"
+	waitRoom         = "room" // no worker has any
+	waitLocality     = "rack of its data, or one rack"
+	waitUrgentRoom   = "room kept for urgent work"
+	waitReserved     = "room reserved for urgent work"
+	waitQuarantine   = "workers in quarantine"
+	waitReservedGang = "room reserved for a gang"
+	waitHolds        = "room that is kept free for several reasons"
+	waitPause        = "pause before the next attempt"
+	waitAdvice       = "advice"
+	waitGang         = "members of an earlier run"
 	// waitLastAttempt is for workers that may hold a failure that was not reported yet.
 	waitLastAttempt = "a silent worker before the last attempt"
 )
