chief: jobs that stand respect reservations of gangs unless they have found room for as long

With the bounded holds, each small job that waited for over 2 s on a loaded service took the workers that a gang had reserved. It does so now only if it has found room for itself all the while for 2 s.

--- a/internal/chief/backfill.go
+++ b/internal/chief/backfill.go
@@ -193,9 +193,10 @@
 }
 
 // besideGang returns what a stage may use of the available resources of a worker: on one that is reserved for a gang, work of the same or
-// a lower priority that does not end before the gang starts gets what the gang leaves free.
+// a lower priority that does not end before the gang starts gets what the gang leaves free, unless its job has had nothing running for too
+// long and has found room for it for as long.
 func (p *planner) besideGang(s *stage, w *worker, available work.Resources) work.Resources {
-	if s.ignoresHolds || !p.heldForOther(s, w) {
+	if !p.heldForOther(s, w) || s.ignoresHolds && s.besideRoom(p.now) >= holdLimit {
 		return available
 	}
 	held := w.held
