chief: urgent tasks with anti-affinity preempt where a worker has room for more of them than it may hold

Callers would see an urgent gang within its tenant's guarantee wait for as long as others run (RECLAIM): the room of a worker counted for as many members as fit there, so that nothing seemed to be missing.

--- a/internal/chief/preempt.go
+++ b/internal/chief/preempt.go
@@ -71,8 +71,15 @@
 		if !p.eligible(s, w) {
 			continue
 		}
-		have := countFits(w.available, resources, need)
+		limit := need
+		if s.step.PerWorker > 0 {
+			limit = min(limit, s.step.PerWorker-s.runsOn[w])
+		}
+		have := countFits(w.available, resources, limit)
 		need -= have
+		if have == limit {
+			continue
+		}
 		if victims, cost, ok := p.victims(s, w, have+1); ok {
 			options = append(options, option{victims, cost})
 		}
