chief: a last attempt is not kept back for ever for a silent worker of this term

Callers would see a job with one attempt left stand for as long as the worker stays registered and silent on which the lease of its last run lapsed: only for workers of an earlier term the wait for ends that count has a limit.

Change: the same limit of 15 s, from the worker's last report. The lease has lapsed by then, and a lapse between an end and its acknowledgment keeps the end from counting.

--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -239,8 +239,13 @@
 	if s.step.Lasts || failures+1 < p.c.maxAttempts(s.job) {
 		return false
 	}
-	silent := t.lostOn != nil && t.lostOn.missedCalls > 0 && !t.lostOn.removed
-	return silent || s.job.mayHaveRunsOn(p.unseenEnds)
+	return t.lostOn != nil && p.mayListEndsThatCount(t.lostOn) || s.job.mayHaveRunsOn(p.unseenEnds)
+}
+
+// mayListEndsThatCount reports whether a silent worker of this term may still list ends that count. One that stays registered and silent is
+// not waited for longer than one of an earlier term.
+func (p *planner) mayListEndsThatCount(w *worker) bool {
+	return w.missedCalls > 0 && !w.removed && p.now.Sub(max(w.reportedAt, p.c.Term.Since)) < unseenEndsLimit
 }
 
 // startTask starts a task if a worker has capacity for it, and reports whether it did.
