chief: a task that lasts has no last attempt

Callers would see a task that lasts, in a queue with one attempt, stand beside a worker that is open again after failures until a long task there is done: last attempts are kept off such workers, but a failure of a task that lasts ends no job.

--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -253,7 +253,7 @@
 	if !p.withinSpare(s, 1) {
 		return false
 	}
-	s.lastAttempt = len(t.failedRuns)+1 >= p.c.maxAttempts(s.job)
+	s.lastAttempt = !s.step.Lasts && len(t.failedRuns)+1 >= p.c.maxAttempts(s.job)
 	w := p.bestWorker(s, p.workers, p.mayRunRemote(s))
 	if w == nil {
 		w = p.tightestFit(s, p.probeable(s), s.step.Resources())
@@ -313,7 +313,7 @@
 		p.noteWait(s, waitRoom)
 		return
 	}
-	s.lastAttempt = len(s.failedRuns)+1 >= p.c.maxAttempts(s.job)
+	s.lastAttempt = !s.step.Lasts && len(s.failedRuns)+1 >= p.c.maxAttempts(s.job)
 	places := p.placeGang(s)
 	if places == nil {
 		places = p.reservedPlaces(s)
