chief: what a rack can hold does not depend on which workers have answered or have tickets by now

Callers would see gangs run in several racks, where they take several times longer, although one rack holds them: what a rack can hold counted only workers that had been polled, had missed no call and had a ticket at that moment. The first pass of a new term, or one missed call in each rack, spread a gang at once; and so did the log line of a wait for advice, which kept the count of 0 for 250 ms.

Change: workers that are registered, in service and not silent count, and those for which no advice was requested yet.

--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -28,6 +28,7 @@
 	workers     []*worker // that may get new runs, by id
 	avoided     []*worker // that could get new runs but for their quarantine
 	racks       map[work.Label][]*worker
+	rackMembers map[work.Label][]*worker                // result of members; nil until it is needed
 	unseenRuns  map[model.WorkerID]bool                 // workers that were not polled yet and may have runs of an earlier term
 	rooms       map[roomKind]int                        // results of allRoom
 	keptIdle    map[*worker]bool                        // idle workers that work which is not urgent may not take
--- a/internal/chief/room.go
+++ b/internal/chief/room.go
@@ -129,17 +129,33 @@
 		s.rackHolds = p.rackCapacity(s, s.step.DataRack)
 		return s.rackHolds
 	}
-	for rack := range p.racks {
+	for rack := range p.members() {
 		s.rackHolds = max(s.rackHolds, p.rackCapacity(s, rack))
 	}
 	return s.rackHolds
 }
 
-// rackCapacity returns how many tasks of a stage a rack could hold at the same time if nothing ran there but tasks that last.
+// members returns the workers by rack that may get runs now or soon: also those that were not polled yet in this term, and those that
+// missed a call.
+func (p *planner) members() map[work.Label][]*worker {
+	if p.rackMembers == nil {
+		p.rackMembers = map[work.Label][]*worker{}
+		for _, w := range p.c.workers {
+			if p.c.whyUnusable(w) == "" && !p.c.mayHideEnds(w) && w.missedCalls < silentAfterMisses && !w.avoided(p.now) {
+				rack := w.info.Rack()
+				p.rackMembers[rack] = append(p.rackMembers[rack], w)
+			}
+		}
+	}
+	return p.rackMembers
+}
+
+// rackCapacity returns how many tasks of a stage a rack could hold at the same time if nothing ran there but tasks that last. A worker for
+// which no advice was requested yet may still get a ticket.
 func (p *planner) rackCapacity(s *stage, rack work.Label) int {
 	capacity := 0
-	for _, w := range p.racks[rack] {
-		if !p.suits(s, w) {
+	for _, w := range p.members()[rack] {
+		if w.info.Pool != s.job.spec.Pool || !w.info.Has(s.step.Label) || p.c.listableRuns(w) == 0 || s.advice.asked[w.info.ID] && !p.hasTicket(s, w) {
 			continue
 		}
 		fits := countFits(w.info.Capacity.Sub(w.usedByLastingTasks()), s.step.Resources(), maxRoom)
--- a/internal/chief/standing_review_test.go
+++ b/internal/chief/standing_review_test.go
@@ -246,20 +246,20 @@
 					next := env.start("b", nil)
 					env.await(8*time.Second, "b leads", next.leads)
 				} else {
-					for _, w := range silent {
-						// A task there keeps it polled.
-						load := newJob("0000000000000d0"+w.ID[3:], "scan", 1, 0)
-						load.Steps[0].Need, load.Steps[0].Label = work.Resources{CPU: 1}, work.Label("r"+map[string]string{"w-00": "0", "w-04": "1"}[w.ID])
+					for rack := range silent {
+						// The first worker of the rack gets it, and is polled for as long as it runs.
+						load := newJob(fmt.Sprintf("0000000000000d%02d", rack), "scan", 1, 0)
+						load.Steps[0].Need, load.Steps[0].Label = work.Resources{CPU: 1}, work.Label(fmt.Sprintf("r%d", rack))
 						env.submit(load)
 					}
 					env.sleep(time.Second)
 					for _, w := range silent {
 						env.silence(w)
 					}
-					env.sleep(2200 * time.Millisecond)
+					env.sleep(2100 * time.Millisecond) // Each has missed one call.
 					env.submit(gang)
 				}
-				env.sleep(400 * time.Millisecond)
+				env.sleep(100 * time.Millisecond)
 				for _, w := range silent {
 					w.SetFault(func(string) fakepl.Fault { return fakepl.Healthy })
 				}
