chief: of the stages that need advice, the one that asked longest ago is served first

Callers would see a task that fits stand while gangs of a higher rank wait for a single rack: they fit too, so that their calls went first each time, and with seven of them the tickets of the first had expired when its turn came round.

Change: calls go to urgent stages, then to those that fit, then to others, and among equals to the one whose last call was longest ago. A gang that needs the tickets of two calls waits longer for the second one.

--- a/internal/chief/advise.go
+++ b/internal/chief/advise.go
@@ -55,11 +55,8 @@
 	return ticketed > 0
 }
 
-// mayFit reports whether a stage could start, or preempt others, if it had tickets for all workers.
+// mayFit reports whether a stage could start if it had tickets for all workers.
 func (p *planner) mayFit(s *stage) bool {
-	if p.priority(s) == 0 {
-		return true
-	}
 	room := 0
 	for _, w := range p.candidates() {
 		if w.info.Pool == s.job.spec.Pool && w.info.Has(s.step.Label) {
@@ -93,28 +90,54 @@
 	return waiting
 }
 
-// requestAdvice calls the advice service for the workers that are wanted. Only one call is in flight: the service handles the calls of one
-// machine in sequence. A stage that does not fit anywhere asks only if no other has asked in this pass: tickets expire, and jobs behind many
-// such stages would never get theirs.
+// adviceRequest is a call to the advice service that a pass may make.
+type adviceRequest struct {
+	stage   *stage
+	workers []model.WorkerID
+	rank    adviceRank
+}
+
+// adviceRank orders the stages that need advice; the lowest is served first.
+type adviceRank int
+
+const (
+	adviseUrgent  adviceRank = iota // it may preempt others
+	adviseFitting                   // it could start now
+	adviseOthers
+)
+
+// requestAdvice notes that a stage needs advice for the workers that are wanted. Only one call is in flight: the service handles the calls of
+// one machine in sequence. Of the stages of the same rank, the one whose last call was longest ago is served first: tickets expire, and
+// jobs behind many others would never get theirs if these asked again before.
 func (p *planner) requestAdvice(s *stage, wanted func(*worker) bool) {
 	if p.c.adviceInFlight || p.now < s.advice.retryAt {
 		return
 	}
-	if !p.mayFit(s) {
-		if p.laterAdvice == nil {
-			p.laterAdvice = func() { p.callAdvice(s, wanted) }
-		}
+	rank := adviseOthers
+	switch {
+	case p.priority(s) == 0:
+		rank = adviseUrgent
+	case p.mayFit(s):
+		rank = adviseFitting
+	}
+	if r := p.adviceRequest; r != nil && (rank > r.rank || rank == r.rank && s.advisedAt >= r.stage.advisedAt) {
 		return
 	}
-	p.callAdvice(s, wanted)
-}
-
-func (p *planner) callAdvice(s *stage, wanted func(*worker) bool) {
 	workers := p.adviceCandidates(s, wanted)
 	if len(workers) == 0 {
 		s.advice.retryAt = p.now.Add(adviceRetryPause)
 		return
 	}
+	p.adviceRequest = &adviceRequest{s, workers, rank}
+}
+
+// callAdvice makes the call that was chosen in this pass, if any.
+func (p *planner) callAdvice() {
+	if p.adviceRequest == nil {
+		return
+	}
+	s, workers := p.adviceRequest.stage, p.adviceRequest.workers
+	s.advisedAt = p.now
 	p.c.adviceInFlight = true
 	c, step := p.c, s.id
 	go func() {
--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -22,22 +22,22 @@
 
 // planner plans one pass over all waiting tasks.
 type planner struct {
-	c           *Scheduler
-	now         clock.Instant
-	config      *work.Config
-	workers     []*worker // that may get new runs, by id
-	avoided     []*worker // that could get new runs but for their quarantine
-	racks       map[work.Label][]*worker
-	rackMembers map[work.Label][]*worker                // result of members; nil until it is needed
-	unseenRuns  map[model.WorkerID]bool                 // workers that were not polled yet and may have runs of an earlier term
-	rooms       map[roomKind]int                        // results of allRoom
-	keptIdle    map[*worker]bool                        // idle workers that work which is not urgent may not take
-	settling    bool                                    // registered workers have not been polled yet: their free capacity is unknown
-	spare       map[work.PoolName]model.Accelerators    // that work which is not urgent may take
-	urgentNeeds map[model.CustomerID]model.Accelerators // of unfinished urgent jobs, by tenant
-	probers     map[*job]bool                           // that may probe workers in quarantine; nil until it is needed
-	unseenEnds  map[model.WorkerID]bool                 // workers that were not polled yet and may list ends of an earlier term
-	laterAdvice func()                                  // requests advice for a stage that does not fit anywhere; nil for none
+	c             *Scheduler
+	now           clock.Instant
+	config        *work.Config
+	workers       []*worker // that may get new runs, by id
+	avoided       []*worker // that could get new runs but for their quarantine
+	racks         map[work.Label][]*worker
+	rackMembers   map[work.Label][]*worker                // result of members; nil until it is needed
+	unseenRuns    map[model.WorkerID]bool                 // workers that were not polled yet and may have runs of an earlier term
+	rooms         map[roomKind]int                        // results of allRoom
+	keptIdle      map[*worker]bool                        // idle workers that work which is not urgent may not take
+	settling      bool                                    // registered workers have not been polled yet: their free capacity is unknown
+	spare         map[work.PoolName]model.Accelerators    // that work which is not urgent may take
+	urgentNeeds   map[model.CustomerID]model.Accelerators // of unfinished urgent jobs, by tenant
+	probers       map[*job]bool                           // that may probe workers in quarantine; nil until it is needed
+	unseenEnds    map[model.WorkerID]bool                 // workers that were not polled yet and may list ends of an earlier term
+	adviceRequest *adviceRequest                          // to be made at the end of the pass; nil for none
 }
 
 // planStarts runs a planning pass: it starts tasks in order of rank and stops the runs that they preempt.
@@ -56,9 +56,7 @@
 	for _, j := range pass.rankJobs() {
 		pass.job(j)
 	}
-	if pass.laterAdvice != nil && !c.adviceInFlight {
-		pass.laterAdvice()
-	}
+	pass.callAdvice()
 	c.Observe.PassDuration(time.Since(began))
 }
 
--- a/internal/chief/state.go
+++ b/internal/chief/state.go
@@ -114,6 +114,7 @@
 	noCapacityLoggedAt clock.Instant
 	runsOn             map[*worker]int // number of runs by worker
 	advice             advice
+	advisedAt          clock.Instant // when advice was last requested; 0 for never
 }
 
 // job is the state of a job in memory.
