--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -22,21 +22,22 @@
 
 // planner plans one pass over all waiting tasks.
 type planner struct {
-	c           *Scheduler
-	now         clock.Instant
-	config      *work.Config
-	workers     []*worker // that may get new runs, by id
-	avoided     []*worker // that could get new runs but for their quarantine
-	racks       map[work.Label][]*worker
-	unseenRuns  map[model.WorkerID]bool                 // workers that were not polled yet and may have runs of an earlier term
-	rooms       map[roomKind]int                        // results of allRoom
-	keptIdle    map[*worker]bool                        // idle workers that work which is not urgent may not take
-	settling    bool                                    // registered workers have not been polled yet: their free capacity is unknown
-	spare       map[work.PoolName]model.Accelerators    // that work which is not urgent may take
-	urgentNeeds map[model.CustomerID]model.Accelerators // of unfinished urgent jobs, by tenant
-	probers     map[*job]bool                           // that may probe workers in quarantine; nil until it is needed
-	unseenEnds  map[model.WorkerID]bool                 // workers that were not polled yet and may list ends of an earlier term
-	laterAdvice func()                                  // requests advice for a stage that does not fit anywhere; nil for none
+	c             *Scheduler
+	now           clock.Instant
+	config        *work.Config
+	workers       []*worker // that may get new runs, by id
+	avoided       []*worker // that could get new runs but for their quarantine
+	racks         map[work.Label][]*worker
+	rackMembers   map[work.Label][]*worker                // result of members; nil until it is needed
+	unseenRuns    map[model.WorkerID]bool                 // workers that were not polled yet and may have runs of an earlier term
+	rooms         map[roomKind]int                        // results of allRoom
+	keptIdle      map[*worker]bool                        // idle workers that work which is not urgent may not take
+	settling      bool                                    // registered workers have not been polled yet: their free capacity is unknown
+	spare         map[work.PoolName]model.Accelerators    // that work which is not urgent may take
+	urgentNeeds   map[model.CustomerID]model.Accelerators // of unfinished urgent jobs, by tenant
+	probers       map[*job]bool                           // that may probe workers in quarantine; nil until it is needed
+	unseenEnds    map[model.WorkerID]bool                 // workers that were not polled yet and may list ends of an earlier term
+	adviceRequest *adviceRequest                          // to be made at the end of the pass; nil for none
 }
 
 // planStarts runs a planning pass: it starts tasks in order of rank and stops the runs that they preempt.
@@ -56,9 +57,7 @@
 	for _, j := range pass.rankJobs() {
 		pass.job(j)
 	}
-	if pass.laterAdvice != nil && !c.adviceInFlight {
-		pass.laterAdvice()
-	}
+	pass.callAdvice()
 	c.Observe.PassDuration(time.Since(began))
 }
 
@@ -240,8 +239,13 @@
 	if s.step.Lasts || failures+1 < p.c.maxAttempts(s.job) {
 		return false
 	}
-	silent := t.lostOn != nil && t.lostOn.missedCalls > 0 && !t.lostOn.removed
-	return silent || s.job.mayHaveRunsOn(p.unseenEnds)
+	return t.lostOn != nil && p.mayListEndsThatCount(t.lostOn) || s.job.mayHaveRunsOn(p.unseenEnds)
+}
+
+// mayListEndsThatCount reports whether a silent worker of this term may still list ends that count. One that stays registered and silent is
+// not waited for longer than one of an earlier term.
+func (p *planner) mayListEndsThatCount(w *worker) bool {
+	return w.missedCalls > 0 && !w.removed && p.now.Sub(max(w.reportedAt, p.c.Term.Since)) < unseenEndsLimit
 }
 
 // startTask starts a task if a worker has capacity for it, and reports whether it did.
@@ -249,7 +253,7 @@
 	if !p.withinSpare(s, 1) {
 		return false
 	}
-	s.lastAttempt = len(t.failedRuns)+1 >= p.c.maxAttempts(s.job)
+	s.lastAttempt = !s.step.Lasts && len(t.failedRuns)+1 >= p.c.maxAttempts(s.job)
 	w := p.bestWorker(s, p.workers, p.mayRunRemote(s))
 	if w == nil {
 		w = p.tightestFit(s, p.probeable(s), s.step.Resources())
@@ -310,7 +314,7 @@
 		p.reserveForGang(s)
 		return
 	}
-	s.lastAttempt = len(s.failedRuns)+1 >= p.c.maxAttempts(s.job)
+	s.lastAttempt = !s.step.Lasts && len(s.failedRuns)+1 >= p.c.maxAttempts(s.job)
 	places := p.placeGang(s)
 	if places == nil {
 		places = p.reservedPlaces(s)
--- a/internal/chief/state.go
+++ b/internal/chief/state.go
@@ -117,6 +117,7 @@
 	// gangReservation is that of a gang that does not fit; nil for none. There is no new one before noReservationUntil.
 	gangReservation    *gangReservation
 	noReservationUntil clock.Instant
+	advisedAt          clock.Instant // when advice was last requested; 0 for never
 }
 
 // job is the state of a job in memory.
