--- a/internal/chief/backfill.go
+++ b/internal/chief/backfill.go
@@ -302,8 +302,8 @@
 			}
 		}
 	}
-	if found && !p.mayRunRemote(s) {
-		return places, at, true
+	if !p.mayRunRemote(s) {
+		return places, at, found
 	}
 	anywhere, readyAt, fits := p.firstRoomAmong(s, p.workers, need)
 	slower := time.Duration((p.c.Limits.RemoteSlowdown - 1) * float64(p.c.estimate(s)))
--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -22,22 +22,23 @@
 
 // planner plans one pass over all waiting tasks.
 type planner struct {
-	c             *Scheduler
-	now           clock.Instant
-	config        *work.Config
-	workers       []*worker // that may get new runs, by id
-	avoided       []*worker // that could get new runs but for their quarantine
-	racks         map[work.Label][]*worker
-	rackMembers   map[work.Label][]*worker                // result of members; nil until it is needed
-	unseenRuns    map[model.WorkerID]bool                 // workers that were not polled yet and may have runs of an earlier term
-	rooms         map[roomKind]int                        // results of allRoom
-	keptIdle      map[*worker]bool                        // idle workers that work which is not urgent may not take
-	settling      bool                                    // registered workers have not been polled yet: their free capacity is unknown
-	spare         map[work.PoolName]model.Accelerators    // that work which is not urgent may take
-	urgentNeeds   map[model.CustomerID]model.Accelerators // of unfinished urgent jobs, by tenant
-	probers       map[*job]bool                           // that may probe workers in quarantine; nil until it is needed
-	unseenEnds    map[model.WorkerID]bool                 // workers that were not polled yet and may list ends of an earlier term
-	adviceRequest *adviceRequest                          // to be made at the end of the pass; nil for none
+	c              *Scheduler
+	now            clock.Instant
+	config         *work.Config
+	workers        []*worker // that may get new runs, by id
+	avoided        []*worker // that could get new runs but for their quarantine
+	racks          map[work.Label][]*worker
+	rackMembers    map[work.Label][]*worker                // result of members; nil until it is needed
+	unseenRuns     map[model.WorkerID]bool                 // workers that were not polled yet and may have runs of an earlier term
+	rooms          map[roomKind]int                        // results of allRoom
+	keptIdle       map[*worker]bool                        // idle workers that work which is not urgent may not take
+	settling       bool                                    // registered workers have not been polled yet: their free capacity is unknown
+	spare          map[work.PoolName]model.Accelerators    // that work which is not urgent may take
+	urgentNeeds    map[model.CustomerID]model.Accelerators // of unfinished urgent jobs, by tenant
+	probers        map[*job]bool                           // that may probe workers in quarantine; nil until it is needed
+	unseenEnds     map[model.WorkerID]bool                 // workers that were not polled yet and may list ends of an earlier term
+	reservedStages []*stage                                // with workers that are reserved for them
+	adviceRequest  *adviceRequest                          // to be made at the end of the pass; nil for none
 }
 
 // planStarts runs a planning pass: it starts tasks in order of rank and stops the runs that they preempt.
@@ -186,13 +187,21 @@
 	}
 	p.creditReservation(s)
 	s.ignoresHolds = p.stalledTooLong(s)
+	runs := s.job.runs
+	p.startStage(s)
+	if s.ignoresHolds && s.job.runs == runs && p.takeIdleReservations(s) {
+		p.startStage(s)
+	}
+	s.ignoresHolds = false
+	p.deductReservation(s)
+}
+
+func (p *planner) startStage(s *stage) {
 	if s.step.Gang {
 		p.planGang(s)
 	} else {
 		p.startTasks(s)
 	}
-	s.ignoresHolds = false
-	p.deductReservation(s)
 }
 
 // startTasks starts the waiting tasks of a stage. If it is urgent, workers are reserved for those that do not fit.
--- a/internal/chief/probe.go
+++ b/internal/chief/probe.go
@@ -17,8 +17,8 @@
 	maxProbeDoublings = 10
 	// probeTime is how long a probe must have made progress to open a worker whose tasks made none.
 	probeTime = time.Second
-	// lastingProbeTime is how long a task that lasts must have been at work to open a worker whose tasks failed: it is never done.
-	lastingProbeTime = 4 * time.Second
+	// longProbeTime is how long a probe that is not done must have been at work to open a worker whose tasks failed.
+	longProbeTime = 4 * time.Second
 )
 
 // probes are the runs on a worker that show whether it works again.
@@ -52,7 +52,7 @@
 // mayProbeWithGang reports whether several members of a stalled gang may be the probe of a worker whose quarantine is over: they fail
 // together, at the cost of one attempt, and the gang might never start if it needs the worker for more than one of them.
 func (p *planner) mayProbeWithGang(s *stage, w *worker) bool {
-	return s.step.Gang && s.ignoresHolds && !s.lastAttempt && p.now >= w.quarantinedUntil
+	return s.step.Gang && s.ignoresHolds && p.now >= w.quarantinedUntil
 }
 
 // beginProbe notes that a run that has just been created is a probe, if its worker needs one. The members of a gang are one probe.
@@ -85,15 +85,17 @@
 	}
 }
 
-// readmitIfProven opens a worker whose tasks made no progress once a probe has made some for a time, and one whose tasks failed once a
-// probe that lasts has been at work for a time.
+// readmitIfProven opens a worker whose tasks made no progress once a probe has made some for a time, and one whose tasks failed once a long
+// probe has been at work for a time: one that lasts is never done.
 func (c *Scheduler) readmitIfProven(w *worker, r *run, now clock.Instant) {
-	if !r.probe {
+	if !r.probe || r.task == nil {
 		return
 	}
-	progresses := !w.unproven && r.rate > minRate && now.Sub(r.createdAt) >= probeTime
-	lasts := r.task != nil && r.task.stage.step.Lasts && now.Sub(r.createdAt) >= lastingProbeTime
-	if progresses || lasts {
+	needed := probeTime
+	if w.unproven {
+		needed = longProbeTime
+	}
+	if now.Sub(r.createdAt) >= needed && (r.rate > minRate || r.task.stage.step.Lasts && w.unproven) {
 		c.readmit(w)
 	}
 }
--- a/internal/chief/reservation.go
+++ b/internal/chief/reservation.go
@@ -25,6 +25,9 @@
 					s.reserved = nil
 				}
 				p.deductReservation(s)
+				if len(s.reserved) > 0 {
+					p.reservedStages = append(p.reservedStages, s)
+				}
 			}
 		}
 	}
@@ -56,6 +59,37 @@
 	}
 }
 
+// takeIdleReservations ends the reservations of other stages that need no stop, if a stage fits into all free room: they are for urgent work
+// that waits for its rack, and a stream of such work would keep the room for ever. It reports whether there were any.
+func (p *planner) takeIdleReservations(s *stage) bool {
+	if p.allRoom(s) < s.placesNeeded() {
+		return false
+	}
+	taken := false
+	for _, other := range p.reservedStages {
+		if other != s && len(other.reserved) > 0 && other.reservedRoomFree() {
+			p.creditReservation(other)
+			other.reserved = nil
+			taken = true
+		}
+	}
+	return taken
+}
+
+// reservedRoomFree reports whether nothing runs in the room that a stage has reserved.
+func (s *stage) reservedRoomFree() bool {
+	places := map[*worker]int{}
+	for _, w := range s.reserved {
+		places[w]++
+	}
+	for w, count := range places {
+		if countFits(w.free(), s.step.Resources(), count) < count {
+			return false
+		}
+	}
+	return true
+}
+
 // reservedPlaces returns the reserved workers of a gang if all members can start there now, or nil.
 func (p *planner) reservedPlaces(s *stage) []*worker {
 	if len(s.reserved) < len(s.tasks) {
@@ -106,6 +140,7 @@
 
 func (p *planner) reserveWorkers(s *stage, places []*worker) {
 	s.reserved, s.reservedAt = places, p.now
+	p.reservedStages = append(p.reservedStages, s)
 	workers := make([]string, len(places))
 	for i, w := range places {
 		workers[i] = string(w.info.ID)
