chief: start reserved gangs beside room kept for urgent work

Cause: accelerators that urgent work has used within 3 s are kept free. A reserved gang whose workers are all free waits for that, and urgent jobs or others take the workers one by one meanwhile.

Change: a gang whose reserved workers all have room ignores holds.

--- a/internal/chief/backfill.go
+++ b/internal/chief/backfill.go
@@ -187,6 +187,21 @@
 	return places
 }
 
+// reservedWorkersFree reports whether all reserved workers of a gang have room for it. It then starts there although accelerators are kept
+// free for urgent work: small jobs would take those workers one by one before that ends.
+func (p *planner) reservedWorkersFree(s *stage) bool {
+	g := s.gangReservation
+	if g == nil || s.gang != nil {
+		return false
+	}
+	for w, count := range g.places {
+		if !p.suits(s, w) || countFits(availableNow(w), s.step.Resources(), count) < count {
+			return false
+		}
+	}
+	return true
+}
+
 // heldForOther reports whether a worker is reserved for another stage, which is a gang.
 func (p *planner) heldForOther(s *stage, w *worker) bool {
 	return w.held != nil && w.held.reservation.stage != s
--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -186,7 +186,7 @@
 		return
 	}
 	p.creditReservation(s)
-	s.ignoresHolds = p.stalledTooLong(s)
+	s.ignoresHolds = p.stalledTooLong(s) || p.reservedWorkersFree(s)
 	runs := s.job.runs
 	p.startStage(s)
 	if s.ignoresHolds && s.job.runs == runs && p.takeIdleReservations(s) {
--- a/internal/chief/standing_wide_test.go
+++ b/internal/chief/standing_wide_test.go
@@ -281,3 +281,20 @@
 		t.Log("the other gang after", took)
 	})
 }
+
+// Guards against a gang that stands beside its reserved workers, since what short urgent jobs have used is kept free for more of them.
+func TestReservedWideGangDoesNotWaitForAcceleratorsKeptForUrgentWork(t *testing.T) {
+	withWideEnv(t, 8, func(env *wideEnv) {
+		env.startStream(time.Second, 2*time.Second, 3*time.Second)
+		go func() {
+			for wave := 0; clock.Sleep(env.ctx, 2*time.Second) == nil && !env.streamStopped(); wave++ {
+				env.submitFor(newJob(fmt.Sprintf("c%015d", wave+1), "check", 1, 8), 300*time.Millisecond)
+			}
+		}()
+		env.sleep(3 * time.Second)
+		gang := env.newGang("0000000000000c0a", 6)
+		env.submitFor(gang, 2*time.Second)
+		took := env.await(10*time.Second, "the gang starts", func() bool { return env.started(gang) })
+		t.Log("the gang after", took)
+	})
+}
