elect: no wait for the claim of a larger instance that is stopping

Callers would see no job start, and no end noted, for a second for each core that a stopping leader has more than its successor: instances wait for the claim of the largest one that is registered, also while that one stops and leaves the leadership to them.

--- a/internal/chief/standing_review_test.go
+++ b/internal/chief/standing_review_test.go
@@ -275,3 +275,17 @@
 		})
 	}
 }
+
+// Guards against a planned change of leader that leaves the workers without one while the successor waits for the claim of a larger instance
+// that is stopping and leaves the leadership to others.
+func TestSuccessorDoesNotWaitForTheClaimOfAStoppingInstance(t *testing.T) {
+	withTestEnv(t, 2, func(env *testEnv) {
+		leader := env.start("a", nil)
+		leader.elector.Self.Share = 3
+		env.sleep(3 * time.Second)
+		successor := env.start("b", nil)
+		env.sleep(3 * time.Second)
+		leader.elector.StopSoon(env.ctx)
+		t.Logf("the successor leads after %v", env.await(time.Second, "the successor leads", successor.leads))
+	})
+}
--- a/internal/elect/campaign.go
+++ b/internal/elect/campaign.go
@@ -53,7 +53,7 @@
 	return ctx.Err()
 }
 
-// campaignDelay returns the wait before a claim; it is shortest on the largest machines.
+// campaignDelay returns the wait before a claim; it is shortest on the largest machines that may claim.
 func (e *Elector) campaignDelay() time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -63,7 +63,9 @@
 	}
 	largest := e.Self.Share
 	for _, node := range e.nodes {
-		largest = max(largest, node.Share)
+		if !node.Stopping { // One that stops leaves the leadership to others.
+			largest = max(largest, node.Share)
+		}
 	}
 	return delay + time.Duration((largest-e.Self.Share)*float64(delayPerCore))
 }
