chief: ends that may count are waited for as long as leases last; a reserved gang that was preempted waits for lasting room too

The limit of 15 s for silent workers held only for leases of up to 14 s. Names and cases after the review: fewestPreemptions, knownRackHolds, foundRoomForLong, newLastingLoad; the cases of mayRunRemote stand apart.

TestGangIsNotStoppedByEachUrgentJob failed beside reservations (starts in each pause), and holds.

--- a/internal/chief/closed_workers_test.go
+++ b/internal/chief/closed_workers_test.go
@@ -46,7 +46,7 @@
 				env.fleet.Outcome = runsOf(2 * time.Second)
 				env.start("a", nil)
 				env.sleep(3 * time.Second)
-				watch.load(newLoad("f000000000000001", "r1", 2, 8))
+				watch.load(newLastingLoad("f000000000000001", "r1", 2, 8))
 				env.sleep(time.Second)
 				watch.beginDisruption()
 				env.failOn(env.workers[2:], time.Now().Add(c.fails))
@@ -120,7 +120,7 @@
 		env.fleet.Outcome = runsOf(4 * time.Second)
 		env.start("a", nil)
 		env.sleep(3 * time.Second)
-		watch.load(newLoad("f000000000000001", "r1", 2, 8))
+		watch.load(newLastingLoad("f000000000000001", "r1", 2, 8))
 		env.sleep(time.Second)
 		watch.beginDisruption()
 		env.fleet.WithLock(func() {
@@ -187,8 +187,8 @@
 				env.fleet.Outcome = runsOf(2 * time.Second)
 				leader := env.start("a", nil)
 				env.sleep(3 * time.Second)
-				watch.load(newLoad("f000000000000001", "r1", 2, 8))
-				watch.load(newLoad("f000000000000002", "x0", 1, 8))
+				watch.load(newLastingLoad("f000000000000001", "r1", 2, 8))
+				watch.load(newLastingLoad("f000000000000002", "x0", 1, 8))
 				env.sleep(time.Second)
 				env.failOn(env.workers[2:], time.Now().Add(20*time.Second))
 				var jobs []model.JobID
@@ -240,7 +240,7 @@
 	for _, index := range []int{0, 1} { // The workers of the long tasks are left with room.
 		env.Expect(env.fleet.RunningOn(taskID(id, index))).To(Equal([]string{env.workers[index].ID}))
 	}
-	w.load(newLoad("f000000000000001", "r2", 2, 2))
+	w.load(newLastingLoad("f000000000000001", "r2", 2, 2))
 	env.sleep(4 * time.Second)
 }
 
--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -13,9 +13,10 @@
 const (
 	// minLocalWait is the least time that a task waits for the rack of its data, and a gang for a single rack.
 	minLocalWait = 2 * time.Second
-	// unseenEndsLimit is how long after a term's start a worker that has not answered yet may list ends of earlier terms that count. A lease
-	// that lapsed between an end and its acknowledgment keeps the end from counting, and all leases of earlier terms have lapsed by then.
-	unseenEndsLimit = 15 * time.Second
+	// minEndsLimit is the least time after which the ends that a silent worker may still list count no more.
+	minEndsLimit = 15 * time.Second
+	// ampleRoom is how often a waiting task, or gang, must fit into the free room for its job to give up a place near its data.
+	ampleRoom = 2
 	// lateFactor times its objective is the age from which a job is late: its completion has no value any more.
 	lateFactor = 3
 )
@@ -98,7 +99,7 @@
 	if expired && p.c.hidesEndsForGood(w) {
 		return // It will list no further ends in this term.
 	}
-	if p.now.Sub(p.c.Term.Since) < unseenEndsLimit {
+	if p.now.Sub(p.c.Term.Since) < p.c.endsLimit() {
 		p.unseenEnds[w.info.ID] = true
 	}
 }
@@ -186,7 +187,7 @@
 		return
 	}
 	p.creditReservation(s)
-	s.ignoresHolds = p.stalledTooLong(s) || p.reservedWorkersFree(s)
+	s.ignoresHolds = p.stalledTooLong(s) || p.reservedWorkersFree(s) && s.foundRoomForLong(p.now)
 	runs := s.job.runs
 	p.startStage(s)
 	if s.ignoresHolds && s.job.runs == runs && p.takeIdleReservations(s) {
@@ -251,10 +252,16 @@
 	return t.lostOn != nil && p.mayListEndsThatCount(t.lostOn) || s.job.mayHaveRunsOn(p.unseenEnds)
 }
 
+// endsLimit is how long after a term's start, or after it was last heard of, a silent worker may list ends that count. A lease that lapsed
+// between an end and its acknowledgment keeps the end from counting, and all leases have lapsed by then.
+func (c *Scheduler) endsLimit() time.Duration {
+	return max(minEndsLimit, slowed(c.Limits.MaxLease)+leaseExpiryMargin)
+}
+
 // mayListEndsThatCount reports whether a silent worker of this term may still list ends that count. One that stays registered and silent is
 // not waited for longer than one of an earlier term.
 func (p *planner) mayListEndsThatCount(w *worker) bool {
-	return w.missedCalls > 0 && !w.removed && p.now.Sub(max(w.reportedAt, p.c.Term.Since)) < unseenEndsLimit
+	return w.missedCalls > 0 && !w.removed && p.now.Sub(max(w.reportedAt, p.c.Term.Since)) < p.c.endsLimit()
 }
 
 // startTask starts a task if a worker has capacity for it, and reports whether it did.
@@ -285,7 +292,10 @@
 // there: waiting is better until the wait exceeds the extra run time, unless no rack can ever hold them, or free workers are plenty while
 // the job has nothing running.
 func (p *planner) mayRunRemote(s *stage) bool {
-	if !s.prefersRack() || s.ignoresHolds && p.allRoom(s) >= ampleRoom*s.placesNeeded() {
+	switch {
+	case !s.prefersRack(), p.rackHolds(s) < s.placesNeeded():
+		return true
+	case s.ignoresHolds && p.allRoom(s) >= ampleRoom*s.placesNeeded():
 		return true
 	}
 	longer := (p.c.Limits.RemoteSlowdown - 1) * float64(p.c.estimate(s))
@@ -293,7 +303,7 @@
 	if p.priority(s) == 0 {
 		limit = min(limit, p.sameRackWait())
 	}
-	return p.now.Sub(s.waitingSince) > limit || p.rackHolds(s) < s.placesNeeded()
+	return p.now.Sub(s.waitingSince) > limit
 }
 
 // prefersRack reports whether a stage's tasks run faster in a certain rack, or in a single one.
--- a/internal/chief/probe_test.go
+++ b/internal/chief/probe_test.go
@@ -52,7 +52,7 @@
 		}
 		leader := env.start("a", nil)
 		env.sleep(3 * time.Second)
-		watch.load(newLoad("f000000000000001", "r1", 2, 8))
+		watch.load(newLastingLoad("f000000000000001", "r1", 2, 8))
 		env.sleep(time.Second)
 		ended := map[work.State]int{}
 		var jobs []model.JobID
@@ -80,7 +80,7 @@
 		e.label(worker, "a", "r2", fmt.Sprintf("x%d", i))
 	}
 	e.sleep(3 * time.Second)
-	w.load(newLoad("f000000000000001", "r1", 2, 8))
+	w.load(newLastingLoad("f000000000000001", "r1", 2, 8))
 	e.sleep(time.Second)
 	w.beginDisruption()
 	e.failOn(closing, time.Now().Add(11*time.Second))
@@ -240,7 +240,7 @@
 		env.fleet.Percent = func(string, string) int { return 0 }
 		env.start("a", nil)
 		watch.closeWorkers()
-		watch.load(newLoad(id, "r2", tasks, 1))
+		watch.load(newLastingLoad(id, "r2", tasks, 1))
 		env.sleep(calmTime + standingLimit)
 		running := 0
 		for index := range tasks {
--- a/internal/chief/room.go
+++ b/internal/chief/room.go
@@ -126,17 +126,17 @@
 // rack, the rack that could hold the most, if nothing ran there but tasks that last.
 func (p *planner) rackHolds(s *stage) int {
 	if s.rackCheckedAt != 0 && p.now.Sub(s.rackCheckedAt) < roomCheckPause {
-		return s.rackHolds
+		return s.knownRackHolds
 	}
-	s.rackCheckedAt, s.rackHolds = p.now, 0
+	s.rackCheckedAt, s.knownRackHolds = p.now, 0
 	if s.step.DataRack != "" {
-		s.rackHolds = p.rackCapacity(s, s.step.DataRack)
-		return s.rackHolds
+		s.knownRackHolds = p.rackCapacity(s, s.step.DataRack)
+		return s.knownRackHolds
 	}
 	for rack := range p.members() {
-		s.rackHolds = max(s.rackHolds, p.rackCapacity(s, rack))
+		s.knownRackHolds = max(s.knownRackHolds, p.rackCapacity(s, rack))
 	}
-	return s.rackHolds
+	return s.knownRackHolds
 }
 
 // members returns the workers by rack that may get runs now or soon: also those that were not polled yet in this term, and those that
--- a/internal/chief/stall.go
+++ b/internal/chief/stall.go
@@ -16,8 +16,6 @@
 	roomCheckPause = 250 * time.Millisecond
 	// listedInterval is the time within which each worker that answers lists its runs.
 	listedInterval = pollWait + pollTimeoutMargin
-	// ampleRoom is how often a waiting task, or gang, must fit into the free room for its job to give up a place near its data.
-	ampleRoom = 2
 )
 
 // stall is a time in which a job with a task that is due has nothing running. The zero value is no such time.
@@ -73,22 +71,24 @@
 
 // stalledTooLong reports whether a stage's job, or a task of it that lasts, has had nothing running for so long that free room must not be
 // kept for anything else. The time counts from its last run, over failures, preemptions and terms, whether there was room meanwhile or not:
-// on a loaded service room comes and goes, and a time that began anew with it would never pass. A job that was preempted must have found
-// room for longer each time: it would be started in each pause between urgent jobs, and stopped by the next one.
+// on a loaded service room comes and goes, and a time that began anew with it would never pass.
 func (p *planner) stalledTooLong(s *stage) bool {
 	if s.step.Lasts {
 		return s.lastingTaskStalled(p.now)
 	}
 	j := s.job
 	startInFlight := j.runs > 0 && p.now.Sub(j.lastStartAt) < listedInterval
-	if startInFlight || !j.stalled(p.now) || p.now.Sub(s.stalledSince()) < holdLimit {
-		return false
-	}
-	return s.besideRoom(p.now) >= min(time.Duration(s.preemptions())*preemptedPause, holdLimit)
+	return !startInFlight && j.stalled(p.now) && p.now.Sub(s.stalledSince()) >= holdLimit && s.foundRoomForLong(p.now)
+}
+
+// foundRoomForLong reports whether a stage whose tasks were preempted has found room for long enough to take room that is kept for others.
+// That takes longer after each preemption: its tasks would be started in each pause between urgent jobs, and stopped by the next one.
+func (s *stage) foundRoomForLong(now clock.Instant) bool {
+	return s.besideRoom(now) >= min(time.Duration(s.fewestPreemptions())*preemptedPause, holdLimit)
 }
 
-// preemptions returns how often the waiting task of a stage that was preempted least often was preempted, at most maxPreemptedPauses.
-func (s *stage) preemptions() int {
+// fewestPreemptions returns how often the waiting task of a stage that was preempted least often was preempted, at most maxPreemptedPauses.
+func (s *stage) fewestPreemptions() int {
 	least := maxPreemptedPauses
 	for index := range s.tasks {
 		if t := &s.tasks[index]; !t.done && t.activeRun == nil {
--- a/internal/chief/standing_gang_test.go
+++ b/internal/chief/standing_gang_test.go
@@ -32,7 +32,7 @@
 func (w *standingWatch) loadRacks(taken ...int) {
 	for rack, workers := range taken {
 		if workers > 0 {
-			w.load(newLoad(fmt.Sprintf("f%015d", rack), work.Label(fmt.Sprintf("r%d", rack)), workers, 8))
+			w.load(newLastingLoad(fmt.Sprintf("f%015d", rack), work.Label(fmt.Sprintf("r%d", rack)), workers, 8))
 		}
 	}
 	w.env.sleep(time.Second)
@@ -267,7 +267,7 @@
 	withGangEnv(t, 2, 1, func(env *testEnv, watch *standingWatch) {
 		watch.closeFirstWorkers(2)
 		for i := range 2 {
-			watch.load(newLoad(fmt.Sprintf("f%015d", i), work.Label(fmt.Sprintf("r%d", i)), 1, 1))
+			watch.load(newLastingLoad(fmt.Sprintf("f%015d", i), work.Label(fmt.Sprintf("r%d", i)), 1, 1))
 		}
 		env.sleep(5 * time.Second)
 		watch.submit(newJob("0000000000000b08", "tally", 1, 1))
@@ -322,7 +322,7 @@
 		env.fleet.Outcome = runsOf(2 * time.Second)
 		env.start("a", nil)
 		env.sleep(3 * time.Second)
-		load := newLoad("f000000000000001", "r1", 1, 8)
+		load := newLastingLoad("f000000000000001", "r1", 1, 8)
 		load.Queue = "check" // Needs no tickets.
 		watch.load(load)
 		env.sleep(time.Second)
--- a/internal/chief/standing_place_test.go
+++ b/internal/chief/standing_place_test.go
@@ -27,7 +27,7 @@
 				env.fleet.Outcome = runsOf(2 * time.Second)
 				env.start("a", nil)
 				env.sleep(3 * time.Second)
-				watch.load(newLoad("f000000000000001", "r1", 2, 8))
+				watch.load(newLastingLoad("f000000000000001", "r1", 2, 8))
 				env.sleep(time.Second)
 				job := newJob("0000000000000a01", c.queue, 1, 1)
 				job.Steps[0].DataRack, job.Steps[0].Estimate = c.rack, 10*time.Second
@@ -124,7 +124,7 @@
 		}
 		env.start("a", nil)
 		env.sleep(3 * time.Second)
-		watch.load(newLoad("f000000000000001", "x1", 1, 4)) // The worker with the tightest fit is always the first one.
+		watch.load(newLastingLoad("f000000000000001", "x1", 1, 4)) // The worker with the tightest fit is always the first one.
 		env.sleep(time.Second)
 		watch.submit(newJob(string(id), "scan", 1, 1))
 		for wave := range 9 {
@@ -155,9 +155,9 @@
 		}
 		env.start("a", nil)
 		env.sleep(3 * time.Second)
-		watch.load(newLoad("f000000000000002", "x2", 1, 6))
+		watch.load(newLastingLoad("f000000000000002", "x2", 1, 6))
 		env.sleep(time.Second)
-		watch.load(newLoad("f000000000000003", "x1", 1, 6))
+		watch.load(newLastingLoad("f000000000000003", "x1", 1, 6))
 		watch.submit(newJob(string(id), "scan", 1, 1))
 		for wave := range 8 {
 			env.sleep(7 * time.Second) // Longer than the pause and the kept accelerators together.
@@ -169,7 +169,7 @@
 			watch.load(urgent)
 		}
 		env.await(4*time.Second, "the last urgent job is done", func() bool { return env.fleet.Done(taskID("a000000000000008", 0)) })
-		watch.load(newLoad("f000000000000004", "x2", 2, 1))
+		watch.load(newLastingLoad("f000000000000004", "x2", 2, 1))
 		env.sleep(8 * time.Second)
 		watch.expectNoneStood()
 	})
--- a/internal/chief/standing_steps_test.go
+++ b/internal/chief/standing_steps_test.go
@@ -16,7 +16,7 @@
 		env.fleet.Outcome = runsOf(40 * time.Second)
 		env.start("a", nil)
 		env.sleep(3 * time.Second)
-		watch.load(newLoad("f000000000000001", "r1", 2, 8))
+		watch.load(newLastingLoad("f000000000000001", "r1", 2, 8))
 		env.sleep(time.Second)
 		urgent := newJob("a000000000000001", "check", 2, 8)
 		urgent.Steps[0].DataRack, urgent.Steps[0].Estimate = "r1", 10*time.Second
@@ -35,7 +35,7 @@
 		env.fleet.Outcome = runsOf(2 * time.Second)
 		env.start("a", nil)
 		env.sleep(3 * time.Second)
-		watch.load(newLoad("f000000000000001", "r1", 2, 8))
+		watch.load(newLastingLoad("f000000000000001", "r1", 2, 8))
 		env.sleep(time.Second)
 		job := newJob("0000000000000e02", "scan", 1, 1)
 		second := job.Steps[0]
@@ -56,7 +56,7 @@
 		leader := env.start("a", nil)
 		env.sleep(3 * time.Second)
 		next := env.start("b", nil)
-		watch.load(newLoad("f000000000000001", "r1", 2, 8))
+		watch.load(newLastingLoad("f000000000000001", "r1", 2, 8))
 		env.sleep(time.Second)
 		job := newJob("0000000000000e03", "scan", 1, 1)
 		job.Steps[0].DataRack, job.Steps[0].Estimate = "r1", 10*time.Second
@@ -79,7 +79,7 @@
 		env.fleet.Outcome = runsOf(40 * time.Second)
 		env.start("a", nil)
 		env.sleep(3 * time.Second)
-		env.submit(newLoad("f000000000000001", "r1", 2, 8))
+		env.submit(newLastingLoad("f000000000000001", "r1", 2, 8))
 		env.sleep(time.Second)
 		urgent := newJob("a000000000000002", "check", 2, 4)
 		urgent.Steps[0].DataRack, urgent.Steps[0].Estimate = "r1", 10*time.Second
--- a/internal/chief/standing_takeover_test.go
+++ b/internal/chief/standing_takeover_test.go
@@ -21,7 +21,7 @@
 		env.fleet.Outcome = runsOf(5 * time.Second)
 		env.start("a", nil)
 		env.sleep(3 * time.Second)
-		watch.load(newLoad("f000000000000001", "x1", 1, 8))
+		watch.load(newLastingLoad("f000000000000001", "x1", 1, 8))
 		env.sleep(time.Second)
 		job := newJob(string(id), "scan", 1, 1)
 		job.Steps[0].DataRack, job.Steps[0].Estimate = "r1", 1500*time.Millisecond
--- a/internal/chief/standing_test.go
+++ b/internal/chief/standing_test.go
@@ -129,8 +129,8 @@
 	w.env.Expect(stood).To(BeEmpty(), fmt.Sprintf("jobs that had nothing running for over %v beside free workers", standingLimit))
 }
 
-// newLoad returns a job whose tasks run on workers with a label until the end of the test. Its id must begin with "f".
-func newLoad(id string, label work.Label, tasks int, gpu model.Accelerators) *work.Job {
+// newLastingLoad returns a job whose tasks run on workers with a label until the end of the test. Its id must begin with "f".
+func newLastingLoad(id string, label work.Label, tasks int, gpu model.Accelerators) *work.Job {
 	job := newJob(id, "scan", tasks, gpu)
 	job.Steps[0].Label, job.Steps[0].Lasts = label, true
 	return job
--- a/internal/chief/trail_test.go
+++ b/internal/chief/trail_test.go
@@ -85,7 +85,7 @@
 }
 
 // Guards against a step that waits without a line, and against a line for each planning pass in which it waits.
-func TestWaitIsLoggedOnce(t *testing.T) {
+func TestShortWaitIsLoggedOnce(t *testing.T) {
 	withTestEnv(t, 1, func(env *testEnv) {
 		var lines logBuffer
 		env.start("a", logTo(&lines))
@@ -106,7 +106,7 @@
 		env.fleet.Outcome = runsOf(2 * time.Second)
 		env.start("a", logTo(&lines))
 		env.sleep(3 * time.Second)
-		env.submit(newLoad("f000000000000003", "r1", 2, 8))
+		env.submit(newLastingLoad("f000000000000003", "r1", 2, 8))
 		env.sleep(time.Second)
 		gang := newJob("00000000000000fa", "scan", 3, 8)
 		gang.Steps[0].SameRack = true
