chief: run times leave out gangs spread over racks; passes skip kinds of tasks that certainly do not fit

The last member of a spread gang that ended counted as near, as no others were left beside it: from five runs on, the mean of the queue replaces the estimates, and with it the wait for a rack grew up to threefold. TestRunTimesLeaveOutSpreadGangs guards against it.

--- a/internal/chief/estimate.go
+++ b/internal/chief/estimate.go
@@ -1,10 +1,6 @@
 package chief
 
-import (
-	"time"
-
-	"peridotgw.example/peridotgw/internal/work"
-)
+import "time"
 
 const (
 	// minRunsForMean is the number of runs from which a queue's mean run time replaces the estimates of its jobs.
@@ -19,9 +15,10 @@
 }
 
 // recordRunTime adds the time of a completed run to its queue's mean, unless the run resumed from a
-// checkpoint, or its data or another member of its gang was in a different rack.
+// checkpoint, or its data or a member of its gang was in a different rack.
 func (c *Scheduler) recordRunTime(s *stage, r *run) {
-	if r.checkpoint != "" && !r.fromStart || s.step.SameRack && r.gang != nil && !r.gang.allInRack(r.worker.info.Rack()) {
+	spread := (s.step.SameRack || s.step.DataRack != "") && r.gang != nil && r.gang.spread
+	if r.checkpoint != "" && !r.fromStart || spread {
 		return
 	}
 	if dataRack := s.step.DataRack; dataRack != "" && r.worker.info.Rack() != dataRack {
@@ -46,12 +43,11 @@
 	return s.step.Estimate
 }
 
-// allInRack reports whether all remaining members of a gang run in a rack.
-func (g *gang) allInRack(rack work.Label) bool {
-	for r := range g.members {
-		if r.worker.info.Rack() != rack {
-			return false
-		}
+// add makes a run a member of a gang.
+func (g *gang) add(r *run) {
+	for other := range g.members {
+		g.spread = g.spread || other.worker.info.Rack() != r.worker.info.Rack()
+		break // All others are in its rack, or the gang is spread already.
 	}
-	return true
+	g.members[r] = true
 }
--- a/internal/chief/fit.go
+++ b/internal/chief/fit.go
@@ -95,6 +95,9 @@
 
 // placeGang returns a worker for each member, or nil.
 func (p *planner) placeGang(s *stage) []*worker {
+	if p.lacksRoom(s) {
+		return nil
+	}
 	if dataRack := s.step.DataRack; dataRack != "" {
 		if places := p.placeTasks(s, p.racks[dataRack], len(s.tasks), availableNow); places != nil {
 			return places
--- a/internal/chief/internal_test.go
+++ b/internal/chief/internal_test.go
@@ -183,3 +183,24 @@
 	g.Expect(w.registered).To(BeFalse())
 	g.Expect(w.runs).To(BeEmpty())
 }
+
+// Guards against a mean run time that includes gangs spread over racks, which take several times longer: the last member that ends has no
+// others beside it. Later jobs of the queue would wait for a rack for as many times longer.
+func TestRunTimesLeaveOutSpreadGangs(t *testing.T) {
+	g := NewWithT(t)
+	now := clock.Instant(time.Hour)
+	c := &Scheduler{Now: func() clock.Instant { return now }, runTimes: map[work.QueueName]*runTimes{}}
+	worker := func(rack work.Label) *worker { return &worker{info: work.WorkerInfo{Labels: []work.Label{rack}}} }
+	for _, racks := range [][]work.Label{{"r1", "r1"}, {"r1", "r2"}} {
+		s := &stage{job: &job{spec: &work.Job{Queue: "scan"}}, step: &work.Step{Gang: true, SameRack: true}}
+		members := &gang{stage: s, members: map[*run]bool{}}
+		for _, rack := range racks {
+			members.add(&run{worker: worker(rack), gang: members, fromStart: true, createdAt: now.Add(-time.Second)})
+		}
+		for r := range members.members {
+			delete(members.members, r)
+			c.recordRunTime(s, r)
+		}
+	}
+	g.Expect(c.runTimes["scan"].count).To(Equal(2), "the two members of the gang in one rack")
+}
--- a/internal/chief/orders.go
+++ b/internal/chief/orders.go
@@ -53,7 +53,7 @@
 		createdAt: now, progressedAt: now, pace: fullPace, checkpoint: t.checkpoint, fromStart: t.checkpoint == "",
 	}
 	if g != nil {
-		g.members[r] = true
+		g.add(r)
 	}
 	t.activeRun, t.lastRun = r, number
 	w.beginProbe(r, now)
--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -263,7 +263,7 @@
 
 // startTask starts a task if a worker has capacity for it, and reports whether it did.
 func (p *planner) startTask(s *stage, t *task) bool {
-	if !p.withinSpare(s, 1) {
+	if !p.withinSpare(s, 1) || p.lacksRoom(s) {
 		return false
 	}
 	s.lastAttempt = !s.step.Lasts && len(t.failedRuns)+1 >= p.c.maxAttempts(s.job)
--- a/internal/chief/poll.go
+++ b/internal/chief/poll.go
@@ -218,7 +218,7 @@
 		if t.stage.step.Gang {
 			r.gang = c.adoptGangRun(t.stage, number)
 			if r.gang != nil {
-				r.gang.members[r] = true
+				r.gang.add(r)
 			}
 		}
 	}
--- a/internal/chief/room.go
+++ b/internal/chief/room.go
@@ -67,6 +67,11 @@
 	return room
 }
 
+// lacksRoom reports whether a stage certainly does not fit, which is known for its kind of task in this pass without a look at the workers.
+func (p *planner) lacksRoom(s *stage) bool {
+	return s.step.PerWorker == 0 && !p.needsAdvice(s) && p.allRoom(s) < s.placesNeeded()
+}
+
 // roomFor returns how many tasks of a stage fit into the room that is free now, ignoring some holds.
 func (p *planner) roomFor(s *stage, ignoring holds) int {
 	room := p.roomAmong(s, p.workers, ignoring)
--- a/internal/chief/speed.go
+++ b/internal/chief/speed.go
@@ -47,7 +47,7 @@
 		return false
 	}
 	rack := r.worker.info.Rack()
-	if step.SameRack && r.gang != nil && !r.gang.allInRack(rack) {
+	if step.SameRack && r.gang != nil && r.gang.spread {
 		return false
 	}
 	return step.DataRack == "" || step.DataRack == rack
--- a/internal/chief/state.go
+++ b/internal/chief/state.go
@@ -67,6 +67,7 @@
 	number  work.RunNumber
 	members map[*run]bool
 	ending  bool // a member is done, or the rest is being stopped
+	spread  bool // its members were not all in one rack
 }
 
 // task is one task of a stage.
