--- a/internal/chief/advise.go
+++ b/internal/chief/advise.go
@@ -21,8 +21,11 @@
 
 // needsAdvice reports whether the advice service decides which workers may run a stage.
 func (p *planner) needsAdvice(s *stage) bool {
+	if p.c.Advise == nil {
+		return false
+	}
 	queue := p.config.Queue(s.job.spec.Queue)
-	return queue != nil && queue.Advised && p.c.Advise != nil
+	return queue != nil && queue.Advised
 }
 
 // hasTicket reports whether a worker has a valid ticket for a stage, or the stage needs none.
