soak: gangs that fit once beside free workers must not stand

Cause of the gap: the check of standing jobs counted room twice over, and no event submitted gangs. Room is now counted per job, for a gang as a whole; jobs of the new events count as beside room if they fit once. The factor of all other jobs stays at two.

Four events: gangs that no rack can hold beside two full workers; such a gang whose member fails; the same for a gang that has not run when the leader is killed; urgent jobs that come and go each 1 to 2 s beside gangs.

--- a/soak/loss_test.go
+++ b/soak/loss_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -43,6 +44,7 @@
 	queue    string   // prefix of its path
 	tasks    []string // of both steps, without the job's id
 	accepted time.Time
+	room     int  // tasks that must fit for the job to count as beside room
 	refused  bool // certainly not stored
 	gone     int  // times that it was answered 410
 	state    string
@@ -58,6 +60,10 @@
 	slots         int    // of a task
 	rack          string // of the data
 	took          time.Duration
+	gang          bool // the first step
+	sameRack      bool
+	roomFactor    int  // lostRoom, if zero
+	failsOnce     bool // the first run, after failTime
 }
 
 // ledger accounts for each accepted job, from its 2xx to its end.
@@ -75,7 +81,7 @@
 
 // newLedger returns the ledger of a cluster that has just started.
 func newLedger(c *cluster, random *rand.Rand) *ledger {
-	l := &ledger{c: c, random: random, slots: map[string]int{}, outcomes: &outcomes{times: map[string]time.Duration{}}}
+	l := &ledger{c: c, random: random, slots: map[string]int{}, outcomes: &outcomes{times: map[string]time.Duration{}, failsOnce: map[string]bool{}}}
 	l.disrupt(false)()
 	c.fleet.WithLock(func() { c.fleet.Outcome = l.outcomes.of })
 	return l
@@ -88,8 +94,8 @@
 		if count == 0 {
 			continue
 		}
-		steps = append(steps, fmt.Sprintf(`{"count":%d,"cpu":%d,"mem_mb":1000,"gpu":%d,"estimate_ms":%d,"data_rack":%q,"after":%s}`,
-			count, s.slots*slotCPU, s.slots, s.took.Milliseconds(), s.rack, []string{"[]", "[0]"}[i]))
+		steps = append(steps, fmt.Sprintf(`{"count":%d,"cpu":%d,"mem_mb":1000,"gpu":%d,"estimate_ms":%d,"data_rack":%q,"gang":%t,"same_rack":%t,"after":%s}`,
+			count, s.slots*slotCPU, s.slots, s.took.Milliseconds(), s.rack, s.gang && i == 0, s.sameRack, []string{"[]", "[0]"}[i]))
 		for task := range count {
 			tasks = append(tasks, fmt.Sprintf(".0.%d.%d", i, task))
 		}
@@ -97,6 +103,15 @@
 	return fmt.Sprintf(`{"spec":"x","steps":[%s]}`, strings.Join(steps, ",")), tasks
 }
 
+// room returns how many tasks must fit for a job of the shape to count as beside room: those of a gang need it at the same time.
+func (s jobShape) room() int {
+	room := cmp.Or(s.roomFactor, lostRoom)
+	if s.gang {
+		room *= s.first
+	}
+	return room
+}
+
 // exchange sends one request over a connection of its own.
 func exchange(ctx context.Context, n *node, method, id, body string) (status int, content []byte, err error) {
 	conn, err := dialRaw(ctx, n.frontAddress)
@@ -120,11 +135,14 @@
 func (l *ledger) submitShape(ctx context.Context, n *node, shape jobShape) bool {
 	body, tasks := shape.body()
 	l.mu.Lock()
-	job := &ledgerJob{id: fmt.Sprintf("%016x", l.random.Uint64()), queue: shape.queue, tasks: tasks}
+	job := &ledgerJob{id: fmt.Sprintf("%016x", l.random.Uint64()), queue: shape.queue, tasks: tasks, room: shape.room()}
 	l.jobs = append(l.jobs, job)
 	l.slots[job.id] = shape.slots
 	l.mu.Unlock()
-	l.outcomes.change(func() { l.outcomes.times[job.id] = shape.took })
+	if shape.gang {
+		l.c.registerGang(job.id, shape.first)
+	}
+	l.outcomes.change(func() { l.outcomes.times[job.id], l.outcomes.failsOnce[job.id] = shape.took, shape.failsOnce })
 	status, _, err := exchange(ctx, n, http.MethodPost, job.queue+job.id, body)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -411,6 +429,10 @@
 		{"workers of a rack lost", loseRack},
 		{"workers of a rack full", fillRack},
 		{"urgent jobs in waves", urgentBesideNormal},
+		{"gangs wider than a rack", gangsWiderThanRack},
+		{"a gang's member fails", failGangMember},
+		{"leader killed before a gang runs whose member fails", failInheritedGang},
+		{"urgent jobs in short waves beside gangs", urgentBesideGangs},
 	}
 }
 
--- a/soak/standing_test.go
+++ b/soak/standing_test.go
@@ -17,7 +17,7 @@
 )
 
 // Rule LOST: a job that has a task due, and room for it lostRoom times over, has nothing running for at most lostSpan, if that span and the
-// lostCalm before it are calm.
+// lostCalm before it are calm. A gang needs room as a whole; jobShape.roomFactor replaces lostRoom for jobs that must not stand beside less.
 const (
 	lostSpan = 3 * time.Second
 	lostCalm = 4 * time.Second
@@ -90,9 +90,10 @@
 
 // outcomes decides how runs end: on failing workers they fail, and those of some jobs take a time of their own.
 type outcomes struct {
-	mu      sync.Mutex      // guards the fields below
-	failing map[string]bool // workers
-	times   map[string]time.Duration
+	mu        sync.Mutex      // guards the fields below
+	failing   map[string]bool // workers
+	times     map[string]time.Duration
+	failsOnce map[string]bool // jobs whose next run fails after failTime
 }
 
 func (o *outcomes) of(task string, _ int64, worker string) fakepl.Outcome {
@@ -102,6 +103,10 @@
 		return fakepl.Outcome{After: observeInterval, How: "failed"}
 	}
 	id, _, _ := strings.Cut(task, ".")
+	if o.failsOnce[id] {
+		o.failsOnce[id] = false
+		return fakepl.Outcome{After: failTime, How: "failed"}
+	}
 	return fakepl.Outcome{After: cmp.Or(o.times[id], taskDuration), How: "done"}
 }
 
@@ -146,7 +151,7 @@
 			for _, left := range free {
 				room += max(0, left) / slots
 			}
-			l.observeRuns(j, room >= lostRoom)
+			l.observeRuns(j, room >= j.room)
 		}
 	}
 }
@@ -219,10 +224,26 @@
 	queueUrgent = "urgent/"
 	queueOften  = "often/" // as many as tasks need
 	queueRack   = "rack/"  // with data in a rack; run times of their own
+	queueGang   = "gang/"  // run times of their own
 
 	fillTime    = 30 * time.Second // longer than the longest rest of a worker
 	urgentWaves = 5
 	waveGap     = 5 * time.Second // the longest between two waves
+
+	rackSlots  = lossWorkers / 3 * workerSlots
+	roomBeside = 2 * rackSlots    // two workers are full
+	fullFor    = 20 * time.Second // two tries of a wide gang, each after such a wait
+	gangTime   = 4 * time.Second  // twice that, less failTime, exceeds lostSpan
+	failTime   = 3 * time.Second  // of a gang after a takeover, so that what follows is in calm
+
+	// In a large wave no gang fits. In a small one a gang fits once, not twice over.
+	gangSize       = 16
+	largeWave      = 40
+	smallWave      = 20
+	smallWaves     = 4 // after each large one: longer than room is kept for the next
+	waveTime       = 800 * time.Millisecond
+	shortWaveGap   = time.Second // the shortest from one wave to the next; the longest is twice that
+	gangsPerSeries = 2
 )
 
 // addQueues adds the queues above to the configuration; the tenant's guarantee becomes the whole fleet.
@@ -233,6 +254,7 @@
 	var routes []string
 	for queue, change := range map[string][2]string{
 		queueUrgent: {`"priority":1`, `"priority":0`}, queueOften: {`"max_attempts":4`, `"max_attempts":1000`}, queueRack: {`"stretch":3`, `"stretch":9`},
+		queueGang: {`"stretch":3`, `"stretch":7`},
 	} {
 		changed := strings.NewReplacer(change[0], change[1], `"q"`, fmt.Sprintf("%q", queue[:len(queue)-1]), fakepl.QueuePrefix, fakepl.QueuePrefix+queue)
 		routes = append(routes, changed.Replace(string(route)))
@@ -314,3 +336,67 @@
 	}
 	return nil
 }
+
+// fillTwoWorkers fills two workers for fullFor, so that a gang of submitWideGang fits once, not twice over.
+func (l *ledger) fillTwoWorkers(ctx context.Context) {
+	l.awaitOpen(0)
+	l.submitSome(ctx, 1, jobShape{queue: queueOften, first: 2, slots: workerSlots, took: fullFor})
+	time.Sleep(jobSpacing)
+}
+
+// submitWideGang submits, until an instance accepts it, a gang that wants a single rack and fits into none.
+func (l *ledger) submitWideGang(ctx context.Context, failsOnce bool) {
+	size := rackSlots + 1 + int(l.draw(roomBeside-rackSlots))
+	shape := jobShape{
+		queue: queueGang, first: size, slots: 1, took: gangTime, gang: true, sameRack: true, roomFactor: 1, failsOnce: failsOnce,
+	}
+	for ctx.Err() == nil && !l.submitShape(ctx, l.c.nodes[l.draw(int64(len(l.c.nodes)))], shape) {
+		time.Sleep(jobSpacing)
+	}
+}
+
+// gangsWiderThanRack submits gangs that no rack can hold, one after the other, beside two full workers.
+func gangsWiderThanRack(ctx context.Context, l *ledger) error {
+	l.fillTwoWorkers(ctx)
+	for range gangsPerSeries {
+		l.submitWideGang(ctx, false)
+		l.awaitOpen(1)
+	}
+	return nil
+}
+
+// failGangMember lets a member of a gang in several racks fail once.
+func failGangMember(ctx context.Context, l *ledger) error {
+	l.fillTwoWorkers(ctx)
+	l.submitWideGang(ctx, true)
+	l.awaitOpen(1)
+	return nil
+}
+
+// failInheritedGang is as failGangMember, for a gang that has not run when a leader takes over.
+func failInheritedGang(ctx context.Context, l *ledger) error {
+	l.fillTwoWorkers(ctx)
+	l.signal(ctx, l.c.leader(), syscall.SIGKILL)
+	l.submitWideGang(ctx, true)
+	l.awaitOpen(1)
+	return nil
+}
+
+// urgentBesideGangs submits urgent jobs that come and go each 1 to 2 s, and gangs that only the large waves among them leave no room for.
+func urgentBesideGangs(ctx context.Context, l *ledger) error {
+	l.awaitOpen(0)
+	for range gangsPerSeries {
+		for wave := range 1 + smallWaves {
+			size := smallWave
+			if wave == 0 {
+				size = largeWave
+			}
+			l.submitSome(ctx, 1, jobShape{queue: queueUrgent, first: size, slots: 1, took: waveTime})
+			if wave == 0 {
+				l.submitSome(ctx, 1, jobShape{queue: queueGang, first: gangSize, slots: 1, took: gangTime, gang: true, roomFactor: 1})
+			}
+			time.Sleep(shortWaveGap + time.Duration(l.draw(int64(shortWaveGap))))
+		}
+	}
+	return nil
+}
