--- a/internal/chief/probe.go
+++ b/internal/chief/probe.go
@@ -148,7 +148,7 @@
 		}
 	}
 	for _, j := range p.c.liveJobs {
-		if j.stall.since != 0 {
+		if j.stall.since != 0 && p.mayUseAvoided(j) {
 			jobs++
 		}
 	}
@@ -159,7 +159,7 @@
 func (p *planner) jobsByStall() []*job {
 	var list []*job
 	for _, j := range p.c.liveJobs {
-		if j.stall.since != 0 {
+		if j.stall.since != 0 && p.mayUseAvoided(j) {
 			list = append(list, j)
 		}
 	}
@@ -174,3 +174,19 @@
 	})
 	return list
 }
+
+// mayUseAvoided reports whether a job fits and a worker in quarantine has room for a task of it: others would take probes from those that can
+// use them.
+func (p *planner) mayUseAvoided(j *job) bool {
+	for _, s := range j.dueStages(p.now) {
+		if p.allRoom(s) < s.placesNeeded() {
+			continue
+		}
+		for _, w := range p.avoided {
+			if p.now < w.quarantinedUntil && p.roomOn(s, w, s.step.Resources(), allHolds) > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
