--- /dev/null
+++ b/internal/chief/standing_drawn_test.go
@@ -0,0 +1,88 @@
+package chief_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"peridotgw.example/peridotgw/model"
+	"peridotgw.example/peridotgw/platform/fakepl"
+)
+
+// Guards against a gang before its last attempt that never starts since it needs a worker for several members that is open again after
+// failures: only a task that is done there would show that the worker is sound, and nothing else may run.
+func TestGangBeforeItsLastAttemptStartsOnWorkersThatAwaitAProbe(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		closed int
+		tasks  int
+		gpu    model.Accelerators
+		factor int
+	}{
+		{name: "one worker, room once", closed: 1, tasks: 8, gpu: 4, factor: 1},
+		{name: "all workers, room twice over", closed: 4, tasks: 16, gpu: 1, factor: roomFactor},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withGangEnv(t, 4, 1, func(env *testEnv, watch *standingWatch) {
+				watch.closeFirstWorkers(c.closed)
+				watch.watch(env.asGang(newJob("0000000000000d01", "tally", c.tasks, c.gpu)), c.factor, 0) // one attempt
+				env.sleep(40 * time.Second)
+				watch.expectNoneStood()
+			})
+		})
+	}
+}
+
+// Guards against a gang that is stopped again and again for an urgent gang that does not fit even then: of its tasks, a worker takes fewer
+// than fit there.
+func TestGangIsNotStoppedForAnUrgentGangThatCannotStart(t *testing.T) {
+	withGangEnv(t, 4, 1, func(env *testEnv, watch *standingWatch) {
+		env.fleet.Outcome = runsOf(10 * time.Second)
+		watch.loadRacks(0, 0, 0, 1)
+		watch.load(newLoad("f0000000000000ff", "r0", 1, 4))
+		env.sleep(time.Second)
+		gang := env.asGang(newJob("b000000000000d02", "scan", 2, 8))
+		watch.submitFitting(gang, 0)
+		env.awaitAllRun(time.Second, gang, "it runs")
+		urgent := newJob("a000000000000d02", "check", 4, 2)
+		urgent.Steps[0].PerWorker = 1
+		watch.load(env.asGang(urgent))
+		env.sleep(40 * time.Second)
+		env.Expect(env.fleet.StartCount(taskID(string(gang.ID), 0))).To(Equal(1))
+		env.Expect(env.fleet.Done(taskID(string(gang.ID), 0))).To(BeTrue())
+		watch.expectNoneStood()
+	})
+}
+
+// Guards against a worker at rest that nobody probes beside room for a job there: the turn to probe goes to a job that has had nothing
+// running for longer, and that cannot run on this worker at all.
+func TestTurnToProbeGoesToAJobThatTheWorkerSuits(t *testing.T) {
+	withGangEnv(t, 2, 1, func(env *testEnv, watch *standingWatch) {
+		env.config.Queue("tally").MaxAttempts = 3
+		hangs := false
+		env.fleet.Outcome = func(task string, run int64, worker string) fakepl.Outcome {
+			if task[0] == 'b' {
+				hangs = run == 1
+			}
+			if hangs {
+				return fakepl.Outcome{Hang: true}
+			}
+			return runsOf(2*time.Second)(task, run, worker)
+		}
+		env.fleet.Percent = func(task, _ string) int {
+			if hangs {
+				return 0
+			}
+			return int(time.Since(env.startedAt)/(100*time.Millisecond)) % 100
+		}
+		watch.loadRacks(1, 0)
+		waits := newJob("d000000000000d03", "scan", 1, 8)
+		waits.Steps[0].Label = "r0" // Its worker is full until the end of the test.
+		watch.load(waits)
+		env.sleep(time.Second)
+		watch.submit(newJob("b000000000000d04", "tally", 1, 1))
+		env.sleep(20 * time.Second)
+		watch.expectNoneStood()
+	})
+}
