--- a/internal/chief/internal_test.go
+++ b/internal/chief/internal_test.go
@@ -204,3 +204,16 @@
 	}
 	g.Expect(c.runTimes["scan"].count).To(Equal(2), "the two members of the gang in one rack")
 }
+
+// Guards against a last attempt while a worker, silent for long, may hold a failure that counts: its answers are lost, and the calls that
+// reach it extend its leases.
+func TestEndsOfASilentWorkerCountWhileItsLeasesAreExtended(t *testing.T) {
+	g := NewWithT(t)
+	now := clock.Instant(time.Hour)
+	c := &Scheduler{Limits: Limits{MaxLease: 6 * time.Second}}
+	p := &planner{c: c, now: now}
+	w := &worker{missedCalls: 9, reportedAt: now.Add(-time.Minute), clock: 1000, clockReadAt: now.Add(-time.Minute), leaseUntil: 64000}
+	g.Expect(p.mayListEndsThatCount(w)).To(BeTrue(), "its lease ends in 3 s")
+	p.now = now.Add(10 * time.Second)
+	g.Expect(p.mayListEndsThatCount(w)).To(BeFalse(), "its lease has ended")
+}
--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -96,7 +96,7 @@
 	if expired && p.c.hidesEndsForGood(w) {
 		return // It will list no further ends in this term.
 	}
-	if p.now.Sub(p.c.Term.Since) < p.c.endsLimit() {
+	if !expired || p.now.Sub(p.c.Term.Since) < p.c.endsLimit() {
 		p.unseenEnds[w.info.ID] = true
 	}
 }
@@ -256,9 +256,12 @@
 }
 
 // mayListEndsThatCount reports whether a silent worker of this term may still list ends that count. One that stays registered and silent is
-// not waited for longer than one of an earlier term.
+// not waited for longer than one of an earlier term, unless calls that it may have received have extended its leases.
 func (p *planner) mayListEndsThatCount(w *worker) bool {
-	return w.missedCalls > 0 && !w.removed && p.now.Sub(max(w.reportedAt, p.c.Term.Since)) < p.c.endsLimit()
+	if w.missedCalls == 0 || w.removed {
+		return false
+	}
+	return p.now.Sub(max(w.reportedAt, p.c.Term.Since)) < p.c.endsLimit() || !p.c.leasesExpired(w, p.now)
 }
 
 // startTask starts a task if a worker has capacity for it, and reports whether it did.
