--- a/internal/chief/standing_drawn_test.go
+++ b/internal/chief/standing_drawn_test.go
@@ -6,34 +6,9 @@
 
 	. "github.com/onsi/gomega"
 
-	"peridotgw.example/peridotgw/model"
 	"peridotgw.example/peridotgw/platform/fakepl"
 )
 
-// Guards against a gang before its last attempt that never starts since it needs a worker for several members that is open again after
-// failures: only a task that is done there would show that the worker is sound, and nothing else may run.
-func TestGangBeforeItsLastAttemptStartsOnWorkersThatAwaitAProbe(t *testing.T) {
-	for _, c := range []struct {
-		name   string
-		closed int
-		tasks  int
-		gpu    model.Accelerators
-		factor int
-	}{
-		{name: "one worker, room once", closed: 1, tasks: 8, gpu: 4, factor: 1},
-		{name: "all workers, room twice over", closed: 4, tasks: 16, gpu: 1, factor: roomFactor},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			withGangEnv(t, 4, 1, func(env *testEnv, watch *standingWatch) {
-				watch.closeFirstWorkers(c.closed)
-				watch.watch(env.asGang(newJob("0000000000000d01", "tally", c.tasks, c.gpu)), c.factor, 0) // one attempt
-				env.sleep(40 * time.Second)
-				watch.expectNoneStood()
-			})
-		})
-	}
-}
-
 // Guards against a gang that is stopped again and again for an urgent gang that does not fit even then: of its tasks, a worker takes fewer
 // than fit there.
 func TestGangIsNotStoppedForAnUrgentGangThatCannotStart(t *testing.T) {
--- a/internal/chief/standing_gang_test.go
+++ b/internal/chief/standing_gang_test.go
@@ -176,19 +176,22 @@
 }
 
 // Guards against a gang that never starts beside workers that are reserved by one urgent task after the other, each of which waits for
-// the rack of its data.
+// the rack of its data: for good, or while it is busy with long tasks.
 func TestGangStartsBesideReservationsForTasksThatWaitForTheirRack(t *testing.T) {
 	for _, c := range []struct {
 		name                  string
 		tasks, urgent, factor int
+		fill                  func(watch *standingWatch, taken ...int)
 	}{
-		{name: "room once", tasks: 4, urgent: 1, factor: 1},
-		{name: "room twice over", tasks: 2, urgent: 2, factor: roomFactor},
+		{name: "room once, rack full for good", tasks: 4, urgent: 1, factor: 1, fill: (*standingWatch).loadRacks},
+		{name: "room twice over, rack full for good", tasks: 2, urgent: 2, factor: roomFactor, fill: (*standingWatch).loadRacks},
+		{name: "room once, busy rack", tasks: 4, urgent: 1, factor: 1, fill: (*standingWatch).loadRacksForAMinute},
+		{name: "room twice over, busy rack", tasks: 2, urgent: 2, factor: roomFactor, fill: (*standingWatch).loadRacksForAMinute},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			withGangEnv(t, 2, 4, func(env *testEnv, watch *standingWatch) {
 				env.fleet.Outcome = runsOf(100 * time.Millisecond)
-				watch.loadRacks(4, 0)
+				c.fill(watch, 4, 0)
 				gang := newJob("b000000000000b05", "scan", c.tasks, 0) // Without accelerators, none are kept from it.
 				gang.Steps[0].Need.CPU = 64000
 				// By the fourth wave, the first tasks no longer wait for the rack, and as many as before them do.
@@ -237,8 +240,8 @@
 	w.endDisruption()
 }
 
-// Guards against a gang that never starts since it needs a worker for several members that is open again after failures: such a worker
-// gets one task at a time until one is done there.
+// Guards against a gang, also before its last attempt, that never starts since it needs a worker for several members that is open again after
+// failures: such a worker gets one task at a time until one is done there, and nothing else may run.
 func TestGangStartsOnWorkersThatAwaitAProbe(t *testing.T) {
 	for _, c := range []struct {
 		name   string
@@ -250,14 +253,16 @@
 		{name: "one worker, room once", closed: 1, tasks: 8, gpu: 4, factor: 1},
 		{name: "all workers, room twice over", closed: 4, tasks: 16, gpu: 1, factor: roomFactor},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			withGangEnv(t, 4, 1, func(env *testEnv, watch *standingWatch) {
-				watch.closeFirstWorkers(c.closed)
-				watch.watch(env.asGang(newJob("0000000000000b06", "scan", c.tasks, c.gpu)), c.factor, 0)
-				env.sleep(25 * time.Second)
-				watch.expectNoneStood()
+		for _, queue := range []work.QueueName{"scan", "tally"} { // Three attempts, and one.
+			t.Run(fmt.Sprintf("%s, queue %s", c.name, queue), func(t *testing.T) {
+				withGangEnv(t, 4, 1, func(env *testEnv, watch *standingWatch) {
+					watch.closeFirstWorkers(c.closed)
+					watch.watch(env.asGang(newJob("0000000000000b06", queue, c.tasks, c.gpu)), c.factor, 0)
+					env.sleep(40 * time.Second)
+					watch.expectNoneStood()
+				})
 			})
-		})
+		}
 	}
 }
 
--- a/internal/chief/standing_review_test.go
+++ b/internal/chief/standing_review_test.go
@@ -43,31 +43,6 @@
 	})
 }
 
-// Guards against a gang that never starts beside workers that are reserved by one urgent task after the other, each of which waits for
-// the rack of its data while that is busy with long tasks.
-func TestGangStartsBesideReservationsForTasksThatWaitForABusyRack(t *testing.T) {
-	for _, c := range []struct {
-		name                  string
-		tasks, urgent, factor int
-	}{
-		{name: "room once", tasks: 4, urgent: 1, factor: 1},
-		{name: "room twice over", tasks: 2, urgent: 2, factor: roomFactor},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			withGangEnv(t, 2, 4, func(env *testEnv, watch *standingWatch) {
-				env.fleet.Outcome = runsOf(100 * time.Millisecond)
-				watch.loadRacksForAMinute(4, 0)
-				gang := newJob("b000000000000c02", "scan", c.tasks, 0) // Without accelerators, none are kept from it.
-				gang.Steps[0].Need.CPU = 64000
-				watch.waves(500*time.Millisecond, c.urgent, "r0", 3, func() {
-					watch.watch(env.asGang(gang), c.factor, 300*time.Millisecond)
-				})
-				watch.expectNoneStood()
-			})
-		})
-	}
-}
-
 // Guards against a task before its last attempt that waits for as long as the worker is silent and registered on which its lease lapsed in
 // this term. A wait as long as for a worker that has left the registry is allowed.
 func TestLastAttemptDoesNotWaitForEverForASilentWorkerOfThisTerm(t *testing.T) {
