--- a/internal/chief/env_test.go
+++ b/internal/chief/env_test.go
@@ -257,15 +257,17 @@
 // asGang makes the first step of a job a gang.
 func (e *testEnv) asGang(job *work.Job) *work.Job {
 	job.Steps[0].Gang = true
-	before := e.fleet.Gang
 	step := string(job.ID) + ".0.0"
 	size := job.Steps[0].Count
-	e.fleet.Gang = func(name string) int {
-		if name == step {
-			return size
+	e.fleet.WithLock(func() {
+		before := e.fleet.Gang
+		e.fleet.Gang = func(name string) int {
+			if name == step {
+				return size
+			}
+			return before(name)
 		}
-		return before(name)
-	}
+	})
 	return job
 }
 
