view: what a scheduling decision sees and returns, as plain data

Five parts of the issue of two customers need decisions under load, and each mend so far added methods and a file to the planner in internal/chief: 102 methods on one type, with no test that does not start a scheduler with a fake store and fake workers.

The cost of a preemption reads the same loss of work.

--- a/internal/chief/preempt.go
+++ b/internal/chief/preempt.go
@@ -4,7 +4,6 @@
 	"sort"
 	"time"
 
-	"peridotgw.example/peridotgw/internal/work"
 	"peridotgw.example/peridotgw/model"
 )
 
@@ -104,8 +103,7 @@
 // victims returns the cheapest runs to preempt for count tasks of a stage on a worker, and their cost. It returns false if the worker
 // cannot hold the tasks even after that.
 func (p *planner) victims(s *stage, w *worker, count int) ([]*run, float64, bool) {
-	needed := s.step.Resources()
-	target := work.Resources{CPU: needed.CPU * count, Memory: needed.Memory * count, GPU: needed.GPU * model.Accelerators(count)}
+	target := s.need(count)
 	if !w.info.Capacity.Fits(target) {
 		return nil, 0, false
 	}
@@ -145,11 +143,7 @@
 	if r.gang != nil {
 		members = len(r.gang.members)
 	}
-	lost := r.age(p.now)
-	if s.step.Checkpoints {
-		lost = min(lost, p.c.Limits.CheckpointInterval+p.c.Limits.RestoreTime)
-	}
-	preemptionCost := float64(members) * s.step.Need.Cores() * (lost.Seconds() + preemptionOverheadSeconds)
+	preemptionCost := float64(members) * s.step.Need.Cores() * (p.lostByStop(r).Seconds() + preemptionOverheadSeconds)
 	if p.priority(s) == 0 {
 		preemptionCost *= urgentCostFactor
 	}
--- /dev/null
+++ b/internal/chief/snapshot.go
@@ -0,0 +1,114 @@
+package chief
+
+import (
+	"time"
+
+	"peridotgw.example/peridotgw/internal/view"
+	"peridotgw.example/peridotgw/internal/work"
+	"peridotgw.example/peridotgw/model"
+)
+
+// snapshot is what decisions see of a planning pass, with the scheduler's own objects behind its references.
+type snapshot struct {
+	view.Snapshot
+	workers    []*worker // by view.WorkerRef
+	runs       []*run    // by view.RunRef
+	stages     []*stage  // by view.StageRef
+	workerRefs map[*worker]view.WorkerRef
+	stageRefs  map[*stage]view.StageRef
+}
+
+// newSnapshot returns a snapshot of the workers that may get new runs, with all that runs there. Stages without a run there are added when
+// they are asked for.
+func (p *planner) newSnapshot() *snapshot {
+	s := &snapshot{workerRefs: make(map[*worker]view.WorkerRef, len(p.workers)), stageRefs: map[*stage]view.StageRef{}}
+	s.Tenants = make(map[model.CustomerID]view.Tenant, len(p.config.Tenants))
+	for id, tenant := range p.config.Tenants {
+		s.Tenants[id] = view.Tenant{Guaranteed: tenant.Guaranteed, Weight: tenant.Weight, Cap: tenant.Cap}
+	}
+	gangs := map[*gang]view.GangRef{}
+	for _, w := range p.workers {
+		s.addWorker(p, w, gangs)
+	}
+	return s
+}
+
+func (s *snapshot) addWorker(p *planner, w *worker, gangs map[*gang]view.GangRef) {
+	ref := view.WorkerRef(len(s.workers))
+	s.workerRefs[w] = ref
+	s.workers = append(s.workers, w)
+	seen := view.Worker{
+		ID: w.info.ID, Pool: w.info.Pool, Rack: w.info.Rack(), Capacity: w.info.Capacity, Available: w.available, Speed: 1,
+		Leaves: w.leavesAt != 0, LeavesIn: w.leavesAt.Sub(p.now),
+	}
+	for _, r := range w.runs {
+		if r.task == nil {
+			continue
+		}
+		seen.Runs = append(seen.Runs, view.RunRef(len(s.runs)))
+		s.runs = append(s.runs, r)
+		s.Runs = append(s.Runs, view.Run{
+			Worker: ref, Stage: s.stage(p, r.task.stage), Gang: gangRef(gangs, r.gang), Need: r.resources, Stopping: r.phase == stopping,
+			Protected: r.task.stage.step.Lasts, Done: float64(r.percent) / fullPercent, Age: r.age(p.now), Left: p.timeLeft(r),
+			Lost: p.lostByStop(r), Stops: r.task.preemptions,
+		})
+	}
+	s.Workers = append(s.Workers, seen)
+}
+
+func gangRef(gangs map[*gang]view.GangRef, g *gang) view.GangRef {
+	if g == nil {
+		return 0
+	}
+	if gangs[g] == 0 {
+		gangs[g] = view.GangRef(len(gangs) + 1)
+	}
+	return gangs[g]
+}
+
+// stage returns the reference of a stage, which is added if it is not there yet.
+func (s *snapshot) stage(p *planner, of *stage) view.StageRef {
+	if ref, found := s.stageRefs[of]; found {
+		return ref
+	}
+	ref := view.StageRef(len(s.stages))
+	s.stageRefs[of] = ref
+	s.stages = append(s.stages, of)
+	estimate := p.c.estimate(of)
+	s.Stages = append(s.Stages, view.Stage{
+		ID: of.id, Tenant: of.job.spec.Tenant, Queue: of.job.spec.Queue, Priority: p.priority(of), Tasks: len(of.tasks),
+		Waiting: of.waitingTasks(), Need: of.step.Resources(), Gang: of.step.Gang, SameRack: of.step.SameRack, Estimate: estimate,
+		Slack:    of.job.deadline.Sub(p.now) - estimate - p.chainAfter(of),
+		Hopeless: of.job.late(p.now), Guaranteed: p.priority(of) == 0 && p.withinGuarantee(of.job),
+	})
+	return ref
+}
+
+// chainAfter returns the estimated time of the longest chain of steps that wait for a stage.
+func (p *planner) chainAfter(s *stage) time.Duration {
+	stages := s.job.stages[s.id.Occurrence]
+	var longest time.Duration
+	for _, next := range stages[s.id.Step+1:] {
+		for _, before := range next.step.After {
+			if before == s.id.Step {
+				longest = max(longest, p.c.estimate(next)+p.chainAfter(next))
+			}
+		}
+	}
+	return longest
+}
+
+// lostByStop returns the time of work that stopping a run now loses.
+func (p *planner) lostByStop(r *run) time.Duration {
+	lost := r.age(p.now)
+	if r.task.stage.step.Checkpoints {
+		lost = min(lost, p.c.Limits.CheckpointInterval+p.c.Limits.RestoreTime)
+	}
+	return lost
+}
+
+// need returns the room for a number of tasks of a stage.
+func (s *stage) need(tasks int) work.Resources {
+	one := s.step.Resources()
+	return work.Resources{CPU: one.CPU * tasks, Memory: one.Memory * tasks, GPU: one.GPU * model.Accelerators(tasks)}
+}
--- a/internal/work/config.go
+++ b/internal/work/config.go
@@ -20,11 +20,13 @@
 	Advised   bool // the advice service decides which workers may run a step
 }
 
-// Tenant is a customer with its API keys and its guaranteed capacity.
+// Tenant is a customer with its API keys, its guaranteed capacity and its limits.
 type Tenant struct {
 	Name       model.CustomerID
 	Keys       []string
 	Guaranteed model.Accelerators
+	Weight     float64   // its share when all is full; 0 if none is set
+	Cap        Resources // most that it may have running on all workers; a part that is 0 has no limit
 }
 
 // Config is the operators' configuration.
--- a/internal/work/job.go
+++ b/internal/work/job.go
@@ -42,6 +42,9 @@
 // Cores returns the amount as a number of cores, with accelerators converted by cpuPerAccelerator; memory does not count.
 func (r Resources) Cores() float64 { return float64(r.CPU+int(r.GPU)*cpuPerAccelerator) / 1000 }
 
+// Image names the program that tasks run. Tasks of the same image behave alike.
+type Image string
+
 // Step is a group of identical tasks of a job.
 type Step struct {
 	Count       int
@@ -57,6 +60,7 @@
 	Lasts       bool          // runs until the job is cancelled
 	TailTarget  time.Duration // tail latency target of a task that serves users; 0 for none
 	Fills       bool          // uses only processor time that other tasks leave idle
+	Image       Image         // what the tasks run; empty if the caller does not say
 }
 
 // Resources returns the capacity that one task occupies on a worker; a step with Fills occupies no CPU.
