lint, peridotctl: a configuration is checked before it is sent

Cause: validate checks the project's own objects for what a publication refuses, and nothing checks the operators' configuration of the users' platform; entries without any effect and limits that can't hold together are found when callers complain.

Change: package lint reports errors, entries that can never match, contradicting limits and differences from the version in force, for both kinds of configuration; peridotctl check prints one line a finding and ends with 0, 2 or 7. It reads the version in force from files, from the system or from the platform's store, and the workers' capacity from there. The keys of tenants are counted and not printed.

--- a/internal/work/config.go
+++ b/internal/work/config.go
@@ -35,6 +35,7 @@
 	Queues       []Queue
 	Tenants      map[model.CustomerID]Tenant
 	MaxBodyBytes int64 // of a submission; 0 for the default
+	Pools        []PoolName
 
 	queuesByName map[QueueName]*Queue
 	tenantsByKey map[string]model.CustomerID
--- a/peridotctl/command.go
+++ b/peridotctl/command.go
@@ -24,8 +24,10 @@
 	help, example string
 	// offline commands have no flags for the connection.
 	offline bool
-	flags   func(*flag.FlagSet)
-	run     func(ctx context.Context, s *session, args []string) error
+	// mayConnect commands connect only if -address is given.
+	mayConnect bool
+	flags      func(*flag.FlagSet)
+	run        func(ctx context.Context, s *session, args []string) error
 }
 
 // session is one run of a command, with its output format and its connection.
@@ -94,6 +96,9 @@
 		return c.run(ctx, s, f.Args())
 	}
 	s.addresses = f.Lookup("address").Value.String()
+	if c.mayConnect && s.addresses == "" {
+		return c.run(ctx, s, f.Args())
+	}
 	s.tokenFile = f.Lookup("token-file").Value.String()
 	s.timeout = f.Lookup("timeout").Value.(flag.Getter).Get().(time.Duration)
 	closeIdle, err := s.connect()
--- a/peridotctl/exit.go
+++ b/peridotctl/exit.go
@@ -8,6 +8,7 @@
 
 	"peridotgw.example/peridotgw/client"
 	"peridotgw.example/peridotgw/internal/jsonc"
+	"peridotgw.example/peridotgw/internal/lint"
 	"peridotgw.example/peridotgw/reply"
 )
 
@@ -28,6 +29,8 @@
 	exitUnknown exitCode = 5
 	// exitUnreachable means that no instance answered and nothing was changed.
 	exitUnreachable exitCode = 6
+	// exitFindings means that a checked configuration has entries that can never match, or limits that contradict each other.
+	exitFindings exitCode = 7
 )
 
 // usageError reports wrong flags, arguments or files.
@@ -52,12 +55,17 @@
 		replied     *reply.Error
 		unreachable *client.UnreachableError
 		storeErr    *storeDownError
+		findings    *findingsError
 	)
 	switch {
 	case err == nil:
 		return exitDone
 	case errors.As(err, &usageErr), errors.As(err, &jsonErr), errors.As(err, &pathErr):
 		return exitUsage
+	case errors.As(err, &findings) && findings.worst == lint.LevelError:
+		return exitRefused
+	case errors.As(err, &findings):
+		return exitFindings
 	case errors.As(err, &unreachable), errors.As(err, &storeErr):
 		return exitUnreachable
 	case !errors.As(err, &replied):
--- a/peridotctl/main.go
+++ b/peridotctl/main.go
@@ -1,6 +1,7 @@
 // Command peridotctl publishes the configuration of peridotgw, reads its state and manages jobs for operators.
 //
-// Exit codes: 0 done, 1 usage or input, 2 refused (nothing was changed), 3 conflict, 4 failed, 5 unknown, 6 unreachable.
+// Exit codes: 0 done, 1 usage or input, 2 refused (nothing was changed), 3 conflict, 4 failed, 5 unknown, 6 unreachable, 7 findings
+// of a check that are no errors.
 package main
 
 import (
@@ -74,7 +75,7 @@
 
 func (a *app) commands() map[string][]subcommands.Command {
 	return map[string][]subcommands.Command{
-		"configuration": {a.validateCommand(), a.publishCommand(), a.withdrawCommand(), a.getCommand(), a.diffCommand()},
+		"configuration": {a.validateCommand(), a.checkCommand(), a.publishCommand(), a.withdrawCommand(), a.getCommand(), a.diffCommand()},
 		"operation":     {a.serviceCommand("out"), a.serviceCommand("in"), a.statusCommand(), a.leavingCommand(), a.explainCommand(), a.platformCommand()},
 		"jobs":          {a.submitCommand(), a.cancelCommand(), a.jobsCommand()},
 	}
--- a/peridotctl/platform.go
+++ b/peridotctl/platform.go
@@ -184,28 +184,35 @@
 }
 
 func (s *session) platformConfig(ctx context.Context, store *kv.Store, _ []string) error {
-	items, _, err := kv.List(ctx, store, platform.OperatorKeyPrefix)
+	config, err := configInForce(ctx, store)
 	if err != nil {
 		return err
 	}
+	if config == nil {
+		return &missingError{what: "configuration"}
+	}
+	rows := [][]string{{"VERSION", "QUEUE", "HOST", "PREFIX", "POOL", "PRIORITY", "ATTEMPTS"}}
+	for i := range config.Queues {
+		q := &config.Queues[i]
+		rows = append(rows, []string{
+			fmt.Sprint(config.Version), string(q.Name), q.Host, q.Prefix, string(q.Pool), strconv.Itoa(q.Priority), strconv.Itoa(q.MaxAttempts),
+		})
+	}
+	return s.print(config, rows)
+}
+
+// configInForce reads the operators' configuration; the result is nil if the store holds none.
+func configInForce(ctx context.Context, store *kv.Store) (*work.Config, error) {
+	items, _, err := kv.List(ctx, store, platform.OperatorKeyPrefix)
+	if err != nil {
+		return nil, err
+	}
 	for _, item := range items {
-		if !platform.IsConfig(item.Key) {
-			continue
-		}
-		config, err := platform.DecodeConfig(item.Value)
-		if err != nil {
-			return err
-		}
-		rows := [][]string{{"VERSION", "QUEUE", "HOST", "PREFIX", "POOL", "PRIORITY", "ATTEMPTS"}}
-		for i := range config.Queues {
-			q := &config.Queues[i]
-			rows = append(rows, []string{
-				fmt.Sprint(config.Version), string(q.Name), q.Host, q.Prefix, string(q.Pool), strconv.Itoa(q.Priority), strconv.Itoa(q.MaxAttempts),
-			})
+		if platform.IsConfig(item.Key) {
+			return platform.DecodeConfig(item.Value)
 		}
-		return s.print(config, rows)
 	}
-	return &missingError{what: "configuration"}
+	return nil, nil //nolint:nilnil // no configuration is not an error
 }
 
 // missingError reports that the store does not hold what the operator asked for.
--- a/peridotctl/platform_test.go
+++ b/peridotctl/platform_test.go
@@ -83,6 +83,28 @@
 		}
 	})
 
+	// Guards against a check that compares with something else than what is in force, and against exit codes other than those of the manual.
+	It("checks a configuration against the one in force and the workers", func() {
+		const sound = `{"version": 2, "routes": [{"name": "q", "host": "h", "prefix": "/q/", "service": "pool", "max_attempts": 2, "stretch": 2}],
+			"services": [{"name": "pool"}], "tenants": [{"name": "t", "api_keys": ["k"], "weight": 2}]}`
+		check := func(content string) *gexec.Session {
+			path := filepath.Join(GinkgoT().TempDir(), "config.json")
+			Expect(os.WriteFile(path, []byte(content), 0o600)).To(Succeed())
+			session, err := gexec.Start(exec.Command(binaryPath, "check", "-platform", "-settings", settings, path), GinkgoWriter, GinkgoWriter)
+			Expect(err).NotTo(HaveOccurred())
+			return session.Wait(10 * time.Second)
+		}
+		Expect(check(sound).ExitCode()).To(Equal(0), "nothing is in force yet")
+		store.Put("op/config", []byte(strings.ReplaceAll(sound, `"weight": 2`, `"weight": 1`)))
+		Expect(check(sound).ExitCode()).To(Equal(2), "the version does not rise")
+		newer := strings.ReplaceAll(sound, `"version": 2`, `"version": 3`)
+		session := check(newer)
+		Expect(session.ExitCode()).To(Equal(0))
+		Expect(string(session.Out.Contents())).To(MatchRegexp(`difference +tenant "t" +weight: 2, in force 1`))
+		Expect(check(strings.ReplaceAll(newer, `"weight": 2`, `"guaranteed": {"gpu": 9}`)).ExitCode()).To(Equal(7), "the workers have 8 accelerators")
+		Expect(check("not json").ExitCode()).To(Equal(1))
+	})
+
 	// Guards against a wrong settings file that is reported as an outage of the store.
 	It("reports a wrong settings file as wrong input and not as a store that does not answer", func() {
 		Expect(os.WriteFile(settings, fmt.Appendf(nil, "node=n\n"), 0o600)).To(Succeed())
