noisy, chief: kinds of tasks that slow each other down are learned and kept apart where there is room

Cause: some tasks slow each other down on one worker through what no request names. Only filling beside serving tasks were kept apart, by rule, and all filling tasks were paced alike.

Change: package noisy compares each run with itself before and after its neighbours change, and learns an effect for each ordered pair of kinds (image, or queue where none is named) with its variance; bounded to 64 kinds, forgotten with a half-life of 15 minutes. The rating of a place counts the time that both sides would lose; no place is ruled out. A filling task that is known to disturb is paced first. The check for filling beside serving tasks moves to the same function.

Ruled out: a comparison of siblings on different workers, as it mixes in the speed of the worker; clipped observations: a worker that hangs twice beside three usual runs made a pair certain, so that far observations now count by their distance.

--- a/internal/chief/fit.go
+++ b/internal/chief/fit.go
@@ -63,36 +63,12 @@
 	if p.heldForOther(s, w) {
 		placementScore += heldPenalty
 	}
-	if s.step.Fills && w.runsServingTask() || s.step.TailTarget > 0 && w.runsFillingTask() {
-		placementScore += interferencePenalty
-	}
-	return placementScore
+	return placementScore + p.interference(s, w)
 }
 
 // suspectPenalty keeps tasks off a suspect worker as long as another one has capacity.
 const suspectPenalty = 100
 
-// interferencePenalty keeps filling and serving tasks on separate workers as long as another one has capacity.
-const interferencePenalty = 1000
-
-func (w *worker) runsServingTask() bool {
-	for _, r := range w.runs {
-		if r.task != nil && r.task.stage.step.TailTarget > 0 {
-			return true
-		}
-	}
-	return false
-}
-
-func (w *worker) runsFillingTask() bool {
-	for _, r := range w.runs {
-		if r.task != nil && r.task.stage.step.Fills {
-			return true
-		}
-	}
-	return false
-}
-
 // placeGang returns a worker for each member, or nil.
 func (p *planner) placeGang(s *stage) []*worker {
 	if p.lacksRoom(s) {
@@ -157,8 +133,9 @@
 func (p *planner) placeTasks(s *stage, among []*worker, need int, capacityOf capacityOf) []*worker {
 	resources := s.step.Resources()
 	type option struct {
-		worker *worker
-		count  int
+		worker       *worker
+		count        int
+		interference float64
 	}
 	var options []option
 	total := 0
@@ -174,7 +151,7 @@
 			count = min(count, 1)
 		}
 		if count > 0 {
-			options = append(options, option{w, count})
+			options = append(options, option{w, count, p.interference(s, w)})
 			total += count
 		}
 	}
@@ -196,6 +173,9 @@
 		if idleA, idleB := p.secondsSinceDone(a), p.secondsSinceDone(b); len(s.failedRuns) > 0 && idleA != idleB {
 			return idleA < idleB
 		}
+		if options[i].interference != options[j].interference {
+			return options[i].interference < options[j].interference
+		}
 		return capacityOf(a).GPU < capacityOf(b).GPU
 	})
 	places := make([]*worker, 0, need)
--- a/internal/chief/jobs.go
+++ b/internal/chief/jobs.go
@@ -74,7 +74,7 @@
 		for i := range spec.Steps {
 			step := &spec.Steps[i]
 			s := &stage{
-				job: j, id: work.StepID{Job: spec.ID, Occurrence: occurrence, Step: i}, step: step,
+				job: j, id: work.StepID{Job: spec.ID, Occurrence: occurrence, Step: i}, step: step, kind: kindOf(spec, step),
 				tasks: make([]task, step.Count), unfinished: step.Count, runsOn: map[*worker]int{},
 			}
 			for n := range s.tasks {
--- a/internal/chief/orders.go
+++ b/internal/chief/orders.go
@@ -58,6 +58,7 @@
 	t.activeRun, t.lastRun = r, number
 	w.beginProbe(r, now)
 	w.runs[r.key] = r
+	w.neighbours.add(r, 1, now)
 	w.used = w.used.Add(r.resources)
 	s.runsOn[w]++
 	s.job.runs++
--- a/internal/chief/pace.go
+++ b/internal/chief/pace.go
@@ -24,14 +24,10 @@
 	if now < w.nextPaceAt {
 		return
 	}
-	worst := 0.0
+	worst, serving := w.worstServing()
+	known := serving != nil && worst >= paceDownAt && c.knowsAggressor(w, serving)
 	for _, r := range w.runs {
-		if r.task != nil && r.task.stage.step.TailTarget > 0 && r.phase == running {
-			worst = max(worst, float64(r.tailLatency)/float64(r.task.stage.step.TailTarget.Milliseconds()))
-		}
-	}
-	for _, r := range w.runs {
-		if r.task == nil || !r.task.stage.step.Fills || r.phase != running {
+		if !r.fills() || known && !c.slowsDown(r, serving) {
 			continue
 		}
 		if percent := nextPace(r.pace, worst); percent != r.pace {
@@ -41,6 +37,33 @@
 	}
 }
 
+// fills reports whether a run works at what other tasks leave idle.
+func (r *run) fills() bool { return r.task != nil && r.task.stage.step.Fills && r.phase == running }
+
+// worstServing returns the highest ratio of tail latency to target of the serving tasks on a worker, and its run; nil for none.
+func (w *worker) worstServing() (ratio float64, worst *run) {
+	for _, r := range w.runs {
+		if r.task == nil || r.task.stage.step.TailTarget == 0 || r.phase != running {
+			continue
+		}
+		if load := float64(r.tailLatency) / float64(r.task.stage.step.TailTarget.Milliseconds()); load > ratio {
+			ratio, worst = load, r
+		}
+	}
+	return ratio, worst
+}
+
+// knowsAggressor reports whether a filling run that is at work is known to slow down a serving one: it is then slowed first, and the others
+// only once that has not helped.
+func (c *Scheduler) knowsAggressor(w *worker, serving *run) bool {
+	for _, r := range w.runs {
+		if r.fills() && r.pace > 0 && c.slowsDown(r, serving) {
+			return true
+		}
+	}
+	return false
+}
+
 // nextPace returns the new pace of a filling task in percent; worst is the highest ratio of tail latency to target.
 func nextPace(pace int, worst float64) int {
 	switch {
@@ -68,6 +91,7 @@
 			c.Observe.CallResult("pace", resultOf(err))
 			if err == nil {
 				r.pace, r.progressedAt = percent, c.Now()
+				r.worker.neighbours.changedAt = c.Now()
 			}
 		})
 	}()
--- a/internal/chief/poll.go
+++ b/internal/chief/poll.go
@@ -223,6 +223,7 @@
 		}
 	}
 	w.runs[r.key] = r
+	w.neighbours.add(r, 1, now)
 	w.used = w.used.Add(r.resources)
 	c.Log.Info().Str("task", id.String()).Int64("run", int64(number)).Str("worker", string(w.info.ID)).Bool("task-known", t != nil).
 		Bool("task-done", t != nil && t.done).Uint64("token", uint64(c.Term.Token)).Msg("chief: run taken over")
@@ -311,7 +312,9 @@
 		r.percent, r.progressedAt = item.Percent, now
 	}
 	r.checkpoint, r.tailLatency = item.Saved, item.Load
+	sampledAt := r.sampledAt
 	r.updateRate(item.Percent, now)
+	c.sampleNeighbours(r, sampledAt, now)
 	c.readmitIfProven(r.worker, r, now)
 	if r.task != nil && item.Saved != "" && r.task.activeRun == r {
 		c.setCheckpoint(r.task.stage, r.task, item.Saved)
--- a/internal/chief/scheduler.go
+++ b/internal/chief/scheduler.go
@@ -12,6 +12,7 @@
 	"peridotgw.example/peridotgw/internal/clock"
 	"peridotgw.example/peridotgw/internal/elect"
 	"peridotgw.example/peridotgw/internal/kv"
+	"peridotgw.example/peridotgw/internal/noisy"
 	"peridotgw.example/peridotgw/internal/work"
 	"peridotgw.example/peridotgw/model"
 )
@@ -100,6 +101,7 @@
 	nextPlanAt          clock.Instant
 	speedsComparedAt    clock.Instant
 	runTimes            map[work.QueueName]*runTimes
+	interference        noisy.Model
 
 	// mu guards the fields below, which other goroutines read.
 	mu            sync.Mutex
@@ -110,10 +112,12 @@
 
 // Observer receives measurements. All functions must be set; they are called from the goroutine that owns the state.
 type Observer struct {
-	CallResult   func(kind, result string) // of a call to a worker or a service; the kind of a poll is "look"
-	RunEnded     func(how work.How)
-	PassDuration func(took time.Duration)                         // of a planning pass
-	JobStarted   func(queue work.QueueName, waited time.Duration) // waited since this term knew the job
+	CallResult func(kind, result string) // of a call to a worker or a service; the kind of a poll is "look"
+	RunEnded   func(how work.How)
+	// InterferingPairs receives the number of pairs of kinds of tasks that are known to slow each other down on one worker.
+	InterferingPairs func(pairs int)
+	PassDuration     func(took time.Duration)                         // of a planning pass
+	JobStarted       func(queue work.QueueName, waited time.Duration) // waited since this term knew the job
 	// JobStalled reports a time of at least a second in which a job that was due had nothing running, and whether it was longer than
 	// allowed beside workers with room.
 	JobStalled func(stalled time.Duration, besideRoom bool)
@@ -167,6 +171,7 @@
 	c.durableStates = map[model.JobID]work.State{}
 	c.mu.Unlock()
 	c.runTimes = map[work.QueueName]*runTimes{}
+	c.interference = noisy.Model{OnChange: c.noteInterference}
 	group, ctx := errgroup.WithContext(ctx)
 	c.ctx = ctx
 	jobs := &kv.Follower{
--- a/internal/chief/state.go
+++ b/internal/chief/state.go
@@ -6,6 +6,7 @@
 	"peridotgw.example/peridotgw/internal/agent"
 	"peridotgw.example/peridotgw/internal/clock"
 	"peridotgw.example/peridotgw/internal/kv"
+	"peridotgw.example/peridotgw/internal/noisy"
 	"peridotgw.example/peridotgw/internal/work"
 	"peridotgw.example/peridotgw/model"
 )
@@ -53,6 +54,7 @@
 	checkpoint     work.Checkpoint
 	fromStart      bool           // started without a checkpoint
 	tailLatency    int            // in milliseconds; only of a task with a tail target
+	track          noisy.Track    // of its rate beside different neighbours
 	pace           int            // percent of full speed
 	reason         string         // why it was stopped or counts as ended
 	endNumber      work.EndNumber // of the end that its worker has listed; 0 for none
@@ -94,6 +96,7 @@
 	job          *job
 	id           work.StepID
 	step         *work.Step
+	kind         noisy.Kind
 	tasks        []task
 	unfinished   int              // tasks that are not done
 	failedRuns   []work.RunNumber // of a gang, that count as attempts
@@ -152,6 +155,7 @@
 	registered       bool // has an entry in the registry
 	roster           bool // loaded from the roster: may have runs of an earlier term
 	runs             map[runKey]*run
+	neighbours       neighbours
 	used             work.Resources // by all runs
 	usedByStopping   work.Resources // part of used
 	polled           bool           // has listed all its runs and ends in this term, or is gone
--- a/internal/chief/workers.go
+++ b/internal/chief/workers.go
@@ -22,6 +22,10 @@
 		return
 	}
 	delete(w.runs, r.key)
+	w.neighbours.add(r, -1, c.Now())
+	if r.task != nil {
+		r.track.End(&c.interference, time.Duration(c.Now()), r.task.stage.kind)
+	}
 	c.notePlacedEnd(r)
 	w.endProbe(r)
 	w.used = w.used.Sub(r.resources)
--- a/internal/node/meters.go
+++ b/internal/node/meters.go
@@ -27,6 +27,7 @@
 	stalled *prometheus.HistogramVec
 	jobs    *prometheus.CounterVec
 	endings *prometheus.CounterVec
+	pairs   *prometheus.GaugeVec
 }
 
 func newMeters() *meters {
@@ -45,6 +46,7 @@
 		stalled: set.Histogram("job_stalled_seconds", "Times of a second or more in which a job that was due had nothing running.",
 			[]float64{2, 3, 5, 7, 10, 15, 25}, "beside_room"),
 		jobs:    set.Counter("job_steps_total", "Jobs by how far they have come.", "step"),
+		pairs:   set.Gauge("interfering_pairs", "Pairs of kinds of tasks that are known to slow each other down on one worker."),
 		endings: set.Counter("end_steps_total", "Ends that workers list, by how far they have come.", "step"),
 	}
 }
@@ -79,9 +81,10 @@
 // observer returns the callbacks through which the scheduler reports its measurements.
 func (m *meters) observer() chief.Observer {
 	return chief.Observer{
-		CallResult:   func(kind, result string) { m.orders.WithLabelValues(kind, result).Inc() },
-		RunEnded:     func(how work.How) { m.ends.WithLabelValues(string(how)).Inc() },
-		PassDuration: func(took time.Duration) { m.plans.WithLabelValues().Observe(took.Seconds()) },
+		CallResult:       func(kind, result string) { m.orders.WithLabelValues(kind, result).Inc() },
+		RunEnded:         func(how work.How) { m.ends.WithLabelValues(string(how)).Inc() },
+		InterferingPairs: func(pairs int) { m.pairs.WithLabelValues().Set(float64(pairs)) },
+		PassDuration:     func(took time.Duration) { m.plans.WithLabelValues().Observe(took.Seconds()) },
 		JobStarted: func(queue work.QueueName, waited time.Duration) {
 			m.waits.WithLabelValues(string(queue)).Observe(waited.Seconds())
 		},
