quota: caps, shares and rates of tenants; chief asks before each start

Nobody kept a tenant's cap or weight: platform/config.go read them, and no decision used them.

Package quota has a ledger of what each tenant has running, admission for tasks and whole gangs, and the rank of jobs, which moves out of chief/plan.go. The ledger changes in the two functions that change a worker's used room. On workers of an earlier term that were not polled yet, one run of each task without a known run counts, by the stored placements.

A tenant under half of its cap may exceed it by one task: the rule for standing jobs excuses only those whose tenant uses half of it. Urgent work stops less urgent work of its own tenant at the cap: within its guarantee it must start although the tenant fills its own cap.

--- a/internal/chief/jobs.go
+++ b/internal/chief/jobs.go
@@ -69,6 +69,7 @@
 		inherited: created < kv.Revision(c.Term.Token),
 	}
 	j.placement = c.claimPlacement(spec.ID, created)
+	j.beyondRate = !j.inherited && c.exceedsRate(spec.Tenant)
 	for occurrence := range spec.Occurrences() {
 		var stages []*stage
 		for i := range spec.Steps {
--- a/internal/chief/orders.go
+++ b/internal/chief/orders.go
@@ -58,7 +58,7 @@
 	t.activeRun, t.lastRun = r, number
 	w.beginProbe(r, now)
 	w.runs[r.key] = r
-	w.used = w.used.Add(r.resources)
+	c.occupy(r)
 	s.runsOn[w]++
 	s.job.runs++
 	s.job.lastStartAt = now
--- a/internal/chief/pass_bench_test.go
+++ b/internal/chief/pass_bench_test.go
@@ -10,6 +10,7 @@
 	"peridotgw.example/peridotgw/internal/agent"
 	"peridotgw.example/peridotgw/internal/clock"
 	"peridotgw.example/peridotgw/internal/kv"
+	"peridotgw.example/peridotgw/internal/quota"
 	"peridotgw.example/peridotgw/internal/work"
 	"peridotgw.example/peridotgw/model"
 )
@@ -39,7 +40,7 @@
 		Log: zerolog.Nop(), Workers: &agent.Calls{MaxListedEnds: 500}, Now: func() clock.Instant { return *now }, WallClock: time.Now,
 		Limits: Limits{MaxLease: 6 * time.Second, RemoteSlowdown: 3}, Config: func() *work.Config { return config },
 		OutOfService: func(model.DataCentreID) bool { return false }, TermValid: func() bool { return true },
-		Observe: Observer{PassDuration: func(time.Duration) {}, JobStep: func(JobStep) {}},
+		Observe: Observer{PassDuration: func(time.Duration) {}, JobStep: func(JobStep) {}, Tenants: func([]quota.State) {}},
 		jobs:    map[model.JobID]*job{}, workers: map[model.WorkerID]*worker{}, urgentDemand: map[work.PoolName]*urgentDemand{}, reservationsTriedAt: map[work.PoolName]clock.Instant{},
 		runTimes: map[work.QueueName]*runTimes{}, durableStates: map[model.JobID]work.State{}, jobsLoaded: true,
 	}
--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"peridotgw.example/peridotgw/internal/clock"
+	"peridotgw.example/peridotgw/internal/quota"
 	"peridotgw.example/peridotgw/internal/work"
 	"peridotgw.example/peridotgw/model"
 )
@@ -37,6 +38,8 @@
 	unseenEnds     map[model.WorkerID]bool                 // workers that were not polled yet and may list ends of an earlier term
 	reservedStages []*stage                                // with workers that are reserved for them
 	adviceRequest  *adviceRequest                          // to be made at the end of the pass; nil for none
+	quota          *quota.Pass
+	roomShort      bool // a task found no room
 }
 
 // planStarts runs a planning pass: it starts tasks in order of rank and stops the runs that they preempt.
@@ -49,6 +52,7 @@
 	pass := &planner{c: c, now: c.Now(), config: config, racks: map[work.Label][]*worker{}, rooms: map[roomKind]int{}, rackRooms: map[rackKind]int{}}
 	pass.unseenRuns, pass.unseenEnds = map[model.WorkerID]bool{}, map[model.WorkerID]bool{}
 	pass.listUsableWorkers()
+	pass.countTenants()
 	pass.sumUrgentNeeds()
 	pass.measureSpare()
 	pass.applyReservations()
@@ -57,6 +61,8 @@
 		pass.job(j)
 	}
 	pass.callAdvice()
+	c.roomShort = pass.roomShort
+	pass.publishTenants()
 	c.Observe.PassDuration(time.Since(began))
 }
 
@@ -101,39 +107,6 @@
 	}
 }
 
-// rankJobs sorts the live jobs by priority, urgent jobs within their tenant's guarantee before others, jobs that are not late
-// before late ones, and then by deadline.
-func (p *planner) rankJobs() []*job {
-	type ranked struct {
-		job      *job
-		priority int
-		lent     bool // beyond the tenant's guarantee
-		late     bool // older than lateFactor times its objective
-	}
-	var list []ranked
-	for _, j := range p.c.liveJobs {
-		priority := p.config.Terms(j.spec).Priority
-		list = append(list, ranked{j, priority, priority == 0 && !p.withinGuarantee(j), j.late(p.now)})
-	}
-	sort.SliceStable(list, func(a, b int) bool {
-		if list[a].priority != list[b].priority {
-			return list[a].priority < list[b].priority
-		}
-		if list[a].lent != list[b].lent {
-			return !list[a].lent
-		}
-		if list[a].late != list[b].late {
-			return !list[a].late
-		}
-		return list[a].job.deadline < list[b].job.deadline
-	})
-	jobs := make([]*job, len(list))
-	for i := range list {
-		jobs[i] = list[i].job
-	}
-	return jobs
-}
-
 // job plans the stages of a job that are due and whose dependencies are done.
 func (p *planner) job(j *job) {
 	if j.mayHaveRunsOn(p.unseenRuns) {
@@ -192,6 +165,9 @@
 	}
 	s.ignoresHolds = false
 	p.deductReservation(s)
+	if len(s.reserved) > 0 {
+		p.quota.Hold(p.request(s, len(s.reserved)))
+	}
 }
 
 func (p *planner) startStage(s *stage) {
@@ -215,6 +191,9 @@
 			allStarted = false
 			continue
 		}
+		if p.waitsForCap(s, 1) {
+			return
+		}
 		if !p.startTask(s, t) {
 			p.noteWait(s, waitRoom)
 			p.reserveForUrgent(s)
@@ -307,6 +286,9 @@
 			return
 		}
 	}
+	if p.waitsForCap(s, len(s.tasks)) {
+		return
+	}
 	if !p.withinSpare(s, len(s.tasks)) {
 		p.noteWait(s, waitRoom)
 		p.reserveForGang(s)
--- a/internal/chief/poll.go
+++ b/internal/chief/poll.go
@@ -223,7 +223,7 @@
 		}
 	}
 	w.runs[r.key] = r
-	w.used = w.used.Add(r.resources)
+	c.occupy(r)
 	c.Log.Info().Str("task", id.String()).Int64("run", int64(number)).Str("worker", string(w.info.ID)).Bool("task-known", t != nil).
 		Bool("task-done", t != nil && t.done).Uint64("token", uint64(c.Term.Token)).Msg("chief: run taken over")
 	return r
--- /dev/null
+++ b/internal/chief/quota.go
@@ -0,0 +1,268 @@
+package chief
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"peridotgw.example/peridotgw/internal/clock"
+	"peridotgw.example/peridotgw/internal/quota"
+	"peridotgw.example/peridotgw/internal/view"
+	"peridotgw.example/peridotgw/internal/work"
+	"peridotgw.example/peridotgw/model"
+)
+
+const (
+	// capHeldAfter is how long a stage that is not urgent waits for its tenant's cap before what it needs is kept from other work of the
+	// tenant: a wide gang would never start beside a stream of small tasks.
+	capHeldAfter = time.Second
+	// capStopPause is the least time between two searches for runs to stop for a stage that waits for its tenant's cap.
+	capStopPause = 100 * time.Millisecond
+	// tenantsInterval is how often the use of tenants is published.
+	tenantsInterval = time.Second
+)
+
+// capWait is a stage's wait for the cap of its tenant. The zero value is no wait.
+type capWait struct {
+	since     clock.Instant // 0 while it does not wait
+	excusedAt clock.Instant // when it last waited while its tenant used half of its cap or more
+	stopsAt   clock.Instant // earliest next search for runs to stop
+}
+
+// occupy counts a new run on its worker and for its tenant.
+func (c *Scheduler) occupy(r *run) {
+	r.worker.used = r.worker.used.Add(r.resources)
+	if r.task != nil {
+		c.used.Add(r.task.stage.job.spec.Tenant, r.resources)
+	}
+}
+
+// vacate counts a run no more whose end is certain.
+func (c *Scheduler) vacate(r *run) {
+	r.worker.used = r.worker.used.Sub(r.resources)
+	if r.task != nil {
+		c.used.Remove(r.task.stage.job.spec.Tenant, r.resources)
+	}
+}
+
+// exceedsRate counts a job that becomes known, and reports whether it is beyond its tenant's rate.
+func (c *Scheduler) exceedsRate(tenant model.CustomerID) bool {
+	config := c.Config()
+	if config == nil || config.Tenants[tenant].Weight == 0 {
+		return false
+	}
+	if c.rates[tenant] == nil {
+		c.rates[tenant] = &quota.Rate{}
+	}
+	return c.rates[tenant].Exceeded(time.Duration(c.Now()), config.Tenants[tenant].Weight)
+}
+
+// countTenants prepares the limits of tenants for the pass.
+func (p *planner) countTenants() {
+	p.quota = &quota.Pass{Tenants: p.config.Tenants, Ledger: &p.c.used, Rules: p.c.Quota}
+	for _, w := range p.workers {
+		p.quota.Room = p.quota.Room.Add(w.info.Capacity)
+	}
+	if len(p.unseenRuns) == 0 {
+		return
+	}
+	for _, j := range p.c.jobs {
+		if j.durableState != work.StateCompleted && p.quota.Limited(j.spec.Tenant) && j.mayHaveRunsOn(p.unseenRuns) {
+			p.countUnseen(j)
+		}
+	}
+}
+
+// countUnseen counts the runs of a job that may exist on workers that were not polled yet: one of each task without a known run, as far as
+// these workers have room for it. The record of a job that is over does not say which of its steps ran.
+func (p *planner) countUnseen(j *job) {
+	for occurrence, stages := range j.stages {
+		if p.now < j.dueAt(occurrence) {
+			break
+		}
+		for _, s := range stages {
+			if s.unfinished == 0 || !j.state.Final() && !s.dependenciesDone(stages) {
+				continue
+			}
+			most := p.unseenPlaces(s)
+			p.quota.AddUnseen(j.spec.Tenant, s.need(min(most, s.waitingTasks())))
+		}
+	}
+}
+
+// unseenPlaces returns how many tasks of a stage fit on the workers that were not polled yet and may have runs of its job.
+func (p *planner) unseenPlaces(s *stage) int {
+	places := 0
+	for id := range p.unseenRuns {
+		if !s.job.placement.unknown && !s.job.placement.stored[id] {
+			continue
+		}
+		capacity := p.c.workers[id].info.Capacity
+		if capacity == (work.Resources{}) {
+			return len(s.tasks) // It is not registered.
+		}
+		places += countFits(capacity, s.step.Resources(), len(s.tasks))
+	}
+	return places
+}
+
+// request returns the request for a number of a stage's tasks.
+func (p *planner) request(s *stage, tasks int) quota.Request {
+	return quota.Request{Tenant: s.job.spec.Tenant, Need: s.step.Resources(), Tasks: tasks, Stalled: s.ignoresHolds}
+}
+
+// waitsForCap reports whether the cap of a stage's tenant keeps a number of its tasks from starting together now. Urgent work then stops
+// less urgent work of its own tenant: it must start within its guarantee although the tenant has lent its cap to itself.
+func (p *planner) waitsForCap(s *stage, tasks int) bool {
+	request := p.request(s, tasks)
+	why := p.quota.Admit(request)
+	if why == "" {
+		s.cap.since = 0
+		return false
+	}
+	if s.cap.since == 0 {
+		s.cap.since = p.now
+	}
+	if why == quota.ReasonTooWide || !quota.UnderHalf(p.quota.Tenant(request.Tenant)) {
+		s.cap.excusedAt = p.now
+	}
+	p.noteWait(s, string(why))
+	s.reserved, s.ignoresHolds = nil, false
+	p.c.dropGangReservation(s)
+	if why == quota.ReasonTooWide {
+		return true
+	}
+	urgent := p.priority(s) == 0
+	if urgent {
+		p.stopForCap(s, request)
+	}
+	if urgent || p.now.Sub(s.cap.since) >= capHeldAfter {
+		p.quota.Hold(request)
+	}
+	return true
+}
+
+// stopForCap stops less urgent runs of the same tenant, the cheapest first, if that brings a request within the tenant's cap. Beyond its
+// tenant's guarantee, urgent work does so only if less work is lost than it does itself.
+func (p *planner) stopForCap(s *stage, request quota.Request) {
+	if p.settling || p.now < s.cap.stopsAt {
+		return
+	}
+	s.cap.stopsAt = p.now.Add(capStopPause)
+	excess := p.quota.Excess(request)
+	var candidates []*run
+	for _, w := range p.c.workers {
+		for _, r := range w.runs {
+			switch {
+			case r.task == nil || r.task.stage.job.spec.Tenant != request.Tenant:
+			case r.phase == stopping:
+				excess = excess.Sub(r.resources)
+			case p.priority(r.task.stage) > 0 && p.mayPreempt(s, r):
+				candidates = append(candidates, r)
+			}
+		}
+	}
+	slices.SortFunc(candidates, func(a, b *run) int {
+		return cmp.Or(cmp.Compare(p.preemptionCost(a), p.preemptionCost(b)), cmp.Compare(a.key.task.String(), b.key.task.String()))
+	})
+	victims, cost, enough := p.cheapestFor(candidates, excess)
+	own := float64(request.Tasks) * s.step.Need.Cores() * p.c.estimate(s).Seconds()
+	if enough && (cost <= own || p.withinGuarantee(s.job)) {
+		p.preemptRuns(s, victims)
+	}
+}
+
+// cheapestFor returns the first runs, with one for each gang, that free an amount, their cost, and whether they do.
+func (p *planner) cheapestFor(candidates []*run, excess work.Resources) (victims []*run, cost float64, enough bool) {
+	gangs := map[*gang]bool{}
+	for _, r := range candidates {
+		if excess.CPU <= 0 && excess.Memory <= 0 && excess.GPU <= 0 {
+			break
+		}
+		frees := excess.CPU > 0 && r.resources.CPU > 0 || excess.Memory > 0 && r.resources.Memory > 0 || excess.GPU > 0 && r.resources.GPU > 0
+		if !frees || r.gang != nil && gangs[r.gang] {
+			continue
+		}
+		members := 1
+		if r.gang != nil {
+			gangs[r.gang], members = true, len(r.gang.members)
+		}
+		excess = excess.Sub(r.task.stage.need(members))
+		victims, cost = append(victims, r), cost+p.preemptionCost(r)
+	}
+	return victims, cost, excess.CPU <= 0 && excess.Memory <= 0 && excess.GPU <= 0
+}
+
+// rankJobs returns the live jobs in the order in which they get room.
+func (p *planner) rankJobs() []*job {
+	list := make([]quota.Job, len(p.c.liveJobs))
+	for i, j := range p.c.liveJobs {
+		priority := p.config.Terms(j.spec).Priority
+		list[i] = quota.Job{
+			Tenant: j.spec.Tenant, Priority: priority, Lent: priority == 0 && !p.withinGuarantee(j), Late: j.late(p.now), Excess: j.beyondRate,
+			Deadline: time.Duration(j.deadline), Demand: p.demand(j),
+		}
+	}
+	jobs := make([]*job, len(list))
+	for i, index := range p.quota.Rank(list, p.c.roomShort) {
+		jobs[i] = p.c.liveJobs[index]
+	}
+	return jobs
+}
+
+// demand returns what the waiting tasks of a job need while room is short and its tenant has a weight; the rank depends on it only then.
+func (p *planner) demand(j *job) work.Resources {
+	var demand work.Resources
+	if !p.c.roomShort || p.config.Tenants[j.spec.Tenant].Weight == 0 {
+		return demand
+	}
+	for _, s := range j.dueStages(p.now) {
+		demand = demand.Add(s.need(s.waitingTasks()))
+	}
+	return demand
+}
+
+// publishTenants publishes the use of tenants, at most once per tenantsInterval.
+func (p *planner) publishTenants() {
+	if p.now < p.c.nextTenantsAt {
+		return
+	}
+	p.c.nextTenantsAt = p.now.Add(tenantsInterval)
+	waiting, tooWide := map[model.CustomerID]int{}, map[model.CustomerID]int{}
+	for _, j := range p.c.liveJobs {
+		switch p.capReason(j) {
+		case quota.ReasonCap, quota.ReasonHeld:
+			waiting[j.spec.Tenant]++
+		case quota.ReasonTooWide:
+			tooWide[j.spec.Tenant]++
+		}
+	}
+	states := make([]quota.State, 0, len(p.config.Tenants))
+	for id := range p.config.Tenants {
+		state := p.quota.State(id)
+		state.Waiting, state.TooWide = waiting[id], tooWide[id]
+		states = append(states, state)
+	}
+	slices.SortFunc(states, func(a, b quota.State) int { return cmp.Compare(a.Tenant, b.Tenant) })
+	p.c.mu.Lock()
+	p.c.tenants = states
+	p.c.mu.Unlock()
+	p.c.Observe.Tenants(states)
+}
+
+// capReason returns why the cap of its tenant keeps a job from room now, or an empty reason.
+func (p *planner) capReason(j *job) view.Reason {
+	for _, s := range j.dueStages(p.now) {
+		if s.cap.since != 0 {
+			return view.Reason(s.wait.why)
+		}
+	}
+	return ""
+}
+
+// Tenants returns the limits and the use of all tenants, as of the last second or so; none while the term has not planned yet.
+func (c *Scheduler) Tenants() []quota.State {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tenants
+}
--- a/internal/chief/scheduler.go
+++ b/internal/chief/scheduler.go
@@ -12,6 +12,7 @@
 	"peridotgw.example/peridotgw/internal/clock"
 	"peridotgw.example/peridotgw/internal/elect"
 	"peridotgw.example/peridotgw/internal/kv"
+	"peridotgw.example/peridotgw/internal/quota"
 	"peridotgw.example/peridotgw/internal/work"
 	"peridotgw.example/peridotgw/model"
 )
@@ -66,6 +67,8 @@
 	// Advise calls the advice service; nil if there is none.
 	Advise  Adviser
 	Observe Observer
+	// Quota may switch parts of the limits of tenants off; the zero value keeps all.
+	Quota quota.Rules
 
 	posts    chan func() // run by the goroutine that owns the state
 	ctx      context.Context
@@ -100,12 +103,17 @@
 	nextPlanAt          clock.Instant
 	speedsComparedAt    clock.Instant
 	runTimes            map[work.QueueName]*runTimes
+	used                quota.Ledger // by all runs of all workers
+	rates               map[model.CustomerID]*quota.Rate
+	roomShort           bool // a task found no room in the last planning pass
+	nextTenantsAt       clock.Instant
 
 	// mu guards the fields below, which other goroutines read.
 	mu            sync.Mutex
 	durableStates map[model.JobID]work.State
 	pendingJobs   map[work.QueueName]int
 	pendingKnown  bool
+	tenants       []quota.State
 }
 
 // Observer receives measurements. All functions must be set; they are called from the goroutine that owns the state.
@@ -120,6 +128,8 @@
 	// JobStep and EndStep count how far jobs and the ends that workers list have come, so that the sums can be compared.
 	JobStep func(step JobStep)
 	EndStep func(step EndStep, ends int)
+	// Tenants reports the use of all tenants, about once a second; none at the end of a term.
+	Tenants func(states []quota.State)
 }
 
 // JobStep is a step of a job's way through the scheduler.
@@ -167,6 +177,7 @@
 	c.durableStates = map[model.JobID]work.State{}
 	c.mu.Unlock()
 	c.runTimes = map[work.QueueName]*runTimes{}
+	c.used, c.rates = quota.Ledger{}, map[model.CustomerID]*quota.Rate{}
 	group, ctx := errgroup.WithContext(ctx)
 	c.ctx = ctx
 	jobs := &kv.Follower{
@@ -191,8 +202,9 @@
 	err := group.Wait()
 	c.logTermEnd()
 	c.mu.Lock()
-	c.pendingKnown = false
+	c.pendingKnown, c.tenants = false, nil
 	c.mu.Unlock()
+	c.Observe.Tenants(nil)
 	return err
 }
 
--- a/internal/chief/snapshot.go
+++ b/internal/chief/snapshot.go
@@ -23,8 +23,8 @@
 func (p *planner) newSnapshot() *snapshot {
 	s := &snapshot{workerRefs: make(map[*worker]view.WorkerRef, len(p.workers)), stageRefs: map[*stage]view.StageRef{}}
 	s.Tenants = make(map[model.CustomerID]view.Tenant, len(p.config.Tenants))
-	for id, tenant := range p.config.Tenants {
-		s.Tenants[id] = view.Tenant{Guaranteed: tenant.Guaranteed, Weight: tenant.Weight, Cap: tenant.Cap}
+	for id := range p.config.Tenants {
+		s.Tenants[id] = p.quota.Tenant(id)
 	}
 	gangs := map[*gang]view.GangRef{}
 	for _, w := range p.workers {
--- a/internal/chief/snapshot_internal_test.go
+++ b/internal/chief/snapshot_internal_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"peridotgw.example/peridotgw/internal/clock"
+	"peridotgw.example/peridotgw/internal/quota"
 	"peridotgw.example/peridotgw/internal/view"
 	"peridotgw.example/peridotgw/internal/work"
 	"peridotgw.example/peridotgw/model"
@@ -19,6 +20,7 @@
 	config.Index()
 	c := &Scheduler{Config: func() *work.Config { return config }, Limits: Limits{CheckpointInterval: time.Second, RestoreTime: time.Second / 2}}
 	p := &planner{c: c, config: config, now: clock.Instant(20 * time.Second), urgentNeeds: map[model.CustomerID]model.Accelerators{}}
+	p.quota = &quota.Pass{Tenants: config.Tenants, Ledger: &c.used}
 	j := &job{spec: &work.Job{ID: "j", Queue: "scan", Tenant: "customer-1", Steps: []work.Step{
 		{Count: 2, Need: work.Resources{CPU: 2000, GPU: 1}, Estimate: 4 * time.Second, Gang: true, Checkpoints: true},
 		{Count: 1, Need: work.Resources{CPU: 1000}, Estimate: 3 * time.Second, After: []int{0}},
--- a/internal/chief/stall.go
+++ b/internal/chief/stall.go
@@ -58,8 +58,10 @@
 	return j.runs == 0 || now.Sub(j.ranAt) >= listedInterval
 }
 
-// stalledSince returns since when a job whose stage is due has nothing running, as far as this term knows.
-func (s *stage) stalledSince() clock.Instant { return max(s.job.ranAt, s.job.dueAt(s.id.Occurrence)) }
+// stalledSince returns since when a job whose stage is due has nothing running, as far as this term knows, and may have.
+func (s *stage) stalledSince() clock.Instant {
+	return max(s.job.ranAt, s.job.dueAt(s.id.Occurrence), s.cap.excusedAt)
+}
 
 // besideRoom returns for how long a stage's job has had nothing running beside room for the stage.
 func (s *stage) besideRoom(now clock.Instant) time.Duration {
@@ -102,7 +104,7 @@
 func (s *stage) lastingTaskStalled(now clock.Instant) bool {
 	for index := range s.tasks {
 		t := &s.tasks[index]
-		if t.activeRun == nil && now.Sub(max(t.endedAt, s.job.dueAt(s.id.Occurrence))) >= holdLimit {
+		if t.activeRun == nil && now.Sub(max(t.endedAt, s.job.dueAt(s.id.Occurrence), s.cap.excusedAt)) >= holdLimit {
 			return true
 		}
 	}
@@ -147,7 +149,7 @@
 // counts as stalled beside it from before the term: the time must not begin anew with each leader.
 func (p *planner) checkRoom(s *stage) {
 	switch stall := &s.job.stall; {
-	case p.allRoom(s) < s.placesNeeded():
+	case p.allRoom(s) < s.placesNeeded(), s.cap.excusedAt == p.now:
 		s.roomSince = 0
 	case s.roomSince != 0:
 	case s.job.inherited && s.job.ranAt == 0 && p.now.Sub(p.c.loadedAt) < listedInterval:
--- a/internal/chief/state.go
+++ b/internal/chief/state.go
@@ -106,6 +106,7 @@
 	lastAttempt bool
 	roomSince   clock.Instant // since when there is room for it while its job is stalled; 0 while there is not
 	finishedAt  clock.Instant
+	cap         capWait
 	// reserved holds a worker for each waiting task while runs there are being stopped.
 	reserved           []*worker
 	reservedAt         clock.Instant
@@ -142,6 +143,7 @@
 	ranAt        clock.Instant // when one of its runs was last known to run; 0 if none was in this term
 	stall        stall
 	inherited    bool // may have runs of an earlier term on workers that were not polled yet
+	beyondRate   bool // handed in beyond its tenant's rate
 	knownAt      clock.Instant
 	finishedAt   clock.Instant
 }
--- a/internal/chief/wait.go
+++ b/internal/chief/wait.go
@@ -51,6 +51,7 @@
 
 // noteWait notes why a planning pass does not start a stage's tasks.
 func (p *planner) noteWait(s *stage, why string) {
+	p.roomShort = p.roomShort || why == waitRoom
 	if !s.wait.update(why, p.now) {
 		return
 	}
--- a/internal/chief/workers.go
+++ b/internal/chief/workers.go
@@ -24,7 +24,7 @@
 	delete(w.runs, r.key)
 	c.notePlacedEnd(r)
 	w.endProbe(r)
-	w.used = w.used.Sub(r.resources)
+	c.vacate(r)
 	if r.phase == stopping {
 		w.usedByStopping = w.usedByStopping.Sub(r.resources)
 	}
--- a/internal/node/meters.go
+++ b/internal/node/meters.go
@@ -27,6 +27,7 @@
 	stalled *prometheus.HistogramVec
 	jobs    *prometheus.CounterVec
 	endings *prometheus.CounterVec
+	tenants tenantMeters
 }
 
 func newMeters() *meters {
@@ -46,6 +47,7 @@
 			[]float64{2, 3, 5, 7, 10, 15, 25}, "beside_room"),
 		jobs:    set.Counter("job_steps_total", "Jobs by how far they have come.", "step"),
 		endings: set.Counter("end_steps_total", "Ends that workers list, by how far they have come.", "step"),
+		tenants: newTenantMeters(set),
 	}
 }
 
@@ -90,5 +92,6 @@
 		},
 		JobStep: func(step chief.JobStep) { m.jobs.WithLabelValues(string(step)).Inc() },
 		EndStep: func(step chief.EndStep, ends int) { m.endings.WithLabelValues(string(step)).Add(float64(ends)) },
+		Tenants: m.tenants.set,
 	}
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -105,6 +105,7 @@
 	})
 	wire.Handle(mux, procAnnounce, n.handleAnnounce)
 	wire.Handle(mux, procConfig, n.handleConfig)
+	wire.Handle(mux, procTenants, n.handleTenants)
 	wire.Handle(mux, procYield, func(ctx context.Context, q *yieldQuery) (*yieldAnswer, error) {
 		if !n.service.steady(n.now()) {
 			return &yieldAnswer{Refused: errUnserved.Error()}, nil
--- /dev/null
+++ b/internal/quota/rank.go
@@ -0,0 +1,106 @@
+package quota
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"peridotgw.example/peridotgw/internal/work"
+	"peridotgw.example/peridotgw/model"
+)
+
+// Job is what the rank of a job depends on.
+type Job struct {
+	Tenant   model.CustomerID
+	Priority int  // 0 is urgent
+	Lent     bool // urgent, beyond its tenant's guarantee
+	Late     bool // its completion has no value any more
+	Excess   bool // handed in beyond its tenant's rate
+	// Deadline is when it should be complete, from any common origin.
+	Deadline time.Duration
+	Demand   work.Resources // of its tasks that wait
+}
+
+// ranked is a job with its place in the list.
+type ranked struct {
+	Job
+	index int
+	level int // how many times its part of the room the tenant uses before the job
+}
+
+// Rank returns the indexes of jobs in the order in which they get room: by priority, work within a guarantee first, then work that is not
+// late, then by deadline. While room is short, a tenant's jobs come after those of tenants that use fewer times their part of the room,
+// and those beyond its rate after all others. Parts are by weight, among the tenants with jobs; without any weight there are none.
+func (p *Pass) Rank(jobs []Job, short bool) []int {
+	list := make([]ranked, len(jobs))
+	for i := range jobs {
+		list[i] = ranked{Job: jobs[i], index: i}
+		list[i].Excess = short && jobs[i].Excess
+	}
+	slices.SortStableFunc(list, compare)
+	if short && p.setLevels(list) {
+		slices.SortStableFunc(list, compare)
+	}
+	order := make([]int, len(list))
+	for i := range list {
+		order[i] = list[i].index
+	}
+	return order
+}
+
+func compare(a, b ranked) int {
+	return cmp.Or(
+		cmp.Compare(a.Priority, b.Priority), compareBool(a.Lent, b.Lent), compareBool(a.Late, b.Late), compareBool(a.Excess, b.Excess),
+		cmp.Compare(a.level, b.level), cmp.Compare(a.Deadline, b.Deadline),
+	)
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// setLevels sets how many times its part of the room each job's tenant uses once the jobs before it have what they wait for. It reports
+// whether any tenant has a weight. A tenant without one has the smallest weight of the others.
+func (p *Pass) setLevels(list []ranked) bool {
+	weights := map[model.CustomerID]float64{}
+	smallest := 0.0
+	for i := range list {
+		weight := p.Tenants[list[i].Tenant].Weight
+		weights[list[i].Tenant] = weight
+		if weight > 0 && (smallest == 0 || weight < smallest) {
+			smallest = weight
+		}
+	}
+	if smallest == 0 {
+		return false
+	}
+	sum := 0.0
+	used := make(map[model.CustomerID]work.Resources, len(weights))
+	for id, weight := range weights {
+		weights[id] = max(weight, smallest)
+		sum += weights[id]
+		used[id] = p.Tenant(id).Used
+	}
+	for i := range list {
+		id := list[i].Tenant
+		list[i].level = p.level(p.Share(used[id]), weights[id]/sum)
+		used[id] = used[id].Add(list[i].Demand)
+	}
+	return true
+}
+
+// level returns how many whole times a share holds a part. Within it, deadlines decide: an order by the exact share would put a job with
+// more time before one with less whenever any task ends.
+func (p *Pass) level(share, part float64) int {
+	if p.Rules.Level != nil {
+		return p.Rules.Level(share, part)
+	}
+	return int(share / part)
+}
