quota: a tenant gets room up to its part before others get more in the same pass

One wide job of a tenant under its part took, in one pass, all room that ended at the same time, again and again. A property test over drawn tenants found it, and that parts rounded up leave a small tenant none. Starts up to the part now come first within a priority; what is left goes by rank. Work within its guarantee, and jobs that have had nothing running for too long, are not limited.

--- a/internal/chief/env_test.go
+++ b/internal/chief/env_test.go
@@ -144,6 +144,7 @@
 	store *kv.Store
 	log   zerolog.Logger
 	share float64 // of the machine's processor time; may be set by the change function
+	quota quota.Rules
 
 	endsMu sync.Mutex // guards ends
 	ends   map[chief.EndStep]int
@@ -173,7 +174,7 @@
 			Config: e.inForce.Load, OutOfService: func(model.DataCentreID) bool { return e.outOfService.Load() },
 			TermValid: func() bool { return !i.unproved.Load() && i.elector.TermValid(term) }, EndTerm: func() { i.elector.EndTerm(term) },
 			NoticeSeen: i.elector.NoticeSeen,
-			Registry:   platform.RegistryKeyPrefix, DecodeWorker: platform.DecodeWorker, Advise: e.advise,
+			Registry:   platform.RegistryKeyPrefix, DecodeWorker: platform.DecodeWorker, Advise: e.advise, Quota: i.quota,
 			Observe: chief.Observer{
 				CallResult: func(string, string) {}, RunEnded: func(work.How) {}, PassDuration: func(time.Duration) {},
 				JobStarted: func(work.QueueName, time.Duration) {}, JobStep: func(chief.JobStep) {}, JobStalled: func(time.Duration, bool) {}, EndStep: i.countEnds,
--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -39,7 +39,9 @@
 	reservedStages []*stage                                // with workers that are reserved for them
 	adviceRequest  *adviceRequest                          // to be made at the end of the pass; nil for none
 	quota          *quota.Pass
-	roomShort      bool // a task found no room
+	roomShort      bool   // a task found no room
+	deferred       []*job // that their tenant's part of the room kept from starting more
+	beyondParts    bool   // the tenants' parts of the room limit no start now
 }
 
 // planStarts runs a planning pass: it starts tasks in order of rank and stops the runs that they preempt.
@@ -57,9 +59,7 @@
 	pass.measureSpare()
 	pass.applyReservations()
 	pass.applyGangReservations()
-	for _, j := range pass.rankJobs() {
-		pass.job(j)
-	}
+	pass.jobs(pass.rankJobs())
 	pass.callAdvice()
 	c.roomShort = pass.roomShort
 	pass.publishTenants()
--- a/internal/chief/quota.go
+++ b/internal/chief/quota.go
@@ -106,9 +106,36 @@
 	return places
 }
 
+// jobs plans ranked jobs. Those of a priority get room up to their tenants' parts first, and then what is left of it.
+func (p *planner) jobs(ranked []*job) {
+	priority := 0
+	for _, j := range ranked {
+		if own := p.config.Terms(j.spec).Priority; own != priority {
+			p.planDeferred()
+			priority = own
+		}
+		p.job(j)
+	}
+	p.planDeferred()
+}
+
+// planDeferred plans the jobs again that their tenants' parts of the room kept from starting more.
+func (p *planner) planDeferred() {
+	deferred := slices.Compact(p.deferred)
+	p.deferred, p.beyondParts = nil, true
+	for _, j := range deferred {
+		p.job(j)
+	}
+	p.beyondParts = false
+}
+
 // request returns the request for a number of a stage's tasks.
 func (p *planner) request(s *stage, tasks int) quota.Request {
-	return quota.Request{Tenant: s.job.spec.Tenant, Need: s.step.Resources(), Tasks: tasks, Stalled: s.ignoresHolds}
+	guaranteed := p.priority(s) == 0 && p.withinGuarantee(s.job)
+	return quota.Request{
+		Tenant: s.job.spec.Tenant, Need: s.step.Resources(), Tasks: tasks, Stalled: s.ignoresHolds,
+		Shared: !p.beyondParts && !guaranteed && !s.ignoresHolds,
+	}
 }
 
 // waitsForCap reports whether the cap of a stage's tenant keeps a number of its tasks from starting together now. Urgent work then stops
@@ -120,6 +147,10 @@
 		s.cap.since = 0
 		return false
 	}
+	if why == quota.ReasonShare {
+		p.deferred = append(p.deferred, s.job)
+		return true
+	}
 	if s.cap.since == 0 {
 		s.cap.since = p.now
 	}
--- a/internal/quota/pass.go
+++ b/internal/quota/pass.go
@@ -13,6 +13,8 @@
 	ReasonCap     view.Reason = "its tenant's cap"
 	ReasonHeld    view.Reason = "its tenant's cap, of which the rest is held for other work of the tenant"
 	ReasonTooWide view.Reason = "a gang wider than its tenant's cap"
+	// ReasonShare is given only to requests that are limited to their tenant's part of the room.
+	ReasonShare view.Reason = "its tenant's part of the room"
 )
 
 // Rules are the seams of a Pass. The zero value keeps all limits; a test sets a field to switch one mechanism off.
@@ -35,6 +37,8 @@
 
 	unseen map[model.CustomerID]work.Resources
 	held   map[model.CustomerID]work.Resources
+	// targets are the shares up to which tenants get room before others that use fewer times their part; nil while room is not short.
+	targets map[model.CustomerID]float64
 }
 
 // AddUnseen counts runs of an earlier term that may exist on workers that were not polled yet, for the rest of the pass.
@@ -65,12 +69,16 @@
 	Need    work.Resources // of one task
 	Tasks   int
 	Stalled bool // its job has had nothing running for too long
+	Shared  bool // it may start only up to its tenant's part of the room
 }
 
 // Admit returns why the tasks of a request may not start now, or an empty reason. They may start if the tenant stays within its cap. A
 // tenant that uses under half of it may exceed it by one task: it would otherwise wait beside free workers for as long as its own small
 // tasks go on, and for ever for a task that is wider than the cap.
 func (p *Pass) Admit(r Request) view.Reason {
+	if r.Shared && p.exceedsTarget(r) {
+		return ReasonShare
+	}
 	if !p.Limited(r.Tenant) {
 		return ""
 	}
--- a/internal/quota/rank.go
+++ b/internal/quota/rank.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -30,7 +31,8 @@
 
 // Rank returns the indexes of jobs in the order in which they get room: by priority, work within a guarantee first, then work that is not
 // late, then by deadline. While room is short, a tenant's jobs come after those of tenants that use fewer times their part of the room,
-// and those beyond its rate after all others. Parts are by weight, among the tenants with jobs; without any weight there are none.
+// and those beyond its rate after all others. Parts are by weight, among the tenants with jobs; without any weight there are none. Requests
+// of the pass that are Shared are limited from then on.
 func (p *Pass) Rank(jobs []Job, short bool) []int {
 	list := make([]ranked, len(jobs))
 	for i := range jobs {
@@ -66,27 +68,24 @@
 	return 1
 }
 
-// setLevels sets how many times its part of the room each job's tenant uses once the jobs before it have what they wait for. It reports
-// whether any tenant has a weight. A tenant without one has the smallest weight of the others.
+// setLevels sets how many times its part of the room each job's tenant uses once the jobs before it have what they wait for, and up to which
+// share each tenant gets room first. It reports whether any tenant has a weight. A tenant without one has the smallest weight of the
+// others.
 func (p *Pass) setLevels(list []ranked) bool {
-	weights := map[model.CustomerID]float64{}
-	smallest := 0.0
-	for i := range list {
-		weight := p.Tenants[list[i].Tenant].Weight
-		weights[list[i].Tenant] = weight
-		if weight > 0 && (smallest == 0 || weight < smallest) {
-			smallest = weight
-		}
+	weights := p.weights(list)
+	sum := 0.0
+	for _, weight := range weights {
+		sum += weight
 	}
-	if smallest == 0 {
+	if sum == 0 {
 		return false
 	}
-	sum := 0.0
 	used := make(map[model.CustomerID]work.Resources, len(weights))
+	p.targets = make(map[model.CustomerID]float64, len(weights))
 	for id, weight := range weights {
-		weights[id] = max(weight, smallest)
-		sum += weights[id]
 		used[id] = p.Tenant(id).Used
+		part := weight / sum
+		p.targets[id] = float64(p.level(p.Share(used[id]), part)+1) * part
 	}
 	for i := range list {
 		id := list[i].Tenant
@@ -96,6 +95,26 @@
 	return true
 }
 
+// weights returns the weights of the tenants of jobs; all are 0 if none has one.
+func (p *Pass) weights(list []ranked) map[model.CustomerID]float64 {
+	weights := map[model.CustomerID]float64{}
+	smallest := math.Inf(1)
+	for i := range list {
+		weight := p.Tenants[list[i].Tenant].Weight
+		weights[list[i].Tenant] = weight
+		if weight > 0 {
+			smallest = min(smallest, weight)
+		}
+	}
+	if math.IsInf(smallest, 1) {
+		return nil
+	}
+	for id, weight := range weights {
+		weights[id] = max(weight, smallest)
+	}
+	return weights
+}
+
 // level returns how many whole times a share holds a part. Within it, deadlines decide: an order by the exact share would put a job with
 // more time before one with less whenever any task ends.
 func (p *Pass) level(share, part float64) int {
@@ -104,3 +123,13 @@
 	}
 	return int(share / part)
 }
+
+// exceedsTarget reports whether a request would bring its tenant above the share up to which it gets room first. One job could otherwise
+// take, in one pass, all that ends at the same time; and tenants that each exceed their part by one task would leave a small one none.
+func (p *Pass) exceedsTarget(r Request) bool {
+	target, found := p.targets[r.Tenant]
+	return found && p.Share(p.Tenant(r.Tenant).Used.Add(times(r.Need, r.Tasks))) > target+shareTolerance
+}
+
+// shareTolerance is above the rounding errors of shares and below the share of any task.
+const shareTolerance = 1e-9
