peridotctl: platform tenants shows use, cap, share and who waits

Use is in the leader's memory alone: the command finds the leader's address in the store and calls it. It exits with 4 without a leader and with 6 if the leader does not answer.

--- a/peridotctl/exit.go
+++ b/peridotctl/exit.go
@@ -52,13 +52,14 @@
 		replied     *reply.Error
 		unreachable *client.UnreachableError
 		storeErr    *storeDownError
+		leaderErr   *leaderDownError
 	)
 	switch {
 	case err == nil:
 		return exitDone
 	case errors.As(err, &usageErr), errors.As(err, &jsonErr), errors.As(err, &pathErr):
 		return exitUsage
-	case errors.As(err, &unreachable), errors.As(err, &storeErr):
+	case errors.As(err, &unreachable), errors.As(err, &storeErr), errors.As(err, &leaderErr):
 		return exitUnreachable
 	case !errors.As(err, &replied):
 		return exitFailed
--- a/peridotctl/platform.go
+++ b/peridotctl/platform.go
@@ -21,13 +21,14 @@
 // platformTimeout limits all reads of the platform's store by one command.
 const platformTimeout = 5 * time.Second
 
-// platformCommand returns the command that shows what the store of the users' platform holds; it calls no instance.
+// platformCommand returns the command that shows what the store of the users' platform holds, and what the leader knows of tenants.
 func (a *app) platformCommand() *command {
 	c := &command{
 		app: a, name: "platform", synopsis: "show what the store of the users' platform holds",
-		args: "instances | workers | zones | config | jobs | job ID | check [DEPLOY-FILE]",
+		args: "instances | workers | zones | config | jobs | job ID | tenants | check [DEPLOY-FILE]",
 		help: "Reads the platform's store with the settings file of an instance: the registered instances and the leader, the workers, the\n" +
-			"zones out of service, the configuration in force, all jobs, or one job with its progress by step. No instance is called.\n" +
+			"zones out of service, the configuration in force, all jobs, or one job with its progress by step. tenants calls the leader\n" +
+			"for the limits and the use of each tenant; nothing else calls an instance.\n" +
 			"check reads the settings file and the deploy file, if they are named, and reports every problem; it needs no store.",
 		example: "peridotctl platform -settings /etc/peridotgw/boot.conf jobs",
 		offline: true,
@@ -62,10 +63,10 @@
 	store := platform.NewStore(client, settings.Store, func(string, string, bool) {})
 	printSubject := map[string]func(context.Context, *kv.Store, []string) error{
 		"instances": s.platformInstances, "workers": s.platformWorkers, "zones": s.platformZones, "config": s.platformConfig,
-		"jobs": s.platformJobs, "job": s.platformJob,
+		"jobs": s.platformJobs, "job": s.platformJob, "tenants": s.platformTenants,
 	}[args[0]]
 	if printSubject == nil {
-		return usageErrorf("%q cannot be shown; use instances, workers, zones, config, jobs, job or check", args[0])
+		return usageErrorf("%q cannot be shown; use instances, workers, zones, config, jobs, job, tenants or check", args[0])
 	}
 	if err := printSubject(ctx, store, args[1:]); err != nil {
 		return asStoreError(err)
--- a/peridotctl/platform_test.go
+++ b/peridotctl/platform_test.go
@@ -1,7 +1,9 @@
 package main_test
 
 import (
+	"context"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
@@ -13,6 +15,9 @@
 	. "github.com/onsi/gomega"
 	"github.com/onsi/gomega/gexec"
 
+	"peridotgw.example/peridotgw/internal/elect"
+	"peridotgw.example/peridotgw/internal/quota"
+	"peridotgw.example/peridotgw/internal/wire"
 	"peridotgw.example/peridotgw/internal/work"
 	"peridotgw.example/peridotgw/platform/fakepl"
 )
@@ -69,9 +74,34 @@
 		Entry("unknown job", 4, "job 00000000000000ff"),
 		Entry("unknown subject", 1, "weather"),
 		Entry("no configuration", 4, "config"),
+		Entry("no leader", 4, "tenants"),
 		Entry("no deploy file", 1, "check none.toml"),
 	)
 
+	// Guards against a command that shows another instance's tenants, or leaves out a cap, a use or who waits.
+	It("shows what the leader knows of tenants", func() {
+		type answer struct {
+			Tenants   []quota.State `cbor:"1,keyasint"`
+			Ownership map[int]bool  `cbor:"2,keyasint"`
+		}
+		mux := http.NewServeMux()
+		wire.Handle(mux, "/peer/tenants", func(context.Context, *struct{}) (*answer, error) {
+			return &answer{Ownership: map[int]bool{1: true}, Tenants: []quota.State{{
+				Tenant: "big", Weight: 2, Cap: work.Resources{CPU: 9000}, Used: work.Resources{CPU: 8000, GPU: 3}, Share: 0.125, Waiting: 7,
+			}}}, nil
+		})
+		server := httptest.NewServer(mux)
+		DeferCleanup(server.Close)
+		leader, err := work.Encode(elect.Node{ID: "n", Address: strings.TrimPrefix(server.URL, "http://")})
+		Expect(err).NotTo(HaveOccurred())
+		store.Put("system/leader", leader)
+		session := run("tenants")
+		Expect(session.ExitCode()).To(Equal(0))
+		Expect(string(session.Out.Contents())).To(MatchRegexp(`big +2 +0 +8000/9000 +0 +3 +12.5% +7 +0`))
+		server.Close()
+		Expect(run("tenants").ExitCode()).To(Equal(6), "the leader does not answer")
+	})
+
 	// Guards against a check that stops at the first problem.
 	It("names every problem of a deploy file", func() {
 		path := filepath.Join(GinkgoT().TempDir(), "system.toml")
