--- a/internal/chief/quota.go
+++ b/internal/chief/quota.go
@@ -138,6 +138,13 @@
 	}
 }
 
+// withinCap returns how many of a number of a stage's tasks the cap of its tenant allows to start.
+func (p *planner) withinCap(s *stage, tasks int) int {
+	request := p.request(s, tasks)
+	request.Shared = false
+	return p.quota.Places(request)
+}
+
 // waitsForCap reports whether the cap of a stage's tenant keeps a number of its tasks from starting together now. Urgent work then stops
 // less urgent work of its own tenant: it must start within its guarantee although the tenant has lent its cap to itself.
 func (p *planner) waitsForCap(s *stage, tasks int) bool {
--- a/internal/chief/reservation.go
+++ b/internal/chief/reservation.go
@@ -115,7 +115,7 @@
 	if p.priority(s) != 0 || len(s.reserved) > 0 || p.settling {
 		return
 	}
-	need := p.quota.Places(p.request(s, s.waitingTasks()))
+	need := p.withinCap(s, s.waitingTasks())
 	if places := p.placeAfterStops(s, need, s.step.SameRack && p.now.Sub(s.waitingSince) < p.sameRackWait()); places != nil {
 		p.reserveWorkers(s, places)
 		return
