--- a/internal/chief/orders.go
+++ b/internal/chief/orders.go
@@ -59,7 +59,7 @@
 	w.beginProbe(r, now)
 	w.runs[r.key] = r
 	w.neighbours.add(r, 1, now)
-	w.used = w.used.Add(r.resources)
+	c.occupy(r)
 	s.runsOn[w]++
 	s.job.runs++
 	s.job.lastStartAt = now
--- a/internal/chief/scheduler.go
+++ b/internal/chief/scheduler.go
@@ -13,6 +13,7 @@
 	"peridotgw.example/peridotgw/internal/elect"
 	"peridotgw.example/peridotgw/internal/kv"
 	"peridotgw.example/peridotgw/internal/noisy"
+	"peridotgw.example/peridotgw/internal/quota"
 	"peridotgw.example/peridotgw/internal/work"
 	"peridotgw.example/peridotgw/model"
 )
@@ -67,6 +68,8 @@
 	// Advise calls the advice service; nil if there is none.
 	Advise  Adviser
 	Observe Observer
+	// Quota may switch parts of the limits of tenants off; the zero value keeps all.
+	Quota quota.Rules
 
 	posts    chan func() // run by the goroutine that owns the state
 	ctx      context.Context
@@ -102,12 +105,17 @@
 	speedsComparedAt    clock.Instant
 	runTimes            map[work.QueueName]*runTimes
 	interference        noisy.Model
+	used                quota.Ledger // by all runs of all workers
+	rates               map[model.CustomerID]*quota.Rate
+	roomShort           bool // a task found no room in the last planning pass
+	nextTenantsAt       clock.Instant
 
 	// mu guards the fields below, which other goroutines read.
 	mu            sync.Mutex
 	durableStates map[model.JobID]work.State
 	pendingJobs   map[work.QueueName]int
 	pendingKnown  bool
+	tenants       []quota.State
 }
 
 // Observer receives measurements. All functions must be set; they are called from the goroutine that owns the state.
@@ -124,6 +132,8 @@
 	// JobStep and EndStep count how far jobs and the ends that workers list have come, so that the sums can be compared.
 	JobStep func(step JobStep)
 	EndStep func(step EndStep, ends int)
+	// Tenants reports the use of all tenants, about once a second; none at the end of a term.
+	Tenants func(states []quota.State)
 }
 
 // JobStep is a step of a job's way through the scheduler.
@@ -172,6 +182,7 @@
 	c.mu.Unlock()
 	c.runTimes = map[work.QueueName]*runTimes{}
 	c.interference = noisy.Model{OnChange: c.noteInterference}
+	c.used, c.rates = quota.Ledger{}, map[model.CustomerID]*quota.Rate{}
 	group, ctx := errgroup.WithContext(ctx)
 	c.ctx = ctx
 	jobs := &kv.Follower{
@@ -196,8 +207,9 @@
 	err := group.Wait()
 	c.logTermEnd()
 	c.mu.Lock()
-	c.pendingKnown = false
+	c.pendingKnown, c.tenants = false, nil
 	c.mu.Unlock()
+	c.Observe.Tenants(nil)
 	return err
 }
 
--- a/internal/node/meters.go
+++ b/internal/node/meters.go
@@ -28,6 +28,7 @@
 	jobs    *prometheus.CounterVec
 	endings *prometheus.CounterVec
 	pairs   *prometheus.GaugeVec
+	tenants tenantMeters
 }
 
 func newMeters() *meters {
@@ -48,6 +49,7 @@
 		jobs:    set.Counter("job_steps_total", "Jobs by how far they have come.", "step"),
 		pairs:   set.Gauge("interfering_pairs", "Pairs of kinds of tasks that are known to slow each other down on one worker."),
 		endings: set.Counter("end_steps_total", "Ends that workers list, by how far they have come.", "step"),
+		tenants: newTenantMeters(set),
 	}
 }
 
@@ -93,5 +95,6 @@
 		},
 		JobStep: func(step chief.JobStep) { m.jobs.WithLabelValues(string(step)).Inc() },
 		EndStep: func(step chief.EndStep, ends int) { m.endings.WithLabelValues(string(step)).Add(float64(ends)) },
+		Tenants: m.tenants.set,
 	}
 }
--- a/peridotctl/exit.go
+++ b/peridotctl/exit.go
@@ -56,6 +56,7 @@
 		unreachable *client.UnreachableError
 		storeErr    *storeDownError
 		findings    *findingsError
+		leaderErr   *leaderDownError
 	)
 	switch {
 	case err == nil:
@@ -66,7 +67,7 @@
 		return exitRefused
 	case errors.As(err, &findings):
 		return exitFindings
-	case errors.As(err, &unreachable), errors.As(err, &storeErr):
+	case errors.As(err, &unreachable), errors.As(err, &storeErr), errors.As(err, &leaderErr):
 		return exitUnreachable
 	case !errors.As(err, &replied):
 		return exitFailed
