speed, chief: speeds of workers and run times of kinds are learned, and placement uses them

Workers of one deployment differ by a factor of two and nothing says which are slow.

Placement adds a term for the speed to its score; a worker that turns slow is judged by what was known of it before.

--- a/internal/chief/backfill.go
+++ b/internal/chief/backfill.go
@@ -252,7 +252,7 @@
 
 // endsBefore reports whether a task of a stage that starts on a worker now ends before a time, by its estimate.
 func (p *planner) endsBefore(s *stage, w *worker, at clock.Instant) bool {
-	takes := p.c.estimate(s)
+	takes := p.c.runTime(s, w)
 	if s.step.DataRack != "" && s.step.DataRack != w.info.Rack() {
 		takes = time.Duration(p.c.Limits.RemoteSlowdown * float64(takes))
 	}
--- a/internal/chief/drain.go
+++ b/internal/chief/drain.go
@@ -48,5 +48,5 @@
 		return time.Duration(left*float64(time.Second)) - now.Sub(r.sampledAt)
 	}
 	left := float64(fullPercent-r.percent) / fullPercent
-	return time.Duration(left * float64(c.estimate(r.task.stage)))
+	return time.Duration(left * float64(c.runTime(r.task.stage, r.worker)))
 }
--- a/internal/chief/estimate.go
+++ b/internal/chief/estimate.go
@@ -1,21 +1,13 @@
 package chief
 
-import "time"
+import (
+	"time"
 
-const (
-	// minRunsForMean is the number of runs from which a queue's mean run time replaces the estimates of its jobs.
-	minRunsForMean = 5
-	minMeanWeight  = 0.1 // least weight of the newest run in the moving mean
+	"peridotgw.example/peridotgw/internal/speed"
 )
 
-// runTimes is the moving mean of the run times of a queue.
-type runTimes struct {
-	count int
-	mean  time.Duration
-}
-
-// recordRunTime adds the time of a completed run to its queue's mean, unless the run resumed from a
-// checkpoint, or its data or a member of its gang was in a different rack.
+// recordRunTime learns from the time of a completed run, unless the run resumed from a checkpoint, or its data or a member of its gang was
+// in a different rack.
 func (c *Scheduler) recordRunTime(s *stage, r *run) {
 	spread := (s.step.SameRack || s.step.DataRack != "") && r.gang != nil && r.gang.spread
 	if r.checkpoint != "" && !r.fromStart || spread {
@@ -24,23 +16,45 @@
 	if dataRack := s.step.DataRack; dataRack != "" && r.worker.info.Rack() != dataRack {
 		return
 	}
-	times := c.runTimes[s.job.spec.Queue]
-	if times == nil {
-		times = &runTimes{}
-		c.runTimes[s.job.spec.Queue] = times
+	now := c.Now()
+	c.speeds.Ended(time.Duration(now), speed.Run{
+		Worker: r.worker.info.ID, Born: r.worker.born, Kind: s.kind(), Estimate: s.step.Estimate, Took: r.age(now), Speed: r.slowestPace(),
+		Tasks: max(1, len(s.tasks)), Gang: s.step.Gang, Counted: r.compared,
+	})
+}
+
+// slowestPace returns the speed of a run's worker, or of the slowest one of its gang.
+func (r *run) slowestPace() float64 {
+	slowest := r.worker.pace()
+	if r.gang != nil {
+		for member := range r.gang.members {
+			slowest = min(slowest, member.worker.pace())
+		}
 	}
-	took := r.age(c.Now())
-	times.count++
-	rate := max(minMeanWeight, 1/float64(times.count))
-	times.mean += time.Duration(rate * float64(took-times.mean))
+	return slowest
 }
 
-// estimate returns how long a task of a stage takes near its data on a healthy worker.
+// kind returns what the run times of a stage's tasks have in common with those of other jobs.
+func (s *stage) kind() speed.Kind { return speed.Kind{Queue: s.job.spec.Queue, Image: s.step.Image} }
+
+// estimate returns how long a task of a stage takes near its data on a usual worker.
 func (c *Scheduler) estimate(s *stage) time.Duration {
-	if times := c.runTimes[s.job.spec.Queue]; times != nil && times.count >= minRunsForMean {
-		return times.mean
-	}
-	return s.step.Estimate
+	return c.speeds.Estimate(s.kind(), s.step.Estimate)
+}
+
+// runTime returns how long a task of a stage takes near its data on a worker.
+func (c *Scheduler) runTime(s *stage, w *worker) time.Duration {
+	return time.Duration(float64(c.estimate(s)) / w.pace())
+}
+
+// haste returns how much it matters that the tasks of a stage end soon.
+func (p *planner) haste(s *stage) speed.Haste {
+	estimate := p.c.estimate(s)
+	chain := p.chainAfter(s)
+	return speed.HasteOf(speed.Work{
+		Urgent: p.priority(s) == 0, Gang: s.step.Gang, Lasts: s.step.Lasts || s.step.Fills, Hopeless: s.job.late(p.now), Chain: chain > 0,
+		Takes: estimate, Slack: s.job.deadline.Sub(p.now) - estimate - chain,
+	})
 }
 
 // add makes a run a member of a gang.
--- a/internal/chief/fit.go
+++ b/internal/chief/fit.go
@@ -1,6 +1,7 @@
 package chief
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -66,6 +67,7 @@
 	if s.step.Fills && w.runsServingTask() || s.step.TailTarget > 0 && w.runsFillingTask() {
 		placementScore += interferencePenalty
 	}
+	placementScore += s.haste.Penalty(w.pace())
 	return placementScore
 }
 
@@ -100,12 +102,12 @@
 	}
 	if dataRack := s.step.DataRack; dataRack != "" {
 		if places := p.placeTasks(s, p.racks[dataRack], len(s.tasks), availableNow); places != nil {
-			return places
+			return p.orAcross(s, places)
 		}
 	}
 	if s.step.SameRack {
 		if places := p.placeInOneRack(s, len(s.tasks), availableNow); places != nil {
-			return places
+			return p.orAcross(s, places)
 		}
 	}
 	if !p.mayRunRemote(s) {
@@ -114,32 +116,56 @@
 	return p.placeTasks(s, p.workers, len(s.tasks), availableNow)
 }
 
+// orAcross returns the places of a gang in one rack, or others on which it ends sooner although it is slower there.
+func (p *planner) orAcross(s *stage, inRack []*worker) []*worker {
+	slowest := slowestOf(inRack) * p.c.Limits.RemoteSlowdown
+	if s.haste <= 0 || slowest >= 1 {
+		return inRack
+	}
+	if across := p.placeTasks(s, p.workers, len(s.tasks), availableNow); across != nil && slowest < slowestOf(across) {
+		return across
+	}
+	return inRack
+}
+
 // placeInOneRack returns workers for the tasks within one rack, or nil: of the racks with the fewest placements on suspect
-// workers, the one with the least available cores.
+// workers, the one with the best slowest worker, less what it has available.
 func (p *planner) placeInOneRack(s *stage, need int, capacityOf capacityOf) []*worker {
 	var best []*worker
-	bestSuspects, bestLeft := 0, 0.0
+	bestSuspects, bestScore := 0, 0.0
 	for _, rack := range p.racks {
 		places := p.placeTasks(s, rack, need, capacityOf)
 		if places == nil {
 			continue
 		}
-		suspects, left := 0, 0.0
+		suspects, score := 0, s.haste.Penalty(slowestOf(places))
 		for _, w := range places {
 			if w.suspect() {
 				suspects++
 			}
 		}
 		for _, w := range rack {
-			left += w.available.Cores()
+			score += w.available.Cores() / rackScoreCores
 		}
-		if best == nil || suspects < bestSuspects || suspects == bestSuspects && left < bestLeft {
-			best, bestSuspects, bestLeft = places, suspects, left
+		if best == nil || suspects < bestSuspects || suspects == bestSuspects && score < bestScore {
+			best, bestSuspects, bestScore = places, suspects, score
 		}
 	}
 	return best
 }
 
+// rackScoreCores is how many free cores of a rack count as one free accelerator of a worker.
+const rackScoreCores = 100
+
+// slowestOf returns the speed of the slowest of some workers.
+func slowestOf(places []*worker) float64 {
+	slowest := math.Inf(1)
+	for _, w := range places {
+		slowest = min(slowest, w.pace())
+	}
+	return slowest
+}
+
 // capacityOf returns the capacity of a worker that a placement may use.
 type capacityOf func(*worker) work.Resources
 
@@ -196,7 +222,7 @@
 		if idleA, idleB := p.secondsSinceDone(a), p.secondsSinceDone(b); len(s.failedRuns) > 0 && idleA != idleB {
 			return idleA < idleB
 		}
-		return capacityOf(a).GPU < capacityOf(b).GPU
+		return float64(capacityOf(a).GPU)+s.haste.Penalty(a.pace()) < float64(capacityOf(b).GPU)+s.haste.Penalty(b.pace())
 	})
 	places := make([]*worker, 0, need)
 	for _, o := range options {
--- a/internal/chief/internal_test.go
+++ b/internal/chief/internal_test.go
@@ -10,6 +10,7 @@
 
 	"peridotgw.example/peridotgw/internal/agent"
 	"peridotgw.example/peridotgw/internal/clock"
+	"peridotgw.example/peridotgw/internal/speed"
 	"peridotgw.example/peridotgw/internal/work"
 	"peridotgw.example/peridotgw/model"
 )
@@ -189,7 +190,7 @@
 func TestRunTimesLeaveOutSpreadGangs(t *testing.T) {
 	g := NewWithT(t)
 	now := clock.Instant(time.Hour)
-	c := &Scheduler{Now: func() clock.Instant { return now }, runTimes: map[work.QueueName]*runTimes{}}
+	c := &Scheduler{Now: func() clock.Instant { return now }}
 	worker := func(rack work.Label) *worker { return &worker{info: work.WorkerInfo{Labels: []work.Label{rack}}} }
 	for _, racks := range [][]work.Label{{"r1", "r1"}, {"r1", "r2"}} {
 		s := &stage{job: &job{spec: &work.Job{Queue: "scan"}}, step: &work.Step{Gang: true, SameRack: true}}
@@ -202,7 +203,7 @@
 			c.recordRunTime(s, r)
 		}
 	}
-	g.Expect(c.runTimes["scan"].count).To(Equal(2), "the two members of the gang in one rack")
+	g.Expect(c.speeds.Runs(speed.Kind{Queue: "scan"})).To(Equal(2), "the two members of the gang in one rack")
 }
 
 // Guards against a last attempt while a worker, silent for long, may hold a failure that counts: its answers are lost, and the calls that
--- a/internal/chief/pass_bench_test.go
+++ b/internal/chief/pass_bench_test.go
@@ -41,7 +41,7 @@
 		OutOfService: func(model.DataCentreID) bool { return false }, TermValid: func() bool { return true },
 		Observe: Observer{PassDuration: func(time.Duration) {}, JobStep: func(JobStep) {}},
 		jobs:    map[model.JobID]*job{}, workers: map[model.WorkerID]*worker{}, urgentDemand: map[work.PoolName]*urgentDemand{}, reservationsTriedAt: map[work.PoolName]clock.Instant{},
-		runTimes: map[work.QueueName]*runTimes{}, durableStates: map[model.JobID]work.State{}, jobsLoaded: true,
+		durableStates: map[model.JobID]work.State{}, jobsLoaded: true,
 	}
 	c.roster.entries = map[model.WorkerID]rosterEntry{}
 	add := func(id model.JobID, step work.Step) *job {
--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -184,6 +184,7 @@
 		return
 	}
 	p.creditReservation(s)
+	s.haste = p.haste(s)
 	s.ignoresHolds = p.stalledTooLong(s) || p.reservedWorkersFree(s) && s.foundRoomForLong(p.now)
 	runs := s.job.runs
 	p.startStage(s)
--- a/internal/chief/scheduler.go
+++ b/internal/chief/scheduler.go
@@ -12,6 +12,7 @@
 	"peridotgw.example/peridotgw/internal/clock"
 	"peridotgw.example/peridotgw/internal/elect"
 	"peridotgw.example/peridotgw/internal/kv"
+	"peridotgw.example/peridotgw/internal/speed"
 	"peridotgw.example/peridotgw/internal/work"
 	"peridotgw.example/peridotgw/model"
 )
@@ -99,7 +100,7 @@
 	reservationsTriedAt map[work.PoolName]clock.Instant
 	nextPlanAt          clock.Instant
 	speedsComparedAt    clock.Instant
-	runTimes            map[work.QueueName]*runTimes
+	speeds              speed.Tracker
 
 	// mu guards the fields below, which other goroutines read.
 	mu            sync.Mutex
@@ -166,7 +167,7 @@
 	c.mu.Lock()
 	c.durableStates = map[model.JobID]work.State{}
 	c.mu.Unlock()
-	c.runTimes = map[work.QueueName]*runTimes{}
+	c.speeds = speed.Tracker{}
 	group, ctx := errgroup.WithContext(ctx)
 	c.ctx = ctx
 	jobs := &kv.Follower{
--- a/internal/chief/snapshot.go
+++ b/internal/chief/snapshot.go
@@ -38,7 +38,7 @@
 	s.workerRefs[w] = ref
 	s.workers = append(s.workers, w)
 	seen := view.Worker{
-		ID: w.info.ID, Pool: w.info.Pool, Rack: w.info.Rack(), Capacity: w.info.Capacity, Available: w.available, Speed: 1,
+		ID: w.info.ID, Pool: w.info.Pool, Rack: w.info.Rack(), Capacity: w.info.Capacity, Available: w.available, Speed: w.pace(),
 		Leaves: w.leavesAt != 0, LeavesIn: w.leavesAt.Sub(p.now),
 	}
 	for _, r := range w.runs {
--- a/internal/chief/speed.go
+++ b/internal/chief/speed.go
@@ -1,10 +1,13 @@
 package chief
 
 import (
+	"maps"
+	"math"
 	"sort"
 	"time"
 
 	"peridotgw.example/peridotgw/internal/clock"
+	"peridotgw.example/peridotgw/internal/speed"
 )
 
 const (
@@ -12,6 +15,8 @@
 	// minSampleInterval is the least time between two progress samples of a run.
 	minSampleInterval = 600 * time.Millisecond
 	rateMaxAge        = 2 * time.Second // of a rate that is compared
+	// minMeasured is the progress, in percent, over which the rate of a run is measured before a speed is learned from it.
+	minMeasured = 10
 	// minSiblings is the least number of runs of a stage, and of their workers, whose median rate is meaningful.
 	minSiblings = 3
 	// slowRatio is how many times slower than the median of their stage the runs of a slow worker are.
@@ -23,6 +28,8 @@
 	minMoveGain = 2
 	// minRate is the lowest rate that a run counts with, in percent per second.
 	minRate = 0.5
+	// speedLogChange is the least change of the logarithm of a worker's speed that is logged.
+	speedLogChange = 0.3
 )
 
 // updateRate updates the progress rate of a run from a new sample.
@@ -35,6 +42,27 @@
 		r.ratedAt = now
 	}
 	r.sampledAt, r.sampledPercent = now, percent
+	if r.measuredFrom == 0 {
+		r.measuredFrom, r.measuredPercent = now, percent
+	}
+}
+
+// measuredRate returns the part of its work that a run has done in a second since it was first listed; 0 while that is too little to tell.
+func (r *run) measuredRate() float64 {
+	measured := r.sampledPercent - r.measuredPercent
+	if r.measuredFrom == 0 || measured < minMeasured {
+		return 0
+	}
+	return float64(measured) / fullPercent / r.sampledAt.Sub(r.measuredFrom).Seconds()
+}
+
+// usualRate returns the rate that a run would have on a usual worker, by what was known of its own when the run was created: a worker that
+// is always slow isn't sick, and one that turns slow is.
+func (r *run) usualRate() float64 {
+	if r.expectedSpeed == 0 {
+		return r.rate
+	}
+	return r.rate / r.expectedSpeed
 }
 
 // isComparable reports whether a run should progress as fast as the other runs of its stage.
@@ -65,20 +93,25 @@
 	}
 	sums := map[*worker]sum{}
 	for _, runs := range c.siblingRuns(now) {
-		sort.Slice(runs, func(i, j int) bool { return runs[i].rate < runs[j].rate })
-		median := runs[len(runs)/2].rate
+		c.learnSpeeds(runs, now)
+		if !enoughSiblings(runs) {
+			continue
+		}
+		sort.Slice(runs, func(i, j int) bool { return runs[i].usualRate() < runs[j].usualRate() })
+		median := runs[len(runs)/2].usualRate()
 		for _, r := range runs {
 			s := sums[r.worker]
-			sums[r.worker] = sum{s.ratios + median/r.rate, s.runs + 1}
+			sums[r.worker] = sum{s.ratios + median/r.usualRate(), s.runs + 1}
 		}
 	}
+	c.updateSpeeds(now)
 	for w, s := range sums {
 		c.judgeSpeed(w, s.ratios/float64(s.runs))
 	}
 }
 
-// siblingRuns returns the comparable runs of each stage that has enough of them on different workers.
-func (c *Scheduler) siblingRuns(now clock.Instant) [][]*run {
+// siblingRuns returns the comparable runs of each stage that has more than one.
+func (c *Scheduler) siblingRuns(now clock.Instant) map[*stage][]*run {
 	byStage := map[*stage][]*run{}
 	for _, w := range c.workers {
 		for _, r := range w.runs {
@@ -87,17 +120,74 @@
 			}
 		}
 	}
-	var sets [][]*run
-	for _, runs := range byStage {
-		places := map[*worker]bool{}
-		for _, r := range runs {
-			places[r.worker] = true
+	maps.DeleteFunc(byStage, func(_ *stage, runs []*run) bool { return len(runs) < 2 })
+	return byStage
+}
+
+// enoughSiblings reports whether the runs of a stage, and their workers, are enough for a meaningful median.
+func enoughSiblings(runs []*run) bool {
+	if len(runs) < minSiblings {
+		return false
+	}
+	places := map[*worker]bool{}
+	for _, r := range runs {
+		places[r.worker] = true
+	}
+	return len(places) >= minSiblings
+}
+
+// learnSpeeds learns the speeds of workers from runs of one stage, once from each run.
+func (c *Scheduler) learnSpeeds(runs []*run, now clock.Instant) {
+	var measured []speed.Progress
+	var fresh []*run
+	for _, r := range runs {
+		rate := r.measuredRate()
+		if rate <= 0 {
+			continue
+		}
+		measured = append(measured, speed.Progress{Worker: r.worker.info.ID, Born: r.worker.born, Rate: rate, Counted: r.compared})
+		if !r.compared {
+			fresh = append(fresh, r)
 		}
-		if len(runs) >= minSiblings && len(places) >= minSiblings {
-			sets = append(sets, runs)
+	}
+	if len(fresh) == 0 || !c.speeds.Compare(time.Duration(now), measured, runs[0].task.stage.step.Gang) {
+		return
+	}
+	for _, r := range fresh {
+		r.compared = true
+	}
+}
+
+// updateSpeeds notes the speed of each worker, logs those that have become known or have changed, and reports how they are spread.
+func (c *Scheduler) updateSpeeds(now clock.Instant) {
+	c.speeds.Settle(time.Duration(now))
+	for _, w := range c.workers {
+		seen := c.speeds.Speed(time.Duration(now), w.info.ID)
+		w.speed = seen.Factor
+		change := math.Abs(math.Log(seen.Factor / w.loggedSpeed()))
+		if !seen.Known() || change < speedLogChange {
+			continue
 		}
+		c.Log.Info().Str("worker", string(w.info.ID)).Float64("speed", seen.Factor).Float64("before", w.loggedSpeed()).
+			Float64("certainty", seen.Certainty).Int("runs", seen.Runs).Dur("age", seen.Age).Msg("chief: speed of a worker learned")
+		w.speedLogged = seen.Factor
+	}
+}
+
+// loggedSpeed returns the speed of a worker as it was last logged; 1 before.
+func (w *worker) loggedSpeed() float64 {
+	if w.speedLogged == 0 {
+		return 1
+	}
+	return w.speedLogged
+}
+
+// pace returns the speed of a worker against a usual one; 1 while nothing is known.
+func (w *worker) pace() float64 {
+	if w.speed == 0 {
+		return 1
 	}
-	return sets
+	return w.speed
 }
 
 // judgeSpeed quarantines a worker whose runs are slowRatio times slower than the median of their stages, and moves runs off it
--- a/internal/chief/state.go
+++ b/internal/chief/state.go
@@ -6,6 +6,7 @@
 	"peridotgw.example/peridotgw/internal/agent"
 	"peridotgw.example/peridotgw/internal/clock"
 	"peridotgw.example/peridotgw/internal/kv"
+	"peridotgw.example/peridotgw/internal/speed"
 	"peridotgw.example/peridotgw/internal/work"
 	"peridotgw.example/peridotgw/model"
 )
@@ -50,12 +51,17 @@
 	ratedAt        clock.Instant
 	sampledAt      clock.Instant // when the last progress sample was taken
 	sampledPercent int
-	checkpoint     work.Checkpoint
-	fromStart      bool           // started without a checkpoint
-	tailLatency    int            // in milliseconds; only of a task with a tail target
-	pace           int            // percent of full speed
-	reason         string         // why it was stopped or counts as ended
-	endNumber      work.EndNumber // of the end that its worker has listed; 0 for none
+	// measuredFrom is when the first progress sample was taken, with measuredPercent; 0 for none.
+	measuredFrom    clock.Instant
+	measuredPercent int
+	expectedSpeed   float64 // of its worker, when the run was created
+	compared        bool    // the speed of its worker was learned from it
+	checkpoint      work.Checkpoint
+	fromStart       bool           // started without a checkpoint
+	tailLatency     int            // in milliseconds; only of a task with a tail target
+	pace            int            // percent of full speed
+	reason          string         // why it was stopped or counts as ended
+	endNumber       work.EndNumber // of the end that its worker has listed; 0 for none
 }
 
 // present reports whether a run has not ended.
@@ -111,6 +117,7 @@
 	reservedAt         clock.Instant
 	noCapacityLoggedAt clock.Instant
 	runsOn             map[*worker]int // number of runs by worker
+	haste              speed.Haste     // valid during a planning pass
 	advice             advice
 	// gangReservation is that of a gang that does not fit; nil for none. There is no new one before noReservationUntil.
 	gangReservation    *gangReservation
@@ -185,6 +192,8 @@
 	lastDoneAt       clock.Instant    // when it last completed a task
 	quarantines      int              // consecutive, for failed tasks
 	slowRounds       int              // consecutive comparisons that found it slow
+	speed            float64          // against a usual worker; 0 while nothing is known
+	speedLogged      float64          // as last logged; 0 before
 	removed          bool             // from Scheduler.workers
 	// available is valid during a planning pass: what is free once all stops are done, less reservations and new starts.
 	available work.Resources
--- a/internal/chief/workers.go
+++ b/internal/chief/workers.go
@@ -64,6 +64,7 @@
 	if c.hasLeft(w, now) {
 		w.removed = true
 		delete(c.workers, w.info.ID)
+		c.speeds.Forget(w.info.ID)
 		c.saveRoster()
 		return
 	}
