--- a/internal/chief/env_test.go
+++ b/internal/chief/env_test.go
@@ -21,6 +21,7 @@
 	"peridotgw.example/peridotgw/internal/intake"
 	"peridotgw.example/peridotgw/internal/kv"
 	"peridotgw.example/peridotgw/internal/memnet"
+	"peridotgw.example/peridotgw/internal/speed"
 	"peridotgw.example/peridotgw/internal/work"
 	"peridotgw.example/peridotgw/model"
 	"peridotgw.example/peridotgw/platform"
@@ -176,6 +177,7 @@
 			Observe: chief.Observer{
 				CallResult: func(string, string) {}, RunEnded: func(work.How) {}, PassDuration: func(time.Duration) {},
 				JobStarted: func(work.QueueName, time.Duration) {}, JobStep: func(chief.JobStep) {}, JobStalled: func(time.Duration, bool) {}, EndStep: i.countEnds,
+				Speeds: func(map[chief.SpeedBucket]int) {}, Correction: func(speed.Kind, float64) {},
 			},
 		}
 		i.chief.Store(scheduler)
--- a/internal/chief/scheduler.go
+++ b/internal/chief/scheduler.go
@@ -121,8 +121,23 @@
 	// JobStep and EndStep count how far jobs and the ends that workers list have come, so that the sums can be compared.
 	JobStep func(step JobStep)
 	EndStep func(step EndStep, ends int)
+	// Speeds reports the number of workers by what is known of their speed, and Correction the mean factor by which the run times of a kind
+	// of tasks exceed the estimates of their callers.
+	Speeds     func(workers map[SpeedBucket]int)
+	Correction func(kind speed.Kind, factor float64)
 }
 
+// SpeedBucket is a range of speeds of workers against a usual one.
+type SpeedBucket string
+
+// Ranges of speeds.
+const (
+	SpeedUnknown SpeedBucket = "unknown"
+	SpeedSlow    SpeedBucket = "slow"  // below slowSpeed
+	SpeedUsual   SpeedBucket = "usual" // in between
+	SpeedFast    SpeedBucket = "fast"  // above fastSpeed
+)
+
 // JobStep is a step of a job's way through the scheduler.
 type JobStep string
 
--- a/internal/chief/speed.go
+++ b/internal/chief/speed.go
@@ -30,6 +30,9 @@
 	minRate = 0.5
 	// speedLogChange is the least change of the logarithm of a worker's speed that is logged.
 	speedLogChange = 0.3
+	// slowSpeed and fastSpeed are the speeds below and above which a worker counts as slow or fast in the metrics.
+	slowSpeed = 0.8
+	fastSpeed = 1.25
 )
 
 // updateRate updates the progress rate of a run from a new sample.
@@ -161,9 +164,11 @@
 // updateSpeeds notes the speed of each worker, logs those that have become known or have changed, and reports how they are spread.
 func (c *Scheduler) updateSpeeds(now clock.Instant) {
 	c.speeds.Settle(time.Duration(now))
+	buckets := map[SpeedBucket]int{SpeedUnknown: 0, SpeedSlow: 0, SpeedUsual: 0, SpeedFast: 0}
 	for _, w := range c.workers {
 		seen := c.speeds.Speed(time.Duration(now), w.info.ID)
 		w.speed = seen.Factor
+		buckets[bucketOf(seen)]++
 		change := math.Abs(math.Log(seen.Factor / w.loggedSpeed()))
 		if !seen.Known() || change < speedLogChange {
 			continue
@@ -172,6 +177,22 @@
 			Float64("certainty", seen.Certainty).Int("runs", seen.Runs).Dur("age", seen.Age).Msg("chief: speed of a worker learned")
 		w.speedLogged = seen.Factor
 	}
+	c.Observe.Speeds(buckets)
+	for _, kind := range c.speeds.Kinds() {
+		c.Observe.Correction(kind, c.speeds.Correction(kind))
+	}
+}
+
+func bucketOf(s speed.Speed) SpeedBucket {
+	switch {
+	case !s.Known():
+		return SpeedUnknown
+	case s.Factor < slowSpeed:
+		return SpeedSlow
+	case s.Factor > fastSpeed:
+		return SpeedFast
+	}
+	return SpeedUsual
 }
 
 // loggedSpeed returns the speed of a worker as it was last logged; 1 before.
--- a/internal/node/meters.go
+++ b/internal/node/meters.go
@@ -9,6 +9,7 @@
 	"peridotgw.example/peridotgw/internal/chief"
 	"peridotgw.example/peridotgw/internal/metric"
 	"peridotgw.example/peridotgw/internal/serve"
+	"peridotgw.example/peridotgw/internal/speed"
 	"peridotgw.example/peridotgw/internal/work"
 	"peridotgw.example/peridotgw/platform"
 )
@@ -27,6 +28,8 @@
 	stalled *prometheus.HistogramVec
 	jobs    *prometheus.CounterVec
 	endings *prometheus.CounterVec
+	speeds  *prometheus.GaugeVec
+	factors *prometheus.GaugeVec
 }
 
 func newMeters() *meters {
@@ -46,6 +49,8 @@
 			[]float64{2, 3, 5, 7, 10, 15, 25}, "beside_room"),
 		jobs:    set.Counter("job_steps_total", "Jobs by how far they have come.", "step"),
 		endings: set.Counter("end_steps_total", "Ends that workers list, by how far they have come.", "step"),
+		speeds:  set.Gauge("worker_speeds", "Workers of the leader by what it knows of their speed.", "speed"),
+		factors: set.Gauge("estimate_correction", "Mean factor by which run times exceed the estimates of callers.", "queue", "image"),
 	}
 }
 
@@ -89,6 +94,14 @@
 			m.stalled.WithLabelValues(strconv.FormatBool(besideRoom)).Observe(stalled.Seconds())
 		},
 		JobStep: func(step chief.JobStep) { m.jobs.WithLabelValues(string(step)).Inc() },
+		Speeds: func(workers map[chief.SpeedBucket]int) {
+			for bucket, count := range workers {
+				m.speeds.WithLabelValues(string(bucket)).Set(float64(count))
+			}
+		},
+		Correction: func(kind speed.Kind, factor float64) {
+			m.factors.WithLabelValues(string(kind.Queue), string(kind.Image)).Set(factor)
+		},
 		EndStep: func(step chief.EndStep, ends int) { m.endings.WithLabelValues(string(step)).Add(float64(ends)) },
 	}
 }
