--- a/internal/speed/haste.go
+++ b/internal/speed/haste.go
@@ -20,8 +20,8 @@
 	// hasteWeight is the number of free accelerators that a worker which is e times as fast outweighs for an urgent task.
 	hasteWeight = 12.0
 	// pressedSlack and patientSlack are the slack of a job, in run times of the task, below which it is pressed and over which it is patient.
-	pressedSlack = 0.5
-	patientSlack = 1.0
+	pressedSlack = 1.0
+	patientSlack = 2.5
 )
 
 // Work is what the haste of a task depends on.
