--- a/internal/chief/backfill.go
+++ b/internal/chief/backfill.go
@@ -296,7 +296,7 @@
 func (p *planner) timeLeft(r *run) time.Duration {
 	var left time.Duration
 	switch {
-	case r.percent >= fullPercent:
+	case r.percent >= fullPercent && r.gang == nil:
 		left = -p.now.Sub(r.progressedAt)
 	case r.ratedAt != 0 && r.rate > 0:
 		left = p.c.remainingTime(r, p.now)
--- a/internal/chief/drain.go
+++ b/internal/chief/drain.go
@@ -40,13 +40,3 @@
 		}
 	}
 }
-
-// remainingTime estimates how long a run still takes: from its own rate, or from the run times of its queue before that is known.
-func (c *Scheduler) remainingTime(r *run, now clock.Instant) time.Duration {
-	if r.ratedAt != 0 && r.rate > 0 {
-		left := float64(fullPercent-r.sampledPercent) / r.rate
-		return time.Duration(left*float64(time.Second)) - now.Sub(r.sampledAt)
-	}
-	left := float64(fullPercent-r.percent) / fullPercent
-	return time.Duration(left * float64(c.runTime(r.task.stage, r.worker)))
-}
--- a/internal/chief/estimate.go
+++ b/internal/chief/estimate.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"peridotgw.example/peridotgw/internal/clock"
 	"peridotgw.example/peridotgw/internal/speed"
 )
 
@@ -47,6 +48,28 @@
 	return time.Duration(float64(c.estimate(s)) / w.pace())
 }
 
+// remainingTime estimates how long a run still takes; a member of a gang ends with the slowest one.
+func (c *Scheduler) remainingTime(r *run, now clock.Instant) time.Duration {
+	left := c.ownRemainingTime(r, now)
+	if r.gang != nil {
+		for member := range r.gang.members {
+			left = max(left, c.ownRemainingTime(member, now))
+		}
+	}
+	return left
+}
+
+// ownRemainingTime estimates how long the work of a run still takes: from its own rate, or from the run times of its kind and the speed of
+// its worker before that is known.
+func (c *Scheduler) ownRemainingTime(r *run, now clock.Instant) time.Duration {
+	if r.ratedAt != 0 && r.rate > 0 {
+		left := float64(fullPercent-r.sampledPercent) / r.rate
+		return time.Duration(left*float64(time.Second)) - now.Sub(r.sampledAt)
+	}
+	left := float64(fullPercent-r.percent) / fullPercent
+	return time.Duration(left * float64(c.runTime(r.task.stage, r.worker)))
+}
+
 // haste returns how much it matters that the tasks of a stage end soon.
 func (p *planner) haste(s *stage) speed.Haste {
 	estimate := p.c.estimate(s)
--- a/internal/chief/speed_internal_test.go
+++ b/internal/chief/speed_internal_test.go
@@ -151,3 +151,23 @@
 	g.Expect(w.pace()).To(Equal(1.0))
 	g.Expect(p.c.speeds.Speed(0, w.info.ID).Runs).To(BeZero())
 }
+
+// Guards against a gang of which a fast member is at its end and counts as ending at once, although it waits for a slow one: its worker
+// would leave with it.
+func TestGangEndsWithItsSlowestMember(t *testing.T) {
+	g := NewWithT(t)
+	p := pacedPlanner(2)
+	s := p.stageOf("slow", work.Step{Count: 2, Gang: true})
+	members := &gang{stage: s, members: map[*run]bool{}}
+	runs := make([]*run, 2)
+	for i := range runs {
+		runs[i] = &run{
+			task: &s.tasks[i], worker: p.workers[i], gang: members, phase: running, createdAt: p.now, progressedAt: p.now, percent: 100,
+			rate: 50, ratedAt: p.now, sampledAt: p.now, sampledPercent: 100,
+		}
+		members.add(runs[i])
+	}
+	runs[0].percent, runs[0].sampledPercent, runs[0].rate = 40, 40, 20
+	g.Expect(p.c.remainingTime(runs[1], p.now)).To(Equal(3 * time.Second))
+	g.Expect(p.timeLeft(runs[1])).To(Equal(3 * time.Second))
+}
