--- a/internal/speed/haste.go
+++ b/internal/speed/haste.go
@@ -13,12 +13,12 @@
 	Urgent  Haste = 1
 	Pressed Haste = 0.5
 	Usual   Haste = 0
-	Patient Haste = -0.25
+	Patient Haste = -0.2
 )
 
 const (
 	// hasteWeight is the number of free accelerators that a worker which is e times as fast outweighs for an urgent task.
-	hasteWeight = 12.0
+	hasteWeight = 6.0
 	// pressedSlack and patientSlack are the slack of a job, in run times of the task, below which it is pressed and over which it is patient.
 	pressedSlack = 1.0
 	patientSlack = 2.5
