--- a/internal/chief/backfill.go
+++ b/internal/chief/backfill.go
@@ -252,7 +252,7 @@
 
 // endsBefore reports whether a task of a stage that starts on a worker now ends before a time, by its estimate.
 func (p *planner) endsBefore(s *stage, w *worker, at clock.Instant) bool {
-	takes := p.c.estimate(s)
+	takes := p.c.runTime(s, w)
 	if s.step.DataRack != "" && s.step.DataRack != w.info.Rack() {
 		takes = time.Duration(p.c.Limits.RemoteSlowdown * float64(takes))
 	}
@@ -296,7 +296,7 @@
 func (p *planner) timeLeft(r *run) time.Duration {
 	var left time.Duration
 	switch {
-	case r.percent >= fullPercent:
+	case r.percent >= fullPercent && r.gang == nil:
 		left = -p.now.Sub(r.progressedAt)
 	case r.ratedAt != 0 && r.rate > 0:
 		left = p.c.remainingTime(r, p.now)
--- a/internal/chief/env_test.go
+++ b/internal/chief/env_test.go
@@ -22,6 +22,7 @@
 	"peridotgw.example/peridotgw/internal/kv"
 	"peridotgw.example/peridotgw/internal/memnet"
 	"peridotgw.example/peridotgw/internal/quota"
+	"peridotgw.example/peridotgw/internal/speed"
 	"peridotgw.example/peridotgw/internal/work"
 	"peridotgw.example/peridotgw/model"
 	"peridotgw.example/peridotgw/platform"
@@ -179,6 +180,7 @@
 				CallResult: func(string, string) {}, RunEnded: func(work.How) {}, PassDuration: func(time.Duration) {}, InterferingPairs: func(int) {},
 				JobStarted: func(work.QueueName, time.Duration) {}, JobStep: func(chief.JobStep) {}, JobStalled: func(time.Duration, bool) {}, EndStep: i.countEnds,
 				Tenants: func([]quota.State) {},
+				Speeds:  func(map[chief.SpeedBucket]int) {}, Correction: func(speed.Kind, float64) {},
 			},
 		}
 		i.chief.Store(scheduler)
--- a/internal/chief/neighbours.go
+++ b/internal/chief/neighbours.go
@@ -15,8 +15,8 @@
 	changedAt clock.Instant // when a run was added or removed, or its pace has changed
 }
 
-// kindOf returns the kind of a step's tasks: its image or, if the caller names none, the queue.
-func kindOf(j *work.Job, step *work.Step) noisy.Kind {
+// noisyKindOf returns the kind of a step's tasks: its image or, if the caller names none, the queue.
+func noisyKindOf(j *work.Job, step *work.Step) noisy.Kind {
 	if step.Image != "" {
 		return noisy.Kind("image " + step.Image)
 	}
@@ -30,7 +30,7 @@
 	if n.tasks == nil {
 		n.tasks = map[noisy.Kind]int{}
 	}
-	kind := r.task.stage.kind
+	kind := r.task.stage.noisyKind
 	if n.tasks[kind] += tasks; n.tasks[kind] == 0 {
 		delete(n.tasks, kind)
 	}
@@ -47,7 +47,7 @@
 		if other.pace < fullPace {
 			return nil, false
 		}
-		if kind := other.task.stage.kind; !slices.Contains(kinds, kind) {
+		if kind := other.task.stage.noisyKind; !slices.Contains(kinds, kind) {
 			kinds = append(kinds, kind)
 		}
 	}
@@ -65,7 +65,7 @@
 		return
 	}
 	if kinds, steady := r.besides(); steady {
-		r.track.Sample(&c.interference, time.Duration(now), r.task.stage.kind, kinds, rate)
+		r.track.Sample(&c.interference, time.Duration(now), r.task.stage.noisyKind, kinds, rate)
 	}
 }
 
@@ -104,7 +104,7 @@
 
 // interference rates how much a task of a stage and the tasks on a worker would slow each other down; 0 if nothing is known.
 func (p *planner) interference(s *stage, w *worker) float64 {
-	rating := interferenceWeight * p.c.interference.Penalty(s.kind, w.neighbours.tasks)
+	rating := interferenceWeight * p.c.interference.Penalty(s.noisyKind, w.neighbours.tasks)
 	if s.step.Fills && w.runsServingTask() || s.step.TailTarget > 0 && w.runsFillingTask() {
 		rating += unprovenInterference
 	}
@@ -131,5 +131,5 @@
 
 // slowsDown reports whether a filling run is known to slow down a run that serves.
 func (c *Scheduler) slowsDown(filling, serving *run) bool {
-	return c.interference.Slowdown(noisy.Pair{Victim: serving.task.stage.kind, Aggressor: filling.task.stage.kind}) > 1
+	return c.interference.Slowdown(noisy.Pair{Victim: serving.task.stage.noisyKind, Aggressor: filling.task.stage.noisyKind}) > 1
 }
--- a/internal/chief/neighbours_internal_test.go
+++ b/internal/chief/neighbours_internal_test.go
@@ -41,7 +41,7 @@
 		j := &job{spec: &work.Job{ID: model.JobID(image), Queue: "scan", Pool: "pool", Steps: []work.Step{
 			{Count: 4, Need: work.Resources{CPU: 1000}, Image: image, Estimate: 10 * time.Second},
 		}}}
-		s := &stage{job: j, step: &j.spec.Steps[0], kind: kindOf(j.spec, &j.spec.Steps[0]), tasks: make([]task, 4), runsOn: map[*worker]int{}}
+		s := &stage{job: j, step: &j.spec.Steps[0], noisyKind: noisyKindOf(j.spec, &j.spec.Steps[0]), tasks: make([]task, 4), runsOn: map[*worker]int{}}
 		for index := range s.tasks {
 			s.tasks[index].stage, s.tasks[index].index = s, index
 		}
--- a/internal/chief/scheduler.go
+++ b/internal/chief/scheduler.go
@@ -14,6 +14,7 @@
 	"peridotgw.example/peridotgw/internal/kv"
 	"peridotgw.example/peridotgw/internal/noisy"
 	"peridotgw.example/peridotgw/internal/quota"
+	"peridotgw.example/peridotgw/internal/speed"
 	"peridotgw.example/peridotgw/internal/work"
 	"peridotgw.example/peridotgw/model"
 )
@@ -103,12 +104,12 @@
 	reservationsTriedAt map[work.PoolName]clock.Instant
 	nextPlanAt          clock.Instant
 	speedsComparedAt    clock.Instant
-	runTimes            map[work.QueueName]*runTimes
 	interference        noisy.Model
 	used                quota.Ledger // by all runs of all workers
 	rates               map[model.CustomerID]*quota.Rate
 	roomShort           bool // a task found no room in the last planning pass
 	nextTenantsAt       clock.Instant
+	speeds              speed.Tracker
 
 	// mu guards the fields below, which other goroutines read.
 	mu            sync.Mutex
@@ -134,8 +135,23 @@
 	EndStep func(step EndStep, ends int)
 	// Tenants reports the use of all tenants, about once a second; none at the end of a term.
 	Tenants func(states []quota.State)
+	// Speeds reports the number of workers by what is known of their speed, and Correction the mean factor by which the run times of a kind
+	// of tasks exceed the estimates of their callers.
+	Speeds     func(workers map[SpeedBucket]int)
+	Correction func(kind speed.Kind, factor float64)
 }
 
+// SpeedBucket is a range of speeds of workers against a usual one.
+type SpeedBucket string
+
+// Ranges of speeds.
+const (
+	SpeedUnknown SpeedBucket = "unknown"
+	SpeedSlow    SpeedBucket = "slow"  // below slowSpeed
+	SpeedUsual   SpeedBucket = "usual" // in between
+	SpeedFast    SpeedBucket = "fast"  // above fastSpeed
+)
+
 // JobStep is a step of a job's way through the scheduler.
 type JobStep string
 
@@ -180,9 +196,9 @@
 	c.mu.Lock()
 	c.durableStates = map[model.JobID]work.State{}
 	c.mu.Unlock()
-	c.runTimes = map[work.QueueName]*runTimes{}
 	c.interference = noisy.Model{OnChange: c.noteInterference}
 	c.used, c.rates = quota.Ledger{}, map[model.CustomerID]*quota.Rate{}
+	c.speeds = speed.Tracker{}
 	group, ctx := errgroup.WithContext(ctx)
 	c.ctx = ctx
 	jobs := &kv.Follower{
--- a/internal/chief/state.go
+++ b/internal/chief/state.go
@@ -7,6 +7,7 @@
 	"peridotgw.example/peridotgw/internal/clock"
 	"peridotgw.example/peridotgw/internal/kv"
 	"peridotgw.example/peridotgw/internal/noisy"
+	"peridotgw.example/peridotgw/internal/speed"
 	"peridotgw.example/peridotgw/internal/work"
 	"peridotgw.example/peridotgw/model"
 )
@@ -51,13 +52,18 @@
 	ratedAt        clock.Instant
 	sampledAt      clock.Instant // when the last progress sample was taken
 	sampledPercent int
-	checkpoint     work.Checkpoint
-	fromStart      bool           // started without a checkpoint
-	tailLatency    int            // in milliseconds; only of a task with a tail target
-	track          noisy.Track    // of its rate beside different neighbours
-	pace           int            // percent of full speed
-	reason         string         // why it was stopped or counts as ended
-	endNumber      work.EndNumber // of the end that its worker has listed; 0 for none
+	// measuredFrom is when the first progress sample was taken, with measuredPercent; 0 for none.
+	measuredFrom    clock.Instant
+	measuredPercent int
+	expectedSpeed   float64 // of its worker, when the run was created
+	compared        bool    // the speed of its worker was learned from it
+	checkpoint      work.Checkpoint
+	fromStart       bool           // started without a checkpoint
+	tailLatency     int            // in milliseconds; only of a task with a tail target
+	track           noisy.Track    // of its rate beside different neighbours
+	pace            int            // percent of full speed
+	reason          string         // why it was stopped or counts as ended
+	endNumber       work.EndNumber // of the end that its worker has listed; 0 for none
 }
 
 // present reports whether a run has not ended.
@@ -96,7 +102,7 @@
 	job          *job
 	id           work.StepID
 	step         *work.Step
-	kind         noisy.Kind
+	noisyKind    noisy.Kind // of its tasks, for what slows them down
 	tasks        []task
 	unfinished   int              // tasks that are not done
 	failedRuns   []work.RunNumber // of a gang, that count as attempts
@@ -115,6 +121,7 @@
 	reservedAt         clock.Instant
 	noCapacityLoggedAt clock.Instant
 	runsOn             map[*worker]int // number of runs by worker
+	haste              speed.Haste     // valid during a planning pass
 	advice             advice
 	// gangReservation is that of a gang that does not fit; nil for none. There is no new one before noReservationUntil.
 	gangReservation    *gangReservation
@@ -191,6 +198,8 @@
 	lastDoneAt       clock.Instant    // when it last completed a task
 	quarantines      int              // consecutive, for failed tasks
 	slowRounds       int              // consecutive comparisons that found it slow
+	speed            float64          // against a usual worker; 0 while nothing is known
+	speedLogged      float64          // as last logged; 0 before
 	removed          bool             // from Scheduler.workers
 	// available is valid during a planning pass: what is free once all stops are done, less reservations and new starts.
 	available work.Resources
--- a/internal/chief/workers.go
+++ b/internal/chief/workers.go
@@ -24,7 +24,7 @@
 	delete(w.runs, r.key)
 	w.neighbours.add(r, -1, c.Now())
 	if r.task != nil {
-		r.track.End(&c.interference, time.Duration(c.Now()), r.task.stage.kind)
+		r.track.End(&c.interference, time.Duration(c.Now()), r.task.stage.noisyKind)
 	}
 	c.notePlacedEnd(r)
 	w.endProbe(r)
@@ -68,6 +68,7 @@
 	if c.hasLeft(w, now) {
 		w.removed = true
 		delete(c.workers, w.info.ID)
+		c.speeds.Forget(w.info.ID)
 		c.saveRoster()
 		return
 	}
--- a/internal/node/meters.go
+++ b/internal/node/meters.go
@@ -9,6 +9,7 @@
 	"peridotgw.example/peridotgw/internal/chief"
 	"peridotgw.example/peridotgw/internal/metric"
 	"peridotgw.example/peridotgw/internal/serve"
+	"peridotgw.example/peridotgw/internal/speed"
 	"peridotgw.example/peridotgw/internal/work"
 	"peridotgw.example/peridotgw/platform"
 )
@@ -29,6 +30,8 @@
 	endings *prometheus.CounterVec
 	pairs   *prometheus.GaugeVec
 	tenants tenantMeters
+	speeds  *prometheus.GaugeVec
+	factors *prometheus.GaugeVec
 }
 
 func newMeters() *meters {
@@ -50,6 +53,8 @@
 		pairs:   set.Gauge("interfering_pairs", "Pairs of kinds of tasks that are known to slow each other down on one worker."),
 		endings: set.Counter("end_steps_total", "Ends that workers list, by how far they have come.", "step"),
 		tenants: newTenantMeters(set),
+		speeds:  set.Gauge("worker_speeds", "Workers of the leader by what it knows of their speed.", "speed"),
+		factors: set.Gauge("estimate_correction", "Mean factor by which run times exceed the estimates of callers.", "queue", "image"),
 	}
 }
 
@@ -94,6 +99,14 @@
 			m.stalled.WithLabelValues(strconv.FormatBool(besideRoom)).Observe(stalled.Seconds())
 		},
 		JobStep: func(step chief.JobStep) { m.jobs.WithLabelValues(string(step)).Inc() },
+		Speeds: func(workers map[chief.SpeedBucket]int) {
+			for bucket, count := range workers {
+				m.speeds.WithLabelValues(string(bucket)).Set(float64(count))
+			}
+		},
+		Correction: func(kind speed.Kind, factor float64) {
+			m.factors.WithLabelValues(string(kind.Queue), string(kind.Image)).Set(factor)
+		},
 		EndStep: func(step chief.EndStep, ends int) { m.endings.WithLabelValues(string(step)).Add(float64(ends)) },
 		Tenants: m.tenants.set,
 	}
