--- a/internal/intake/change.go
+++ b/internal/intake/change.go
@@ -7,6 +7,7 @@
 
 	"peridotgw.example/peridotgw/internal/clock"
 	"peridotgw.example/peridotgw/internal/kv"
+	"peridotgw.example/peridotgw/internal/outage"
 	"peridotgw.example/peridotgw/internal/work"
 	"peridotgw.example/peridotgw/model"
 )
@@ -27,6 +28,30 @@
 	Cancel model.JobID `cbor:"2,keyasint,omitempty"`
 }
 
+// id returns the job's id.
+func (c Change) id() model.JobID {
+	if c.Submit != nil {
+		return c.Submit.ID
+	}
+	return c.Cancel
+}
+
+// kind names the change in logs and metrics.
+func (c Change) kind() string {
+	if c.Submit != nil {
+		return "submit"
+	}
+	return "cancel"
+}
+
+// priority returns the priority of a job that is submitted; cancellations go first, since they free room.
+func (c Change) priority() int {
+	if c.Submit != nil {
+		return c.Submit.Terms.Priority
+	}
+	return 0
+}
+
 // Announcement is a change that is durable, and the revision at which it was stored.
 type Announcement struct {
 	Change   Change      `cbor:"1,keyasint"`
@@ -62,40 +87,86 @@
 	startedAt := time.Now()
 	var result changeResult
 	err := s.retryChange(ctx, change, &result)
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		err = s.refuse(change.kind(), refused.Cause)
+	}
 	result.took, result.callEnded = time.Since(startedAt), context.Cause(ctx)
 	return result, err
 }
 
 func (s *Service) retryChange(ctx context.Context, change Change, result *changeResult) error {
+	caller := outage.Caller{Priority: change.priority()}
 	if deadline, ok := ctx.Deadline(); ok {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-replyMargin))
+		caller.Deadline = deadline.Add(-replyMargin)
+		ctx, cancel = context.WithDeadline(ctx, caller.Deadline)
 		defer cancel()
 	}
 	startedAt := time.Now()
 	doubtful := false
 	if ctx.Err() != nil {
-		return &RefusedError{Cause: errNoTime, RetryAfter: retryAfter}
+		return &RefusedError{Cause: errNoTime}
 	}
+	place := s.gate.Join(startedAt, caller)
+	defer s.gate.Leave(place, false)
 	for {
-		result.attempts++
-		err, doubt := s.attemptChange(ctx, change, result)
-		if isFinal(err) {
-			return err
+		step := s.step(ctx, change, place, result)
+		if isFinal(step.err) {
+			return step.err
 		}
-		doubtful = doubtful || doubt
-		if !doubtful && time.Since(startedAt) > refusedRetryTime {
-			return err
+		doubtful = doubtful || step.doubt
+		if !doubtful && (step.over || time.Since(startedAt) > refusedRetryTime) {
+			return step.err
 		}
-		if sleepErr := clock.Sleep(ctx, retryDelay); sleepErr != nil {
+		if sleepErr := clock.Sleep(ctx, step.pause); sleepErr != nil {
 			if doubtful {
-				return &InDoubtError{Cause: err}
+				return &InDoubtError{Cause: step.err}
 			}
-			return err
+			return step.err
 		}
 	}
 }
 
+// changeStep is the result of one step of a change.
+type changeStep struct {
+	err   error
+	doubt bool          // the change may take effect, whatever later steps return
+	over  bool          // a change that is not in doubt is to be refused
+	pause time.Duration // until the next step
+}
+
+// step sends a change to the store, passes it to another instance, or lets it wait.
+func (s *Service) step(ctx context.Context, change Change, place *outage.Change, result *changeResult) changeStep {
+	verdict := s.gate.Ask(time.Now(), place)
+	s.logTransition()
+	if verdict.Send {
+		result.attempts++
+		err, doubt := s.attemptChange(ctx, change, result)
+		s.gate.Leave(place, isFinal(err))
+		return changeStep{err: err, doubt: doubt, pause: retryDelay}
+	}
+	if s.Relay != nil && s.detour.Try(time.Now()) {
+		result.attempts++
+		err := s.relay(ctx, change)
+		if isFinal(err) {
+			result.applied = applied{relayed: true}
+			return changeStep{err: err}
+		}
+		if !isRefused(err) {
+			return changeStep{err: err, doubt: true, pause: waitStep}
+		}
+	}
+	result.waited += waitStep
+	cause, age := s.gate.Down(time.Now())
+	if verdict.Refuse != "" {
+		cause = verdict.Refuse
+	}
+	return changeStep{
+		err: &RefusedError{Cause: &OutageError{Cause: cause, Age: age}}, over: verdict.Refuse != "", pause: waitStep,
+	}
+}
+
 // attemptChange applies a change through this instance's store and, when that fails or takes longer than relayDelay, through another
 // instance as well. The first final result wins, as a change is idempotent; doubt is true when neither result is final and one of
 // the attempts may have taken effect.
@@ -129,7 +200,7 @@
 		if !relayed {
 			relayed = true
 			inFlight++
-			go func() { results <- attempt{applied{relayed: true}, s.Relay(ctx, change)} }()
+			go func() { results <- attempt{applied{relayed: true}, s.relay(ctx, change)} }()
 		}
 	}
 	return result, doubt
@@ -150,17 +221,21 @@
 // store when the result is unknown.
 func (s *Service) Apply(ctx context.Context, change Change) error {
 	startedAt := time.Now()
+	if err := s.outageError(); err != nil {
+		return &RefusedError{Cause: err, RetryAfter: retryAfter}
+	}
 	done, err := s.apply(ctx, change)
 	result := changeResult{applied: done, attempts: 1, took: time.Since(startedAt), callEnded: context.Cause(ctx)}
-	id, what := change.Cancel, "cancel"
-	if change.Submit != nil {
-		id, what = change.Submit.ID, "submit"
-	}
-	result.log(s.Log.Info(), id, err).Str("what", what).Msg("intake: change of another instance")
+	result.log(s.Log.Info(), change.id(), err).Str("what", change.kind()).Msg("intake: change of another instance")
 	return err
 }
 
 func (s *Service) apply(ctx context.Context, change Change) (applied, error) {
+	if change.Submit != nil {
+		if done, err := s.look(ctx, change.Submit.ID); done.before || err != nil {
+			return done, err
+		}
+	}
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
 	if change.Submit != nil {
@@ -169,6 +244,21 @@
 	return s.markCancelled(ctx, change.Cancel)
 }
 
+// look reads a job's key before the job is written, if the store has not answered for a moment: a read without an answer leaves nothing in
+// doubt. It returns an applied change if an earlier attempt has stored the job.
+func (s *Service) look(ctx context.Context, id model.JobID) (applied, error) {
+	if !s.gate.Stale(time.Now()) {
+		return applied{}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, lookTimeout)
+	defer cancel()
+	item, found, err := s.Store.Get(ctx, work.JobKey(id))
+	if err != nil {
+		return applied{}, &RefusedError{Cause: err, RetryAfter: retryAfter}
+	}
+	return applied{revision: item.Revision, before: found}, nil
+}
+
 func (s *Service) createJob(ctx context.Context, job *work.Job) (applied, error) {
 	value, err := work.Encode(job)
 	if err != nil {
--- a/internal/intake/pending.go
+++ b/internal/intake/pending.go
@@ -28,10 +28,10 @@
 	})
 	select {
 	case <-waitCtx.Done():
-		return 0, &RefusedError{Cause: waitCtx.Err(), RetryAfter: retryAfter}
+		return 0, s.refuse("pending", waitCtx.Err())
 	case r := <-result:
 		if r.Err != nil {
-			return 0, &RefusedError{Cause: r.Err, RetryAfter: retryAfter}
+			return 0, s.refuse("pending", r.Err)
 		}
 	}
 	counts, _ := s.cachedCounts()
@@ -70,6 +70,9 @@
 // countUnfinished counts the stored jobs without a final state. This includes running jobs, so it is used only when the owner
 // does not answer.
 func (s *Service) countUnfinished(ctx context.Context) (map[work.QueueName]int, error) {
+	if err := s.outageError(); err != nil {
+		return nil, err
+	}
 	jobs, _, err := kv.List(ctx, s.Store, work.JobPrefix)
 	if err != nil {
 		return nil, err
--- a/internal/intake/result.go
+++ b/internal/intake/result.go
@@ -20,6 +20,7 @@
 type changeResult struct {
 	applied   applied
 	attempts  int
+	waited    time.Duration // unsent, for the store's return
 	took      time.Duration
 	callEnded error // why the call was over before its result; nil if it was not
 }
@@ -30,6 +31,9 @@
 	if r.applied.revision != 0 {
 		line = line.Uint64("revision", uint64(r.applied.revision))
 	}
+	if r.waited != 0 {
+		line = line.Dur("waited", r.waited)
+	}
 	if r.callEnded != nil {
 		line = line.AnErr("call-ended", r.callEnded)
 	}
--- a/internal/intake/service.go
+++ b/internal/intake/service.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"peridotgw.example/peridotgw/internal/kv"
+	"peridotgw.example/peridotgw/internal/outage"
 	"peridotgw.example/peridotgw/internal/work"
 	"peridotgw.example/peridotgw/model"
 )
@@ -40,10 +41,15 @@
 	Now   func() time.Time // wall-clock time
 	// Relay makes one attempt to apply a change through another instance; nil for none. Its errors are those of Apply.
 	Relay func(ctx context.Context, change Change) error
+	// Refused is called with the kind and the reason of each call that is refused; nil for none.
+	Refused func(call, reason string)
 	// Announce is called with each change that this instance has stored, so that the instance that schedules need not wait for its
 	// watch; nil for none. It must not block.
 	Announce func(Announcement)
 
+	gate   outage.Gate // of changes to the store
+	detour outage.Detour
+
 	counting singleflight.Group // the count of pending jobs in flight
 
 	mu            sync.Mutex // guards the fields below; not held during calls
--- a/internal/intake/state.go
+++ b/internal/intake/state.go
@@ -74,11 +74,14 @@
 	if accepted {
 		return work.StateQueued, nil
 	}
-	return "", &RefusedError{Cause: err, RetryAfter: retryAfter}
+	return "", s.refuse("status", err)
 }
 
 // storedState reads a job's state from the store.
 func (s *Service) storedState(ctx context.Context, id model.JobID) (work.State, error) {
+	if err := s.outageError(); err != nil {
+		return "", err
+	}
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
 	item, found, err := s.Store.Get(ctx, work.ProgressKey(id))
--- a/internal/node/meters.go
+++ b/internal/node/meters.go
@@ -58,6 +58,11 @@
 	m.answers.WithLabelValues(call, strconv.Itoa(status)).Inc()
 }
 
+// refused counts a call that was refused because of the store or for want of time.
+func (m *meters) refused(call, reason string) {
+	m.set.Refusals.WithLabelValues(reason, call).Inc()
+}
+
 // drainedConn returns the function that counts the connections of a server by how they ended in its drain.
 func (m *meters) drainedConn(server string) func(serve.End) {
 	return func(end serve.End) { m.set.DrainedConns.WithLabelValues(server, string(end)).Inc() }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -65,7 +65,11 @@
 	workerClient, closeWorkers := platform.NewClient(platform.IdleWorkerConns, n.meters.traffic("workers"))
 	peerClient, closePeers := platform.NewClient(peerConns, n.meters.traffic("peers"))
 	peerClient.Timeout = peerTimeout
-	store := platform.NewStore(storeClient, settings.Store, n.storeCalled)
+	n.jobIntake = &intake.Service{
+		Owner: n.owner(), Log: log, Now: time.Now, Relay: n.relayChange, Refused: n.meters.refused,
+	}
+	store := n.jobIntake.ObserveStore(platform.NewStore(storeClient, settings.Store, n.storeCalled))
+	n.jobIntake.Store = store
 	adviceClient, closeAdvice := platform.NewClient(platform.IdleAdviceConns, n.meters.traffic("advice"))
 	n.advise = platform.NewAdviceClient(adviceClient, settings.Advice)
 	n.store, n.workers, n.peerCaller = store, platform.NewWorkerClient(workerClient), &wire.Caller{HTTP: peerClient}
@@ -76,9 +80,7 @@
 	}
 	n.announcer = newAnnouncer()
 	n.announcer.Send, n.announcer.Count, n.announcer.Log = n.announceToLeader, n.meters.announced, log
-	n.jobIntake = &intake.Service{
-		Store: store, Owner: n.owner(), Log: log, Now: time.Now, Relay: n.relayChange, Announce: n.announcer.Add,
-	}
+	n.jobIntake.Announce = n.announcer.Add
 	return n, func() {
 		closeStore()
 		closeWorkers()
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -273,6 +274,9 @@
 // relayPeers returns the next peers to relay to, rotating through all peers; the constant of the same name limits their number.
 func (n *Node) relayPeers() []elect.Node {
 	peers := n.elector.Peers()
+	if stay := staying(peers); len(stay) >= relayPeers {
+		peers = stay
+	}
 	if len(peers) <= relayPeers {
 		return peers
 	}
@@ -284,12 +288,21 @@
 	return chosen
 }
 
+// staying returns the peers that are not about to stop.
+func staying(peers []elect.Node) []elect.Node {
+	return slices.DeleteFunc(slices.Clone(peers), func(peer elect.Node) bool { return peer.Stopping })
+}
+
 // relayToPeer applies a change through one instance. Its errors are those of intake.Service.Apply; without an answer, the change may
 // have taken effect.
 func (n *Node) relayToPeer(ctx context.Context, peer elect.Node, change intake.Change) error {
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	answer, err := wire.Call[intake.Change, changeAnswer](ctx, n.peerCaller, peer.Address, procChange, &change)
+	var notSent *net.OpError
+	if errors.As(err, &notSent) && notSent.Op == "dial" {
+		return &intake.RefusedError{Cause: err, RetryAfter: relayRetryAfter}
+	}
 	if err != nil {
 		return err
 	}
