--- a/internal/chief/snapshot.go
+++ b/internal/chief/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"peridotgw.example/peridotgw/internal/clock"
 	"peridotgw.example/peridotgw/internal/view"
 	"peridotgw.example/peridotgw/internal/work"
 	"peridotgw.example/peridotgw/model"
@@ -99,10 +100,12 @@
 }
 
 // lostByStop returns the time of work that stopping a run now loses.
-func (p *planner) lostByStop(r *run) time.Duration {
-	lost := r.age(p.now)
+func (p *planner) lostByStop(r *run) time.Duration { return p.c.lostByStop(r, p.now) }
+
+func (c *Scheduler) lostByStop(r *run, now clock.Instant) time.Duration {
+	lost := r.age(now)
 	if r.task.stage.step.Checkpoints {
-		lost = min(lost, p.c.Limits.CheckpointInterval+p.c.Limits.RestoreTime)
+		lost = min(lost, c.Limits.CheckpointInterval+c.Limits.RestoreTime)
 	}
 	return lost
 }
--- a/internal/chief/state.go
+++ b/internal/chief/state.go
@@ -56,6 +56,7 @@
 	pace           int            // percent of full speed
 	reason         string         // why it was stopped or counts as ended
 	endNumber      work.EndNumber // of the end that its worker has listed; 0 for none
+	leaving        leaving        // on a worker that leaves; of a gang, see there
 }
 
 // present reports whether a run has not ended.
@@ -68,6 +69,7 @@
 	members map[*run]bool
 	ending  bool // a member is done, or the rest is being stopped
 	spread  bool // its members were not all in one rack
+	leaving leaving
 }
 
 // task is one task of a stage.
--- a/internal/intake/change.go
+++ b/internal/intake/change.go
@@ -82,7 +82,7 @@
 }
 
 // change retries a change until its result is final or the caller's deadline is near. While every attempt is refused, retries end
-// after refusedRetryTime.
+// after refusedRetryTime. While the store does not serve this instance, a change waits unsent for as long as the gate allows.
 func (s *Service) change(ctx context.Context, change Change) (changeResult, error) {
 	startedAt := time.Now()
 	var result changeResult
@@ -96,18 +96,22 @@
 }
 
 func (s *Service) retryChange(ctx context.Context, change Change, result *changeResult) error {
+	if ctx.Err() != nil {
+		return &RefusedError{Cause: errNoTime}
+	}
+	startedAt := time.Now()
 	caller := outage.Caller{Priority: change.priority()}
 	if deadline, ok := ctx.Deadline(); ok {
 		var cancel context.CancelFunc
-		caller.Deadline = deadline.Add(-replyMargin)
+		left := deadline.Sub(startedAt)
+		if left < minCallTime {
+			return &RefusedError{Cause: errNoTime}
+		}
+		caller.Deadline = deadline.Add(-min(replyMargin, left/2))
 		ctx, cancel = context.WithDeadline(ctx, caller.Deadline)
 		defer cancel()
 	}
-	startedAt := time.Now()
 	doubtful := false
-	if ctx.Err() != nil {
-		return &RefusedError{Cause: errNoTime}
-	}
 	place := s.gate.Join(startedAt, caller)
 	defer s.gate.Leave(place, false)
 	for {
@@ -116,7 +120,7 @@
 			return step.err
 		}
 		doubtful = doubtful || step.doubt
-		if !doubtful && (step.over || time.Since(startedAt) > refusedRetryTime) {
+		if !doubtful && (step.over || step.sent && time.Since(startedAt) > refusedRetryTime) {
 			return step.err
 		}
 		if sleepErr := clock.Sleep(ctx, step.pause); sleepErr != nil {
@@ -132,6 +136,7 @@
 type changeStep struct {
 	err   error
 	doubt bool          // the change may take effect, whatever later steps return
+	sent  bool          // it was sent to the store
 	over  bool          // a change that is not in doubt is to be refused
 	pause time.Duration // until the next step
 }
@@ -144,7 +149,7 @@
 		result.attempts++
 		err, doubt := s.attemptChange(ctx, change, result)
 		s.gate.Leave(place, isFinal(err))
-		return changeStep{err: err, doubt: doubt, pause: retryDelay}
+		return changeStep{err: err, doubt: doubt, sent: true, pause: retryDelay}
 	}
 	if s.Relay != nil && s.detour.Try(time.Now()) {
 		result.attempts++
--- a/internal/intake/service.go
+++ b/internal/intake/service.go
@@ -17,8 +17,10 @@
 const (
 	attemptTimeout = 600 * time.Millisecond
 	retryAfter     = time.Second
-	// replyMargin is the part of the caller's time that is kept for sending the answer.
+	// replyMargin is the part of the caller's time that is kept for sending the answer. It is at most half of it.
 	replyMargin = 250 * time.Millisecond
+	// minCallTime is the time of a caller below which its change is not attempted.
+	minCallTime = 100 * time.Millisecond
 	// readReplyMargin replaces it for reads, which need no certainty about their result. It is at most a quarter of the caller's time.
 	readReplyMargin = 100 * time.Millisecond
 	ownerTimeout    = 400 * time.Millisecond
--- a/internal/outage/breaker.go
+++ b/internal/outage/breaker.go
@@ -20,7 +20,7 @@
 const (
 	CauseSilent  Cause = "store-silent"  // calls have no answer
 	CauseRefuses Cause = "store-refuses" // calls are refused or get no connection
-	CauseReturn  Cause = "store-returns" // it has just returned, and others go first
+	CauseReturn  Cause = "store-returns" // it has just returned, and other changes go first
 	CauseCrowd   Cause = "too-many-wait"
 )
 
@@ -31,7 +31,7 @@
 	// refusalsToOpen is the number of refusals in a row after which the store counts as refusing: one may be due to a limit on calls.
 	refusalsToOpen = 2
 	// freshFor is how long after an answer a change is sent without a look whether the store still answers.
-	freshFor = 200 * time.Millisecond
+	freshFor = 100 * time.Millisecond
 )
 
 // call is a call to the store that has no answer.
--- a/internal/outage/gate.go
+++ b/internal/outage/gate.go
@@ -9,9 +9,9 @@
 	// maxPatience is how long an attempt of a caller waits unsent at most. Callers wait for about three seconds and try up to five times:
 	// waits of this length leave none of that time uncovered, and none of the attempts ends at its caller's deadline.
 	maxPatience = 600 * time.Millisecond
-	// hopelessAge is how many times the caller's time an outage has lasted when its changes are refused without a wait. An outage that
-	// has lasted for a time goes on for as long again in half of all cases.
-	hopelessAge = 3
+	// hopelessAge is the age of an outage from which on changes are refused without a wait. It will probably outlast the time of a caller
+	// by far, as one that has lasted for a time goes on for as long again in half of all cases.
+	hopelessAge = 10 * time.Second
 	// maxWaiting bounds the changes that wait in an instance, and so their memory.
 	maxWaiting = 200
 	// rampTime is how long after the store's return the number of changes in flight is limited.
@@ -131,7 +131,7 @@
 	g.joined++
 	change := &Change{caller: caller, joined: g.joined, until: now.Add(maxPatience)}
 	age, cause := g.look(now)
-	if cause != "" && !caller.Deadline.IsZero() && age > hopelessAge*caller.Deadline.Sub(now) || len(g.waiting) >= maxWaiting {
+	if cause != "" && age > hopelessAge || len(g.waiting) >= maxWaiting {
 		change.until = now
 	}
 	if g.waiting == nil {
@@ -140,21 +140,24 @@
 	return change
 }
 
-// Ask decides about a change that has joined. A change without a verdict to send or refuse it waits, and is asked for again soon.
+// Ask decides about a change that has joined. A change without a verdict to send or refuse it waits, and is asked for again soon. None is
+// refused because others go first.
 func (g *Gate) Ask(now time.Time, change *Change) Verdict {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	_, cause := g.look(now)
-	if cause == "" && !g.mayPass(now, change) {
+	if cause == "" && !change.sent && !g.mayPass(now, change) {
 		cause = CauseReturn
 	}
 	switch {
 	case cause == "":
 		g.stopWaiting(change)
-		change.sent = true
-		g.inFlight++
+		if !change.sent {
+			change.sent = true
+			g.inFlight++
+		}
 		return Verdict{Send: true}
-	case !now.Before(change.until):
+	case cause != CauseReturn && !now.Before(change.until):
 		if !change.waiting && len(g.waiting) >= maxWaiting {
 			cause = CauseCrowd
 		}
