--- a/internal/chief/drain.go
+++ b/internal/chief/drain.go
@@ -49,14 +49,15 @@
 // leaveWith decides about the runs that stop or go on together; r is the one on a worker that leaves. A decision is logged once, and again
 // when it changes.
 func (c *Scheduler) leaveWith(last *leaving, runs []*run, r *run, now clock.Instant) {
-	limits := leave.Limits{Stop: c.Limits.StopTimeout + leaveMargin}
+	limits := leave.Limits{Stop: c.Limits.StopTimeout + leaveMargin, Lease: c.Limits.MaxLease}
 	seen := c.leavingWork(runs, now)
 	decision := limits.Decide(&seen)
 	if !last.decided || last.action != decision.Action {
 		*last = leaving{decided: true, action: decision.Action}
 		c.Log.Info().Str("task", r.key.task.String()).Int64("run", int64(r.key.number)).Str("worker", string(r.worker.info.ID)).
 			Int("members", len(runs)).Str("action", decision.Action.String()).Str("why", string(decision.Reason)).
-			Dur("left", decision.Left).Dur("leaves-in", decision.LeavesIn).Dur("loses", seen.Lost).Bool("saves", seen.Checkpoints).
+			Dur("left", decision.Left).Dur("leaves-in", decision.LeavesIn).
+			Float64("chance", decision.Chance).Dur("loses", seen.Lost).Bool("saves", seen.Checkpoints).
 			Msg("chief: work on a leaving worker")
 	}
 	if decision.Action != leave.StopNow {
@@ -78,7 +79,7 @@
 	}
 	for _, r := range runs {
 		seen.Members = append(seen.Members, leave.Member{
-			Left: c.memberLeft(r, now), Leaves: r.worker.leaves(), LeavesIn: r.worker.leavesAt.Sub(now),
+			Left: c.memberLeft(r, now), Rated: r.ratedAt != 0 || r.percent >= fullPercent, Leaves: r.worker.leaves(), LeavesIn: r.worker.leavesAt.Sub(now),
 		})
 		if !stage.step.Lasts {
 			seen.Lost = max(seen.Lost, c.lostByStop(r, now))
--- a/internal/leave/leave.go
+++ b/internal/leave/leave.go
@@ -8,12 +8,12 @@
 )
 
 const (
-	// lateEnd is how long after the earliest end of its worker a run may be expected to end and still be left alone: workers state the
-	// least time that is left, and mostly serve a little longer.
-	lateEnd = 250 * time.Millisecond
-	// doubt is the part of its time by which the end of a run is uncertain. A run that may end in time, within it, is not given up before
-	// it has to be.
-	doubt = 0.3
+	// ratedDoubt is the part by which a time left is uncertain that follows from a run's own progress, and unratedDoubt that of one that
+	// follows from the run times of others.
+	ratedDoubt   = 0.1
+	unratedDoubt = 0.6
+	// sure is the chance from which on work is expected to end in time.
+	sure = 0.9
 )
 
 // Reasons of decisions.
@@ -22,7 +22,8 @@
 	ReasonSaves  view.Reason = "it goes on until just before its worker leaves, and continues elsewhere"
 	ReasonMayEnd view.Reason = "it may end before its worker leaves"
 	ReasonTooLow view.Reason = "it will not end before its worker leaves"
-	ReasonNoTime view.Reason = "its worker leaves"
+	ReasonTarget view.Reason = "only a start now may meet its job's target"
+	ReasonNoTime view.Reason = "there is no more time"
 )
 
 // Action is what happens to a piece of work.
@@ -49,6 +50,7 @@
 // Member is a run of a gang, or a run by itself.
 type Member struct {
 	Left     time.Duration // estimated time until its own part is done
+	Rated    bool          // the estimate follows from its own progress
 	Leaves   bool          // whether its worker leaves
 	LeavesIn time.Duration // at the earliest
 }
@@ -68,6 +70,8 @@
 type Limits struct {
 	// Stop is how long before its worker leaves a run must be ordered to stop, so that its end is still reported.
 	Stop time.Duration
+	// Lease is how long the tasks of work that is cut off wait for the leases on the worker that has left.
+	Lease time.Duration
 }
 
 // Decision is what happens to a piece of work, and why.
@@ -76,22 +80,28 @@
 	Reason view.Reason
 	// Left is the estimated time until all of the work is done, and LeavesIn the time until the first of its workers leaves.
 	Left, LeavesIn time.Duration
+	Chance         float64 // that it ends in time
 }
 
 // Decide returns what loses least. It is asked anew until the work has ended: estimates improve while the time runs out. Work that is
-// stopped loses what is not saved and starts elsewhere at once; work that is cut off loses the same, and its tasks wait for the leases on the
-// worker that has left.
+// stopped loses what is not saved and starts elsewhere at once; work that is cut off loses the same, and its tasks wait for the leases on
+// the worker that has left.
 func (l Limits) Decide(w *Work) Decision {
-	d := Decision{Left: w.left(), LeavesIn: w.leavesIn()}
+	d := Decision{LeavesIn: w.leavesIn()}
+	d.Left, d.Chance = w.left(d.LeavesIn)
 	untilStop := d.LeavesIn - l.Stop
 	switch {
-	case d.Left <= d.LeavesIn+lateEnd:
+	case d.Chance >= sure:
 		d.Action, d.Reason = Finish, ReasonEnds
+	case untilStop <= 0 && w.gains(d.Chance, l.Lease):
+		d.Action, d.Reason = Finish, ReasonMayEnd
 	case untilStop <= 0:
 		d.Action, d.Reason = StopNow, ReasonNoTime
 	case w.Checkpoints:
 		d.Action, d.Reason = StopLater, ReasonSaves
-	case w.worthWaiting(&d, untilStop):
+	case w.Slack >= 0 && w.Slack < untilStop:
+		d.Action, d.Reason = StopNow, ReasonTarget
+	case w.gains(d.Chance, untilStop):
 		d.Action, d.Reason = StopLater, ReasonMayEnd
 	default:
 		d.Action, d.Reason = StopNow, ReasonTooLow
@@ -99,13 +109,31 @@
 	return d
 }
 
-// left returns the time until the slowest member is done.
-func (w *Work) left() time.Duration {
-	var left time.Duration
+// left returns the time until the slowest member is done, and the chance that it is done within a time.
+func (w *Work) left(within time.Duration) (left time.Duration, chance float64) {
+	chance = 1
 	for _, m := range w.Members {
 		left = max(left, m.Left)
+		chance = min(chance, m.chance(within))
+	}
+	return left, chance
+}
+
+// chance returns the chance that a member is done within a time: its time left is off by up to its doubt either way.
+func (m *Member) chance(within time.Duration) float64 {
+	doubt := unratedDoubt
+	if m.Rated {
+		doubt = ratedDoubt
+	}
+	earliest, latest := (1-doubt)*m.Left.Seconds(), (1+doubt)*m.Left.Seconds()
+	switch seconds := within.Seconds(); {
+	case seconds >= latest:
+		return 1
+	case seconds <= earliest:
+		return 0
+	default:
+		return (seconds - earliest) / (latest - earliest)
 	}
-	return left
 }
 
 // leavesIn returns the time until the first member's worker leaves.
@@ -119,21 +147,8 @@
 	return first
 }
 
-// worthWaiting reports whether less is lost on average by going on until the last moment for a stop than by a stop now. Going on saves
-// what a stop loses if the work ends in time, and loses the time until then otherwise. It is not worth it where only a start now may meet
-// the job's target.
-func (w *Work) worthWaiting(d *Decision, untilStop time.Duration) bool {
-	if w.Slack >= 0 && w.Slack < untilStop {
-		return false
-	}
-	chance := w.chanceToEnd(d)
-	return chance*float64(w.Lost) > (1-chance)*float64(untilStop)
-}
-
-// chanceToEnd returns the chance that the work ends before the first of its workers leaves, for a time left that is off by up to doubt
-// either way.
-func (w *Work) chanceToEnd(d *Decision) float64 {
-	earliest, latest := (1-doubt)*d.Left.Seconds(), (1+doubt)*d.Left.Seconds()
-	chance := ((d.LeavesIn + lateEnd).Seconds() - earliest) / (latest - earliest)
-	return min(max(chance, 0), 1)
+// gains reports whether less is lost on average by going on than by a stop now. Going on saves what a stop loses if the work ends in time,
+// and costs a time otherwise.
+func (w *Work) gains(chance float64, cost time.Duration) bool {
+	return chance*float64(w.Lost) > (1-chance)*float64(cost)
 }
