--- a/internal/kv/follow.go
+++ b/internal/kv/follow.go
@@ -88,12 +88,19 @@
 	return nil
 }
 
-// watch waits once for changes. While the store does not answer, watches are short, so that its return is noticed soon.
+// watch waits once for changes. One that is late is sent again, and while the store does not answer, watches are short: the store may drop
+// a watch without a word, and its return is to be noticed soon.
 func (f *Follower) watch(ctx context.Context, after Revision) (Changes, error) {
-	if !f.failing {
-		return f.Store.Watch(ctx, f.Prefix, after, watchWait)
+	first := watchWait
+	if f.failing {
+		first = 0
 	}
-	return Hedged(ctx, func(ctx context.Context) (Changes, error) { return f.Store.Watch(ctx, f.Prefix, after, probeWait) })
+	return hedgedAfter(ctx, first+hedgeInterval, func(ctx context.Context, sent int) (Changes, error) {
+		if sent > 0 || f.failing {
+			return f.Store.Watch(ctx, f.Prefix, after, probeWait)
+		}
+		return f.Store.Watch(ctx, f.Prefix, after, watchWait)
+	})
 }
 
 // logTransition logs the first failure of a series and its end.
--- a/internal/kv/follow_test.go
+++ b/internal/kv/follow_test.go
@@ -53,3 +53,29 @@
 		g.Expect(<-done).To(MatchError(context.Canceled))
 	})
 }
+
+// Guards against a change that is learned of late because the store dropped the watch for it without an answer.
+func TestFollowerSendsALateWatchAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		store := fakepl.NewStore()
+		net := memnet.New()
+		net.SetHandler("store:1", store)
+		var seen atomic.Int32
+		follower := &kv.Follower{
+			Store: platform.NewStore(net.Client("a"), "store:1", func(string, string, bool) {}), Prefix: "op/", Log: zerolog.Nop(),
+			OnReset: func([]kv.Item) {}, OnEvents: func([]kv.Event) { seen.Add(1) },
+		}
+		store.SetFault(fakepl.FaultOn(fakepl.Silent, "/kv-watch"))
+		done := make(chan error, 1)
+		go func() { done <- follower.Run(ctx) }()
+		time.Sleep(100 * time.Millisecond)
+		store.SetFault(nil)
+		store.Put("op/config", []byte("1"))
+		time.Sleep(1200 * time.Millisecond)
+		g.Expect(seen.Load()).To(Equal(int32(1)))
+		cancel()
+		g.Expect(<-done).To(MatchError(context.Canceled))
+	})
+}
--- a/internal/kv/hedge.go
+++ b/internal/kv/hedge.go
@@ -16,6 +16,11 @@
 // Hedged makes a call that may be repeated, and sends it again while it has no answer. It returns the first result other than an
 // InDoubtError, or such an error once no call is in flight any more. call must bound its own time, and is called concurrently.
 func Hedged[T any](ctx context.Context, call func(context.Context) (T, error)) (T, error) {
+	return hedgedAfter(ctx, hedgeInterval, func(ctx context.Context, _ int) (T, error) { return call(ctx) })
+}
+
+// hedgedAfter is Hedged with another time until the call is sent for the second time. call is given the number of calls sent before.
+func hedgedAfter[T any](ctx context.Context, first time.Duration, call func(context.Context, int) (T, error)) (T, error) {
 	type result struct {
 		value T
 		err   error
@@ -23,13 +28,15 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan result, maxHedges)
-	ticker := time.NewTicker(hedgeInterval)
-	defer ticker.Stop()
-	inFlight := 0
+	timer := time.NewTimer(first)
+	defer timer.Stop()
+	inFlight, sent := 0, 0
 	send := func() {
+		number := sent
 		inFlight++
+		sent++
 		go func() {
-			value, err := call(ctx)
+			value, err := call(ctx, number)
 			results <- result{value, err}
 		}()
 	}
@@ -42,7 +49,8 @@
 			if !errors.As(r.err, &doubt) || inFlight == 0 {
 				return r.value, r.err
 			}
-		case <-ticker.C:
+		case <-timer.C:
+			timer.Reset(hedgeInterval)
 			if inFlight < maxHedges {
 				send()
 			}
