--- a/internal/intake/outage.go
+++ b/internal/intake/outage.go
@@ -40,10 +40,8 @@
 		}
 	}
 	return kv.Observed(store, begin, func(err error) {
-		if result := storeResult(err); result == outage.Served || result == outage.Refused {
-			s.gate.Begin(time.Now())(time.Now(), result)
-			s.logTransition()
-		}
+		s.gate.Note(time.Now(), storeResult(err))
+		s.logTransition()
 	})
 }
 
--- a/internal/outage/gate.go
+++ b/internal/outage/gate.go
@@ -74,9 +74,11 @@
 	}
 }
 
-// Answered notes that the store has answered a call that was not noted before.
-func (g *Gate) Answered(now time.Time) {
-	g.Begin(now)(now, Served)
+// Note notes the result of a call that the store may hold open, and whose time tells nothing.
+func (g *Gate) Note(now time.Time, result Result) {
+	if result == Served || result == Refused {
+		g.Begin(now)(now, result)
+	}
 }
 
 // look returns what is known about the store, and begins the ramp when it has returned; g.mu is held.
--- a/internal/outage/outage_test.go
+++ b/internal/outage/outage_test.go
@@ -68,7 +68,7 @@
 func silentGate() (gate *outage.Gate, answered func(ms int)) {
 	gate = &outage.Gate{}
 	gate.Begin(at(0))
-	return gate, func(ms int) { gate.Answered(at(ms)) }
+	return gate, func(ms int) { gate.Note(at(ms), outage.Served) }
 }
 
 // Guards against a caller who is kept until its deadline, and against one who waits in an outage that will outlast it.
