outage: an attempt waits for at most two fifths of its caller's time

A caller that comes back with little time left was kept for most of it, and had no time for another attempt. Changes wait 0.6 s as before where the caller has 1.5 s and more.

--- a/internal/outage/gate.go
+++ b/internal/outage/gate.go
@@ -9,6 +9,8 @@
 	// maxPatience is how long an attempt of a caller waits unsent at most. Callers wait for about three seconds and try up to five times:
 	// waits of this length leave none of that time uncovered, and none of the attempts ends at its caller's deadline.
 	maxPatience = 600 * time.Millisecond
+	// patienceShare is the part of its caller's time that an attempt waits unsent at most, so that the caller keeps time for another one.
+	patienceShare = 0.4
 	// hopelessAge is the age of an outage from which on changes are refused without a wait. It will probably outlast the time of a caller
 	// by far, as one that has lasted for a time goes on for as long again in half of all cases.
 	hopelessAge = 10 * time.Second
@@ -131,7 +133,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.joined++
-	change := &Change{caller: caller, joined: g.joined, until: now.Add(maxPatience)}
+	patience := maxPatience
+	if !caller.Deadline.IsZero() {
+		patience = min(patience, time.Duration(patienceShare*float64(caller.Deadline.Sub(now))))
+	}
+	change := &Change{caller: caller, joined: g.joined, until: now.Add(patience)}
 	age, cause := g.look(now)
 	if cause != "" && age > hopelessAge || len(g.waiting) >= maxWaiting {
 		change.until = now
--- a/internal/outage/outage_test.go
+++ b/internal/outage/outage_test.go
@@ -79,6 +79,9 @@
 	g.Expect(gate.Ask(at(500), change)).To(Equal(outage.Verdict{}))
 	g.Expect(gate.Ask(at(1090), change)).To(Equal(outage.Verdict{}))
 	g.Expect(gate.Ask(at(1100), change)).To(Equal(outage.Verdict{Refuse: outage.CauseSilent}))
+	short := gate.Join(at(2000), outage.Caller{Deadline: at(2500)})
+	g.Expect(gate.Ask(at(2190), short)).To(Equal(outage.Verdict{}))
+	g.Expect(gate.Ask(at(2200), short)).To(Equal(outage.Verdict{Refuse: outage.CauseSilent}), "less than half of its time")
 	g.Expect(gate.Ask(at(11_000), gate.Join(at(11_000), outage.Caller{}))).To(Equal(outage.Verdict{Refuse: outage.CauseSilent}))
 }
 
