--- a/internal/intake/outage_test.go
+++ b/internal/intake/outage_test.go
@@ -52,56 +52,47 @@
 	return outcomeOf(service.Submit(ctx, job)), time.Since(started)
 }
 
+// inOutage runs body in an outage that began a time ago.
+func inOutage(t *testing.T, fault fakepl.Fault, age time.Duration, body func(g *WithT, ctx context.Context, store *fakepl.Store, s *intake.Service)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := fakepl.NewStore()
+		service := observedService(ctx, store)
+		time.Sleep(2 * time.Second) // 0.2 s after a call
+		store.SetFault(func(string) fakepl.Fault { return fault })
+		time.Sleep(age)
+		body(NewWithT(t), ctx, store, service)
+		cancel()
+		time.Sleep(time.Second)
+	})
+}
+
 // Guards against callers who wait for most of their time in an outage that is known, and are then told that the job may run.
 func TestSubmissionInAnOutageIsRefusedSoonAndNotSent(t *testing.T) {
 	for _, fault := range []fakepl.Fault{fakepl.Silent, fakepl.Refused, fakepl.DelayedExecution} {
-		synctest.Test(t, func(t *testing.T) {
-			g := NewWithT(t)
-			ctx, cancel := context.WithCancel(t.Context())
-			store := fakepl.NewStore()
-			service := observedService(ctx, store)
-			time.Sleep(2 * time.Second)
-			store.SetFault(func(string) fakepl.Fault { return fault })
-			time.Sleep(time.Second)
+		inOutage(t, fault, time.Second, func(g *WithT, ctx context.Context, store *fakepl.Store, service *intake.Service) {
 			for n := range 5 {
 				outcome, took := submit(ctx, service, jobWithID(n))
 				g.Expect(outcome).To(Equal("refused"))
 				g.Expect(took).To(BeNumerically("<", 700*time.Millisecond))
 			}
 			g.Expect(store.Calls(fakepl.PathTxn)).To(BeZero())
-			cancel()
-			time.Sleep(time.Second)
 		})
 	}
 }
 
 // Guards against a change in doubt that was sent to a store of which this instance had heard nothing for a while.
 func TestSubmissionAtTheStartOfAnOutageIsNotInDoubt(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := NewWithT(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		store := fakepl.NewStore()
-		service := observedService(ctx, store)
-		time.Sleep(2 * time.Second) // 0.2 s after a call
-		store.SetFault(func(string) fakepl.Fault { return fakepl.Silent })
+	inOutage(t, fakepl.Silent, 0, func(g *WithT, ctx context.Context, store *fakepl.Store, service *intake.Service) {
 		outcome, _ := submit(ctx, service, newJob())
 		g.Expect(outcome).To(Equal("refused"))
 		g.Expect(store.Calls(fakepl.PathTxn)).To(BeZero())
-		cancel()
-		time.Sleep(time.Second)
 	})
 }
 
 // Guards against a refusal where the store returns within moments, and against a rush on it then.
 func TestSubmissionsThatWaitGoOnWhenTheStoreReturns(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := NewWithT(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		store := fakepl.NewStore()
-		service := observedService(ctx, store)
-		time.Sleep(2 * time.Second)
-		store.SetFault(func(string) fakepl.Fault { return fakepl.Silent })
-		time.Sleep(time.Second)
+	inOutage(t, fakepl.Silent, time.Second, func(g *WithT, ctx context.Context, store *fakepl.Store, service *intake.Service) {
 		outcomes := make([]string, 50)
 		var callers sync.WaitGroup
 		for n := range outcomes {
@@ -116,27 +107,27 @@
 		g.Expect(store.Calls(fakepl.PathTxn)).To(BeNumerically("<=", 5), "in the first moments")
 		callers.Wait()
 		g.Expect(outcomes).To(HaveEach("accepted"))
-		cancel()
-		time.Sleep(time.Second)
 	})
 }
 
 // Guards against callers of an instance that the store does not serve who wait before a peer is asked.
 func TestUnservedInstanceAsksPeersAtOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := NewWithT(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		store := fakepl.NewStore()
-		service := observedService(ctx, store)
+	inOutage(t, fakepl.Silent, time.Second, func(g *WithT, ctx context.Context, _ *fakepl.Store, service *intake.Service) {
 		service.Relay = func(ctx context.Context, _ intake.Change) error { return clock.Sleep(ctx, 5*time.Millisecond) }
-		time.Sleep(2 * time.Second)
-		store.SetFault(func(string) fakepl.Fault { return fakepl.Silent })
-		time.Sleep(time.Second)
 		outcome, took := submit(ctx, service, newJob())
 		g.Expect(outcome).To(Equal("accepted"))
 		g.Expect(took).To(BeNumerically("<", 10*time.Millisecond))
-		cancel()
-		time.Sleep(time.Second)
+	})
+}
+
+// Guards against a call for a state that waits for a store which is known not to answer.
+func TestStateInAnOutageIsAnsweredAtOnce(t *testing.T) {
+	inOutage(t, fakepl.Silent, time.Second, func(g *WithT, ctx context.Context, _ *fakepl.Store, service *intake.Service) {
+		started := time.Now()
+		_, err := service.Status(ctx, testJob)
+		var refused *intake.RefusedError
+		g.Expect(errors.As(err, &refused)).To(BeTrue())
+		g.Expect(time.Since(started)).To(BeNumerically("<", 50*time.Millisecond))
 	})
 }
 
@@ -181,23 +172,3 @@
 		})
 	})
 }
-
-// Guards against a call for a state that waits for a store which is known not to answer.
-func TestStateInAnOutageIsAnsweredAtOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := NewWithT(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		store := fakepl.NewStore()
-		service := observedService(ctx, store)
-		time.Sleep(2 * time.Second)
-		store.SetFault(func(string) fakepl.Fault { return fakepl.Silent })
-		time.Sleep(time.Second)
-		started := time.Now()
-		_, err := service.Status(ctx, testJob)
-		var refused *intake.RefusedError
-		g.Expect(errors.As(err, &refused)).To(BeTrue())
-		g.Expect(time.Since(started)).To(BeNumerically("<", 50*time.Millisecond))
-		cancel()
-		time.Sleep(time.Second)
-	})
-}
--- a/internal/outage/gate.go
+++ b/internal/outage/gate.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// maxPatience is how long an attempt of a caller waits unsent at most. Callers wait for about three seconds and try up to five times:
-	// waits of this length leave none of that time uncovered, and none of the attempts ends at its caller's deadline.
+	// maxPatience is how long an attempt of a caller waits unsent at most. Callers wait for about three seconds and try up to five times, so
+	// that waits of this length cover a good part of that time.
 	maxPatience = 600 * time.Millisecond
 	// patienceShare is the part of its caller's time that an attempt waits unsent at most, so that the caller keeps time for another one.
 	patienceShare = 0.4
