--- a/internal/outage/gate.go
+++ b/internal/outage/gate.go
@@ -14,8 +14,8 @@
 	// hopelessAge is the age of an outage from which on changes are refused without a wait. It will probably outlast the time of a caller
 	// by far, as one that has lasted for a time goes on for as long again in half of all cases.
 	hopelessAge = 10 * time.Second
-	// maxWaiting bounds the changes that wait in an instance, and so their memory.
-	maxWaiting = 200
+	// maxWaiting bounds the changes that wait in an instance, and so their memory: a job has up to a quarter of a megabyte.
+	maxWaiting = 64
 	// rampTime is how long after the store's return the number of changes in flight is limited.
 	rampTime = 2 * time.Second
 )
--- a/internal/outage/outage_test.go
+++ b/internal/outage/outage_test.go
@@ -94,7 +94,7 @@
 			refused++
 		}
 	}
-	NewWithT(t).Expect(refused).To(Equal(800))
+	NewWithT(t).Expect(refused).To(Equal(1000 - 64))
 }
 
 // Guards against a rush of all that has waited when the store returns, and against urgent work behind other work then.
