--- a/internal/chief/leave_test.go
+++ b/internal/chief/leave_test.go
@@ -78,6 +78,7 @@
 			on := env.fleet.RunningOn(taskID(string(id), 0))
 			return len(on) == 1 && on[0] != leaving
 		})
+		env.awaitPoll() // The starts of its other members are answered.
 		env.Expect(env.gangStarts(id)).To(HaveEach(2))
 	})
 }
