--- a/internal/chief/estimate.go
+++ b/internal/chief/estimate.go
@@ -50,13 +50,16 @@
 
 // remainingTime estimates how long a run still takes; a member of a gang ends with the slowest one.
 func (c *Scheduler) remainingTime(r *run, now clock.Instant) time.Duration {
-	left := c.ownRemainingTime(r, now)
-	if r.gang != nil {
-		for member := range r.gang.members {
-			left = max(left, c.ownRemainingTime(member, now))
+	if r.gang == nil {
+		return c.ownRemainingTime(r, now)
+	}
+	if g := r.gang; g.leftAt != now {
+		g.leftAt, g.left = now, c.ownRemainingTime(r, now)
+		for member := range g.members {
+			g.left = max(g.left, c.ownRemainingTime(member, now))
 		}
 	}
-	return left
+	return r.gang.left
 }
 
 // ownRemainingTime estimates how long the work of a run still takes: from its own rate, or from the run times of its kind and the speed of
