--- a/internal/chief/quota.go
+++ b/internal/chief/quota.go
@@ -174,7 +174,7 @@
 	if urgent {
 		p.stopForCap(s, request)
 	}
-	if urgent || p.now.Sub(s.cap.since) >= capHeldAfter {
+	if urgent || p.now.Sub(s.cap.since) >= capHeldAfter && !p.quota.Holds(request.Tenant) {
 		p.quota.Hold(request)
 	}
 	return true
--- a/internal/quota/pass.go
+++ b/internal/quota/pass.go
@@ -122,6 +122,9 @@
 	p.held[r.Tenant] = p.held[r.Tenant].Add(times(r.Need, r.Tasks))
 }
 
+// Holds reports whether a part of a tenant's cap is held.
+func (p *Pass) Holds(id model.CustomerID) bool { return p.held[id] != work.Resources{} }
+
 // Excess returns by how much a request would bring its tenant above its cap; parts that fit are 0.
 func (p *Pass) Excess(r Request) work.Resources {
 	tenant := p.Tenant(r.Tenant)
