chief: runs on a worker that counts as sick teach nothing of its speed

One that turns slow was learned to be slow within seconds, so that the runs created after that were judged against the low speed and the worker counted as sound. Workers are judged first, then learned from.

--- a/internal/chief/speed.go
+++ b/internal/chief/speed.go
@@ -95,8 +95,8 @@
 		runs   int
 	}
 	sums := map[*worker]sum{}
-	for _, runs := range c.siblingRuns(now) {
-		c.learnSpeeds(runs, now)
+	siblings := c.siblingRuns(now)
+	for _, runs := range siblings {
 		if !enoughSiblings(runs) {
 			continue
 		}
@@ -107,10 +107,13 @@
 			sums[r.worker] = sum{s.ratios + median/r.usualRate(), s.runs + 1}
 		}
 	}
-	c.updateSpeeds(now)
 	for w, s := range sums {
 		c.judgeSpeed(w, s.ratios/float64(s.runs))
 	}
+	for _, runs := range siblings {
+		c.learnSpeeds(runs, now)
+	}
+	c.updateSpeeds(now)
 }
 
 // siblingRuns returns the comparable runs of each stage that has more than one.
@@ -139,13 +142,14 @@
 	return len(places) >= minSiblings
 }
 
-// learnSpeeds learns the speeds of workers from runs of one stage, once from each run.
+// learnSpeeds learns the speeds of workers from runs of one stage, once from each run. Those on a worker that counts as sick tell nothing of
+// its usual speed: it would be judged by them, and count as sound while it is still sick.
 func (c *Scheduler) learnSpeeds(runs []*run, now clock.Instant) {
 	var measured []speed.Progress
 	var fresh []*run
 	for _, r := range runs {
 		rate := r.measuredRate()
-		if rate <= 0 {
+		if rate <= 0 || now < r.worker.slowUntil {
 			continue
 		}
 		measured = append(measured, speed.Progress{Worker: r.worker.info.ID, Born: r.worker.born, Rate: rate, Counted: r.compared})
--- a/internal/chief/speed_internal_test.go
+++ b/internal/chief/speed_internal_test.go
@@ -108,7 +108,7 @@
 		w.speed = 1
 		r := &run{
 			key: runKey{s.tasks[i].id(), 1}, task: &s.tasks[i], worker: w, phase: running, createdAt: now, pace: fullPace, percent: 20, rate: 20,
-			ratedAt: now, expectedSpeed: 1,
+			ratedAt: now, expectedSpeed: 1, measuredFrom: now.Add(-time.Second), sampledAt: now, sampledPercent: 20,
 		}
 		if i%8 < 2 {
 			r.rate = 5
@@ -122,6 +122,8 @@
 	g.Expect(p.workers[0].avoided(now)).To(BeFalse(), "it is as slow as ever")
 	g.Expect(p.workers[1].avoided(now)).To(BeTrue(), "it has turned slow")
 	g.Expect(p.workers[2].avoided(now)).To(BeFalse())
+	g.Expect(p.c.speeds.Speed(time.Duration(now), p.workers[1].info.ID).Runs).To(BeZero(), "the time in which it is sick tells nothing")
+	g.Expect(p.c.speeds.Speed(time.Duration(now), p.workers[2].info.ID).Runs).To(Equal(3))
 }
 
 // Guards against a speed that outlives the incarnation that it was learned of.
