serve, budget: bodies and connections have limits of the process

Clients whose bodies stop just short of their end ended a process: each body had a limit, all of them had none, and nothing bounded the time of a read.

Ruled out: a limit of requests at a time (bodies differ by a factor of a hundred), refusing new ones only (a crowd that stands keeps all others out), and a shorter deadline for all (it refuses slow links in calm).

Package budget bounds the bodies of a server by the VM's memory and keeps a quarter for small ones; stalled bodies give way. serve.ReadBody acquires the memory before it reads, ends bodies that do not keep arriving and answers a refusal without the rest of the body. A server closes the connection that has waited longest for its request when it has no place for a new one. The callers' and the peers' servers of both homes and the operators' API have limits of their own; peridot_shed_total counts each reason.

--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -72,17 +72,21 @@
 }
 
 // newHTTPService returns a service that serves handler on listener. Without a listener the service only registers handler under name.
-func (d *Daemon) newHTTPService(name kernel.Name, listener net.Listener, handler http.Handler, needs ...kernel.Name) kernel.Service {
+func (d *Daemon) newHTTPService(name kernel.Name, listener net.Listener, limit httpLimit, handler http.Handler, needs ...kernel.Name) kernel.Service {
 	service := kernel.Service{Name: name, Needs: needs, Value: handler}
 	if listener == nil {
 		return service
 	}
 	limits := d.Settings.Limits
 	drained := func(end serve.End) { d.Metrics.DrainedConns.WithLabelValues(string(name), string(end)).Inc() }
-	server := &serve.Server{Name: string(name), Listener: listener, Log: d.Log, Observe: drained, HTTP: &http.Server{
-		Handler: handler, ReadHeaderTimeout: limits.HeaderTimeout.Std(), ReadTimeout: limits.BodyTimeout.Std(),
-		IdleTimeout: limits.IdleTimeout.Std(), MaxHeaderBytes: limits.HeaderBytes,
-	}}
+	server := &serve.Server{
+		Name: string(name), Listener: listener, Log: d.Log, Observe: drained, Bodies: limit.bodies, MaxConns: limit.conns,
+		ObserveShed: func(reason serve.Shed) { d.Metrics.Shed.WithLabelValues(string(name), string(reason)).Inc() },
+		HTTP: &http.Server{
+			Handler: handler, ReadHeaderTimeout: limits.HeaderTimeout.Std(), ReadTimeout: limits.BodyTimeout.Std(),
+			IdleTimeout: limits.IdleTimeout.Std(), MaxHeaderBytes: limits.HeaderBytes,
+		},
+	}
 	service.Run = func(ctx context.Context) error { return server.Run(ctx) }
 	service.Stop = func(ctx context.Context) error {
 		ctx, cancel := context.WithTimeout(ctx, serverShutdownTimeout)
--- a/internal/daemon/requests.go
+++ b/internal/daemon/requests.go
@@ -40,11 +40,12 @@
 		Log: d.Log, Metrics: d.Metrics, ProcessEnded: d.processEnded,
 	}
 	d.Kernel.Add(kernel.Service{Name: ServiceClaims, Needs: []kernel.Name{ServiceStore}, Value: d.Claims, Run: d.Claims.Run})
+	limits := machine()
 	d.Front = &front.Server{
 		Log: d.Log, Metrics: d.Metrics, Instance: settings.Instance, Current: d.Follower.Current,
 		CheckSend: d.Follower.CheckSend, Queue: d.Queue, Relay: d.Relay, Claim: d.claim, RecordDecision: d.recordDecision,
 		Submit: d.SchedulerAdapter.submitJSON, Get: d.SchedulerAdapter.getJSON, Cancel: d.SchedulerAdapter.cancelJSON,
-		Listener: d.listeners.callers,
+		Listener: d.listeners.callers, Bodies: limits.Bodies(callerBodyShare), MaxConns: limits.Conns(callerConnShare),
 	}
 	service := kernel.Service{
 		Name:  ServiceFront,
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -9,6 +9,8 @@
 	"peridotgw.example/peridotgw/internal/kernel"
 	"peridotgw.example/peridotgw/internal/opsapi"
 	"peridotgw.example/peridotgw/internal/route"
+	"peridotgw.example/peridotgw/internal/serve"
+	"peridotgw.example/peridotgw/internal/wire"
 	"peridotgw.example/peridotgw/model"
 )
 
@@ -22,11 +24,12 @@
 		Explain:    d.explainSubject,
 		SetLeaving: func(ids []model.EndpointID) { d.Route.SetLeaving(ids, route.SourceOperator) },
 	}
-	d.Kernel.Add(d.newHTTPService(ServiceOps, d.listeners.operators, d.Ops.Handler(), ServiceConfig, ServiceSched, ServiceAudit))
-	d.Kernel.Add(d.newHTTPService(ServicePeers, d.listeners.peers, d.listeners.peerMux, ServiceLease))
+	d.Kernel.Add(d.newHTTPService(ServiceOps, d.listeners.operators, newHTTPLimit(operatorConnShare), d.Ops.Handler(), ServiceConfig, ServiceSched, ServiceAudit))
+	d.Kernel.Add(d.newHTTPService(ServicePeers, d.listeners.peers, newHTTPLimit(peerConnShare),
+		serve.BufferBodies(wire.MaxMessageBytes, d.listeners.peerMux), ServiceLease))
 
 	d.Health = &Health{Ready: d.checkReady}
-	d.Kernel.Add(d.newHTTPService(ServiceHealth, d.listeners.metrics, d.newHealthMux()))
+	d.Kernel.Add(d.newHTTPService(ServiceHealth, d.listeners.metrics, httpLimit{conns: probeConns}, d.newHealthMux()))
 	d.Kernel.Add(kernel.Service{
 		Name: ServiceDrain, Needs: []kernel.Name{ServiceFront, ServiceOps, ServiceHealth}, Stop: d.drain,
 	})
--- a/internal/front/check.go
+++ b/internal/front/check.go
@@ -1,8 +1,7 @@
 package front
 
 import (
-	"errors"
-	"io"
+	"context"
 	"net/http"
 	"slices"
 	"strconv"
@@ -10,6 +9,7 @@
 
 	"peridotgw.example/peridotgw/internal/queue"
 	"peridotgw.example/peridotgw/internal/relay"
+	"peridotgw.example/peridotgw/internal/serve"
 	"peridotgw.example/peridotgw/model"
 	"peridotgw.example/peridotgw/reply"
 )
@@ -51,7 +51,9 @@
 	if err := req.setDeadline(r, arrived); err != nil {
 		return req, err
 	}
-	body, err := readBody(w, r)
+	ctx, cancel := context.WithDeadline(r.Context(), req.forward.Deadline)
+	defer cancel()
+	body, err := readBody(ctx, w, r)
 	req.forward.Body = body
 	return req, err
 }
@@ -127,25 +129,10 @@
 }
 
 // readBody reads the whole body, so that a request whose caller disconnects while sending it does not start.
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *reply.Error) {
-	if r.ContentLength > MaxBody {
-		return nil, reply.Refused(reply.ReasonTooLarge, "the body is larger than %d bytes", MaxBody)
-	}
-	reader := http.MaxBytesReader(w, r.Body, MaxBody)
-	var body []byte
-	var err error
-	if r.ContentLength >= 0 {
-		body = make([]byte, r.ContentLength)
-		_, err = io.ReadFull(reader, body)
-	} else {
-		body, err = io.ReadAll(reader)
-	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, reply.Refused(reply.ReasonTooLarge, "the body is larger than %d bytes", MaxBody)
-	}
+func readBody(ctx context.Context, w http.ResponseWriter, r *http.Request) ([]byte, *reply.Error) {
+	body, err := serve.ReadBody(ctx, w, r, MaxBody)
 	if err != nil {
-		return nil, reply.Refused(reply.ReasonMalformed, "the body is incomplete: %v", err)
+		return nil, serve.BodyRefusal(err)
 	}
 	return body, nil
 }
--- a/internal/front/jobs.go
+++ b/internal/front/jobs.go
@@ -21,7 +21,7 @@
 		s.writeError(w, reply.Refused(reply.ReasonNotFound, "jobs are not served here"), jobsClass)
 		return
 	}
-	body, err := readBody(w, r)
+	body, err := readBody(r.Context(), w, r)
 	if err == nil && !json.Valid(body) {
 		err = reply.Refused(reply.ReasonMalformed, "the body is not JSON")
 	}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"peridotgw.example/peridotgw/internal/budget"
 	"peridotgw.example/peridotgw/internal/metric"
 	"peridotgw.example/peridotgw/internal/queue"
 	"peridotgw.example/peridotgw/internal/relay"
@@ -89,6 +90,9 @@
 	Cancel func(context.Context, model.JobID) (json.RawMessage, *reply.Error)
 	// Listener accepts the connections that Run serves.
 	Listener net.Listener
+	// Bodies bounds the memory of bodies, and MaxConns the open connections; nil and 0 for no limit.
+	Bodies   *budget.Budget
+	MaxConns int
 	// IdleLinger is how long Drain keeps idle connections open; zero means DefaultIdleLinger.
 	IdleLinger time.Duration
 
@@ -117,6 +121,7 @@
 	s.once.Do(func() {
 		s.server = &serve.Server{
 			Name: "callers", Listener: s.Listener, KeepIdle: true, Refuse: s.refuseStopping, Log: s.Log, Observe: s.countDrainedConn,
+			Bodies: s.Bodies, MaxConns: s.MaxConns, ObserveShed: s.countShed,
 			HTTP: &http.Server{
 				Handler: s.Handler(), ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, WriteTimeout: writeTimeout,
 				IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
@@ -141,6 +146,12 @@
 	}
 }
 
+func (s *Server) countShed(reason serve.Shed) {
+	if s.Metrics != nil {
+		s.Metrics.Shed.WithLabelValues("callers", string(reason)).Inc()
+	}
+}
+
 // Run serves on Listener until ctx ends and then closes all connections, also those with requests in flight. After Drain it
 // accepts no more connections.
 func (s *Server) Run(ctx context.Context) error {
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -27,6 +27,8 @@
 	GangStops *prometheus.CounterVec
 	// DrainedConns counts connections that closed while their server drained, by server and by how they ended.
 	DrainedConns *prometheus.CounterVec
+	// Shed counts bodies that a server refused and connections that it closed to keep its limits, by server and reason.
+	Shed *prometheus.CounterVec
 	// PeerBytes counts bytes of message bodies between instances, by procedure and direction.
 	PeerBytes *prometheus.CounterVec
 }
@@ -40,6 +42,7 @@
 	set.StoreCalls = set.Counter("store_calls_total", "Calls to the key-value service.", "role", "op", "result")
 	set.GangStops = set.Counter("gang_stops_total", "Gangs that were stopped.", "cause")
 	set.DrainedConns = set.Counter("drained_connections_total", "Connections that closed while their server drained.", "server", "end")
+	set.Shed = set.Counter("shed_total", "Bodies refused and connections closed by a server to keep its limits.", "server", "reason")
 	set.PeerBytes = set.Counter("peer_bytes_total", "Bytes of message bodies between instances.", "procedure", "direction")
 	set.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return set
--- a/internal/node/meters.go
+++ b/internal/node/meters.go
@@ -63,6 +63,11 @@
 	return func(end serve.End) { m.set.DrainedConns.WithLabelValues(server, string(end)).Inc() }
 }
 
+// shed returns the function that counts what a server refused or closed to keep its limits.
+func (m *meters) shed(server string) func(serve.Shed) {
+	return func(reason serve.Shed) { m.set.Shed.WithLabelValues(server, string(reason)).Inc() }
+}
+
 // traffic returns the function that counts the bytes of connections to a kind of server.
 func (m *meters) traffic(to string) platform.Traffic {
 	readBytes, writtenBytes := m.bytes.WithLabelValues(to, "read"), m.bytes.WithLabelValues(to, "written")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,6 +30,13 @@
 	idleTimeout    = 60 * time.Second
 	maxHeaderBytes = 16 << 10
 
+	// The servers have limits of their own, so that callers do not take the place of other instances. The rest of the descriptors is for
+	// connections to workers, to the store and to other instances.
+	bodyShare       = 8  // divisor of the memory; decoded bodies and the heap's growth between collections take three times as much in all
+	callerConnShare = 2  // divisor of the descriptors
+	peerConnShare   = 4  // divisor of the descriptors
+	probeConns      = 16 // connections for probes of readiness, and for metrics
+
 	// shutdownReserve is the part of the grace time that is kept for the two steps after it, and for the end of the process. The steps
 	// shrink in proportion when the grace time is shorter.
 	shutdownReserve = 2200 * time.Millisecond
@@ -201,11 +208,14 @@
 	metrics.Handle("GET /metrics", n.meters.set.Handler())
 	s := &servers{
 		callers: n.newServer("callers", n.Settings.Callers, jobAPI),
-		peers:   n.newServer("peers", n.Settings.Peers, peers),
+		peers:   n.newServer("peers", n.Settings.Peers, serve.BufferBodies(wire.MaxMessageBytes, peers)),
 		ready:   n.newServer("ready", n.Settings.Ready, ready),
 		metrics: n.newServer("metrics", n.Settings.Metrics, metrics),
 	}
 	s.callers.Refuse = platform.RefuseStopping
+	machine := n.Settings.Machine()
+	s.callers.Bodies, s.callers.MaxConns = machine.Bodies(bodyShare), machine.Conns(callerConnShare)
+	s.peers.Bodies, s.peers.MaxConns = machine.Bodies(bodyShare), machine.Conns(peerConnShare)
 	for _, server := range s.all() {
 		listener, err := serve.Listen(ctx, server.HTTP.Addr)
 		if err != nil {
@@ -218,9 +228,12 @@
 
 // newServer returns a server without a listener.
 func (n *Node) newServer(name, address string, handler http.Handler) *serve.Server {
-	return &serve.Server{Name: name, Log: n.Log, Observe: n.meters.drainedConn(name), HTTP: &http.Server{
-		Addr: address, Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}}
+	return &serve.Server{
+		Name: name, Log: n.Log, Observe: n.meters.drainedConn(name), MaxConns: probeConns, ObserveShed: n.meters.shed(name),
+		HTTP: &http.Server{
+			Addr: address, Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		},
+	}
 }
 
 // ready answers the load balancer's probe: it fails while the instance drains or has no configuration.
--- a/internal/opsapi/decode.go
+++ b/internal/opsapi/decode.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"net/http"
 	"slices"
 
 	"peridotgw.example/peridotgw/reply"
@@ -29,12 +28,8 @@
 	return nil
 }
 
-// bodyError returns the refusal for a body that cannot be read or decoded.
+// bodyError returns the refusal for a body that cannot be decoded.
 func bodyError(err error) *reply.Error {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return reply.Refused(reply.ReasonTooLarge, "the body is larger than %d bytes", tooLarge.Limit)
-	}
 	return reply.Refused(reply.ReasonMalformed, "the body cannot be decoded: %v", err)
 }
 
--- a/internal/opsapi/server.go
+++ b/internal/opsapi/server.go
@@ -6,7 +6,6 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -16,6 +15,7 @@
 	"peridotgw.example/peridotgw/internal/config"
 	"peridotgw.example/peridotgw/internal/member"
 	"peridotgw.example/peridotgw/internal/metric"
+	"peridotgw.example/peridotgw/internal/serve"
 	"peridotgw.example/peridotgw/model"
 	"peridotgw.example/peridotgw/reply"
 )
@@ -124,20 +124,13 @@
 	})
 }
 
-// body reads the whole body within a limit of size and time. The read deadline is cleared afterwards, because otherwise the
-// server would cancel a call that takes longer.
+// body reads the whole body within a limit of size and time.
 func (s *Server) body(w http.ResponseWriter, r *http.Request) ([]byte, *reply.Error) {
-	controller := http.NewResponseController(w)
-	// Response writers that do not support a deadline, such as recorders in tests, have their own limits.
-	if err := controller.SetReadDeadline(time.Now().Add(cmp.Or(s.Timeout, DefaultTimeout))); err != nil {
-		s.Log.Debug().Err(err).Msg("opsapi: read deadline not set")
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
+	ctx, cancel := context.WithTimeout(r.Context(), cmp.Or(s.Timeout, DefaultTimeout))
+	defer cancel()
+	body, err := serve.ReadBody(ctx, w, r, MaxBodyBytes)
 	if err != nil {
-		return nil, bodyError(err)
-	}
-	if err := controller.SetReadDeadline(time.Time{}); err != nil {
-		s.Log.Debug().Err(err).Msg("opsapi: read deadline not cleared")
+		return nil, serve.BodyRefusal(err)
 	}
 	return body, nil
 }
--- a/internal/serve/conn.go
+++ b/internal/serve/conn.go
@@ -11,12 +11,15 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"peridotgw.example/peridotgw/internal/budget"
 )
 
 // conn is an accepted connection. It knows whether a request on it is unanswered, so that it can be closed at a moment when none is.
 type conn struct {
 	net.Conn
 	server *Server
+	lease  *budget.Lease // of the body of the request that is being served; nil without one
 
 	mu           sync.Mutex // guards the fields below
 	busy         bool       // bytes of a request have been read, and it is not answered
@@ -24,6 +27,9 @@
 	ending       bool       // it closes as soon as no request is waiting on it
 	refusing     bool       // a refusal has been written, or is about to be
 	cut          bool       // it is closed whether a request is unanswered or not, and without waiting for its caller
+	serving      bool       // the whole request has been read, and it is not answered
+	evicted      bool       // closed to make room for another connection
+	since        time.Time  // when it began to wait for the current request, or for the rest of it
 	readDeadline time.Time  // that the HTTP server has set
 }
 
@@ -178,7 +184,7 @@
 	if c.busy {
 		return
 	}
-	c.busy = true
+	c.busy, c.since = true, time.Now()
 	if c.ending {
 		c.restoreDeadline()
 	}
@@ -194,7 +200,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.busy, c.used = false, true
+	c.busy, c.serving, c.used, c.since = false, false, true, time.Now()
 	if c.ending {
 		c.expire()
 	}
--- a/internal/serve/listener.go
+++ b/internal/serve/listener.go
@@ -60,9 +60,10 @@
 		accepted, err := l.Listener.Accept()
 		switch {
 		case err == nil:
-			c := &conn{Conn: accepted, server: l.server}
-			l.server.add(c)
-			return c, nil
+			c := &conn{Conn: accepted, server: l.server, since: time.Now()}
+			if l.server.add(c) {
+				return c, nil
+			}
 		case !l.stopping.Load() || !errors.Is(err, os.ErrDeadlineExceeded):
 			return nil, err
 		case !l.mayAccept() || !l.hasWaiting() || !l.acceptUntil(time.Now().Add(backlogTimeout)):
@@ -115,13 +116,24 @@
 	return err == nil && waiting > 0
 }
 
+// receiveBuffer bounds the bytes that the kernel keeps of each connection before they are read; they count as memory of the VM. The
+// kernel's own limit is 6 MB.
+const receiveBuffer = 64 << 10
+
 // Listen opens a TCP listener for a Server. Unlike one of net.Listen it does not speak Multipath TCP, whose sockets take no packet filter.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
-	var config net.ListenConfig
+	config := net.ListenConfig{Control: limitReceiveBuffer}
 	config.SetMultipathTCP(false)
 	return config.Listen(ctx, "tcp", address)
 }
 
+// limitReceiveBuffer sets the receive buffer that accepted connections inherit. Where that is not possible, the kernel's own holds.
+func limitReceiveBuffer(_, _ string, raw syscall.RawConn) error {
+	return raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer) //nolint:errcheck // See above.
+	})
+}
+
 const (
 	tcpFlagsOffset = 13      // of the flags in a TCP header
 	tcpFlagSYN     = 2       // set in the first packet of a connection
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -13,6 +13,8 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
+
+	"peridotgw.example/peridotgw/internal/budget"
 )
 
 const (
@@ -55,7 +57,7 @@
 type Server struct {
 	Name     string       // in logs, errors and metrics
 	Listener net.Listener // nil for a server that never runs
-	// HTTP holds the handler, the timeouts and the limits. Run wraps its Handler, and sets its ConnState and BaseContext.
+	// HTTP holds the handler, the timeouts and the limits. Run wraps its Handler, and sets its ConnState, BaseContext and ConnContext.
 	HTTP *http.Server
 	Log  zerolog.Logger
 	// Linger is how long after the listener is closed a new connection without a request stays open; 0 means DefaultLinger. A drain
@@ -68,8 +70,16 @@
 	Refuse func(http.ResponseWriter)
 	// Observe is called with the end of each connection that closes while the server drains; nil for none. It must not block.
 	Observe func(End)
+	// Bodies bounds the memory of the bodies that ReadBody reads; nil for no limit.
+	Bodies *budget.Budget
+	// MaxConns bounds the open connections; 0 for no limit. A further one takes the place of a connection whose request is not whole, or
+	// of an idle one.
+	MaxConns int
+	// ObserveShed is called with each refused body and each connection that is closed for MaxConns; nil for none. It must not block.
+	ObserveShed func(Shed)
 
-	draining atomic.Bool
+	draining    atomic.Bool
+	shedSampler zerolog.BurstSampler // of the lines on what was shed
 
 	mu             sync.Mutex    // guards the fields below
 	running        chan struct{} // closed by Run; see awaitRun
@@ -78,6 +88,7 @@
 	cancelRequests context.CancelCauseFunc
 	conns          map[*conn]bool
 	connClosed     chan struct{} // closed and replaced when a connection has closed
+	evicting       int           // connections in conns that are closed to make room
 	ends           map[End]int   // of connections that closed since the drain began
 	drainedEarly   bool          // the time of a Drain ended before Run
 }
@@ -121,6 +132,8 @@
 	s.listener = &listener{Listener: s.Listener, server: s}
 	s.HTTP.Handler = s.closeWhileDraining(s.HTTP.Handler)
 	s.HTTP.BaseContext = func(net.Listener) context.Context { return requestCtx }
+	s.HTTP.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
+	s.shedSampler.Burst, s.shedSampler.Period = maxShedLines, shedPeriod
 	s.HTTP.ConnState = func(c net.Conn, state http.ConnState) {
 		if tracked, ok := c.(*conn); ok {
 			tracked.setState(state)
@@ -139,6 +152,10 @@
 		if s.draining.Load() {
 			w.Header().Set("Connection", "close")
 		}
+		if c := connOf(r.Context()); c != nil {
+			c.beginRequest(r.ContentLength != 0)
+			defer c.releaseBody()
+		}
 		handler.ServeHTTP(w, r)
 	})
 }
@@ -288,13 +305,6 @@
 	return &CutError{Server: s.Name, Conns: s.ends[EndCut]}
 }
 
-// add records an accepted connection.
-func (s *Server) add(c *conn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.conns[c] = true
-}
-
 // remove forgets a connection that is closed.
 func (s *Server) remove(c *conn, end End) {
 	s.mu.Lock()
@@ -303,6 +313,9 @@
 		return
 	}
 	delete(s.conns, c)
+	if c.isEvicted() {
+		s.evicting--
+	}
 	close(s.connClosed)
 	s.connClosed = make(chan struct{})
 	if end != EndCut && !s.draining.Load() {
--- a/reply/reply.go
+++ b/reply/reply.go
@@ -33,6 +33,7 @@
 const (
 	ReasonMalformed           Reason = "malformed"
 	ReasonTooLarge            Reason = "too-large"
+	ReasonNoMemory            Reason = "no-memory"
 	ReasonUnauthorized        Reason = "unauthorized"
 	ReasonNotFound            Reason = "not-found"
 	ReasonUnknownClass        Reason = "unknown-class"
