--- a/internal/serve/listener.go
+++ b/internal/serve/listener.go
@@ -117,8 +117,8 @@
 }
 
 // receiveBuffer bounds the bytes that the kernel keeps of each connection before they are read; they count as memory of the VM. The
-// kernel's own limit is 6 MB.
-const receiveBuffer = 64 << 10
+// kernel takes twice the value, and its own limit is 6 MB.
+const receiveBuffer = 32 << 10
 
 // Listen opens a TCP listener for a Server. Unlike one of net.Listen it does not speak Multipath TCP, whose sockets take no packet filter.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
