budget: wait a second for the memory of bodies that give way

A body that gives way returns its memory once its reader runs, which took more than 100 ms on a busy machine; the new body was then refused although the memory was on its way. Likely cause of the one failure in 7 runs of go test -race ./internal/serve beside other load, whose output was not kept.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -21,8 +21,8 @@
 	// StallTime is how long nothing must have arrived of a body that gives way to another. It exceeds the pauses of a link that loses
 	// single packets.
 	StallTime = 500 * time.Millisecond
-	// evictWait bounds the wait for the memory of bodies that give way.
-	evictWait = 100 * time.Millisecond
+	// evictWait bounds the wait for the memory of bodies that give way, whose readers may have to wait for the processor.
+	evictWait = time.Second
 )
 
 // FullError reports a body for which the budget has no room. Nothing of it is kept.
