--- a/internal/chief/orders.go
+++ b/internal/chief/orders.go
@@ -191,7 +191,6 @@
 		return
 	}
 	w.quarantinedUntil = until
-	c.forgetSpeed(w)
 	c.logNoStarts(w, d, reason)
 }
 
--- a/internal/chief/registry.go
+++ b/internal/chief/registry.go
@@ -81,7 +81,8 @@
 	w.listedEnds, w.listExhausted = 0, false
 	w.clock, w.clockReadAt, w.leaseUntil, w.leavesAt = 0, 0, 0, 0
 	w.knownSince, w.nextPollAt = c.Now(), 0
-	c.forgetSpeed(w)
+	c.speeds.Forget(w.info.ID)
+	w.speed, w.speedLogged = 0, 0
 	c.pollIfDue(w)
 	c.dirty = true
 }
--- a/internal/chief/speed.go
+++ b/internal/chief/speed.go
@@ -199,13 +199,6 @@
 	return SpeedUsual
 }
 
-// forgetSpeed forgets the speed of a worker that has started anew, or whose tasks fail or make no progress: a fast one with free room would
-// be the first choice of urgent work as soon as its quarantine ends.
-func (c *Scheduler) forgetSpeed(w *worker) {
-	c.speeds.Forget(w.info.ID)
-	w.speed, w.speedLogged = 0, 0
-}
-
 // loggedSpeed returns the speed of a worker as it was last logged; 1 before.
 func (w *worker) loggedSpeed() float64 {
 	if w.speedLogged == 0 {
