--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -36,6 +36,7 @@
 	probers        map[*job]bool                           // that may probe workers in quarantine; nil until it is needed
 	unseenEnds     map[model.WorkerID]bool                 // workers that were not polled yet and may list ends of an earlier term
 	reservedStages []*stage                                // with workers that are reserved for them
+	seen           *snapshot                               // for decisions; nil until it is needed
 	adviceRequest  *adviceRequest                          // to be made at the end of the pass; nil for none
 }
 
--- a/internal/chief/preempt.go
+++ b/internal/chief/preempt.go
@@ -1,9 +1,10 @@
 package chief
 
 import (
-	"sort"
 	"time"
 
+	"peridotgw.example/peridotgw/internal/evict"
+	"peridotgw.example/peridotgw/internal/view"
 	"peridotgw.example/peridotgw/model"
 )
 
@@ -45,131 +46,67 @@
 	return p.placeTasks(s, p.workers, need, availableAfterStops)
 }
 
-// victimsInOneRack returns the cheapest runs to preempt for need tasks in one rack, and their cost, or nil.
-func (p *planner) victimsInOneRack(s *stage, need int) ([]*run, float64) {
-	var best []*run
-	bestCost := 0.0
-	for _, rack := range p.racks {
-		if victims, cost := p.clear(s, rack, need); victims != nil && (best == nil || cost < bestCost) {
-			best, bestCost = victims, cost
-		}
-	}
-	return best, bestCost
-}
-
-// clear returns the runs to preempt for need tasks on some workers, and their cost, or nil. It takes the cheapest workers
-// first.
-func (p *planner) clear(s *stage, among []*worker, need int) ([]*run, float64) {
-	type option struct {
-		victims []*run
-		cost    float64
+// chooseRoom returns the cheapest room for the waiting tasks of a stage that may stop other work, or why there is none.
+func (p *planner) chooseRoom(s *stage, need int) (*evict.Choice, *view.Refusal) {
+	seen := p.currentSnapshot()
+	demand := &evict.Demand{
+		Stage: seen.stage(p, s), Tasks: need, Places: make([]int, len(seen.workers)), OneRack: s.step.SameRack, Patience: p.patience(s),
 	}
-	resources := s.step.Resources()
-	var options []option
-	for _, w := range among {
-		if !p.eligible(s, w) {
-			continue
-		}
-		limit := need
-		if s.step.PerWorker > 0 {
-			limit = min(limit, s.step.PerWorker-s.runsOn[w])
-		}
-		have := countFits(w.available, resources, limit)
-		need -= have
-		if have == limit {
-			continue
-		}
-		if victims, cost, ok := p.victims(s, w, have+1); ok {
-			options = append(options, option{victims, cost})
-		}
+	for ref, w := range seen.workers {
+		demand.Places[ref] = p.placesOn(s, w, need)
 	}
-	sort.SliceStable(options, func(i, j int) bool { return options[i].cost < options[j].cost })
-	victims := []*run{}
-	total := 0.0
-	for _, o := range options {
-		if need <= 0 {
-			break
-		}
-		victims = append(victims, o.victims...)
-		total += o.cost
-		need--
-	}
-	if need > 0 {
-		return nil, 0
-	}
-	return victims, total
+	chooser := evict.Chooser{StopTime: p.c.Limits.StopTimeout, Restart: preemptedPause}
+	return chooser.Choose(&seen.Snapshot, demand)
 }
 
-// victims returns the cheapest runs to preempt for count tasks of a stage on a worker, and their cost. It returns false if the worker
-// cannot hold the tasks even after that.
-func (p *planner) victims(s *stage, w *worker, count int) ([]*run, float64, bool) {
-	target := s.need(count)
-	if !w.info.Capacity.Fits(target) {
-		return nil, 0, false
+// placesOn returns how many more tasks of a stage a worker may take if it had the room, at most limit.
+func (p *planner) placesOn(s *stage, w *worker, limit int) int {
+	if !p.eligible(s, w) {
+		return 0
 	}
-	var candidates []*run
-	for _, r := range w.runs {
-		if p.mayPreempt(s, r) {
-			candidates = append(candidates, r)
-		}
+	limit = min(limit, p.c.listableRuns(w))
+	if s.step.PerWorker > 0 {
+		limit = min(limit, s.step.PerWorker-s.runsOn[w])
 	}
-	sort.Slice(candidates, func(i, j int) bool { return p.preemptionCost(candidates[i]) < p.preemptionCost(candidates[j]) })
-	resources, total := w.available, 0.0
-	var chosen []*run
-	for _, r := range candidates {
-		if resources.Fits(target) {
-			break
-		}
-		chosen = append(chosen, r)
-		resources = resources.Add(r.resources)
-		total += p.preemptionCost(r)
-	}
-	return chosen, total, resources.Fits(target)
+	return limit
 }
 
-// mayPreempt reports whether a stage may preempt a run.
-func (p *planner) mayPreempt(s *stage, r *run) bool {
-	if r.phase == stopping || r.task == nil || r.task.stage.step.Lasts {
-		return false
-	}
-	own, other := p.priority(s), p.priority(r.task.stage)
-	return other > own || own == 0 && other == 0 && p.withinGuarantee(s.job) && !p.withinGuarantee(r.task.stage.job)
+// patience is how long a stage that may stop other work waits for runs that end by themselves: a part of its slack, or as long as a stop
+// takes, but no longer than it would wait for a single rack.
+func (p *planner) patience(s *stage) time.Duration {
+	left := p.sameRackWait() - p.now.Sub(s.waitingSince)
+	slack := s.job.deadline.Sub(p.now) - p.c.estimate(s) - p.chainAfter(s)
+	return min(left, max(p.c.Limits.StopTimeout, time.Duration(patienceShare*float64(slack))))
 }
 
-// preemptionCost is the work in core-seconds that preempting a run loses, counting all members of its gang.
-func (p *planner) preemptionCost(r *run) float64 {
-	s := r.task.stage
-	members := 1
-	if r.gang != nil {
-		members = len(r.gang.members)
-	}
-	preemptionCost := float64(members) * s.step.Need.Cores() * (p.lostByStop(r).Seconds() + preemptionOverheadSeconds)
-	if p.priority(s) == 0 {
-		preemptionCost *= urgentCostFactor
+// patienceShare is the part of its slack that a stage waits for runs that end by themselves, rather than to stop them.
+const patienceShare = 0.5
+
+// preemptRuns stops runs and, with each, the rest of its gang; their resources count as available for the rest of the pass.
+func (p *planner) preemptRuns(s *stage, stops []view.Stop) {
+	reason := preemptedBy + string(s.job.spec.ID)
+	for _, stop := range stops {
+		r := p.seen.runs[stop.Run]
+		p.preemptRun(r, reason)
+		if r.gang != nil && !r.gang.ending {
+			r.gang.ending = true
+			for member := range r.gang.members {
+				p.preemptRun(member, reason)
+			}
+		}
 	}
-	return preemptionCost
 }
 
-// preemptionOverheadSeconds is added to the lost time of each run, so that few runs are preempted.
-const preemptionOverheadSeconds = 0.5
+// preemptedBy begins the reason of a stop for urgent work; the job's id follows.
+const preemptedBy = "preempted by "
 
-// urgentCostFactor makes urgent work the last to be preempted.
-const urgentCostFactor = 8
-
-// preemptRuns stops runs and, with each, the rest of its gang; their resources count as available for the rest of the pass.
-func (p *planner) preemptRuns(s *stage, victims []*run) {
-	for _, r := range victims {
-		reason := "preempted by " + string(s.job.spec.ID)
-		if r.phase == stopping {
-			continue
-		}
-		p.delayRestart(r.task)
-		p.c.stopRun(r, reason)
-		r.worker.available = r.worker.available.Add(r.resources)
-		if r.gang != nil {
-			p.preemptGang(r.gang, reason)
-		}
+func (p *planner) preemptRun(r *run, reason string) {
+	if r.phase == stopping || !r.present() {
+		return
 	}
+	p.delayRestart(r.task)
+	p.c.stopRun(r, reason)
+	r.worker.available = r.worker.available.Add(r.resources)
 }
 
 // delayRestart delays the next start of a preempted task.
@@ -180,17 +117,3 @@
 	t.preemptions = min(t.preemptions+1, maxPreemptedPauses)
 	t.pausedUntil = p.now.Add(time.Duration(t.preemptions) * preemptedPause)
 }
-
-func (p *planner) preemptGang(g *gang, reason string) {
-	if g.ending {
-		return
-	}
-	g.ending = true
-	for r := range g.members {
-		if r.phase != stopping {
-			p.delayRestart(r.task)
-			p.c.stopRun(r, reason)
-			r.worker.available = r.worker.available.Add(r.resources)
-		}
-	}
-}
--- a/internal/chief/reservation.go
+++ b/internal/chief/reservation.go
@@ -3,12 +3,16 @@
 import (
 	"time"
 
+	"peridotgw.example/peridotgw/internal/evict"
+	"peridotgw.example/peridotgw/internal/view"
 	"peridotgw.example/peridotgw/internal/work"
 )
 
 const (
 	// reservationTTL is how long workers stay reserved for tasks that have not started there.
-	reservationTTL        = 2500 * time.Millisecond
+	reservationTTL = 2500 * time.Millisecond
+	// expectedEndMargin is how long after the expected end of a run its room stays reserved for the stage that waits for it.
+	expectedEndMargin     = 300 * time.Millisecond
 	noCapacityLogInterval = time.Second // least time between two logs for a stage
 )
 
@@ -34,7 +38,7 @@
 }
 
 func (p *planner) reservationValid(s *stage, usable map[*worker]bool) bool {
-	if s.unfinished == 0 || s.gang != nil || p.now.Sub(s.reservedAt) > reservationTTL {
+	if s.unfinished == 0 || s.gang != nil || p.now.Sub(s.reservedAt) > s.reservedFor {
 		return false
 	}
 	for _, w := range s.reserved {
@@ -120,26 +124,31 @@
 		p.reserveWorkers(s, places)
 		return
 	}
-	var victims []*run
-	cost := 0.0
-	if s.step.SameRack {
-		victims, cost = p.victimsInOneRack(s, need)
+	choice, refusal := p.chooseRoom(s, need)
+	if refusal != nil {
+		p.logNoCapacity(s, choice, refusal)
+		return
 	}
-	if victims == nil {
-		victims, cost = p.clear(s, p.workers, need)
+	p.preemptRuns(s, choice.Stops)
+	p.reserveWorkers(s, p.claimedWorkers(choice.Claims))
+	if choice.Wait > 0 {
+		s.reservedFor = choice.Wait + expectedEndMargin
 	}
-	// Beyond its tenant's guarantee, urgent work preempts only if less work is lost than it does itself.
-	own := float64(need) * s.step.Need.Cores() * p.c.estimate(s).Seconds()
-	if victims == nil || cost > own && !p.withinGuarantee(s.job) {
-		p.logNoCapacity(s, victims != nil, cost)
-		return
+}
+
+// claimedWorkers returns a worker for each task of some claims.
+func (p *planner) claimedWorkers(claims []view.Claim) []*worker {
+	var places []*worker
+	for _, claim := range claims {
+		for range claim.Tasks {
+			places = append(places, p.seen.workers[claim.Worker])
+		}
 	}
-	p.preemptRuns(s, victims)
-	p.reserveWorkers(s, p.placeAfterStops(s, need, false))
+	return places
 }
 
 func (p *planner) reserveWorkers(s *stage, places []*worker) {
-	s.reserved, s.reservedAt = places, p.now
+	s.reserved, s.reservedAt, s.reservedFor = places, p.now, reservationTTL
 	p.reservedStages = append(p.reservedStages, s)
 	workers := make([]string, len(places))
 	for i, w := range places {
@@ -150,13 +159,17 @@
 }
 
 // logNoCapacity logs, at most once per noCapacityLogInterval, that an urgent stage cannot be placed.
-func (p *planner) logNoCapacity(s *stage, possible bool, cost float64) {
+func (p *planner) logNoCapacity(s *stage, choice *evict.Choice, refusal *view.Refusal) {
 	if p.now.Sub(s.noCapacityLoggedAt) < noCapacityLogInterval {
 		return
 	}
 	s.noCapacityLoggedAt = p.now
+	cost := 0.0
+	if choice != nil {
+		cost = choice.Cost
+	}
 	p.c.Log.Info().Str("step", s.id.String()).Dur("waited", p.now.Sub(s.waitingSince)).Bool("guaranteed", p.withinGuarantee(s.job)).
-		Bool("possible", possible).Float64("lost-core-seconds", cost).Int("workers", len(p.workers)).Msg("chief: no room for urgent work")
+		Str("why", string(refusal.Reason)).Float64("cost-core-seconds", cost).Int("workers", len(p.workers)).Msg("chief: no room for urgent work")
 }
 
 // sameRackWait is how long urgent work waits for the rack of its data, or for stops in flight to free capacity in a single rack: its
--- a/internal/chief/snapshot.go
+++ b/internal/chief/snapshot.go
@@ -33,6 +33,22 @@
 	return s
 }
 
+// currentSnapshot returns the snapshot of the pass, brought up to date with its starts and stops: a run that the pass itself has started
+// is not in it, and takes part of what is available.
+func (p *planner) currentSnapshot() *snapshot {
+	if p.seen == nil {
+		p.seen = p.newSnapshot()
+		return p.seen
+	}
+	for ref, w := range p.seen.workers {
+		p.seen.Workers[ref].Available = w.available
+	}
+	for ref, r := range p.seen.runs {
+		p.seen.Runs[ref].Stopping = r.phase == stopping || !r.present()
+	}
+	return p.seen
+}
+
 func (s *snapshot) addWorker(p *planner, w *worker, gangs map[*gang]view.GangRef) {
 	ref := view.WorkerRef(len(s.workers))
 	s.workerRefs[w] = ref
--- a/internal/chief/state.go
+++ b/internal/chief/state.go
@@ -109,6 +109,7 @@
 	// reserved holds a worker for each waiting task while runs there are being stopped.
 	reserved           []*worker
 	reservedAt         clock.Instant
+	reservedFor        time.Duration // from reservedAt
 	noCapacityLoggedAt clock.Instant
 	runsOn             map[*worker]int // number of runs by worker
 	advice             advice
--- /dev/null
+++ b/internal/evict/choose.go
@@ -0,0 +1,298 @@
+package evict
+
+import (
+	"sort"
+	"time"
+
+	"peridotgw.example/peridotgw/internal/view"
+	"peridotgw.example/peridotgw/internal/work"
+)
+
+// Demand is a stage that waits for room and may stop other work for it.
+type Demand struct {
+	Stage view.StageRef
+	Tasks int // that need room at the same time
+	// Places is, by view.WorkerRef, how many of the tasks a worker may take if it had the room.
+	Places []int
+	// OneRack reports whether the tasks take several times as long in several racks: one rack is preferred, whatever it costs.
+	OneRack bool
+	// Patience is how long the demand may wait for runs that end by themselves, in place of stops.
+	Patience time.Duration
+}
+
+// Choice is the room that a demand gets, and what is stopped for it.
+type Choice struct {
+	Stops  []view.Stop
+	Claims []view.Claim
+	// Lost is the work that the stops lose, in core-seconds.
+	Lost float64
+	// Cost is Lost with the harm to the callers whose work is stopped, in core-seconds.
+	Cost float64
+	// Wait is the time until the runs that are left to end by themselves have probably ended; 0 if the room needs none of them.
+	Wait time.Duration
+}
+
+// Reasons of refusals.
+const (
+	ReasonNoRoom   view.Reason = "no room, whatever is stopped"
+	ReasonTooDear  view.Reason = "the stops lose more than the work is worth"
+	ReasonHopeless view.Reason = "it can't be in time, and would push out what can"
+)
+
+// Chooser chooses the runs to be stopped for a demand. Its fields are set before use.
+type Chooser struct {
+	// StopTime is how long a stop takes until its room is free.
+	StopTime time.Duration
+	// Restart is how long after its stop a task starts again at the earliest.
+	Restart time.Duration
+}
+
+// Choose returns the cheapest room for a demand, or why it gets none.
+func (c *Chooser) Choose(s *view.Snapshot, d *Demand) (*Choice, *view.Refusal) {
+	search := newSearch(c, s, d)
+	choice := search.best()
+	if choice == nil {
+		return nil, &view.Refusal{Reason: ReasonNoRoom}
+	}
+	if why := search.whyNotWorth(choice); why != "" {
+		return choice, &view.Refusal{Reason: why}
+	}
+	return choice, nil
+}
+
+// whyNotWorth returns why the stops of a choice are not to be made. Work within its tenant's guarantee gets its room in any case.
+func (s *search) whyNotWorth(choice *Choice) view.Reason {
+	stage := &s.Stages[s.demand.Stage]
+	if stage.Guaranteed || len(choice.Stops) == 0 {
+		return ""
+	}
+	if stage.Slack < 0 && s.stopsTimelyWork(choice) {
+		return ReasonHopeless
+	}
+	if own := float64(s.demand.Tasks) * stage.Need.Cores() * stage.Estimate.Seconds(); choice.Cost > own {
+		return ReasonTooDear
+	}
+	return ""
+}
+
+// stopsTimelyWork reports whether a choice stops a run whose job can be in time.
+func (s *search) stopsTimelyWork(choice *Choice) bool {
+	for _, stop := range choice.Stops {
+		if s.slack(&s.Runs[stop.Run]) >= 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// search is the state of one choice.
+type search struct {
+	*view.Snapshot
+	chooser *Chooser
+	demand  *Demand
+	need    work.Resources // of one task
+	units   []unit
+	unitOf  []int            // index of a run's unit by view.RunRef; -1 if it can't be stopped
+	room    []work.Resources // by view.WorkerRef: free after stops, and after the runs that end by themselves
+	endsIn  []time.Duration  // by view.WorkerRef: when the last of these runs ends
+}
+
+// unit is what is stopped together: a gang, or a single run.
+type unit struct {
+	runs []view.RunRef
+	lost float64 // core-seconds
+	cost float64 // core-seconds
+}
+
+func newSearch(c *Chooser, snapshot *view.Snapshot, d *Demand) *search {
+	s := &search{Snapshot: snapshot, chooser: c, demand: d, need: snapshot.Stages[d.Stage].Need}
+	s.room = make([]work.Resources, len(s.Workers))
+	s.endsIn = make([]time.Duration, len(s.Workers))
+	for w := range s.Workers {
+		s.room[w] = s.Workers[w].Available
+	}
+	s.listUnits()
+	return s
+}
+
+// listUnits groups the runs that may be stopped, and adds the room of those that end by themselves.
+func (s *search) listUnits() {
+	s.unitOf = make([]int, len(s.Runs))
+	gangs := map[view.GangRef]int{}
+	for ref := range s.Runs {
+		r := &s.Runs[ref]
+		s.unitOf[ref] = -1
+		if r.Stopping || r.Protected {
+			continue
+		}
+		if r.Left <= s.demand.Patience {
+			s.room[r.Worker] = s.room[r.Worker].Add(r.Need)
+			s.endsIn[r.Worker] = max(s.endsIn[r.Worker], r.Left)
+			continue
+		}
+		if !s.mayStop(r) {
+			continue
+		}
+		index, found := gangs[r.Gang]
+		if r.Gang == 0 || !found {
+			index = len(s.units)
+			s.units = append(s.units, s.newUnit(r))
+		}
+		if r.Gang != 0 {
+			gangs[r.Gang] = index
+		}
+		s.units[index].runs = append(s.units[index].runs, view.RunRef(ref))
+		s.unitOf[ref] = index
+	}
+}
+
+// mayStop reports whether a run may be stopped for the demand.
+func (s *search) mayStop(r *view.Run) bool {
+	own, other := &s.Stages[s.demand.Stage], &s.Stages[r.Stage]
+	return other.Priority > own.Priority || own.Priority == 0 && other.Priority == 0 && own.Guaranteed && !other.Guaranteed
+}
+
+const (
+	// stopOverhead is added to the lost time of each run: a stop and a new start take time of a worker by themselves.
+	stopOverhead = 500 * time.Millisecond
+	// urgentFactor makes urgent work the last to be stopped.
+	urgentFactor = 8
+	// hopelessFactor is the part of its cost that work counts whose end has no value to its caller any more.
+	hopelessFactor = 0.25
+	// sameTenantFactor is the part of its cost that work of the tenant counts which sends the demand: a burst pays for itself first.
+	sameTenantFactor = 0.5
+)
+
+// newUnit returns a unit with the cost of stopping a run and, if it is a member of one, its whole gang.
+func (s *search) newUnit(r *view.Run) unit {
+	stage := &s.Stages[r.Stage]
+	members := 1
+	if r.Gang != 0 {
+		members = stage.Tasks // Also those on workers that the snapshot does not have.
+	}
+	lost := float64(members) * stage.Need.Cores() * r.Lost.Seconds()
+	cost := lost + float64(members)*stage.Need.Cores()*stopOverhead.Seconds()
+	cost *= float64(1 + r.Stops)
+	if s.becomesLate(r) {
+		cost += stage.CoreSeconds()
+	}
+	switch {
+	case stage.Hopeless:
+		cost *= hopelessFactor
+	case stage.Tenant == s.Stages[s.demand.Stage].Tenant:
+		cost *= sameTenantFactor
+	}
+	if stage.Priority == 0 {
+		cost *= urgentFactor
+	}
+	return unit{lost: lost, cost: cost}
+}
+
+// slack returns the time until the target of a run's job, less what the job still takes.
+func (s *search) slack(r *view.Run) time.Duration {
+	stage := &s.Stages[r.Stage]
+	return stage.Slack + stage.Estimate - r.Left
+}
+
+// becomesLate reports whether a stop of a run makes its job late that would be in time without.
+func (s *search) becomesLate(r *view.Run) bool {
+	slack := s.slack(r)
+	return slack >= 0 && slack < r.Lost+s.chooser.StopTime+s.chooser.Restart
+}
+
+// best returns the cheapest room in one rack or, if no rack holds the demand or it needs none, on all workers; nil if there is none.
+func (s *search) best() *Choice {
+	var best *Choice
+	if s.demand.OneRack {
+		for _, rack := range s.racks() {
+			if choice := s.choose(rack); choice != nil && (best == nil || choice.less(best)) {
+				best = choice
+			}
+		}
+	}
+	if best != nil {
+		return best
+	}
+	all := make([]view.WorkerRef, len(s.Workers))
+	for w := range s.Workers {
+		all[w] = view.WorkerRef(w)
+	}
+	return s.choose(all)
+}
+
+func (c *Choice) less(other *Choice) bool {
+	if c.Cost != other.Cost {
+		return c.Cost < other.Cost
+	}
+	return c.Wait < other.Wait
+}
+
+// racks returns the workers by rack, in the order of their first worker.
+func (s *search) racks() [][]view.WorkerRef {
+	var racks [][]view.WorkerRef
+	index := map[work.Label]int{}
+	for w := range s.Workers {
+		rack := s.Workers[w].Rack
+		at, found := index[rack]
+		if !found {
+			at = len(racks)
+			index[rack] = at
+			racks = append(racks, nil)
+		}
+		racks[at] = append(racks[at], view.WorkerRef(w))
+	}
+	return racks
+}
+
+// choose returns the cheapest room on some workers; nil if there is none.
+func (s *search) choose(area []view.WorkerRef) *Choice {
+	if !s.mayHold(area) {
+		return nil
+	}
+	best := s.newPlan(area)
+	if !best.fill(best.byGain) {
+		best = nil
+	}
+	if single := s.newPlan(area); single.fill(single.byCost) && (best == nil || single.cost() < best.cost()) {
+		best = single
+	}
+	if best == nil {
+		return nil
+	}
+	return best.choice()
+}
+
+// mayHold reports whether some workers hold the demand with nothing else on them.
+func (s *search) mayHold(area []view.WorkerRef) bool {
+	places := 0
+	for _, w := range area {
+		places += countFits(s.Workers[w].Capacity, s.need, s.demand.Places[w])
+	}
+	return places >= s.demand.Tasks
+}
+
+// countFits returns how often need fits into what is available, at most limit.
+func countFits(available, need work.Resources, limit int) int {
+	count := limit
+	if need.CPU > 0 {
+		count = min(count, available.CPU/need.CPU)
+	}
+	if need.Memory > 0 {
+		count = min(count, available.Memory/need.Memory)
+	}
+	if need.GPU > 0 {
+		count = min(count, int(available.GPU/need.GPU))
+	}
+	return max(count, 0)
+}
+
+// sortUnits sorts units by a key, and by their first run where the keys are equal, so that a choice repeats.
+func (s *search) sortUnits(list []int, key func(index int) float64) {
+	sort.Slice(list, func(i, j int) bool {
+		a, b := key(list[i]), key(list[j])
+		if a != b {
+			return a < b
+		}
+		return s.units[list[i]].runs[0] < s.units[list[j]].runs[0]
+	})
+}
