--- a/internal/chief/headroom.go
+++ b/internal/chief/headroom.go
@@ -3,42 +3,17 @@
 import (
 	"time"
 
-	"peridotgw.example/peridotgw/internal/clock"
+	"peridotgw.example/peridotgw/internal/evict"
 	"peridotgw.example/peridotgw/internal/work"
 	"peridotgw.example/peridotgw/model"
 )
 
 const (
-	// headroomWindow is how long accelerators that urgent work has used are kept free for more of it: other work that
-	// started there would soon be preempted.
-	headroomWindow = 3 * time.Second
-	headroomSlots  = 12 // parts of headroomWindow
 	// preemptedPause times a task's preemptions, up to maxPreemptedPauses, delays its next start.
 	preemptedPause     = 400 * time.Millisecond
 	maxPreemptedPauses = 8
 )
 
-// urgentDemand holds the peak of the accelerators that urgent runs used in a pool in each part of the last headroomWindow.
-type urgentDemand struct {
-	peaks [headroomSlots]model.Accelerators
-	slot  int64
-}
-
-// record adds a reading and returns the peak of the window.
-func (d *urgentDemand) record(now clock.Instant, used model.Accelerators) model.Accelerators {
-	slot := int64(now) / int64(headroomWindow/headroomSlots)
-	for s := max(d.slot+1, slot-headroomSlots+1); s <= slot; s++ {
-		d.peaks[s%headroomSlots] = 0
-	}
-	d.slot = slot
-	d.peaks[slot%headroomSlots] = max(d.peaks[slot%headroomSlots], used)
-	peak := model.Accelerators(0)
-	for _, p := range d.peaks {
-		peak = max(peak, p)
-	}
-	return peak
-}
-
 // headroom is what urgent work has free in one pool.
 type headroom struct {
 	urgent, free model.Accelerators
@@ -67,23 +42,31 @@
 	p.spare = map[work.PoolName]model.Accelerators{}
 	for name, h := range pools {
 		if p.c.urgentDemand[name] == nil {
-			p.c.urgentDemand[name] = &urgentDemand{}
+			p.c.urgentDemand[name] = &evict.Usage{}
 		}
-		h.kept = max(0, p.c.urgentDemand[name].record(p.now, h.urgent)-h.urgent)
+		h.kept = max(0, p.c.urgentDemand[name].Record(time.Duration(p.now), h.urgent)-h.urgent)
 		p.spare[name] = h.free - h.kept
 	}
 	p.keepIdleWorkers(pools)
 }
 
-// keepIdleWorkers keeps idle workers for urgent work, up to the accelerators that are kept in their pool: tasks that use a whole worker do
-// not fit into as many accelerators spread over several.
+// keepIdleWorkers keeps idle workers for urgent work, up to the accelerators that are kept in their pool.
 func (p *planner) keepIdleWorkers(pools map[work.PoolName]*headroom) {
 	p.keptIdle = map[*worker]bool{}
-	for _, w := range p.workers {
-		h := pools[w.info.Pool]
-		if h.kept > 0 && w.info.Capacity.GPU > 0 && w.available.GPU == w.info.Capacity.GPU {
-			p.keptIdle[w] = true
-			h.kept -= w.info.Capacity.GPU
+	for name, h := range pools {
+		if h.kept == 0 {
+			continue
+		}
+		var idle []evict.IdleWorker
+		var workers []*worker
+		for _, w := range p.workers {
+			if w.info.Pool == name && w.info.Capacity.GPU > 0 && w.available.GPU == w.info.Capacity.GPU {
+				idle = append(idle, evict.IdleWorker{Rack: w.info.Rack(), Accelerators: w.info.Capacity.GPU})
+				workers = append(workers, w)
+			}
+		}
+		for _, index := range evict.KeepIdle(idle, h.kept) {
+			p.keptIdle[workers[index]] = true
 		}
 	}
 }
--- a/internal/chief/jobs.go
+++ b/internal/chief/jobs.go
@@ -270,7 +270,7 @@
 		c.recordTaskFailure(s, t, r)
 	default:
 		if r.gang != nil {
-			c.stopGang(r.gang, "member ended: "+string(how))
+			c.stopGang(r.gang, memberEnded+string(how))
 		}
 	}
 	if r.gang != nil && len(r.gang.members) == 0 && s.gang == r.gang {
--- a/internal/chief/orders.go
+++ b/internal/chief/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"time"
 
 	"peridotgw.example/peridotgw/internal/agent"
@@ -207,16 +208,32 @@
 		c.endRun(r, work.EndedStopped, "")
 		return
 	}
+	lost := r.resources.Cores() * c.lostByStop(r, c.Now()).Seconds()
+	c.Observe.RunStopped(stopCause(reason), lost)
 	r.phase, r.reason, r.ackedAt = stopping, reason, 0
 	if r.task != nil {
 		r.task.stage.job.runs--
 	}
 	r.worker.usedByStopping = r.worker.usedByStopping.Add(r.resources)
 	c.Log.Info().Str("task", r.key.task.String()).Int64("run", int64(r.key.number)).Str("worker", string(r.worker.info.ID)).
-		Str("why", reason).Int("percent", r.percent).Msg("chief: stop ordered")
+		Str("why", reason).Int("percent", r.percent).Float64("lost-core-seconds", lost).Msg("chief: stop ordered")
 	c.queueStop(r)
 }
 
+// memberEnded begins the reason of a stop of a gang of which a member has ended; how it ended follows.
+const memberEnded = "member ended: "
+
+// stopCause returns the metric label for the reason of a stop.
+func stopCause(reason string) string {
+	switch {
+	case strings.HasPrefix(reason, preemptedBy):
+		return "preempted"
+	case strings.HasPrefix(reason, memberEnded):
+		return "member-ended"
+	}
+	return strings.ReplaceAll(strings.ReplaceAll(reason, " ", "-"), "'", "")
+}
+
 func (c *Scheduler) retryStop(r *run) {
 	c.postAfter(stopRetryPause, func() {
 		if _, present := r.worker.runs[r.key]; present && r.ackedAt == 0 {
--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -78,7 +78,13 @@
 		}
 		p.workers = append(p.workers, w)
 	}
-	sort.Slice(p.workers, func(i, j int) bool { return p.workers[i].info.ID < p.workers[j].info.ID })
+	sort.Slice(p.workers, func(i, j int) bool {
+		a, b := p.workers[i], p.workers[j]
+		if rackA, rackB := a.info.Rack(), b.info.Rack(); rackA != rackB {
+			return rackA < rackB // Single tasks take idle workers in this order, which leaves other racks whole.
+		}
+		return a.info.ID < b.info.ID
+	})
 	for _, w := range p.workers {
 		rack := w.info.Rack()
 		p.racks[rack] = append(p.racks[rack], w)
--- a/internal/chief/preempt.go
+++ b/internal/chief/preempt.go
@@ -71,17 +71,12 @@
 	return limit
 }
 
-// patience is how long a stage that may stop other work waits for runs that end by themselves: a part of its slack, or as long as a stop
-// takes, but no longer than it would wait for a single rack.
+// patience is how long a stage that may stop other work waits for runs that end by themselves: as long as a stop takes, but no longer than
+// it would wait for a single rack.
 func (p *planner) patience(s *stage) time.Duration {
-	left := p.sameRackWait() - p.now.Sub(s.waitingSince)
-	slack := s.job.deadline.Sub(p.now) - p.c.estimate(s) - p.chainAfter(s)
-	return min(left, max(p.c.Limits.StopTimeout, time.Duration(patienceShare*float64(slack))))
+	return min(p.c.Limits.StopTimeout, p.sameRackWait()-p.now.Sub(s.waitingSince))
 }
 
-// patienceShare is the part of its slack that a stage waits for runs that end by themselves, rather than to stop them.
-const patienceShare = 0.5
-
 // preemptRuns stops runs and, with each, the rest of its gang; their resources count as available for the rest of the pass.
 func (p *planner) preemptRuns(s *stage, stops []view.Stop) {
 	reason := preemptedBy + string(s.job.spec.ID)
--- a/internal/chief/scheduler.go
+++ b/internal/chief/scheduler.go
@@ -11,6 +11,7 @@
 	"peridotgw.example/peridotgw/internal/agent"
 	"peridotgw.example/peridotgw/internal/clock"
 	"peridotgw.example/peridotgw/internal/elect"
+	"peridotgw.example/peridotgw/internal/evict"
 	"peridotgw.example/peridotgw/internal/kv"
 	"peridotgw.example/peridotgw/internal/work"
 	"peridotgw.example/peridotgw/model"
@@ -93,7 +94,7 @@
 	jobsLoaded         bool
 	dirty              bool // a planning pass is needed
 	adviceInFlight     bool
-	urgentDemand       map[work.PoolName]*urgentDemand
+	urgentDemand       map[work.PoolName]*evict.Usage
 	gangReservations   []*gangReservation
 	// reservationsTriedAt is when room for a gang was last looked for in each pool.
 	reservationsTriedAt map[work.PoolName]clock.Instant
@@ -110,8 +111,10 @@
 
 // Observer receives measurements. All functions must be set; they are called from the goroutine that owns the state.
 type Observer struct {
-	CallResult   func(kind, result string) // of a call to a worker or a service; the kind of a poll is "look"
-	RunEnded     func(how work.How)
+	CallResult func(kind, result string) // of a call to a worker or a service; the kind of a poll is "look"
+	RunEnded   func(how work.How)
+	// RunStopped reports a stop that is ordered, its cause, and the core-seconds of work that it loses; an accelerator counts as 8 cores.
+	RunStopped   func(cause string, lost float64)
 	PassDuration func(took time.Duration)                         // of a planning pass
 	JobStarted   func(queue work.QueueName, waited time.Duration) // waited since this term knew the job
 	// JobStalled reports a time of at least a second in which a job that was due had nothing running, and whether it was longer than
@@ -161,7 +164,7 @@
 	c.shrinking = map[*job]bool{}
 	c.cancelRequested = map[model.JobID]bool{}
 	c.forgotten = map[model.JobID]forgottenJob{}
-	c.urgentDemand = map[work.PoolName]*urgentDemand{}
+	c.urgentDemand = map[work.PoolName]*evict.Usage{}
 	c.gangReservations, c.reservationsTriedAt = nil, map[work.PoolName]clock.Instant{}
 	c.mu.Lock()
 	c.durableStates = map[model.JobID]work.State{}
--- a/internal/chief/snapshot.go
+++ b/internal/chief/snapshot.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"peridotgw.example/peridotgw/internal/clock"
 	"peridotgw.example/peridotgw/internal/view"
-	"peridotgw.example/peridotgw/internal/work"
 	"peridotgw.example/peridotgw/model"
 )
 
@@ -66,7 +66,7 @@
 		s.Runs = append(s.Runs, view.Run{
 			Worker: ref, Stage: s.stage(p, r.task.stage), Gang: gangRef(gangs, r.gang), Need: r.resources, Stopping: r.phase == stopping,
 			Protected: r.task.stage.step.Lasts, Done: float64(r.percent) / fullPercent, Age: r.age(p.now), Left: p.timeLeft(r),
-			Lost: p.lostByStop(r), Stops: r.task.preemptions,
+			Lost: p.c.lostByStop(r, p.now), Stops: r.task.preemptions,
 		})
 	}
 	s.Workers = append(s.Workers, seen)
@@ -115,16 +115,10 @@
 }
 
 // lostByStop returns the time of work that stopping a run now loses.
-func (p *planner) lostByStop(r *run) time.Duration {
-	lost := r.age(p.now)
-	if r.task.stage.step.Checkpoints {
-		lost = min(lost, p.c.Limits.CheckpointInterval+p.c.Limits.RestoreTime)
+func (c *Scheduler) lostByStop(r *run, now clock.Instant) time.Duration {
+	lost := r.age(now)
+	if r.task != nil && r.task.stage.step.Checkpoints {
+		lost = min(lost, c.Limits.CheckpointInterval+c.Limits.RestoreTime)
 	}
 	return lost
 }
-
-// need returns the room for a number of tasks of a stage.
-func (s *stage) need(tasks int) work.Resources {
-	one := s.step.Resources()
-	return work.Resources{CPU: one.CPU * tasks, Memory: one.Memory * tasks, GPU: one.GPU * model.Accelerators(tasks)}
-}
--- a/internal/node/meters.go
+++ b/internal/node/meters.go
@@ -27,6 +27,8 @@
 	stalled *prometheus.HistogramVec
 	jobs    *prometheus.CounterVec
 	endings *prometheus.CounterVec
+	stops   *prometheus.CounterVec
+	lost    *prometheus.CounterVec
 }
 
 func newMeters() *meters {
@@ -46,6 +48,8 @@
 			[]float64{2, 3, 5, 7, 10, 15, 25}, "beside_room"),
 		jobs:    set.Counter("job_steps_total", "Jobs by how far they have come.", "step"),
 		endings: set.Counter("end_steps_total", "Ends that workers list, by how far they have come.", "step"),
+		stops:   set.Counter("run_stops_total", "Stops of runs that were ordered.", "cause"),
+		lost:    set.Counter("lost_core_seconds_total", "Work that ordered stops have lost, in core-seconds; an accelerator counts as 8 cores.", "cause"),
 	}
 }
 
@@ -79,8 +83,12 @@
 // observer returns the callbacks through which the scheduler reports its measurements.
 func (m *meters) observer() chief.Observer {
 	return chief.Observer{
-		CallResult:   func(kind, result string) { m.orders.WithLabelValues(kind, result).Inc() },
-		RunEnded:     func(how work.How) { m.ends.WithLabelValues(string(how)).Inc() },
+		CallResult: func(kind, result string) { m.orders.WithLabelValues(kind, result).Inc() },
+		RunEnded:   func(how work.How) { m.ends.WithLabelValues(string(how)).Inc() },
+		RunStopped: func(cause string, lost float64) {
+			m.stops.WithLabelValues(cause).Inc()
+			m.lost.WithLabelValues(cause).Add(lost)
+		},
 		PassDuration: func(took time.Duration) { m.plans.WithLabelValues().Observe(took.Seconds()) },
 		JobStarted: func(queue work.QueueName, waited time.Duration) {
 			m.waits.WithLabelValues(string(queue)).Observe(waited.Seconds())
