--- a/internal/chief/pass_bench_test.go
+++ b/internal/chief/pass_bench_test.go
@@ -32,9 +32,35 @@
 	}
 }
 
+// BenchmarkChooseRoom measures the choice of room for an urgent gang of whole workers in one rack, with the snapshot that it needs, on
+// workers that are all nearly full. Guards against urgent work that takes a large part of a small leader's processor.
+func BenchmarkChooseRoom(b *testing.B) {
+	for _, workers := range []int{350, 3000} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			now := clock.Instant(time.Hour)
+			c := newFullScheduler(workers, &now)
+			c.addJob(&work.Job{ID: "urgent", Queue: "check", Pool: "pool", Accepted: time.Now(), Steps: []work.Step{
+				{Count: 5, Need: work.Resources{CPU: 1000, GPU: 8}, Estimate: 2 * time.Second, Gang: true, SameRack: true},
+			}}, kv.Revision(1), "test")
+			s := c.jobs["urgent"].stages[0][0]
+			for b.Loop() {
+				p := &planner{c: c, now: now, config: c.Config(), racks: map[work.Label][]*worker{}}
+				p.listUsableWorkers()
+				p.sumUrgentNeeds()
+				if choice, refusal := p.chooseRoom(s, 5); choice == nil {
+					b.Fatal(refusal.Reason)
+				}
+			}
+		})
+	}
+}
+
 // newFullScheduler returns a scheduler with workers in racks of 6, all nearly full, and 400 gangs that find no room.
 func newFullScheduler(workers int, now *clock.Instant) *Scheduler {
-	config := &work.Config{Queues: []work.Queue{{Name: "scan", Pool: "pool", Terms: work.Terms{Priority: 1, MaxAttempts: 3, Stretch: 3}}}}
+	config := &work.Config{Queues: []work.Queue{
+		{Name: "scan", Pool: "pool", Terms: work.Terms{Priority: 1, MaxAttempts: 3, Stretch: 3}},
+		{Name: "check", Pool: "pool", Terms: work.Terms{Priority: 0, MaxAttempts: 3, Stretch: 3}},
+	}}
 	config.Index()
 	c := &Scheduler{
 		Log: zerolog.Nop(), Workers: &agent.Calls{MaxListedEnds: 500}, Now: func() clock.Instant { return *now }, WallClock: time.Now,
--- a/internal/chief/reservation.go
+++ b/internal/chief/reservation.go
@@ -13,7 +13,8 @@
 	reservationTTL = 2500 * time.Millisecond
 	// expectedEndMargin is how long after the expected end of a run its room stays reserved for the stage that waits for it.
 	expectedEndMargin     = 300 * time.Millisecond
-	noCapacityLogInterval = time.Second // least time between two logs for a stage
+	refusedRoomPause      = 100 * time.Millisecond // least time between two searches for room for a stage that gets none
+	noCapacityLogInterval = time.Second            // least time between two logs for a stage
 )
 
 // applyReservations deducts the reservations of waiting stages from the available capacity, and drops invalid ones.
@@ -124,8 +125,12 @@
 		p.reserveWorkers(s, places)
 		return
 	}
+	if p.now.Sub(s.roomRefusedAt) < refusedRoomPause {
+		return
+	}
 	choice, refusal := p.chooseRoom(s, need)
 	if refusal != nil {
+		s.roomRefusedAt = p.now
 		p.logNoCapacity(s, choice, refusal)
 		return
 	}
--- a/internal/chief/snapshot.go
+++ b/internal/chief/snapshot.go
@@ -26,6 +26,12 @@
 	for id, tenant := range p.config.Tenants {
 		s.Tenants[id] = view.Tenant{Guaranteed: tenant.Guaranteed, Weight: tenant.Weight, Cap: tenant.Cap}
 	}
+	runs := 0
+	for _, w := range p.workers {
+		runs += len(w.runs)
+	}
+	s.Workers, s.workers = make([]view.Worker, 0, len(p.workers)), make([]*worker, 0, len(p.workers))
+	s.Runs, s.runs = make([]view.Run, 0, runs), make([]*run, 0, runs)
 	gangs := map[*gang]view.GangRef{}
 	for _, w := range p.workers {
 		s.addWorker(p, w, gangs)
@@ -57,6 +63,7 @@
 		ID: w.info.ID, Pool: w.info.Pool, Rack: w.info.Rack(), Capacity: w.info.Capacity, Available: w.available, Speed: 1,
 		Leaves: w.leavesAt != 0, LeavesIn: w.leavesAt.Sub(p.now),
 	}
+	seen.Runs = make([]view.RunRef, 0, len(w.runs))
 	for _, r := range w.runs {
 		if r.task == nil {
 			continue
--- a/internal/chief/state.go
+++ b/internal/chief/state.go
@@ -110,6 +110,7 @@
 	reserved           []*worker
 	reservedAt         clock.Instant
 	reservedFor        time.Duration // from reservedAt
+	roomRefusedAt      clock.Instant // when it was last decided that nothing is stopped for it
 	noCapacityLoggedAt clock.Instant
 	runsOn             map[*worker]int // number of runs by worker
 	advice             advice
--- a/internal/evict/choose.go
+++ b/internal/evict/choose.go
@@ -1,6 +1,7 @@
 package evict
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -92,36 +93,56 @@
 	demand  *Demand
 	need    work.Resources // of one task
 	units   []unit
-	unitOf  []int            // index of a run's unit by view.RunRef; -1 if it can't be stopped
+	unitsOn [][]int          // indexes of units by view.WorkerRef
 	room    []work.Resources // by view.WorkerRef: free after stops, and after the runs that end by themselves
 	endsIn  []time.Duration  // by view.WorkerRef: when the last of these runs ends
+	freed   []work.Resources // by view.WorkerRef: scratch space of gain
+	plans   [2]*plan         // one for each way to fill
 }
 
 // unit is what is stopped together: a gang, or a single run.
 type unit struct {
-	runs []view.RunRef
-	lost float64 // core-seconds
-	cost float64 // core-seconds
+	runs  []view.RunRef
+	frees []freed
+	lost  float64 // core-seconds
+	cost  float64 // core-seconds
+}
+
+// freed is the room that the stop of a unit frees on one worker.
+type freed struct {
+	worker view.WorkerRef
+	room   work.Resources
+}
+
+// freesOn returns the room that the stop of a unit frees on a worker.
+func (u *unit) freesOn(w view.WorkerRef) work.Resources {
+	for i := range u.frees {
+		if u.frees[i].worker == w {
+			return u.frees[i].room
+		}
+	}
+	return work.Resources{}
 }
 
 func newSearch(c *Chooser, snapshot *view.Snapshot, d *Demand) *search {
 	s := &search{Snapshot: snapshot, chooser: c, demand: d, need: snapshot.Stages[d.Stage].Need}
 	s.room = make([]work.Resources, len(s.Workers))
 	s.endsIn = make([]time.Duration, len(s.Workers))
+	s.unitsOn = make([][]int, len(s.Workers))
+	s.freed = make([]work.Resources, len(s.Workers))
 	for w := range s.Workers {
 		s.room[w] = s.Workers[w].Available
 	}
 	s.listUnits()
+	s.plans = [2]*plan{s.newPlan(), s.newPlan()}
 	return s
 }
 
 // listUnits groups the runs that may be stopped, and adds the room of those that end by themselves.
 func (s *search) listUnits() {
-	s.unitOf = make([]int, len(s.Runs))
 	gangs := map[view.GangRef]int{}
 	for ref := range s.Runs {
 		r := &s.Runs[ref]
-		s.unitOf[ref] = -1
 		if r.Stopping || r.Protected {
 			continue
 		}
@@ -141,11 +162,24 @@
 		if r.Gang != 0 {
 			gangs[r.Gang] = index
 		}
-		s.units[index].runs = append(s.units[index].runs, view.RunRef(ref))
-		s.unitOf[ref] = index
+		s.addRun(index, view.RunRef(ref))
 	}
 }
 
+// addRun adds a run to a unit.
+func (s *search) addRun(index int, ref view.RunRef) {
+	u, r := &s.units[index], &s.Runs[ref]
+	u.runs = append(u.runs, ref)
+	for i := range u.frees {
+		if u.frees[i].worker == r.Worker {
+			u.frees[i].room = u.frees[i].room.Add(r.Need)
+			return
+		}
+	}
+	u.frees = append(u.frees, freed{r.Worker, r.Need})
+	s.unitsOn[r.Worker] = append(s.unitsOn[r.Worker], index)
+}
+
 // mayStop reports whether a run may be stopped for the demand.
 func (s *search) mayStop(r *view.Run) bool {
 	own, other := &s.Stages[s.demand.Stage], &s.Stages[r.Stage]
@@ -205,7 +239,7 @@
 	var best *Choice
 	if s.demand.OneRack {
 		for _, rack := range s.racks() {
-			if choice := s.choose(rack); choice != nil && (best == nil || choice.less(best)) {
+			if choice := s.choose(rack, best); choice != nil && (best == nil || choice.less(best)) {
 				best = choice
 			}
 		}
@@ -217,7 +251,7 @@
 	for w := range s.Workers {
 		all[w] = view.WorkerRef(w)
 	}
-	return s.choose(all)
+	return s.choose(all, nil)
 }
 
 func (c *Choice) less(other *Choice) bool {
@@ -244,24 +278,35 @@
 	return racks
 }
 
-// choose returns the cheapest room on some workers; nil if there is none.
-func (s *search) choose(area []view.WorkerRef) *Choice {
+// choose returns the cheaper of two plans for some workers: by the cost of each place gained, and with the cheapest runs of each worker; nil if there is none, or none at less than a number of times the cost of another choice.
+func (s *search) choose(area []view.WorkerRef, other *Choice) *Choice {
 	if !s.mayHold(area) {
 		return nil
 	}
-	best := s.newPlan(area)
-	if !best.fill(best.byGain) {
-		best = nil
+	limit := math.Inf(1)
+	if other != nil {
+		limit = needlessAllowance*other.Cost + 1
+	}
+	gainful, cheapest := s.plans[0], s.plans[1]
+	gainful.reset(area, limit)
+	found := gainful.fill(gainful.byGain)
+	if found {
+		limit = min(limit, needlessAllowance*gainful.cost)
 	}
-	if single := s.newPlan(area); single.fill(single.byCost) && (best == nil || single.cost() < best.cost()) {
-		best = single
+	cheapest.reset(area, limit)
+	if cheapest.fill(cheapest.byCost) && (!found || cheapest.cost < gainful.cost) {
+		return cheapest.choice()
 	}
-	if best == nil {
+	if !found {
 		return nil
 	}
-	return best.choice()
+	return gainful.choice()
 }
 
+// needlessAllowance times the cost of another plan is the cost above which a plan is given up before it is complete: it may still drop units
+// that are not needed in the end.
+const needlessAllowance = 2
+
 // mayHold reports whether some workers hold the demand with nothing else on them.
 func (s *search) mayHold(area []view.WorkerRef) bool {
 	places := 0
--- a/internal/evict/plan.go
+++ b/internal/evict/plan.go
@@ -1,6 +1,7 @@
 package evict
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -12,32 +13,47 @@
 type plan struct {
 	*search
 	area    []view.WorkerRef
-	inArea  map[view.WorkerRef]bool
-	room    map[view.WorkerRef]work.Resources // with the stops of the plan
-	places  map[view.WorkerRef]int            // tasks of the demand that fit
-	total   int                               // sum of places
-	stopped map[int]bool                      // units
-	options map[view.WorkerRef]*option        // results of byGain and byCost; none where they are out of date
+	limit   float64          // cost above which the plan is given up
+	inArea  []bool           // by view.WorkerRef, as are room, places and options
+	room    []work.Resources // with the stops of the plan
+	places  []int            // tasks of the demand that fit
+	options []option         // results of byGain or byCost
+	total   int              // sum of places
+	stopped []bool           // by index of the unit
+	touched []int            // units that have been stopped, also those that are kept again
+	cost    float64          // of the units that are stopped
 }
 
 // option is a set of units with runs on one worker, whose stop makes room for at least one more task there.
 type option struct {
+	known bool // false if it is out of date
 	units []int
 	cost  float64
-	gain  int // tasks that find room, also on other workers
+	gain  int // tasks that find room, also on other workers; 0 if there is no such set
 }
 
-func (s *search) newPlan(area []view.WorkerRef) *plan {
-	p := &plan{
-		search: s, area: area, inArea: make(map[view.WorkerRef]bool, len(area)), room: make(map[view.WorkerRef]work.Resources, len(area)),
-		places: make(map[view.WorkerRef]int, len(area)), stopped: map[int]bool{}, options: make(map[view.WorkerRef]*option, len(area)),
+func (s *search) newPlan() *plan {
+	return &plan{
+		search: s, inArea: make([]bool, len(s.Workers)), room: make([]work.Resources, len(s.Workers)),
+		places: make([]int, len(s.Workers)), stopped: make([]bool, len(s.units)), options: make([]option, len(s.Workers)),
 	}
+}
+
+// reset empties a plan, for use on other workers: racks are many, and a plan has a place for each worker.
+func (p *plan) reset(area []view.WorkerRef, limit float64) {
+	for _, w := range p.area {
+		p.inArea[w], p.places[w], p.options[w] = false, 0, option{}
+	}
+	for _, index := range p.touched {
+		p.stopped[index] = false
+	}
+	p.touched = p.touched[:0]
+	p.area, p.limit, p.total, p.cost = area, limit, 0, 0
 	for _, w := range area {
 		p.inArea[w] = true
-		p.room[w] = s.room[w]
+		p.room[w] = p.search.room[w]
 		p.count(w)
 	}
-	return p
 }
 
 // count updates how many tasks fit on a worker.
@@ -48,10 +64,10 @@
 }
 
 // fill stops units, those of the best option first, until the demand fits, and reports whether it does.
-func (p *plan) fill(optionOn func(view.WorkerRef) *option) bool {
+func (p *plan) fill(optionOn func(view.WorkerRef) option) bool {
 	for p.total < p.demand.Tasks {
 		best := p.bestOption(optionOn)
-		if best == nil {
+		if best == nil || p.cost > p.limit {
 			return false
 		}
 		for _, index := range best.units {
@@ -62,17 +78,17 @@
 	return true
 }
 
-func (p *plan) bestOption(optionOn func(view.WorkerRef) *option) *option {
+func (p *plan) bestOption(optionOn func(view.WorkerRef) option) *option {
 	missing := p.demand.Tasks - p.total
 	var best *option
 	bestCost := 0.0
 	for _, w := range p.area {
-		o, known := p.options[w]
-		if !known {
-			o = optionOn(w)
-			p.options[w] = o
+		o := &p.options[w]
+		if !o.known {
+			*o = optionOn(w)
+			o.known = true
 		}
-		if o == nil {
+		if o.gain == 0 {
 			continue
 		}
 		if cost := o.cost / float64(min(o.gain, missing)); best == nil || cost < bestCost {
@@ -85,24 +101,25 @@
 // stop adds a unit to the plan.
 func (p *plan) stop(index int) {
 	p.stopped[index] = true
-	for _, ref := range p.units[index].runs {
-		w := p.Runs[ref].Worker
-		if p.inArea[w] {
-			p.room[w] = p.room[w].Add(p.Runs[ref].Need)
-			p.count(w)
-			delete(p.options, w)
+	p.touched = append(p.touched, index)
+	p.cost += p.units[index].cost
+	for _, f := range p.units[index].frees {
+		if p.inArea[f.worker] {
+			p.room[f.worker] = p.room[f.worker].Add(f.room)
+			p.count(f.worker)
+			p.options[f.worker].known = false
 		}
 	}
 }
 
 // keep takes a unit out of the plan.
 func (p *plan) keep(index int) {
-	delete(p.stopped, index)
-	for _, ref := range p.units[index].runs {
-		w := p.Runs[ref].Worker
-		if p.inArea[w] {
-			p.room[w] = p.room[w].Sub(p.Runs[ref].Need)
-			p.count(w)
+	p.stopped[index] = false
+	p.cost -= p.units[index].cost
+	for _, f := range p.units[index].frees {
+		if p.inArea[f.worker] {
+			p.room[f.worker] = p.room[f.worker].Sub(f.room)
+			p.count(f.worker)
 		}
 	}
 }
@@ -120,44 +137,39 @@
 }
 
 func (p *plan) stoppedUnits() []int {
-	list := make([]int, 0, len(p.stopped))
-	for index := range p.stopped {
-		list = append(list, index)
+	var list []int
+	for _, index := range p.touched {
+		if p.stopped[index] {
+			list = append(list, index)
+		}
 	}
 	sort.Ints(list)
-	return list
+	return slices.Compact(list)
 }
 
 // byGain returns the units on a worker with the least cost for each task that gets room, whether there or where the rest of a gang runs.
-func (p *plan) byGain(w view.WorkerRef) *option {
-	units := p.unitsOn(w)
+func (p *plan) byGain(w view.WorkerRef) option {
+	units := p.stoppableOn(w)
 	target := p.oneMore(w)
-	useful := map[int]float64{}
-	for _, index := range units {
-		useful[index] = p.units[index].cost / p.usefulness(w, index, target)
-	}
-	p.sortUnits(units, func(index int) float64 { return useful[index] })
+	p.sortUnits(units, func(index int) float64 { return p.units[index].cost / p.usefulness(w, index, target) })
 	return p.optionFrom(w, units, p.demand.Places[w])
 }
 
 // byCost returns the cheapest units on a worker that make room for one more task.
-func (p *plan) byCost(w view.WorkerRef) *option {
-	units := p.unitsOn(w)
+func (p *plan) byCost(w view.WorkerRef) option {
+	units := p.stoppableOn(w)
 	p.sortUnits(units, func(index int) float64 { return p.units[index].cost })
 	return p.optionFrom(w, units, p.places[w]+1)
 }
 
-// unitsOn returns the units with runs on a worker that are not stopped yet.
-func (p *plan) unitsOn(w view.WorkerRef) []int {
+// stoppableOn returns the units with runs on a worker that are not stopped yet.
+func (p *plan) stoppableOn(w view.WorkerRef) []int {
 	if p.places[w] >= p.demand.Places[w] || !p.Workers[w].Capacity.Fits(p.oneMore(w)) {
 		return nil
 	}
-	var units []int
-	seen := map[int]bool{}
-	for _, ref := range p.Workers[w].Runs {
-		index := p.unitOf[ref]
-		if index >= 0 && !p.stopped[index] && !seen[index] {
-			seen[index] = true
+	units := make([]int, 0, len(p.unitsOn[w]))
+	for _, index := range p.unitsOn[w] {
+		if !p.stopped[index] {
 			units = append(units, index)
 		}
 	}
@@ -179,15 +191,10 @@
 
 // usefulness returns which part of the room that a worker lacks for a target a unit frees there, with what it frees elsewhere; above 0.
 func (p *plan) usefulness(w view.WorkerRef, index int, target work.Resources) float64 {
-	freed := work.Resources{}
-	for _, ref := range p.units[index].runs {
-		if p.Runs[ref].Worker == w {
-			freed = freed.Add(p.Runs[ref].Need)
-		}
-	}
+	freed := p.units[index].freesOn(w)
 	lacking := target.Sub(p.room[w])
 	sum, parts := 0.0, 0.0
-	for _, part := range [][2]int{{freed.CPU, lacking.CPU}, {freed.Memory, lacking.Memory}, {int(freed.GPU), int(lacking.GPU)}} {
+	for _, part := range [...][2]int{{freed.CPU, lacking.CPU}, {freed.Memory, lacking.Memory}, {int(freed.GPU), int(lacking.GPU)}} {
 		if part[1] > 0 {
 			sum += min(1, float64(part[0])/float64(part[1]))
 			parts++
@@ -200,32 +207,26 @@
 const leastUsefulness = 1e-6
 
 // optionFrom returns the first units of a list that make room for one more task, or for up to a number of tasks where that costs less for
-// each of them; nil if there is no room for one.
-func (p *plan) optionFrom(w view.WorkerRef, units []int, most int) *option {
+// each of them.
+func (p *plan) optionFrom(w view.WorkerRef, units []int, most int) option {
 	room := p.room[w]
 	places := p.places[w]
-	var best *option
-	var chosen []int
+	var best option
 	cost := 0.0
-	for _, index := range units {
+	for i, index := range units {
 		if places >= most {
 			break
 		}
-		chosen = append(chosen, index)
 		cost += p.units[index].cost
-		for _, ref := range p.units[index].runs {
-			if p.Runs[ref].Worker == w {
-				room = room.Add(p.Runs[ref].Need)
-			}
-		}
+		room = room.Add(p.units[index].freesOn(w))
 		fits := countFits(room, p.need, p.demand.Places[w])
 		if fits <= places {
 			continue
 		}
 		places = fits
-		gain := p.gain(chosen)
-		if best == nil || cost*float64(best.gain) < best.cost*float64(gain) {
-			best = &option{units: append([]int(nil), chosen...), cost: cost, gain: gain}
+		gain := p.gain(units[:i+1])
+		if best.gain == 0 || cost*float64(best.gain) < best.cost*float64(gain) {
+			best = option{units: units[:i+1], cost: cost, gain: gain}
 		}
 	}
 	return best
@@ -233,32 +234,28 @@
 
 // gain returns how many more tasks of the demand find room once some units are stopped.
 func (p *plan) gain(units []int) int {
-	freed := map[view.WorkerRef]work.Resources{}
+	gain := 0
 	for _, index := range units {
-		for _, ref := range p.units[index].runs {
-			if w := p.Runs[ref].Worker; p.inArea[w] {
-				freed[w] = freed[w].Add(p.Runs[ref].Need)
+		for _, f := range p.units[index].frees {
+			if !p.inArea[f.worker] {
+				continue
 			}
+			before := countFits(p.room[f.worker].Add(p.freed[f.worker]), p.need, p.demand.Places[f.worker])
+			p.freed[f.worker] = p.freed[f.worker].Add(f.room)
+			gain += countFits(p.room[f.worker].Add(p.freed[f.worker]), p.need, p.demand.Places[f.worker]) - before
 		}
 	}
-	gain := 0
-	for w, resources := range freed {
-		gain += countFits(p.room[w].Add(resources), p.need, p.demand.Places[w]) - p.places[w]
+	for _, index := range units {
+		for _, f := range p.units[index].frees {
+			p.freed[f.worker] = work.Resources{}
+		}
 	}
 	return gain
 }
 
-func (p *plan) cost() float64 {
-	cost := 0.0
-	for _, index := range p.stoppedUnits() {
-		cost += p.units[index].cost
-	}
-	return cost
-}
-
 // choice returns the stops of the plan, and claims on the workers where the room is free soonest.
 func (p *plan) choice() *Choice {
-	c := &Choice{Cost: p.cost()}
+	c := &Choice{Cost: p.cost}
 	for _, index := range p.stoppedUnits() {
 		c.Lost += p.units[index].lost
 		for _, ref := range p.units[index].runs {
