evict: accelerators are kept free for urgent work for 6 s

Cause: bursts of urgent work come within seconds of each other; with 3 s, work that started in the pause was stopped by the next one.

--- a/internal/evict/headroom.go
+++ b/internal/evict/headroom.go
@@ -11,7 +11,7 @@
 const (
 	// HeadroomWindow is how long accelerators that urgent work has used are kept free for more of it: other work that started there would
 	// soon be stopped.
-	HeadroomWindow = 3 * time.Second
+	HeadroomWindow = 6 * time.Second
 	headroomSlots  = 12 // parts of HeadroomWindow
 )
 
--- a/internal/evict/headroom_test.go
+++ b/internal/evict/headroom_test.go
@@ -17,8 +17,8 @@
 	at := time.Hour
 	g.Expect(u.Record(at, 40)).To(Equal(model.Accelerators(40)))
 	g.Expect(u.Record(at+time.Second, 8)).To(Equal(model.Accelerators(40)))
-	g.Expect(u.Record(at+2500*time.Millisecond, 16)).To(Equal(model.Accelerators(40)))
-	g.Expect(u.Record(at+3500*time.Millisecond, 0)).To(Equal(model.Accelerators(16)))
+	g.Expect(u.Record(at+5500*time.Millisecond, 16)).To(Equal(model.Accelerators(40)))
+	g.Expect(u.Record(at+6500*time.Millisecond, 0)).To(Equal(model.Accelerators(16)))
 	g.Expect(u.Record(at+time.Minute, 0)).To(Equal(model.Accelerators(0)))
 }
 
