--- a/internal/evict/choose_test.go
+++ b/internal/evict/choose_test.go
@@ -60,6 +60,17 @@
 	return &evict.Demand{Tasks: tasks, Places: places, Patience: 200 * time.Millisecond}
 }
 
+// demandOn is a demand that only one worker may serve.
+func (f *fleet) demandOn(w view.WorkerRef, tasks int) *evict.Demand {
+	d := f.demand(tasks)
+	for other := range d.Places {
+		if view.WorkerRef(other) != w {
+			d.Places[other] = 0
+		}
+	}
+	return d
+}
+
 func choose(f *fleet, d *evict.Demand) (*evict.Choice, *view.Refusal) {
 	chooser := evict.Chooser{StopTime: 200 * time.Millisecond, Restart: 400 * time.Millisecond}
 	return chooser.Choose(&f.Snapshot, d)
@@ -96,6 +107,32 @@
 			},
 			want: []view.RunRef{0, 1, 2, 3, 4, 5, 6, 7},
 		},
+		{
+			name: "one wide run gives way, not as many small ones as take its room",
+			load: func(f *fleet) *evict.Demand {
+				f.Stages[0].Need = need(4)
+				small, wide := f.stage(view.Stage{Need: need(1), Tasks: 4}), f.stage(view.Stage{Need: need(4), Tasks: 1})
+				for range 4 {
+					f.run(0, small, 2*time.Second, nil)
+				}
+				f.run(0, wide, 500*time.Millisecond, nil)
+				return f.demandOn(0, 1)
+			},
+			want: []view.RunRef{4},
+		},
+		{
+			name: "small runs are not stopped beside a wide one that makes room enough",
+			load: func(f *fleet) *evict.Demand {
+				f.Stages[0].Need = need(4)
+				small, wide := f.stage(view.Stage{Need: need(1), Tasks: 4}), f.stage(view.Stage{Need: need(4), Tasks: 1})
+				for n := range 4 {
+					f.run(0, small, 200*time.Millisecond, func(r *view.Run) { r.Protected = n == 0 })
+				}
+				f.run(0, wide, 500*time.Millisecond, nil)
+				return f.demandOn(0, 1)
+			},
+			want: []view.RunRef{4},
+		},
 		{
 			name: "a gang on two workers gives room on both, though each of its members costs the whole gang",
 			load: func(f *fleet) *evict.Demand {
