--- a/internal/chief/preempt.go
+++ b/internal/chief/preempt.go
@@ -110,5 +110,5 @@
 		return
 	}
 	t.preemptions = min(t.preemptions+1, maxPreemptedPauses)
-	t.pausedUntil = p.now.Add(time.Duration(t.preemptions-1) * preemptedPause)
+	t.pausedUntil = p.now.Add(time.Duration(t.preemptions) * preemptedPause)
 }
