--- a/internal/chief/headroom.go
+++ b/internal/chief/headroom.go
@@ -45,16 +45,6 @@
 			p.c.urgentDemand[name] = &evict.Usage{}
 		}
 		h.kept = max(0, p.c.urgentDemand[name].Record(time.Duration(p.now), h.urgent)-h.urgent)
-		if p.c.urgentDemand[name+"!w"] == nil {
-			p.c.urgentDemand[name+"!w"] = &evict.Usage{}
-		}
-		widest := model.Accelerators(0)
-		for _, j := range p.c.liveJobs {
-			if j.spec.Pool == name && p.config.Terms(j.spec).Priority == 0 {
-				widest = max(widest, j.maxAccelerators())
-			}
-		}
-		h.kept = max(h.kept, p.c.urgentDemand[name+"!w"].Record(time.Duration(p.now), widest))
 		p.spare[name] = h.free - h.kept
 	}
 	p.keepIdleWorkers(pools)
