--- a/internal/evict/choose_test.go
+++ b/internal/evict/choose_test.go
@@ -1,6 +1,9 @@
 package evict_test
 
 import (
+	"cmp"
+	"slices"
+	"sort"
 	"testing"
 	"time"
 
@@ -52,6 +55,13 @@
 	return ref
 }
 
+// fill adds a run of a stage to each of the first workers.
+func (f *fleet) fill(workers int, stage view.StageRef, lost time.Duration, change func(*view.Run)) {
+	for w := range view.WorkerRef(workers) {
+		f.run(w, stage, lost, change)
+	}
+}
+
 func (f *fleet) demand(tasks int) *evict.Demand {
 	places := make([]int, len(f.Workers))
 	for w := range places {
@@ -162,9 +172,7 @@
 			name: "a task that was stopped three times is left alone, though less of it is lost",
 			load: func(f *fleet) *evict.Demand {
 				s := f.stage(view.Stage{Need: need(8), Tasks: 4})
-				for w := range view.WorkerRef(3) {
-					f.run(w, s, time.Second, func(r *view.Run) { r.Stops = 3 })
-				}
+				f.fill(3, s, time.Second, func(r *view.Run) { r.Stops = 3 })
 				f.run(3, s, 3*time.Second, nil)
 				return f.demand(1)
 			},
@@ -175,22 +183,18 @@
 			load: func(f *fleet) *evict.Demand {
 				timely, hopeless := f.stage(view.Stage{Need: need(8), Tasks: 3}), f.stage(view.Stage{Need: need(8), Tasks: 1})
 				f.Stages[hopeless].Hopeless = true
-				f.run(0, timely, time.Second, nil)
-				f.run(1, timely, time.Second, nil)
-				f.run(2, hopeless, 2*time.Second, nil)
-				f.run(3, timely, time.Second, nil)
+				f.fill(3, timely, time.Second, nil)
+				f.run(3, hopeless, 2*time.Second, nil)
 				return f.demand(1)
 			},
-			want: []view.RunRef{2},
+			want: []view.RunRef{3},
 		},
 		{
 			name: "work that a stop makes late is left alone",
 			load: func(f *fleet) *evict.Demand {
 				tight := f.stage(view.Stage{Tenant: "tight", Priority: 1, Need: need(8), Tasks: 3, Estimate: 6 * time.Second})
 				patient := f.stage(view.Stage{Need: need(8), Tasks: 1})
-				for w := range view.WorkerRef(3) {
-					f.run(w, tight, time.Second, nil)
-				}
+				f.fill(3, tight, time.Second, nil)
 				f.run(3, patient, 2*time.Second, nil)
 				return f.demand(1)
 			},
@@ -201,9 +205,7 @@
 			load: func(f *fleet) *evict.Demand {
 				others, own := f.stage(view.Stage{Need: need(8), Tasks: 3}), f.stage(view.Stage{Need: need(8), Tasks: 1})
 				f.Stages[own].Tenant = "urgent"
-				for w := range view.WorkerRef(3) {
-					f.run(w, others, time.Second, nil)
-				}
+				f.fill(3, others, time.Second, nil)
 				f.run(3, own, 1200*time.Millisecond, nil)
 				return f.demand(1)
 			},
@@ -224,9 +226,7 @@
 			load: func(f *fleet) *evict.Demand {
 				f.Stages[0].Guaranteed, f.Stages[0].Slack = false, -time.Second
 				s := f.stage(view.Stage{Need: need(8), Tasks: 4})
-				for w := range view.WorkerRef(4) {
-					f.run(w, s, 10*time.Millisecond, nil)
-				}
+				f.fill(4, s, 10*time.Millisecond, nil)
 				return f.demand(1)
 			},
 			reason: evict.ReasonHopeless,
@@ -236,9 +236,7 @@
 			load: func(f *fleet) *evict.Demand {
 				f.Stages[0].Guaranteed = false
 				s := f.stage(view.Stage{Need: need(8), Tasks: 4})
-				for w := range view.WorkerRef(4) {
-					f.run(w, s, 4*time.Second, nil)
-				}
+				f.fill(4, s, 4*time.Second, nil)
 				return f.demand(1)
 			},
 			reason: evict.ReasonTooDear,
@@ -247,9 +245,7 @@
 			name: "tasks that last are never stopped",
 			load: func(f *fleet) *evict.Demand {
 				s := f.stage(view.Stage{Need: need(8), Tasks: 4})
-				for w := range view.WorkerRef(4) {
-					f.run(w, s, time.Second, func(r *view.Run) { r.Protected = true })
-				}
+				f.fill(4, s, time.Second, func(r *view.Run) { r.Protected = true })
 				return f.demand(1)
 			},
 			reason: evict.ReasonNoRoom,
@@ -381,51 +377,60 @@
 	}
 }
 
-// cheapestFirst returns the cost of the choice that stops, on the cheapest workers, the cheapest runs for one more task each.
+// cheapestFirst returns the cost of the choice that stops, on the cheapest workers, the cheapest runs for one more task each, and whether
+// that makes room.
 func (f *fleet) cheapestFirst(d *evict.Demand) (float64, bool) {
-	one := f.demand(1)
-	available := make([]work.Resources, len(f.Workers))
-	missing, total := d.Tasks, 0.0
+	missing := d.Tasks
+	var costs []float64
 	for w := range f.Workers {
-		available[w] = f.Workers[w].Available
-		for missing > 0 && available[w].Fits(f.Stages[0].Need) {
-			available[w] = available[w].Sub(f.Stages[0].Need)
-			missing--
+		free := f.Workers[w].Available
+		for ; missing > 0 && free.Fits(f.Stages[0].Need); missing-- {
+			free = free.Sub(f.Stages[0].Need)
 		}
-	}
-	for ; missing > 0; missing-- {
-		best := -1
-		bestCost := 0.0
-		for w := range f.Workers {
-			if available[w].GPU < 0 {
-				continue
-			}
-			cost, ok := f.costOn(view.WorkerRef(w), available[w], one)
-			if ok && (best < 0 || cost < bestCost) {
-				best, bestCost = w, cost
-			}
-		}
-		if best < 0 {
-			return 0, false
+		if cost, ok := f.costOfOne(f.Workers[w].Runs, free); ok {
+			costs = append(costs, cost)
 		}
-		available[best].GPU = -1 // One more task for each worker.
-		total += bestCost
+	}
+	if missing > len(costs) {
+		return 0, false
+	}
+	sort.Float64s(costs)
+	total := 0.0
+	for _, cost := range costs[:missing] {
+		total += cost
 	}
 	return total, true
 }
 
-// costOn returns the cost of room for one task on a worker, by a choice over that worker alone.
-func (f *fleet) costOn(w view.WorkerRef, available work.Resources, one *evict.Demand) (float64, bool) {
-	alone := &fleet{Snapshot: f.Snapshot}
-	alone.Workers = append([]view.Worker(nil), f.Workers...)
-	alone.Workers[w].Available = available
-	one.Places = make([]int, len(f.Workers))
-	one.Places[w] = 1
-	choice, refusal := choose(alone, one)
-	if refusal != nil {
-		return 0, false
+// costOfOne returns the cost of stopping the cheapest of some runs for one task on their worker. A gang costs as much as its members.
+func (f *fleet) costOfOne(runs []view.RunRef, free work.Resources) (float64, bool) {
+	cost := func(r *view.Run) float64 {
+		s := &f.Stages[r.Stage]
+		cost := s.Need.Cores() * (r.Lost.Seconds() + 0.5)
+		if r.Gang != 0 {
+			cost *= float64(s.Tasks)
+		}
+		if s.Hopeless {
+			cost /= 4
+		}
+		return cost
+	}
+	runs = slices.DeleteFunc(slices.Clone(runs), func(ref view.RunRef) bool { return f.Runs[ref].Protected })
+	slices.SortFunc(runs, func(a, b view.RunRef) int { return cmp.Compare(cost(&f.Runs[a]), cost(&f.Runs[b])) })
+	total := 0.0
+	gangs := map[view.GangRef]bool{}
+	for _, ref := range runs {
+		if free.Fits(f.Stages[0].Need) {
+			break
+		}
+		r := &f.Runs[ref]
+		free = free.Add(r.Need)
+		if r.Gang == 0 || !gangs[r.Gang] {
+			total += cost(r)
+		}
+		gangs[r.Gang] = true
 	}
-	return choice.Cost, true
+	return total, free.Fits(f.Stages[0].Need)
 }
 
 // BenchmarkChoose measures a choice for a gang of 20 whole workers in one rack, on a full fleet.
--- a/internal/evict/plan.go
+++ b/internal/evict/plan.go
@@ -155,11 +155,13 @@
 	return p.optionFrom(w, units, p.demand.Places[w])
 }
 
-// byCost returns the cheapest units on a worker that make room for one more task.
+// byCost returns the cheapest units on a worker that make room for one more task there. What finds room elsewhere doesn't count.
 func (p *plan) byCost(w view.WorkerRef) option {
 	units := p.stoppableOn(w)
 	p.sortUnits(units, func(index int) float64 { return p.units[index].cost })
-	return p.optionFrom(w, units, p.places[w]+1)
+	o := p.optionFrom(w, units, p.places[w]+1)
+	o.gain = min(o.gain, 1)
+	return o
 }
 
 // stoppableOn returns the units with runs on a worker that are not stopped yet.
