evict: a stage waits once for ends, and estimates are doubted before a demand is refused

Some waited two or three times for runs that went on beyond their expected end; others beyond their guarantee were refused at once, since their queue's mean run time is far above their own. Checked: the specs of chief and evict pass.

--- a/internal/chief/preempt.go
+++ b/internal/chief/preempt.go
@@ -71,10 +71,13 @@
 	return limit
 }
 
-// patience is how long a stage that may stop other work waits for runs that end by themselves: as long as a stop takes, but no longer than
-// it would wait for a single rack.
+// patience is how long a stage that may stop other work waits for runs that end by themselves: as long as a stop takes, and only once. Where
+// a run goes on beyond its expected end, the stage has lost that time already.
 func (p *planner) patience(s *stage) time.Duration {
-	return min(p.c.Limits.StopTimeout, p.sameRackWait()-p.now.Sub(s.waitingSince))
+	if p.now.Sub(s.waitingSince) >= p.c.Limits.StopTimeout {
+		return 0
+	}
+	return p.c.Limits.StopTimeout
 }
 
 // preemptRuns stops runs and, with each, the rest of its gang; their resources count as available for the rest of the pass.
--- a/internal/evict/choose.go
+++ b/internal/evict/choose.go
@@ -67,7 +67,7 @@
 	if stage.Guaranteed || len(choice.Stops) == 0 {
 		return ""
 	}
-	if stage.Slack < 0 && s.stopsTimelyWork(choice) {
+	if isLate(stage) && s.stopsTimelyWork(choice) {
 		return ReasonHopeless
 	}
 	if own := float64(s.demand.Tasks) * stage.Need.Cores() * stage.Estimate.Seconds(); choice.Cost > own {
@@ -76,6 +76,14 @@
 	return ""
 }
 
+// estimateDoubt is the part of its estimate that a task may take: estimates of short tasks are too high where a queue also has long ones.
+const estimateDoubt = 0.5
+
+// isLate reports whether a stage can't be in time, even if its tasks take much less than is expected.
+func isLate(stage *view.Stage) bool {
+	return stage.Hopeless || stage.Slack+time.Duration((1-estimateDoubt)*float64(stage.Estimate)) < 0
+}
+
 // stopsTimelyWork reports whether a choice stops a run whose job can be in time.
 func (s *search) stopsTimelyWork(choice *Choice) bool {
 	for _, stop := range choice.Stops {
