--- a/internal/evict/choose.go
+++ b/internal/evict/choose.go
@@ -214,7 +214,7 @@
 	}
 	lost := float64(members) * stage.Need.Cores() * r.Lost.Seconds()
 	cost := lost + float64(members)*stage.Need.Cores()*stopOverhead.Seconds()
-	cost *= float64(1 + r.Stops)
+	cost *= float64(1+r.Stops) * s.shortGain(r)
 	if s.becomesLate(r) {
 		cost += stage.CoreSeconds()
 	}
@@ -230,6 +230,23 @@
 	return unit{lost: lost, cost: cost}
 }
 
+const (
+	// maxShortGain limits how much dearer a run is that ends soon by itself.
+	maxShortGain = 4
+	// shortestLeft is the least time that a run counts as taking, since estimates are not exact.
+	shortestLeft = 100 * time.Millisecond
+)
+
+// shortGain returns how many times longer the demand uses the room of a run than the run would have kept it; at least 1. Work that is nearly
+// done is lost for little time gained.
+func (s *search) shortGain(r *view.Run) float64 {
+	uses := s.Stages[s.demand.Stage].Estimate
+	if r.Left >= uses {
+		return 1
+	}
+	return min(maxShortGain, uses.Seconds()/max(r.Left, shortestLeft).Seconds())
+}
+
 // slack returns the time until the target of a run's job, less what the job still takes.
 func (s *search) slack(r *view.Run) time.Duration {
 	stage := &s.Stages[r.Stage]
--- a/internal/evict/choose_test.go
+++ b/internal/evict/choose_test.go
@@ -211,6 +211,16 @@
 			},
 			want: []view.RunRef{3},
 		},
+		{
+			name: "work that is almost done is left alone, though somewhat less of it is lost",
+			load: func(f *fleet) *evict.Demand {
+				s := f.stage(view.Stage{Need: need(8), Tasks: 4})
+				f.fill(3, s, 3*time.Second, func(r *view.Run) { r.Left = time.Second })
+				f.run(3, s, 4*time.Second, nil)
+				return f.demand(1)
+			},
+			want: []view.RunRef{3},
+		},
 		{
 			name: "a run that ends as soon as a stop would free its room is waited for",
 			load: func(f *fleet) *evict.Demand {
