--- a/internal/evict/choose.go
+++ b/internal/evict/choose.go
@@ -149,6 +149,8 @@
 // listUnits groups the runs that may be stopped, and adds the room of those that end by themselves.
 func (s *search) listUnits() {
 	gangs := map[view.GangRef]int{}
+	s.units = make([]unit, 0, len(s.Runs))
+	refs, frees := make([]view.RunRef, len(s.Runs)), make([]freed, len(s.Runs)) // Most units are single runs.
 	for ref := range s.Runs {
 		r := &s.Runs[ref]
 		if r.Stopping || r.Protected {
@@ -165,7 +167,9 @@
 		index, found := gangs[r.Gang]
 		if r.Gang == 0 || !found {
 			index = len(s.units)
-			s.units = append(s.units, s.newUnit(r))
+			u := s.newUnit(r)
+			u.runs, u.frees = refs[ref:ref:ref+1], frees[ref:ref:ref+1]
+			s.units = append(s.units, u)
 		}
 		if r.Gang != 0 {
 			gangs[r.Gang] = index
