evict: a gang of which one member ends soon is stopped as a whole

Found by reading: members that were expected to end within the patience were left out of the stops that a choice names, though the scheduler stops the whole gang. A gang's end is now that of its last member. The new case fails without it.

--- a/internal/evict/choose.go
+++ b/internal/evict/choose.go
@@ -148,7 +148,7 @@
 
 // listUnits groups the runs that may be stopped, and adds the room of those that end by themselves.
 func (s *search) listUnits() {
-	gangs := map[view.GangRef]int{}
+	gangs, left := map[view.GangRef]int{}, s.gangsLeft()
 	s.units = make([]unit, 0, len(s.Runs))
 	refs, frees := make([]view.RunRef, len(s.Runs)), make([]freed, len(s.Runs)) // Most units are single runs.
 	for ref := range s.Runs {
@@ -156,7 +156,8 @@
 		if r.Stopping || r.Protected {
 			continue
 		}
-		if r.Left <= s.demand.Patience {
+		ends := max(r.Left, left[r.Gang])
+		if ends <= s.demand.Patience {
 			s.room[r.Worker] = s.room[r.Worker].Add(r.Need)
 			s.endsIn[r.Worker] = max(s.endsIn[r.Worker], r.Left)
 			continue
@@ -167,7 +168,7 @@
 		index, found := gangs[r.Gang]
 		if r.Gang == 0 || !found {
 			index = len(s.units)
-			u := s.newUnit(r)
+			u := s.newUnit(r, ends)
 			u.runs, u.frees = refs[ref:ref:ref+1], frees[ref:ref:ref+1]
 			s.units = append(s.units, u)
 		}
@@ -178,6 +179,17 @@
 	}
 }
 
+// gangsLeft returns the time until the last member of each gang ends.
+func (s *search) gangsLeft() map[view.GangRef]time.Duration {
+	left := map[view.GangRef]time.Duration{}
+	for ref := range s.Runs {
+		if r := &s.Runs[ref]; r.Gang != 0 {
+			left[r.Gang] = max(left[r.Gang], r.Left)
+		}
+	}
+	return left
+}
+
 // addRun adds a run to a unit.
 func (s *search) addRun(index int, ref view.RunRef) {
 	u, r := &s.units[index], &s.Runs[ref]
@@ -209,8 +221,9 @@
 	sameTenantFactor = 0.5
 )
 
-// newUnit returns a unit with the cost of stopping a run and, if it is a member of one, its whole gang.
-func (s *search) newUnit(r *view.Run) unit {
+// newUnit returns a unit with the cost of stopping a run and, if it is a member of one, its whole gang, whose room is free at its end in any
+// case.
+func (s *search) newUnit(r *view.Run, ends time.Duration) unit {
 	stage := &s.Stages[r.Stage]
 	members := 1
 	if r.Gang != 0 {
@@ -218,7 +231,7 @@
 	}
 	lost := float64(members) * stage.Need.Cores() * r.Lost.Seconds()
 	cost := lost + float64(members)*stage.Need.Cores()*stopOverhead.Seconds()
-	cost *= float64(1+r.Stops) * s.shortGain(r)
+	cost *= float64(1+r.Stops) * s.shortGain(ends)
 	if s.becomesLate(r) {
 		cost += stage.CoreSeconds()
 	}
@@ -241,14 +254,14 @@
 	shortestLeft = 100 * time.Millisecond
 )
 
-// shortGain returns how many times longer the demand uses the room of a run than the run would have kept it; at least 1. Work that is nearly
+// shortGain returns how many times longer the demand uses the room of a run than the run, with that time left, would have kept it; at least 1. Work that is nearly
 // done is lost for little time gained.
-func (s *search) shortGain(r *view.Run) float64 {
+func (s *search) shortGain(left time.Duration) float64 {
 	uses := s.Stages[s.demand.Stage].Estimate
-	if r.Left >= uses {
+	if left >= uses {
 		return 1
 	}
-	return min(maxShortGain, uses.Seconds()/max(r.Left, shortestLeft).Seconds())
+	return min(maxShortGain, uses.Seconds()/max(left, shortestLeft).Seconds())
 }
 
 // slack returns the time until the target of a run's job, less what the job still takes.
--- a/internal/evict/choose_test.go
+++ b/internal/evict/choose_test.go
@@ -231,6 +231,18 @@
 				return f.demand(1)
 			},
 		},
+		{
+			name: "a gang of which one member is almost done is stopped as a whole",
+			load: func(f *fleet) *evict.Demand {
+				wide := f.stage(view.Stage{Need: need(8), Tasks: 2, Gang: true})
+				f.run(0, wide, time.Second, func(r *view.Run) { r.Gang, r.Left = 1, 100*time.Millisecond })
+				f.run(1, wide, time.Second, inGang(1))
+				f.run(2, wide, time.Minute, nil)
+				f.run(3, wide, time.Minute, nil)
+				return f.demand(2)
+			},
+			want: []view.RunRef{0, 1},
+		},
 		{
 			name: "urgent work beyond its guarantee that can't be in time pushes out nothing that can",
 			load: func(f *fleet) *evict.Demand {
