--- a/internal/chief/reservation.go
+++ b/internal/chief/reservation.go
@@ -12,7 +12,7 @@
 	// reservationTTL is how long workers stay reserved for tasks that have not started there.
 	reservationTTL = 2500 * time.Millisecond
 	// expectedEndMargin is how long after the expected end of a run its room stays reserved for the stage that waits for it.
-	expectedEndMargin     = 300 * time.Millisecond
+	expectedEndMargin     = 100 * time.Millisecond
 	refusedRoomPause      = 100 * time.Millisecond // least time between two searches for room for a stage that gets none
 	noCapacityLogInterval = time.Second            // least time between two logs for a stage
 )
