--- a/internal/chief/advise.go
+++ b/internal/chief/advise.go
@@ -53,7 +53,7 @@
 	case ticketed < len(s.tasks):
 		p.requestAdvice(s, func(*worker) bool { return true })
 	case room < waiting:
-		p.requestAdvice(s, func(w *worker) bool { return countFits(availableNow(w), s.step.Resources(), 1) > 0 })
+		p.requestAdvice(s, func(w *worker) bool { return availableNow(w).CountFits(s.step.Resources(), 1) > 0 })
 	}
 	return ticketed > 0
 }
@@ -63,7 +63,7 @@
 	room := 0
 	for _, w := range p.candidates() {
 		if w.info.Pool == s.job.spec.Pool && w.info.Has(s.step.Label) {
-			room += countFits(w.free(), s.step.Resources(), maxRoom)
+			room += w.free().CountFits(s.step.Resources(), maxRoom)
 		}
 	}
 	return room >= s.placesNeeded()
@@ -76,7 +76,7 @@
 	for _, w := range p.candidates() {
 		if _, found := s.advice.tickets[w.info.ID]; found {
 			count++
-			room += countFits(availableNow(w), resources, waiting)
+			room += availableNow(w).CountFits(resources, waiting)
 		}
 	}
 	return count, room
--- a/internal/chief/backfill.go
+++ b/internal/chief/backfill.go
@@ -200,7 +200,7 @@
 	}
 	places := make([]*worker, 0, len(s.tasks))
 	for w, count := range s.gangReservation.places {
-		if !p.eligible(s, w) || countFits(availableNow(w), s.step.Resources(), count) < count {
+		if !p.eligible(s, w) || availableNow(w).CountFits(s.step.Resources(), count) < count {
 			return nil
 		}
 		for range count {
@@ -218,7 +218,7 @@
 		return false
 	}
 	for w, count := range g.places {
-		if !p.suits(s, w) || countFits(availableNow(w), s.step.Resources(), count) < count {
+		if !p.suits(s, w) || availableNow(w).CountFits(s.step.Resources(), count) < count {
 			return false
 		}
 	}
@@ -358,7 +358,7 @@
 	places = map[*worker]int{}
 	total := 0
 	addPlaces := func(w *worker) {
-		count := min(countFits(free[w], resources, need), p.c.listableRuns(w))
+		count := min(free[w].CountFits(resources, need), p.c.listableRuns(w))
 		if s.step.PerWorker > 0 {
 			count = min(count, s.step.PerWorker-s.runsOn[w])
 		}
--- a/internal/chief/drain.go
+++ b/internal/chief/drain.go
@@ -40,6 +40,12 @@
 	}
 }
 
+// These begin the reasons of stops on a worker that leaves; that of the decision follows.
+const (
+	workerLeaves        = "its worker leaves: "
+	membersWorkerLeaves = "a member's worker leaves: "
+)
+
 // leaving is what was last decided about a run or a gang on a worker that leaves.
 type leaving struct {
 	decided bool
@@ -63,9 +69,9 @@
 	if decision.Action != leave.StopNow {
 		return
 	}
-	c.stopRun(r, "its worker leaves: "+string(decision.Reason))
+	c.stopRun(r, workerLeaves+string(decision.Reason))
 	if r.gang != nil {
-		c.stopGang(r.gang, "a member's worker leaves: "+string(decision.Reason))
+		c.stopGang(r.gang, membersWorkerLeaves+string(decision.Reason))
 	}
 }
 
--- a/internal/chief/env_test.go
+++ b/internal/chief/env_test.go
@@ -177,7 +177,8 @@
 			NoticeSeen: i.elector.NoticeSeen,
 			Registry:   platform.RegistryKeyPrefix, DecodeWorker: platform.DecodeWorker, Advise: e.advise, Quota: i.quota,
 			Observe: chief.Observer{
-				CallResult: func(string, string) {}, RunEnded: func(work.How) {}, PassDuration: func(time.Duration) {}, InterferingPairs: func(int) {},
+				InterferingPairs: func(int) {},
+				CallResult:       func(string, string) {}, RunEnded: func(work.How) {}, RunStopped: func(string, float64) {}, PassDuration: func(time.Duration) {},
 				JobStarted: func(work.QueueName, time.Duration) {}, JobStep: func(chief.JobStep) {}, JobStalled: func(time.Duration, bool) {}, EndStep: i.countEnds,
 				Tenants: func([]quota.State) {},
 				Speeds:  func(map[chief.SpeedBucket]int) {}, Correction: func(speed.Kind, float64) {},
--- a/internal/chief/fit.go
+++ b/internal/chief/fit.go
@@ -169,7 +169,7 @@
 		if !p.eligible(s, w) {
 			continue
 		}
-		count := min(countFits(p.besideGang(s, w, capacityOf(w)), resources, need), p.c.listableRuns(w))
+		count := min(p.besideGang(s, w, capacityOf(w)).CountFits(resources, need), p.c.listableRuns(w))
 		if s.step.PerWorker > 0 {
 			count = min(count, s.step.PerWorker-s.runsOn[w])
 		}
@@ -220,18 +220,3 @@
 
 // maxSinceDone is the time without a completed task beyond which workers are ranked equally.
 const maxSinceDone = 10 * time.Second
-
-// countFits returns how often need fits into what is available, at most limit.
-func countFits(available, need work.Resources, limit int) int {
-	count := limit
-	if need.CPU > 0 {
-		count = min(count, available.CPU/need.CPU)
-	}
-	if need.Memory > 0 {
-		count = min(count, available.Memory/need.Memory)
-	}
-	if need.GPU > 0 {
-		count = min(count, int(available.GPU/need.GPU))
-	}
-	return max(count, 0)
-}
--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -37,6 +37,7 @@
 	probers        map[*job]bool                           // that may probe workers in quarantine; nil until it is needed
 	unseenEnds     map[model.WorkerID]bool                 // workers that were not polled yet and may list ends of an earlier term
 	reservedStages []*stage                                // with workers that are reserved for them
+	seen           *snapshot                               // for decisions; nil until it is needed
 	adviceRequest  *adviceRequest                          // to be made at the end of the pass; nil for none
 	quota          *quota.Pass
 	roomShort      bool   // a task found no room
@@ -83,7 +84,13 @@
 		}
 		p.workers = append(p.workers, w)
 	}
-	sort.Slice(p.workers, func(i, j int) bool { return p.workers[i].info.ID < p.workers[j].info.ID })
+	sort.Slice(p.workers, func(i, j int) bool {
+		a, b := p.workers[i], p.workers[j]
+		if rackA, rackB := a.info.Rack(), b.info.Rack(); rackA != rackB {
+			return rackA < rackB // Single tasks take idle workers in this order, which leaves other racks whole.
+		}
+		return a.info.ID < b.info.ID
+	})
 	for _, w := range p.workers {
 		rack := w.info.Rack()
 		p.racks[rack] = append(p.racks[rack], w)
--- a/internal/chief/quota.go
+++ b/internal/chief/quota.go
@@ -85,7 +85,7 @@
 				continue
 			}
 			most := p.unseenPlaces(s)
-			p.quota.AddUnseen(j.spec.Tenant, s.need(min(most, s.waitingTasks())))
+			p.quota.AddUnseen(j.spec.Tenant, s.step.Resources().Times(min(most, s.waitingTasks())))
 		}
 	}
 }
@@ -101,7 +101,7 @@
 		if capacity == (work.Resources{}) {
 			return len(s.tasks) // It is not registered.
 		}
-		places += countFits(capacity, s.step.Resources(), len(s.tasks))
+		places += capacity.CountFits(s.step.Resources(), len(s.tasks))
 	}
 	return places
 }
@@ -180,57 +180,27 @@
 	return true
 }
 
-// stopForCap stops less urgent runs of the same tenant, the cheapest first, if that brings a request within the tenant's cap. Beyond its
-// tenant's guarantee, urgent work does so only if less work is lost than it does itself.
+// stopForCap stops less urgent runs of the same tenant, if that brings a request within the tenant's cap and is worth it.
 func (p *planner) stopForCap(s *stage, request quota.Request) {
 	if p.settling || p.now < s.cap.stopsAt {
 		return
 	}
 	s.cap.stopsAt = p.now.Add(capStopPause)
 	excess := p.quota.Excess(request)
-	var candidates []*run
 	for _, w := range p.c.workers {
 		for _, r := range w.runs {
-			switch {
-			case r.task == nil || r.task.stage.job.spec.Tenant != request.Tenant:
-			case r.phase == stopping:
+			if r.phase == stopping && r.task != nil && r.task.stage.job.spec.Tenant == request.Tenant {
 				excess = excess.Sub(r.resources)
-			case p.priority(r.task.stage) > 0 && p.mayPreempt(s, r):
-				candidates = append(candidates, r)
 			}
 		}
 	}
-	slices.SortFunc(candidates, func(a, b *run) int {
-		return cmp.Or(cmp.Compare(p.preemptionCost(a), p.preemptionCost(b)), cmp.Compare(a.key.task.String(), b.key.task.String()))
-	})
-	victims, cost, enough := p.cheapestFor(candidates, excess)
-	own := float64(request.Tasks) * s.step.Need.Cores() * p.c.estimate(s).Seconds()
-	if enough && (cost <= own || p.withinGuarantee(s.job)) {
-		p.preemptRuns(s, victims)
+	seen := p.currentSnapshot()
+	chooser := p.chooser()
+	if choice, refusal := chooser.WithinCap(&seen.Snapshot, seen.stage(p, s), request.Tasks, excess); refusal == nil {
+		p.preemptRuns(s, choice.Stops)
 	}
 }
 
-// cheapestFor returns the first runs, with one for each gang, that free an amount, their cost, and whether they do.
-func (p *planner) cheapestFor(candidates []*run, excess work.Resources) (victims []*run, cost float64, enough bool) {
-	gangs := map[*gang]bool{}
-	for _, r := range candidates {
-		if excess.CPU <= 0 && excess.Memory <= 0 && excess.GPU <= 0 {
-			break
-		}
-		frees := excess.CPU > 0 && r.resources.CPU > 0 || excess.Memory > 0 && r.resources.Memory > 0 || excess.GPU > 0 && r.resources.GPU > 0
-		if !frees || r.gang != nil && gangs[r.gang] {
-			continue
-		}
-		members := 1
-		if r.gang != nil {
-			gangs[r.gang], members = true, len(r.gang.members)
-		}
-		excess = excess.Sub(r.task.stage.need(members))
-		victims, cost = append(victims, r), cost+p.preemptionCost(r)
-	}
-	return victims, cost, excess.CPU <= 0 && excess.Memory <= 0 && excess.GPU <= 0
-}
-
 // rankJobs returns the live jobs in the order in which they get room.
 func (p *planner) rankJobs() []*job {
 	list := make([]quota.Job, len(p.c.liveJobs))
@@ -255,7 +225,7 @@
 		return demand
 	}
 	for _, s := range j.dueStages(p.now) {
-		demand = demand.Add(s.need(s.waitingTasks()))
+		demand = demand.Add(s.step.Resources().Times(s.waitingTasks()))
 	}
 	return demand
 }
--- a/internal/chief/rack.go
+++ b/internal/chief/rack.go
@@ -105,7 +105,7 @@
 		if w.info.Pool != s.job.spec.Pool || !w.info.Has(s.step.Label) || p.c.listableRuns(w) == 0 || s.advice.asked[w.info.ID] && !p.hasTicket(s, w) {
 			continue
 		}
-		fits := countFits(m.capacity, s.step.Resources(), maxRoom)
+		fits := m.capacity.CountFits(s.step.Resources(), maxRoom)
 		if s.step.PerWorker > 0 {
 			fits = min(fits, s.step.PerWorker)
 		}
--- a/internal/chief/reservation.go
+++ b/internal/chief/reservation.go
@@ -3,13 +3,18 @@
 import (
 	"time"
 
+	"peridotgw.example/peridotgw/internal/evict"
+	"peridotgw.example/peridotgw/internal/view"
 	"peridotgw.example/peridotgw/internal/work"
 )
 
 const (
 	// reservationTTL is how long workers stay reserved for tasks that have not started there.
-	reservationTTL        = 2500 * time.Millisecond
-	noCapacityLogInterval = time.Second // least time between two logs for a stage
+	reservationTTL = 2500 * time.Millisecond
+	// expectedEndMargin is how long after the expected end of a run its room stays reserved for the stage that waits for it.
+	expectedEndMargin     = 100 * time.Millisecond
+	refusedRoomPause      = 100 * time.Millisecond // least time between two searches for room for a stage that gets none
+	noCapacityLogInterval = time.Second            // least time between two logs for a stage
 )
 
 // applyReservations deducts the reservations of waiting stages from the available capacity, and drops invalid ones.
@@ -34,7 +39,7 @@
 }
 
 func (p *planner) reservationValid(s *stage, usable map[*worker]bool) bool {
-	if s.unfinished == 0 || s.gang != nil || p.now.Sub(s.reservedAt) > reservationTTL {
+	if s.unfinished == 0 || s.gang != nil || p.now.Sub(s.reservedAt) > s.reservedFor {
 		return false
 	}
 	for _, w := range s.reserved {
@@ -83,7 +88,7 @@
 		places[w]++
 	}
 	for w, count := range places {
-		if countFits(w.free(), s.step.Resources(), count) < count {
+		if w.free().CountFits(s.step.Resources(), count) < count {
 			return false
 		}
 	}
@@ -120,26 +125,35 @@
 		p.reserveWorkers(s, places)
 		return
 	}
-	var victims []*run
-	cost := 0.0
-	if s.step.SameRack {
-		victims, cost = p.victimsInOneRack(s, need)
-	}
-	if victims == nil {
-		victims, cost = p.clear(s, p.workers, need)
+	if p.now.Sub(s.roomRefusedAt) < refusedRoomPause {
+		return
 	}
-	// Beyond its tenant's guarantee, urgent work preempts only if less work is lost than it does itself.
-	own := float64(need) * s.step.Need.Cores() * p.c.estimate(s).Seconds()
-	if victims == nil || cost > own && !p.withinGuarantee(s.job) {
-		p.logNoCapacity(s, victims != nil, cost)
+	choice, refusal := p.chooseRoom(s, need)
+	if refusal != nil {
+		s.roomRefusedAt = p.now
+		p.logNoCapacity(s, choice, refusal)
 		return
 	}
-	p.preemptRuns(s, victims)
-	p.reserveWorkers(s, p.placeAfterStops(s, need, false))
+	p.preemptRuns(s, choice.Stops)
+	p.reserveWorkers(s, p.claimedWorkers(choice.Claims))
+	if choice.Wait > 0 {
+		s.reservedFor = choice.Wait + expectedEndMargin
+	}
+}
+
+// claimedWorkers returns a worker for each task of some claims.
+func (p *planner) claimedWorkers(claims []view.Claim) []*worker {
+	var places []*worker
+	for _, claim := range claims {
+		for range claim.Tasks {
+			places = append(places, p.seen.workers[claim.Worker])
+		}
+	}
+	return places
 }
 
 func (p *planner) reserveWorkers(s *stage, places []*worker) {
-	s.reserved, s.reservedAt = places, p.now
+	s.reserved, s.reservedAt, s.reservedFor = places, p.now, reservationTTL
 	p.reservedStages = append(p.reservedStages, s)
 	workers := make([]string, len(places))
 	for i, w := range places {
@@ -150,13 +164,17 @@
 }
 
 // logNoCapacity logs, at most once per noCapacityLogInterval, that an urgent stage cannot be placed.
-func (p *planner) logNoCapacity(s *stage, possible bool, cost float64) {
+func (p *planner) logNoCapacity(s *stage, choice *evict.Choice, refusal *view.Refusal) {
 	if p.now.Sub(s.noCapacityLoggedAt) < noCapacityLogInterval {
 		return
 	}
 	s.noCapacityLoggedAt = p.now
+	cost := 0.0
+	if choice != nil {
+		cost = choice.Cost
+	}
 	p.c.Log.Info().Str("step", s.id.String()).Dur("waited", p.now.Sub(s.waitingSince)).Bool("guaranteed", p.withinGuarantee(s.job)).
-		Bool("possible", possible).Float64("lost-core-seconds", cost).Int("workers", len(p.workers)).Msg("chief: no room for urgent work")
+		Str("why", string(refusal.Reason)).Float64("cost-core-seconds", cost).Int("workers", len(p.workers)).Msg("chief: no room for urgent work")
 }
 
 // sameRackWait is how long urgent work waits for the rack of its data, or for stops in flight to free capacity in a single rack: its
--- a/internal/chief/room.go
+++ b/internal/chief/room.go
@@ -113,7 +113,7 @@
 	if ignoring&holdGang == 0 {
 		free = p.besideGang(s, w, free)
 	}
-	fits := countFits(free, resources, maxRoom)
+	fits := free.CountFits(resources, maxRoom)
 	if fits == 0 || !p.suits(s, w) || ignoring&holdUrgent == 0 && p.keptIdle[w] && p.yieldsToUrgent(s) {
 		return 0
 	}
--- a/internal/chief/snapshot.go
+++ b/internal/chief/snapshot.go
@@ -5,7 +5,6 @@
 
 	"peridotgw.example/peridotgw/internal/clock"
 	"peridotgw.example/peridotgw/internal/view"
-	"peridotgw.example/peridotgw/internal/work"
 	"peridotgw.example/peridotgw/model"
 )
 
@@ -27,6 +26,12 @@
 	for id := range p.config.Tenants {
 		s.Tenants[id] = p.quota.Tenant(id)
 	}
+	runs := 0
+	for _, w := range p.workers {
+		runs += len(w.runs)
+	}
+	s.Workers, s.workers = make([]view.Worker, 0, len(p.workers)), make([]*worker, 0, len(p.workers))
+	s.Runs, s.runs = make([]view.Run, 0, runs), make([]*run, 0, runs)
 	gangs := map[*gang]view.GangRef{}
 	for _, w := range p.workers {
 		s.addWorker(p, w, gangs)
@@ -34,6 +39,22 @@
 	return s
 }
 
+// currentSnapshot returns the snapshot of the pass, brought up to date with its starts and stops: a run that the pass itself has started
+// is not in it, and takes part of what is available.
+func (p *planner) currentSnapshot() *snapshot {
+	if p.seen == nil {
+		p.seen = p.newSnapshot()
+		return p.seen
+	}
+	for ref, w := range p.seen.workers {
+		p.seen.Workers[ref].Available = w.available
+	}
+	for ref, r := range p.seen.runs {
+		p.seen.Runs[ref].Stopping = r.phase == stopping || !r.present()
+	}
+	return p.seen
+}
+
 func (s *snapshot) addWorker(p *planner, w *worker, gangs map[*gang]view.GangRef) {
 	ref := view.WorkerRef(len(s.workers))
 	s.workerRefs[w] = ref
@@ -42,6 +63,7 @@
 		ID: w.info.ID, Pool: w.info.Pool, Rack: w.info.Rack(), Capacity: w.info.Capacity, Available: w.available, Speed: w.pace(),
 		Leaves: w.leavesAt != 0, LeavesIn: w.leavesAt.Sub(p.now),
 	}
+	seen.Runs = make([]view.RunRef, 0, len(w.runs))
 	for _, r := range w.runs {
 		if r.task == nil {
 			continue
@@ -51,7 +73,7 @@
 		s.Runs = append(s.Runs, view.Run{
 			Worker: ref, Stage: s.stage(p, r.task.stage), Gang: gangRef(gangs, r.gang), Need: r.resources, Stopping: r.phase == stopping,
 			Protected: r.task.stage.step.Lasts, Done: float64(r.percent) / fullPercent, Age: r.age(p.now), Left: p.timeLeft(r),
-			Lost: p.lostByStop(r), Stops: r.task.preemptions,
+			Lost: p.c.lostByStop(r, p.now), Stops: r.task.preemptions,
 		})
 	}
 	s.Workers = append(s.Workers, seen)
@@ -100,18 +122,10 @@
 }
 
 // lostByStop returns the time of work that stopping a run now loses.
-func (p *planner) lostByStop(r *run) time.Duration { return p.c.lostByStop(r, p.now) }
-
 func (c *Scheduler) lostByStop(r *run, now clock.Instant) time.Duration {
 	lost := r.age(now)
-	if r.task.stage.step.Checkpoints {
+	if r.task != nil && r.task.stage.step.Checkpoints {
 		lost = min(lost, c.Limits.CheckpointInterval+c.Limits.RestoreTime)
 	}
 	return lost
 }
-
-// need returns the room for a number of tasks of a stage.
-func (s *stage) need(tasks int) work.Resources {
-	one := s.step.Resources()
-	return work.Resources{CPU: one.CPU * tasks, Memory: one.Memory * tasks, GPU: one.GPU * model.Accelerators(tasks)}
-}
--- a/internal/chief/state.go
+++ b/internal/chief/state.go
@@ -123,6 +123,8 @@
 	// reserved holds a worker for each waiting task while runs there are being stopped.
 	reserved           []*worker
 	reservedAt         clock.Instant
+	reservedFor        time.Duration // from reservedAt
+	roomRefusedAt      clock.Instant // when it was last decided that nothing is stopped for it
 	noCapacityLoggedAt clock.Instant
 	runsOn             map[*worker]int // number of runs by worker
 	haste              speed.Haste     // valid during a planning pass
--- a/internal/node/meters.go
+++ b/internal/node/meters.go
@@ -32,6 +32,8 @@
 	tenants tenantMeters
 	speeds  *prometheus.GaugeVec
 	factors *prometheus.GaugeVec
+	stops   *prometheus.CounterVec
+	lost    *prometheus.CounterVec
 }
 
 func newMeters() *meters {
@@ -55,6 +57,8 @@
 		tenants: newTenantMeters(set),
 		speeds:  set.Gauge("worker_speeds", "Workers of the leader by what it knows of their speed.", "speed"),
 		factors: set.Gauge("estimate_correction", "Mean factor by which run times exceed the estimates of callers.", "queue", "image"),
+		stops:   set.Counter("run_stops_total", "Stops of runs that were ordered.", "cause"),
+		lost:    set.Counter("lost_core_seconds_total", "Work that ordered stops have lost, in core-seconds; an accelerator counts as 8 cores.", "cause"),
 	}
 }
 
@@ -101,7 +105,11 @@
 		CallResult:       func(kind, result string) { m.orders.WithLabelValues(kind, result).Inc() },
 		RunEnded:         func(how work.How) { m.ends.WithLabelValues(string(how)).Inc() },
 		InterferingPairs: func(pairs int) { m.pairs.WithLabelValues().Set(float64(pairs)) },
-		PassDuration:     func(took time.Duration) { m.plans.WithLabelValues().Observe(took.Seconds()) },
+		RunStopped: func(cause string, lost float64) {
+			m.stops.WithLabelValues(cause).Inc()
+			m.lost.WithLabelValues(cause).Add(lost)
+		},
+		PassDuration: func(took time.Duration) { m.plans.WithLabelValues().Observe(took.Seconds()) },
 		JobStarted: func(queue work.QueueName, waited time.Duration) {
 			m.waits.WithLabelValues(string(queue)).Observe(waited.Seconds())
 		},
--- a/internal/quota/pass.go
+++ b/internal/quota/pass.go
@@ -88,13 +88,13 @@
 	}
 	noneHeld := held == work.Resources{}
 	switch {
-	case !within(tenant.Cap, times(r.Need, r.Tasks-1)):
+	case !within(tenant.Cap, r.Need.Times(r.Tasks-1)):
 		return ReasonTooWide
-	case within(tenant.Cap, tenant.Used.Add(held).Add(times(r.Need, r.Tasks))):
+	case within(tenant.Cap, tenant.Used.Add(held).Add(r.Need.Times(r.Tasks))):
 		return ""
-	case (noneHeld || r.Stalled) && UnderHalf(tenant) && within(tenant.Cap, tenant.Used.Add(times(r.Need, r.Tasks-1))):
+	case (noneHeld || r.Stalled) && UnderHalf(tenant) && within(tenant.Cap, tenant.Used.Add(r.Need.Times(r.Tasks-1))):
 		return ""
-	case !noneHeld && within(tenant.Cap, tenant.Used.Add(times(r.Need, r.Tasks))):
+	case !noneHeld && within(tenant.Cap, tenant.Used.Add(r.Need.Times(r.Tasks))):
 		return ReasonHeld
 	}
 	return ReasonCap
@@ -119,7 +119,7 @@
 	if p.held == nil {
 		p.held = map[model.CustomerID]work.Resources{}
 	}
-	p.held[r.Tenant] = p.held[r.Tenant].Add(times(r.Need, r.Tasks))
+	p.held[r.Tenant] = p.held[r.Tenant].Add(r.Need.Times(r.Tasks))
 }
 
 // Holds reports whether a part of a tenant's cap is held.
@@ -128,7 +128,7 @@
 // Excess returns by how much a request would bring its tenant above its cap; parts that fit are 0.
 func (p *Pass) Excess(r Request) work.Resources {
 	tenant := p.Tenant(r.Tenant)
-	total := tenant.Used.Add(times(r.Need, r.Tasks))
+	total := tenant.Used.Add(r.Need.Times(r.Tasks))
 	var excess work.Resources
 	if tenant.Cap.CPU > 0 {
 		excess.CPU = max(0, total.CPU-tenant.Cap.CPU)
@@ -159,10 +159,6 @@
 		(limit.GPU == 0 || amount.GPU <= limit.GPU)
 }
 
-func times(need work.Resources, tasks int) work.Resources {
-	return work.Resources{CPU: need.CPU * tasks, Memory: need.Memory * tasks, GPU: need.GPU * model.Accelerators(tasks)}
-}
-
 // part returns a part of a whole; of a whole that is 0, nothing can be used.
 func part(amount, whole int) float64 {
 	if whole <= 0 {
--- a/internal/quota/rank.go
+++ b/internal/quota/rank.go
@@ -128,7 +128,7 @@
 // take, in one pass, all that ends at the same time; and tenants that each exceed their part by one task would leave a small one none.
 func (p *Pass) exceedsTarget(r Request) bool {
 	target, found := p.targets[r.Tenant]
-	return found && p.Share(p.Tenant(r.Tenant).Used.Add(times(r.Need, r.Tasks))) > target+shareTolerance
+	return found && p.Share(p.Tenant(r.Tenant).Used.Add(r.Need.Times(r.Tasks))) > target+shareTolerance
 }
 
 // shareTolerance is above the rounding errors of shares and below the share of any task.
--- a/internal/work/job.go
+++ b/internal/work/job.go
@@ -31,6 +31,26 @@
 	return Resources{r.CPU - o.CPU, r.Memory - o.Memory, r.GPU - o.GPU}
 }
 
+// Times returns the amount for a number of equal tasks.
+func (r Resources) Times(count int) Resources {
+	return Resources{r.CPU * count, r.Memory * count, r.GPU * model.Accelerators(count)}
+}
+
+// CountFits returns how often need fits into r, at most limit.
+func (r Resources) CountFits(need Resources, limit int) int {
+	count := limit
+	if need.CPU > 0 {
+		count = min(count, r.CPU/need.CPU)
+	}
+	if need.Memory > 0 {
+		count = min(count, r.Memory/need.Memory)
+	}
+	if need.GPU > 0 {
+		count = min(count, int(r.GPU/need.GPU))
+	}
+	return max(count, 0)
+}
+
 // Fits reports whether need fits into r.
 func (r Resources) Fits(need Resources) bool {
 	return need.CPU <= r.CPU && need.Memory <= r.Memory && need.GPU <= r.GPU
