budget: stalled bodies give way only where their memory is enough

Where all stalled bodies together freed too little, each of them was ended and the new body refused all the same. The memory that was still free did not count either: a body of 256 KB was refused beside 200 KB free and a stalled body of 100 KB.

The parts now count what leases hold, so that what is free counts, and no body ends where that would not be enough. TestStalledBodiesGiveWayOnlyWhereItHelps failed before with one body ended (go test ./internal/budget).

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -37,6 +37,7 @@
 type part struct {
 	size  Bytes
 	bytes *semaphore.Weighted
+	held  Bytes // by leases; guarded by Budget.mu
 }
 
 func newPart(size Bytes) *part { return &part{size: size, bytes: semaphore.NewWeighted(int64(size))} }
@@ -48,7 +49,7 @@
 
 	small, large *part
 
-	mu      sync.Mutex // guards reading, and the fields of the leases in it
+	mu      sync.Mutex // guards reading, and the fields of the leases and parts
 	reading map[*Lease]bool
 }
 
@@ -79,8 +80,8 @@
 	return []*part{b.large}
 }
 
-// evict aborts the reads of stalled bodies in a part, those that have stood longest first, until they free need bytes. It reports whether
-// they will.
+// evict aborts the reads of stalled bodies in a part, those that have stood longest first, until need bytes are free. It aborts none and
+// reports false where that is not enough.
 func (b *Budget) evict(p *part, need Bytes) bool {
 	b.mu.Lock()
 	var stalled []*Lease
@@ -91,22 +92,23 @@
 		}
 	}
 	slices.SortFunc(stalled, func(x, y *Lease) int { return x.progress.Compare(y.progress) })
-	var chosen []*Lease
-	freed := Bytes(0)
-	for _, l := range stalled {
-		if freed >= need {
-			break
-		}
+	free, count := p.size-p.held, 0
+	for ; free < need && count < len(stalled); count++ {
+		free += stalled[count].held
+	}
+	enough := free >= need
+	if !enough {
+		count = 0
+	}
+	for _, l := range stalled[:count] {
 		l.evicted = true
 		delete(b.reading, l)
-		freed += l.held
-		chosen = append(chosen, l)
 	}
 	b.mu.Unlock()
-	for _, l := range chosen {
+	for _, l := range stalled[:count] {
 		l.abort()
 	}
-	return freed >= need
+	return enough
 }
 
 // Lease is the memory of one body. Its methods are called by the goroutine that reads the body.
@@ -168,12 +170,23 @@
 func (l *Lease) move(p *part, size Bytes) {
 	l.budget.mu.Lock()
 	defer l.budget.mu.Unlock()
-	if l.part != nil && l.part != p {
-		l.part.bytes.Release(int64(l.held))
+	if l.part != p {
+		l.leavePart()
 	}
+	p.held += size - l.held
 	l.part, l.held = p, size
 }
 
+// leavePart returns what the lease holds; budget.mu is held.
+func (l *Lease) leavePart() {
+	if l.part == nil {
+		return
+	}
+	l.part.held -= l.held
+	l.part.bytes.Release(int64(l.held))
+	l.part, l.held = nil, 0
+}
+
 // Held returns the bytes that the lease holds.
 func (l *Lease) Held() Bytes { return l.held }
 
@@ -214,11 +227,10 @@
 	if l.budget == nil {
 		return
 	}
-	l.Finish()
-	if l.part != nil {
-		l.part.bytes.Release(int64(l.held))
-	}
-	l.part, l.held = nil, 0
+	l.budget.mu.Lock()
+	defer l.budget.mu.Unlock()
+	delete(l.budget.reading, l)
+	l.leavePart()
 }
 
 // Machine are the limits of a VM from which the limits of a process's servers are derived; 0 means unknown.
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -59,6 +59,31 @@
 	g.Expect(b.Open(func() {}).Grow(t.Context(), large)).To(Succeed(), "memory that was returned")
 }
 
+// Guards against stalled bodies that end although their memory is not enough, and against a body that is refused although it fits with the
+// memory that was free before.
+func TestStalledBodiesGiveWayOnlyWhereItHelps(t *testing.T) {
+	g := NewWithT(t)
+	b := budget.New(total)
+	now := time.Now()
+	b.Now = func() time.Time { return now }
+	const large = budget.Bytes(total - total/4)
+	const stalledSize, arrivingSize = large / 4, large / 2
+	aborted := 0
+	var stalled *budget.Lease
+	stalled = b.Open(func() {
+		aborted++
+		stalled.Release()
+	})
+	g.Expect(stalled.Grow(t.Context(), stalledSize)).To(Succeed())
+	now = now.Add(2 * budget.StallTime)
+	arriving := b.Open(func() {})
+	g.Expect(arriving.Grow(t.Context(), arrivingSize)).To(Succeed())
+	g.Expect(b.Open(func() {}).Grow(t.Context(), large-arrivingSize+1)).NotTo(Succeed())
+	g.Expect(aborted).To(Equal(0), "its memory would not have been enough")
+	g.Expect(b.Open(func() {}).Grow(t.Context(), large-arrivingSize)).To(Succeed())
+	g.Expect(aborted).To(Equal(1))
+}
+
 // Guards against a lease that is counted twice, or not at all, when its body grows out of the part for small ones.
 func TestGrowingBodyReturnsItsSmallPart(t *testing.T) {
 	g := NewWithT(t)
