outage: the breaker keeps no call that has ended

Each call that ended without an answer stayed in the breaker until the next answer, and each question of a change that waits went over all of them, up to 3,200 times a second. In an outage of an hour some ten thousand calls end so.

Only the time is needed when the first of them was sent. TestBreakerKeepsNoCallThatHasEnded found 1,000 calls kept before, and none now.

--- a/internal/outage/breaker.go
+++ b/internal/outage/breaker.go
@@ -34,52 +34,42 @@
 	freshFor = 100 * time.Millisecond
 )
 
-// call is a call to the store that has no answer.
-type call struct {
-	sentAt time.Time
-	ended  bool // it was given up, or its connection broke
-}
-
 // breaker is a circuit breaker without trial calls of its own: an instance calls the store all the time, for its lease and its watches,
 // and the first of these calls that is answered closes the breaker.
 type breaker struct {
 	nextID     int
-	calls      map[int]call // those without an answer
-	servedAt   time.Time    // when the store last answered; zero before
-	refusals   int          // in a row
-	refusedAt  time.Time    // the first of them
-	wasDown    bool         // at the last look
+	calls      map[int]time.Time // when each call in flight was sent
+	lostSince  time.Time         // when the first call was sent that has ended without an answer since the store last gave one; zero if none has
+	servedAt   time.Time         // when the store last answered; zero before
+	refusals   int               // in a row
+	refusedAt  time.Time         // the first of them
+	wasDown    bool              // at the last look
 	downSince  time.Time
 	returnedAt time.Time // when it last closed; zero if it was never open
 }
 
 func (b *breaker) begin(now time.Time) int {
 	if b.calls == nil {
-		b.calls = map[int]call{}
+		b.calls = map[int]time.Time{}
 	}
 	b.nextID++
-	b.calls[b.nextID] = call{sentAt: now}
+	b.calls[b.nextID] = now
 	return b.nextID
 }
 
 func (b *breaker) end(now time.Time, id int, result Result) {
-	sent := b.calls[id]
+	sentAt := b.calls[id]
 	delete(b.calls, id)
 	switch result {
 	case Served:
-		b.servedAt, b.refusals = now, 0
-		for other, c := range b.calls {
-			if c.ended {
-				delete(b.calls, other)
-			}
-		}
+		b.servedAt, b.refusals, b.lostSince = now, 0, time.Time{}
 	case Refused:
 		if b.refusals++; b.refusals == 1 {
 			b.refusedAt = now
 		}
 	case Unanswered:
-		if sent.sentAt.After(b.servedAt) {
-			b.calls[id] = call{sentAt: sent.sentAt, ended: true}
+		if sentAt.After(b.servedAt) && (b.lostSince.IsZero() || sentAt.Before(b.lostSince)) {
+			b.lostSince = sentAt
 		}
 	case Abandoned:
 	}
@@ -87,9 +77,10 @@
 
 // unansweredSince returns when the oldest call was sent that the store has left without an answer since it last gave one, if any.
 func (b *breaker) unansweredSince() (oldest time.Time, found bool) {
-	for _, c := range b.calls {
-		if c.sentAt.After(b.servedAt) && (!found || c.sentAt.Before(oldest)) {
-			oldest, found = c.sentAt, true
+	oldest, found = b.lostSince, !b.lostSince.IsZero()
+	for _, sentAt := range b.calls {
+		if sentAt.After(b.servedAt) && (!found || sentAt.Before(oldest)) {
+			oldest, found = sentAt, true
 		}
 	}
 	return oldest, found
