intake: a store that rejects a call as wrong counts as one that serves

Answers such as 413 to a value that is too large, 400, 403 or 412 came as refusals, and two in a row opened the breaker: one job that the store does not take, with its retries every 60 ms, made all others of the instance wait until the next call for the lease was answered.

Only 429, 503 and connections that could not be made count as refusals of the store. The new test failed before with status 403.

--- a/internal/intake/outage.go
+++ b/internal/intake/outage.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"time"
 
 	"peridotgw.example/peridotgw/internal/kv"
@@ -53,13 +54,22 @@
 	case errors.Is(err, context.Canceled):
 		return outage.Abandoned
 	case errors.As(err, &refused):
-		return outage.Refused
+		return refusalResult(refused)
 	case errors.As(err, &doubt):
 		return outage.Unanswered
 	}
 	return outage.Served
 }
 
+// refusalResult tells a store that takes no calls from one that has answered what it thinks of a call, such as of a value that is too large.
+func refusalResult(refused *kv.RefusedError) outage.Result {
+	switch refused.Status {
+	case 0, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return outage.Refused
+	}
+	return outage.Served
+}
+
 // logTransition logs that the store no longer serves this instance, or does so again.
 func (s *Service) logTransition() {
 	transition, changed := s.gate.Transition(time.Now())
--- a/internal/intake/outage_test.go
+++ b/internal/intake/outage_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -14,6 +15,7 @@
 
 	"peridotgw.example/peridotgw/internal/clock"
 	"peridotgw.example/peridotgw/internal/intake"
+	"peridotgw.example/peridotgw/internal/kv"
 	"peridotgw.example/peridotgw/internal/work"
 	"peridotgw.example/peridotgw/model"
 	"peridotgw.example/peridotgw/platform/fakepl"
@@ -120,6 +122,25 @@
 	})
 }
 
+// Guards against a job that the store finds too large, and that makes the instance take the store for one that serves nobody.
+func TestStoreThatAnswersWhatItThinksOfACallServesThisInstance(t *testing.T) {
+	for status, served := range map[int]bool{
+		0: false, http.StatusTooManyRequests: false, http.StatusServiceUnavailable: false,
+		http.StatusBadRequest: true, http.StatusForbidden: true, http.StatusRequestEntityTooLarge: true, http.StatusPreconditionFailed: true,
+	} {
+		service := newService(fakepl.NewStore())
+		observed := service.ObserveStore(&kv.Store{Txn: func(context.Context, kv.Txn) (kv.Revision, error) {
+			return 0, &kv.RefusedError{Op: "txn", Status: status}
+		}})
+		for range 3 {
+			_, err := observed.Txn(t.Context(), kv.Txn{})
+			NewWithT(t).Expect(err).To(HaveOccurred())
+		}
+		err := service.Apply(t.Context(), intake.Change{Submit: newJob()})
+		NewWithT(t).Expect(err == nil).To(Equal(served), "status %d", status)
+	}
+}
+
 // Guards against a call for a state that waits for a store which is known not to answer.
 func TestStateInAnOutageIsAnsweredAtOnce(t *testing.T) {
 	inOutage(t, fakepl.Silent, time.Second, func(g *WithT, ctx context.Context, _ *fakepl.Store, service *intake.Service) {
