serve, kv: two orders of goroutines that could go wrong

serve: the abort of a stalled body sets a read deadline in the past. Its reader could replace that by its own deadline a moment later, and keep the memory for up to 3 s, while the body for which it gave way was refused after 1 s. The reader now looks again after it has set its deadline. kv: the first call of a hedged watch read Follower.failing in its own goroutine, which no order binds to the write after the watch.

--- a/internal/kv/follow.go
+++ b/internal/kv/follow.go
@@ -91,12 +91,12 @@
 // watch waits once for changes. One that is late is sent again, and while the store does not answer, watches are short: the store may drop
 // a watch without a word, and its return is to be noticed soon.
 func (f *Follower) watch(ctx context.Context, after Revision) (Changes, error) {
-	first := watchWait
-	if f.failing {
+	first, failing := watchWait, f.failing
+	if failing {
 		first = 0
 	}
 	return hedgedAfter(ctx, first+hedgeInterval, func(ctx context.Context, sent int) (Changes, error) {
-		if sent > 0 || f.failing {
+		if sent > 0 || failing {
 			return f.Store.Watch(ctx, f.Prefix, after, probeWait)
 		}
 		return f.Store.Watch(ctx, f.Prefix, after, watchWait)
--- a/internal/serve/body.go
+++ b/internal/serve/body.go
@@ -241,6 +241,9 @@
 	}
 	b.deadline = deadline
 	b.limitRead(deadline)
+	if b.lease.Evicted() {
+		b.limitRead(time.Now()) // The abort may have come before the deadline above, which replaced its own.
+	}
 }
 
 func (b *bodyReader) limitRead(deadline time.Time) {
