intake: a repeated submission is not refused after one that may be stored

A refusal tells the caller that the job never runs. In an outage, a repeated submission was refused also where an earlier call for the same job at this instance had stored it, or had sent it without an answer, so that it may be stored later.

The new test failed before with 'refused' in place of 'accepted'.

--- a/internal/intake/change.go
+++ b/internal/intake/change.go
@@ -86,7 +86,7 @@
 func (s *Service) change(ctx context.Context, change Change) (changeResult, error) {
 	startedAt := time.Now()
 	var result changeResult
-	err := s.retryChange(ctx, change, &result)
+	err := s.withEarlierAttempts(change, s.retryChange(ctx, change, &result))
 	var refused *RefusedError
 	if errors.As(err, &refused) {
 		err = s.refuse(change.kind(), refused.Cause)
@@ -95,6 +95,31 @@
 	return result, err
 }
 
+// withEarlierAttempts returns the error of a submission in view of earlier calls for the same job at this instance: a refusal says that the
+// job never runs, which is untrue if one of them has stored it or has sent it without an answer.
+func (s *Service) withEarlierAttempts(change Change, err error) error {
+	if err == nil || change.Submit == nil {
+		return err
+	}
+	id := change.id()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, stored := s.accepted[id]; stored {
+		return nil
+	}
+	if !isRefused(err) {
+		if s.doubtful == nil || len(s.doubtful) >= maxCachedJobs {
+			s.doubtful = map[model.JobID]bool{}
+		}
+		s.doubtful[id] = true
+		return err
+	}
+	if s.doubtful[id] {
+		return &InDoubtError{Cause: err}
+	}
+	return err
+}
+
 func (s *Service) retryChange(ctx context.Context, change Change, result *changeResult) error {
 	if ctx.Err() != nil {
 		return &RefusedError{Cause: errNoTime}
@@ -227,9 +252,10 @@
 func (s *Service) Apply(ctx context.Context, change Change) error {
 	startedAt := time.Now()
 	if err := s.outageError(); err != nil {
-		return &RefusedError{Cause: err, RetryAfter: retryAfter}
+		return s.withEarlierAttempts(change, &RefusedError{Cause: err, RetryAfter: retryAfter})
 	}
 	done, err := s.apply(ctx, change)
+	err = s.withEarlierAttempts(change, err)
 	result := changeResult{applied: done, attempts: 1, took: time.Since(startedAt), callEnded: context.Cause(ctx)}
 	result.log(s.Log.Info(), change.id(), err).Str("what", change.kind()).Msg("intake: change of another instance")
 	return err
--- a/internal/intake/outage_test.go
+++ b/internal/intake/outage_test.go
@@ -141,6 +141,38 @@
 	}
 }
 
+// Guards against a refusal, which says that the job never runs, for a job that an earlier call at the same instance has stored or may still
+// store: the repeated submission of a caller who got no answer.
+func TestRepeatedSubmissionIsNotRefusedAfterOneThatMayBeStored(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		first  error
+		repeat string
+	}{
+		{"stored", nil, "accepted"},
+		{"without an answer", &kv.InDoubtError{Op: "txn", Cause: context.DeadlineExceeded}, "unknown"},
+		{"refused", &kv.RefusedError{Op: "txn", Status: http.StatusServiceUnavailable}, "refused"},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			results := []error{c.first}
+			service := newService(fakepl.NewStore())
+			service.Store = &kv.Store{Txn: func(context.Context, kv.Txn) (kv.Revision, error) {
+				if len(results) == 0 {
+					return 0, &kv.RefusedError{Op: "txn", Status: http.StatusServiceUnavailable}
+				}
+				result := results[0]
+				results = results[1:]
+				return 1, result
+			}}
+			submit(t.Context(), service, newJob())
+			outcome, _ := submit(t.Context(), service, newJob())
+			NewWithT(t).Expect(outcome).To(Equal(c.repeat), c.name)
+			applied := outcomeOf(service.Apply(t.Context(), intake.Change{Submit: newJob()}))
+			NewWithT(t).Expect(applied).To(Equal(c.repeat), "%s, through another instance", c.name)
+		})
+	}
+}
+
 // Guards against a call for a state that waits for a store which is known not to answer.
 func TestStateInAnOutageIsAnsweredAtOnce(t *testing.T) {
 	inOutage(t, fakepl.Silent, time.Second, func(g *WithT, ctx context.Context, _ *fakepl.Store, service *intake.Service) {
--- a/internal/intake/service.go
+++ b/internal/intake/service.go
@@ -57,6 +57,7 @@
 	mu            sync.Mutex // guards the fields below; not held during calls
 	finalStates   map[model.JobID]work.State
 	accepted      map[model.JobID]time.Time // when this instance accepted a job
+	doubtful      map[model.JobID]bool      // jobs that were sent to the store and may be stored
 	pendingCounts map[work.QueueName]int    // last result of Owner.Pending or its replacement from the store
 	countedAt     time.Time
 }
