serve: the refusal at the end of a drain is written on a busy processor

TestDrainWithoutTimeLeftDoesNotWaitForRefusedCallers failed once in 12 runs under the race detector beside 14 busy loops and five other copies of the tests: 'a request that has arrived is answered: unexpected EOF'. A connection that is refused when the time of the drain is over gets 10 ms for the write, counted from before the answer was composed. A goroutine that lost the processor for longer found the deadline past, and closed the connection without a byte sent.

The answer is composed first, and a write that could not begin in its time is tried again, three times in all. TestDrainRefusesOnABusyProcessor delays the write beyond its deadline; it failed before with the same message.

--- a/internal/serve/conn.go
+++ b/internal/serve/conn.go
@@ -132,7 +132,12 @@
 	if !begun {
 		return
 	}
-	if err := newRefusal(c.server.Refuse).send(c.Conn); err != nil {
+	answer, err := newRefusal(c.server.Refuse).encode()
+	if err != nil {
+		c.server.Log.Error().Err(err).Msg("serve: refusal not encoded")
+		return
+	}
+	if c.writeRefusal(answer, wait) != nil {
 		return // The caller has left.
 	}
 	if err := c.CloseWrite(); err != nil || !wait {
@@ -141,8 +146,8 @@
 	_, _ = io.Copy(io.Discard, c.Conn) //nolint:errcheck // It ends with the caller or with the deadline.
 }
 
-// beginRefusal sets the deadline of a refusal, which later steps of the drain leave as it is, and reports whether there is time to wait for
-// the caller. Nothing begins on a connection that is refused already, or closed.
+// beginRefusal reports whether a refusal is to be written, and whether there is time to wait for the caller. Later steps of the drain leave
+// the deadline of the connection as it is. Nothing begins on a connection that is refused already.
 func (c *conn) beginRefusal() (begun, wait bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -150,11 +155,26 @@
 		return false, false
 	}
 	c.refusing = true
-	timeout := refusalTimeout
-	if c.cut {
-		timeout = lastRefusalTimeout
+	return true, !c.cut
+}
+
+// writeRefusal writes a refusal within its time. Without time to wait that is short, and may pass before the write begins where the
+// processor is busy; nothing is sent then, and the write is tried again.
+func (c *conn) writeRefusal(answer []byte, wait bool) error {
+	timeout, attempts := lastRefusalTimeout, lastRefusalAttempts
+	if wait {
+		timeout, attempts = refusalTimeout, 1
+	}
+	for {
+		if err := c.SetDeadline(time.Now().Add(timeout)); err != nil {
+			return err
+		}
+		attempts--
+		n, err := c.Write(answer)
+		if n > 0 || attempts == 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return err
+		}
 	}
-	return c.SetDeadline(time.Now().Add(timeout)) == nil, !c.cut
 }
 
 // markCut records that the connection is about to be closed, whatever is waiting on it or arrives meanwhile.
--- a/internal/serve/refusal.go
+++ b/internal/serve/refusal.go
@@ -12,7 +12,8 @@
 	// bytes is reset, and its caller may never see the refusal.
 	refusalTimeout = 250 * time.Millisecond
 	// lastRefusalTimeout bounds the write to a connection that closes at the end of a drain, one after the other.
-	lastRefusalTimeout = 10 * time.Millisecond
+	lastRefusalTimeout  = 10 * time.Millisecond
+	lastRefusalAttempts = 3
 )
 
 // refusal is an http.ResponseWriter that keeps the answer.
@@ -38,16 +39,13 @@
 // WriteHeader sets the status.
 func (r *refusal) WriteHeader(status int) { r.status = status }
 
-// send writes the answer to a connection, as the last one on it, in one piece.
-func (r *refusal) send(w io.Writer) error {
+// encode returns the answer as the last one on its connection. It is to be written in one piece.
+func (r *refusal) encode() ([]byte, error) {
 	answer := http.Response{
 		ProtoMajor: 1, ProtoMinor: 1, StatusCode: r.status, Header: r.header, Close: true,
 		ContentLength: int64(r.body.Len()), Body: io.NopCloser(&r.body),
 	}
 	var content bytes.Buffer
-	if err := answer.Write(&content); err != nil {
-		return err
-	}
-	_, err := w.Write(content.Bytes())
-	return err
+	err := answer.Write(&content)
+	return content.Bytes(), err
 }
--- a/internal/serve/refusal_test.go
+++ b/internal/serve/refusal_test.go
@@ -113,6 +113,45 @@
 	r.g.Expect(r.countEnds(serve.EndIdle)).To(Equal(conns))
 }
 
+// busyListener is a listener whose connections lose the processor for a moment after their first deadline for reads and writes was set.
+type busyListener struct{ pausingCloser }
+
+func (l busyListener) Accept() (net.Conn, error) {
+	c, err := l.pausingCloser.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &busyConn{Conn: c}, nil
+}
+
+type busyConn struct {
+	net.Conn
+	delayed bool
+}
+
+func (c *busyConn) SetDeadline(t time.Time) error {
+	err := c.Conn.SetDeadline(t)
+	if !c.delayed {
+		c.delayed = true
+		time.Sleep(time.Until(t) + time.Millisecond)
+	}
+	return err
+}
+
+// Guards against a refusal at the end of a drain that is not written because the processor was busy for longer than the write may take.
+func TestDrainRefusesOnABusyProcessor(t *testing.T) {
+	r := newRig(t, answerOK)
+	closer := newPausingCloser(r, 1)
+	defer close(closer.release)
+	r.Listener = busyListener{closer}
+	r.Linger = 50 * time.Millisecond
+	r.Refuse = func(w http.ResponseWriter) { w.WriteHeader(http.StatusServiceUnavailable) }
+	r.run(t)
+	c := r.dial()
+	r.g.Expect(r.drain(time.Second)).To(Succeed())
+	r.g.Expect(r.answer(c).StatusCode).To(Equal(http.StatusServiceUnavailable))
+}
+
 // Guards against a drain that takes longer because a caller does not read the refusal, or never stops sending.
 func TestDrainDoesNotWaitForRefusedCallers(t *testing.T) {
 	r := newRig(t, answerOK)
