budget: the bound of connections counts the bytes that are not yet read

On a VM with 144 MB and 3,075 descriptors, 2,000 clients short of their end took 144.1 MB, resident and not yet read, in one of four trials with chunks of single bytes (the others 118, 118 and 133 MB; 1,174 descriptors): each of 1,152 connections counted as 32 KB, but the kernel keeps up to 64 KB of it besides.

A connection now counts as 96 KB, and those of a server may take half of the memory: 768 on that VM. One with 284 MB keeps its 1,437, which the descriptors allow.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -241,9 +241,9 @@
 
 const (
 	// connShare is the divisor of the memory that the connections of one server may take, and connBytes what each takes: goroutine,
-	// buffers, the largest headers.
-	connShare       = 4
-	connBytes Bytes = 32 << 10
+	// buffers and the largest headers (32 KB), and what the kernel has received and the server has not read (64 KB).
+	connShare       = 2
+	connBytes Bytes = 96 << 10
 	// defaultConns is the limit where the machine is unknown.
 	defaultConns = 4096
 	minConns     = 16
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -103,7 +103,7 @@
 	g.Expect(budget.Machine{}.Bodies(8)).To(BeNil())
 	g.Expect((*budget.Budget)(nil).Open(nil).Grow(context.Background(), 1<<40)).To(Succeed())
 	g.Expect(budget.Machine{}.Conns(2)).To(Equal(4096))
-	g.Expect(budget.Machine{Memory: 144 << 20, Descriptors: 2875}.Conns(2)).To(Equal(1152))
+	g.Expect(budget.Machine{Memory: 144 << 20, Descriptors: 2875}.Conns(2)).To(Equal(768))
 	g.Expect(budget.Machine{Descriptors: 400}.Conns(2)).To(Equal(200))
 	g.Expect(budget.Machine{Descriptors: 2}.Conns(2)).To(Equal(16))
 }
