--- a/internal/intake/outage_test.go
+++ b/internal/intake/outage_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -14,6 +15,7 @@
 
 	"peridotgw.example/peridotgw/internal/clock"
 	"peridotgw.example/peridotgw/internal/intake"
+	"peridotgw.example/peridotgw/internal/kv"
 	"peridotgw.example/peridotgw/internal/work"
 	"peridotgw.example/peridotgw/model"
 	"peridotgw.example/peridotgw/platform/fakepl"
@@ -120,6 +122,57 @@
 	})
 }
 
+// Guards against a job that the store finds too large, and that makes the instance take the store for one that serves nobody.
+func TestStoreThatAnswersWhatItThinksOfACallServesThisInstance(t *testing.T) {
+	for status, served := range map[int]bool{
+		0: false, http.StatusTooManyRequests: false, http.StatusServiceUnavailable: false,
+		http.StatusBadRequest: true, http.StatusForbidden: true, http.StatusRequestEntityTooLarge: true, http.StatusPreconditionFailed: true,
+	} {
+		service := newService(fakepl.NewStore())
+		observed := service.ObserveStore(&kv.Store{Txn: func(context.Context, kv.Txn) (kv.Revision, error) {
+			return 0, &kv.RefusedError{Op: "txn", Status: status}
+		}})
+		for range 3 {
+			_, err := observed.Txn(t.Context(), kv.Txn{})
+			NewWithT(t).Expect(err).To(HaveOccurred())
+		}
+		err := service.Apply(t.Context(), intake.Change{Submit: newJob()})
+		NewWithT(t).Expect(err == nil).To(Equal(served), "status %d", status)
+	}
+}
+
+// Guards against a refusal, which says that the job never runs, for a job that an earlier call at the same instance has stored or may still
+// store: the repeated submission of a caller who got no answer.
+func TestRepeatedSubmissionIsNotRefusedAfterOneThatMayBeStored(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		first  error
+		repeat string
+	}{
+		{"stored", nil, "accepted"},
+		{"without an answer", &kv.InDoubtError{Op: "txn", Cause: context.DeadlineExceeded}, "unknown"},
+		{"refused", &kv.RefusedError{Op: "txn", Status: http.StatusServiceUnavailable}, "refused"},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			results := []error{c.first}
+			service := newService(fakepl.NewStore())
+			service.Store = &kv.Store{Txn: func(context.Context, kv.Txn) (kv.Revision, error) {
+				if len(results) == 0 {
+					return 0, &kv.RefusedError{Op: "txn", Status: http.StatusServiceUnavailable}
+				}
+				result := results[0]
+				results = results[1:]
+				return 1, result
+			}}
+			submit(t.Context(), service, newJob())
+			outcome, _ := submit(t.Context(), service, newJob())
+			NewWithT(t).Expect(outcome).To(Equal(c.repeat), c.name)
+			applied := outcomeOf(service.Apply(t.Context(), intake.Change{Submit: newJob()}))
+			NewWithT(t).Expect(applied).To(Equal(c.repeat), "%s, through another instance", c.name)
+		})
+	}
+}
+
 // Guards against a call for a state that waits for a store which is known not to answer.
 func TestStateInAnOutageIsAnsweredAtOnce(t *testing.T) {
 	inOutage(t, fakepl.Silent, time.Second, func(g *WithT, ctx context.Context, _ *fakepl.Store, service *intake.Service) {
