chief, quota: a stage does not wait for the part of a cap that it holds itself

A job that its tenant's part of the room kept from starting is planned twice in a pass. At the second time an urgent stage with reserved workers met its own hold of its tenant's cap: it lost its reservation, and the room that was stopped for it, and held the cap twice over for the rest of the pass.

A stage's hold is released before the stage is planned, and set anew afterwards.

--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -40,9 +40,10 @@
 	seen           *snapshot                               // for decisions; nil until it is needed
 	adviceRequest  *adviceRequest                          // to be made at the end of the pass; nil for none
 	quota          *quota.Pass
-	roomShort      bool   // a task found no room
-	deferred       []*job // that their tenant's part of the room kept from starting more
-	beyondParts    bool   // the tenants' parts of the room limit no start now
+	capHolds       map[*stage]quota.Request // what stages hold of their tenants' caps
+	roomShort      bool                     // a task found no room
+	deferred       []*job                   // that their tenant's part of the room kept from starting more
+	beyondParts    bool                     // the tenants' parts of the room limit no start now
 }
 
 // planStarts runs a planning pass: it starts tasks in order of rank and stops the runs that they preempt.
@@ -164,6 +165,7 @@
 		return
 	}
 	p.creditReservation(s)
+	p.releaseCap(s)
 	s.haste = p.haste(s)
 	s.ignoresHolds = p.stalledTooLong(s) || p.reservedWorkersFree(s) && s.foundRoomForLong(p.now)
 	runs := s.job.runs
@@ -174,7 +176,7 @@
 	s.ignoresHolds = false
 	p.deductReservation(s)
 	if len(s.reserved) > 0 {
-		p.quota.Hold(p.request(s, len(s.reserved)))
+		p.holdCap(s, p.request(s, len(s.reserved)))
 	}
 }
 
--- a/internal/chief/quota.go
+++ b/internal/chief/quota.go
@@ -175,11 +175,29 @@
 		p.stopForCap(s, request)
 	}
 	if urgent || p.now.Sub(s.cap.since) >= capHeldAfter && !p.quota.Holds(request.Tenant) {
-		p.quota.Hold(request)
+		p.holdCap(s, request)
 	}
 	return true
 }
 
+// holdCap keeps a part of the cap of a stage's tenant for the stage.
+func (p *planner) holdCap(s *stage, request quota.Request) {
+	if p.capHolds == nil {
+		p.capHolds = map[*stage]quota.Request{}
+	}
+	p.capHolds[s] = request
+	p.quota.Hold(request)
+}
+
+// releaseCap ends what a stage holds of its tenant's cap, for the planning of the stage itself: a job whose tenant's part of the room kept it
+// from starting is planned twice in a pass, and would wait for its own hold.
+func (p *planner) releaseCap(s *stage) {
+	if request, found := p.capHolds[s]; found {
+		delete(p.capHolds, s)
+		p.quota.Release(request)
+	}
+}
+
 // stopForCap stops less urgent runs of the same tenant, if that brings a request within the tenant's cap and is worth it.
 func (p *planner) stopForCap(s *stage, request quota.Request) {
 	if p.settling || p.now < s.cap.stopsAt {
--- a/internal/quota/pass.go
+++ b/internal/quota/pass.go
@@ -122,6 +122,13 @@
 	p.held[r.Tenant] = p.held[r.Tenant].Add(r.Need.Times(r.Tasks))
 }
 
+// Release takes back a Hold of the same request: what a request holds itself does not keep it from starting.
+func (p *Pass) Release(r Request) {
+	if p.Limited(r.Tenant) {
+		p.held[r.Tenant] = p.held[r.Tenant].Sub(r.Need.Times(r.Tasks))
+	}
+}
+
 // Holds reports whether a part of a tenant's cap is held.
 func (p *Pass) Holds(id model.CustomerID) bool { return p.held[id] != work.Resources{} }
 
