chief, quota: the demand of tenants without a weight counts in the rank

A tenant without a weight has the smallest weight of the others, but the demand of its jobs was taken as nothing: all of them ranked as its first one, before those of tenants that use fewer times their part. Demands are now computed whenever a tenant has a weight.

Weights are added up in one order: with the rounding errors of another order, a tenant at a whole part changes its level between passes.

--- a/internal/chief/quota.go
+++ b/internal/chief/quota.go
@@ -222,11 +222,15 @@
 // rankJobs returns the live jobs in the order in which they get room.
 func (p *planner) rankJobs() []*job {
 	list := make([]quota.Job, len(p.c.liveJobs))
+	weighted := p.c.roomShort && p.quota.Weighted()
 	for i, j := range p.c.liveJobs {
 		priority := p.config.Terms(j.spec).Priority
 		list[i] = quota.Job{
 			Tenant: j.spec.Tenant, Priority: priority, Lent: priority == 0 && !p.withinGuarantee(j), Late: j.late(p.now), Excess: j.beyondRate,
-			Deadline: time.Duration(j.deadline), Demand: p.demand(j),
+			Deadline: time.Duration(j.deadline),
+		}
+		if weighted {
+			list[i].Demand = p.demand(j)
 		}
 	}
 	jobs := make([]*job, len(list))
@@ -236,12 +240,9 @@
 	return jobs
 }
 
-// demand returns what the waiting tasks of a job need while room is short and its tenant has a weight; the rank depends on it only then.
+// demand returns what the waiting tasks of a job need.
 func (p *planner) demand(j *job) work.Resources {
 	var demand work.Resources
-	if !p.c.roomShort || p.config.Tenants[j.spec.Tenant].Weight == 0 {
-		return demand
-	}
 	for _, s := range j.dueStages(p.now) {
 		demand = demand.Add(s.step.Resources().Times(s.waitingTasks()))
 	}
--- a/internal/chief/quota_internal_test.go
+++ b/internal/chief/quota_internal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -31,3 +32,20 @@
 	p.releaseCap(s)
 	g.Expect(p.quota.Holds("")).To(BeFalse(), "the cap is held once")
 }
+
+// Guards against a tenant without a weight all of whose jobs come before those of others, however much they need together.
+func TestDemandOfTenantsWithoutWeightCounts(t *testing.T) {
+	g := NewWithT(t)
+	p := pacedPlanner(4)
+	p.config.Tenants = map[model.CustomerID]work.Tenant{"weighted": {Weight: 1}}
+	p.quota = &quota.Pass{Tenants: p.config.Tenants, Ledger: &p.c.used, Room: work.Resources{CPU: 256_000, GPU: 32}}
+	p.c.roomShort = true
+	var jobs []*job
+	for i, tenant := range []model.CustomerID{"unweighted", "unweighted", "weighted"} {
+		j := p.stageOf("slow", work.Step{Count: 3}).job
+		j.spec.Tenant, j.deadline = tenant, p.now.Add(time.Hour+time.Duration(i)*time.Second)
+		jobs = append(jobs, j)
+	}
+	p.c.liveJobs = jobs
+	g.Expect(p.rankJobs()).To(Equal([]*job{jobs[0], jobs[2], jobs[1]}))
+}
--- a/internal/quota/rank.go
+++ b/internal/quota/rank.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -22,6 +23,16 @@
 	Demand   work.Resources // of its tasks that wait
 }
 
+// Weighted reports whether any tenant has a weight. The rank depends on the demands of jobs only then, also on those of tenants without one.
+func (p *Pass) Weighted() bool {
+	for id := range p.Tenants {
+		if p.Tenants[id].Weight > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // ranked is a job with its place in the list.
 type ranked struct {
 	Job
@@ -74,8 +85,8 @@
 func (p *Pass) setLevels(list []ranked) bool {
 	weights := p.weights(list)
 	sum := 0.0
-	for _, weight := range weights {
-		sum += weight
+	for _, id := range slices.Sorted(maps.Keys(weights)) { // In one order: rounding errors would differ between passes.
+		sum += weights[id]
 	}
 	if sum == 0 {
 		return false
