chief: a notice of a worker that was taken back does not count for a later one

The earliest time at which a worker leaves stayed when its entry stopped being draining. At a later notice with more time left, all work there was stopped at once for want of time.

--- a/internal/chief/registry.go
+++ b/internal/chief/registry.go
@@ -65,6 +65,8 @@
 	if info.Draining {
 		w.noteDrain(c.Now())
 		c.stopRunsBeforeLeave(w, c.Now())
+	} else {
+		w.leavesAt = 0 // The time of a notice that was taken back says nothing of a later one.
 	}
 	if !w.polled {
 		c.pollIfDue(w)
