chief: what a gang does as its workers leave is decided once a tick

It was decided for each member on a leaving worker, with a look at all members each time: for a gang of 40 on leaving workers, 1,600 estimates a tick.

--- a/internal/chief/drain.go
+++ b/internal/chief/drain.go
@@ -34,7 +34,7 @@
 		}
 		if r.gang == nil {
 			c.leaveWith(&r.leaving, []*run{r}, r, now)
-		} else if !r.gang.ending {
+		} else if !r.gang.ending && r.gang.leaving.decidedAt != now { // Once for all its members on workers that leave.
 			c.leaveWith(&r.gang.leaving, r.gang.runs(), r, now)
 		}
 	}
@@ -48,8 +48,8 @@
 
 // leaving is what was last decided about a run or a gang on a worker that leaves.
 type leaving struct {
-	decided bool
-	action  leave.Action
+	decidedAt clock.Instant // 0 before the first decision
+	action    leave.Action
 }
 
 // leaveWith decides about the runs that stop or go on together; r is the one on a worker that leaves. A decision is logged once, and again
@@ -58,8 +58,9 @@
 	limits := leave.Limits{Stop: c.Limits.StopTimeout + leaveMargin, Lease: c.Limits.MaxLease}
 	seen := c.leavingWork(runs, now)
 	decision := limits.Decide(&seen)
-	if !last.decided || last.action != decision.Action {
-		*last = leaving{decided: true, action: decision.Action}
+	before := *last
+	*last = leaving{decidedAt: now, action: decision.Action}
+	if before.decidedAt == 0 || before.action != decision.Action {
 		c.Log.Info().Str("task", r.key.task.String()).Int64("run", int64(r.key.number)).Str("worker", string(r.worker.info.ID)).
 			Int("members", len(runs)).Str("action", decision.Action.String()).Str("why", string(decision.Reason)).
 			Dur("left", decision.Left).Dur("leaves-in", decision.LeavesIn).
