--- a/internal/chief/fit.go
+++ b/internal/chief/fit.go
@@ -162,6 +162,7 @@
 		worker       *worker
 		count        int
 		interference float64
+		free         float64 // accelerators, with the penalty for the worker's speed
 	}
 	var options []option
 	total := 0
@@ -177,7 +178,8 @@
 			count = min(count, 1)
 		}
 		if count > 0 {
-			options = append(options, option{w, count, p.interference(s, w)})
+			free := float64(capacityOf(w).GPU) + s.haste.Penalty(w.pace())
+			options = append(options, option{w, count, p.interference(s, w), free})
 			total += count
 		}
 	}
@@ -202,7 +204,7 @@
 		if options[i].interference != options[j].interference {
 			return options[i].interference < options[j].interference
 		}
-		return float64(capacityOf(a).GPU)+s.haste.Penalty(a.pace()) < float64(capacityOf(b).GPU)+s.haste.Penalty(b.pace())
+		return options[i].free < options[j].free
 	})
 	places := make([]*worker, 0, need)
 	for _, o := range options {
