chief, node: corrections of estimates are reported as a whole

Each kind of tasks got a series of its own, by the image that its caller named, and kept it for the life of the process, although at most 512 kinds are known: the metrics grew with each image ever seen. The series are now replaced by those of the known kinds, every 5 s. The number of pairs that interfere is 0 at an instance that leads no more.

--- a/internal/chief/env_test.go
+++ b/internal/chief/env_test.go
@@ -181,7 +181,7 @@
 				CallResult:       func(string, string) {}, RunEnded: func(work.How) {}, RunStopped: func(string, float64) {}, PassDuration: func(time.Duration) {},
 				JobStarted: func(work.QueueName, time.Duration) {}, JobStep: func(chief.JobStep) {}, JobStalled: func(time.Duration, bool) {}, EndStep: i.countEnds,
 				Tenants: func([]quota.State) {},
-				Speeds:  func(map[chief.SpeedBucket]int) {}, Correction: func(speed.Kind, float64) {},
+				Speeds:  func(map[chief.SpeedBucket]int) {}, Corrections: func(map[speed.Kind]float64) {},
 			},
 		}
 		i.chief.Store(scheduler)
--- a/internal/chief/scheduler.go
+++ b/internal/chief/scheduler.go
@@ -105,6 +105,7 @@
 	reservationsTriedAt map[work.PoolName]clock.Instant
 	nextPlanAt          clock.Instant
 	speedsComparedAt    clock.Instant
+	correctionsAt       clock.Instant // when they were last reported
 	interference        noisy.Model
 	used                quota.Ledger // by all runs of all workers
 	rates               map[model.CustomerID]*quota.Rate
@@ -138,10 +139,10 @@
 	EndStep func(step EndStep, ends int)
 	// Tenants reports the use of all tenants, about once a second; none at the end of a term.
 	Tenants func(states []quota.State)
-	// Speeds reports the number of workers by what is known of their speed, and Correction the mean factor by which the run times of a kind
-	// of tasks exceed the estimates of their callers.
-	Speeds     func(workers map[SpeedBucket]int)
-	Correction func(kind speed.Kind, factor float64)
+	// Speeds reports the number of workers by what is known of their speed, and Corrections the mean factors by which the run times of the
+	// kinds of tasks that are known exceed the estimates of their callers.
+	Speeds      func(workers map[SpeedBucket]int)
+	Corrections func(factors map[speed.Kind]float64)
 }
 
 // SpeedBucket is a range of speeds of workers against a usual one.
@@ -229,6 +230,7 @@
 	c.pendingKnown, c.tenants = false, nil
 	c.mu.Unlock()
 	c.Observe.Tenants(nil)
+	c.Observe.InterferingPairs(0)
 	return err
 }
 
--- a/internal/chief/speed.go
+++ b/internal/chief/speed.go
@@ -12,6 +12,8 @@
 
 const (
 	speedCompareInterval = 500 * time.Millisecond
+	// correctionsInterval is the least time between two reports of the corrections of estimates: there may be hundreds of kinds.
+	correctionsInterval = 5 * time.Second
 	// minSampleInterval is the least time between two progress samples of a run.
 	minSampleInterval = 600 * time.Millisecond
 	rateMaxAge        = 2 * time.Second // of a rate that is compared
@@ -182,9 +184,20 @@
 		w.speedLogged = seen.Factor
 	}
 	c.Observe.Speeds(buckets)
+	c.reportCorrections(now)
+}
+
+// reportCorrections reports by how much the estimates of all kinds are off, at most once per correctionsInterval.
+func (c *Scheduler) reportCorrections(now clock.Instant) {
+	if now.Sub(c.correctionsAt) < correctionsInterval {
+		return
+	}
+	c.correctionsAt = now
+	factors := map[speed.Kind]float64{}
 	for _, kind := range c.speeds.Kinds() {
-		c.Observe.Correction(kind, c.speeds.Correction(kind))
+		factors[kind] = c.speeds.Correction(kind)
 	}
+	c.Observe.Corrections(factors)
 }
 
 func bucketOf(s speed.Speed) SpeedBucket {
--- a/internal/chief/speed_internal_test.go
+++ b/internal/chief/speed_internal_test.go
@@ -25,7 +25,7 @@
 	c := &Scheduler{
 		Log: zerolog.Nop(), Workers: &agent.Calls{MaxListedEnds: 500}, Now: func() clock.Instant { return now }, WallClock: time.Now,
 		Limits: Limits{MaxLease: 6 * time.Second, RemoteSlowdown: 3}, Config: func() *work.Config { return config },
-		TermValid: func() bool { return true }, Observe: Observer{JobStep: func(JobStep) {}, Speeds: func(map[SpeedBucket]int) {}, Correction: func(speed.Kind, float64) {}},
+		TermValid: func() bool { return true }, Observe: Observer{JobStep: func(JobStep) {}, Speeds: func(map[SpeedBucket]int) {}, Corrections: func(map[speed.Kind]float64) {}},
 		jobs: map[model.JobID]*job{}, workers: map[model.WorkerID]*worker{}, jobsLoaded: true, durableStates: map[model.JobID]work.State{},
 	}
 	p := &planner{c: c, now: now, config: config, racks: map[work.Label][]*worker{}, rooms: map[roomKind]int{}, rackRooms: map[rackKind]int{}}
--- a/internal/node/meters.go
+++ b/internal/node/meters.go
@@ -122,8 +122,11 @@
 				m.speeds.WithLabelValues(string(bucket)).Set(float64(count))
 			}
 		},
-		Correction: func(kind speed.Kind, factor float64) {
-			m.factors.WithLabelValues(string(kind.Queue), string(kind.Image)).Set(factor)
+		Corrections: func(factors map[speed.Kind]float64) {
+			m.factors.Reset() // Callers name the images: those that are forgotten must not add up.
+			for kind, factor := range factors {
+				m.factors.WithLabelValues(string(kind.Queue), string(kind.Image)).Set(factor)
+			}
 		},
 		EndStep: func(step chief.EndStep, ends int) { m.endings.WithLabelValues(string(step)).Add(float64(ends)) },
 		Tenants: m.tenants.set,
