noisy: an observation of more kinds than are remembered does not panic

More than 64 kinds on one worker, of which callers choose the names, left no kind to forget: the search for the oldest of none ended the leader's process. Such an observation now counts, and the next one forgets what is too much.

--- a/internal/noisy/model.go
+++ b/internal/noisy/model.go
@@ -138,21 +138,29 @@
 		m.seen[kind] = now
 	}
 	for len(m.seen) > maxKinds {
-		m.forget(m.oldest(o))
+		oldest, found := m.oldest(o)
+		if !found {
+			return // One observation has more kinds than are remembered; the next one forgets them.
+		}
+		m.forget(oldest)
 	}
 }
 
-// oldest returns the kind that was seen least recently and is not part of an observation.
-func (m *Model) oldest(o Observation) Kind {
+// oldest returns the kind that was seen least recently and is not part of an observation, if there is one.
+func (m *Model) oldest(o Observation) (oldest Kind, found bool) {
 	var kinds []Kind
 	for kind := range m.seen {
 		if kind != o.Victim && !slices.Contains(o.Joined, kind) && !slices.Contains(o.Left, kind) {
 			kinds = append(kinds, kind)
 		}
 	}
-	return slices.MinFunc(kinds, func(a, b Kind) int {
+	if len(kinds) == 0 {
+		return "", false
+	}
+	oldest = slices.MinFunc(kinds, func(a, b Kind) int {
 		return cmp.Or(cmp.Compare(m.seen[a], m.seen[b]), cmp.Compare(a, b))
 	})
+	return oldest, true
 }
 
 func (m *Model) forget(kind Kind) {
--- a/internal/noisy/model_test.go
+++ b/internal/noisy/model_test.go
@@ -1,6 +1,7 @@
 package noisy_test
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -207,3 +208,18 @@
 	g.Expect(m.Penalty("aggressor", map[noisy.Kind]int{"victim": 3})).To(BeNumerically("~", 1.5, 0.3))
 	g.Expect(m.Penalty("victim", map[noisy.Kind]int{"other": 3})).To(BeZero())
 }
+
+// Guards against a panic of the leader where more kinds than are remembered share one worker.
+func TestObservationOfManyKinds(t *testing.T) {
+	g := NewWithT(t)
+	var m noisy.Model
+	crowd := make([]noisy.Kind, 100)
+	for i := range crowd {
+		crowd[i] = noisy.Kind(fmt.Sprint("crowd ", i))
+	}
+	m.Observe(time.Second, noisy.Observation{Victim: "victim", Joined: crowd[:50], Left: crowd[50:], Change: -1, Deviation: 0.1})
+	for i := range 20 {
+		m.Observe(time.Duration(i+2)*time.Second, noisy.Observation{Victim: "victim", Joined: []noisy.Kind{"aggressor"}, Change: -1, Deviation: 0.1})
+	}
+	g.Expect(m.Slowdown(noisy.Pair{Victim: "victim", Aggressor: "aggressor"})).To(BeNumerically(">", 1.5))
+}
