--- a/internal/chief/quota.go
+++ b/internal/chief/quota.go
@@ -175,11 +175,29 @@
 		p.stopForCap(s, request)
 	}
 	if urgent || p.now.Sub(s.cap.since) >= capHeldAfter && !p.quota.Holds(request.Tenant) {
-		p.quota.Hold(request)
+		p.holdCap(s, request)
 	}
 	return true
 }
 
+// holdCap keeps a part of the cap of a stage's tenant for the stage.
+func (p *planner) holdCap(s *stage, request quota.Request) {
+	if p.capHolds == nil {
+		p.capHolds = map[*stage]quota.Request{}
+	}
+	p.capHolds[s] = request
+	p.quota.Hold(request)
+}
+
+// releaseCap ends what a stage holds of its tenant's cap, for the planning of the stage itself: a job whose tenant's part of the room kept it
+// from starting is planned twice in a pass, and would wait for its own hold.
+func (p *planner) releaseCap(s *stage) {
+	if request, found := p.capHolds[s]; found {
+		delete(p.capHolds, s)
+		p.quota.Release(request)
+	}
+}
+
 // stopForCap stops less urgent runs of the same tenant, if that brings a request within the tenant's cap and is worth it.
 func (p *planner) stopForCap(s *stage, request quota.Request) {
 	if p.settling || p.now < s.cap.stopsAt {
@@ -204,11 +222,15 @@
 // rankJobs returns the live jobs in the order in which they get room.
 func (p *planner) rankJobs() []*job {
 	list := make([]quota.Job, len(p.c.liveJobs))
+	weighted := p.c.roomShort && p.quota.Weighted()
 	for i, j := range p.c.liveJobs {
 		priority := p.config.Terms(j.spec).Priority
 		list[i] = quota.Job{
 			Tenant: j.spec.Tenant, Priority: priority, Lent: priority == 0 && !p.withinGuarantee(j), Late: j.late(p.now), Excess: j.beyondRate,
-			Deadline: time.Duration(j.deadline), Demand: p.demand(j),
+			Deadline: time.Duration(j.deadline),
+		}
+		if weighted {
+			list[i].Demand = p.demand(j)
 		}
 	}
 	jobs := make([]*job, len(list))
@@ -218,12 +240,9 @@
 	return jobs
 }
 
-// demand returns what the waiting tasks of a job need while room is short and its tenant has a weight; the rank depends on it only then.
+// demand returns what the waiting tasks of a job need.
 func (p *planner) demand(j *job) work.Resources {
 	var demand work.Resources
-	if !p.c.roomShort || p.config.Tenants[j.spec.Tenant].Weight == 0 {
-		return demand
-	}
 	for _, s := range j.dueStages(p.now) {
 		demand = demand.Add(s.step.Resources().Times(s.waitingTasks()))
 	}
