--- a/internal/chief/estimate.go
+++ b/internal/chief/estimate.go
@@ -26,10 +26,10 @@
 
 // slowestPace returns the speed of a run's worker, or of the slowest one of its gang.
 func (r *run) slowestPace() float64 {
-	slowest := r.worker.pace()
+	slowest := r.worker.speedFactor()
 	if r.gang != nil {
 		for member := range r.gang.members {
-			slowest = min(slowest, member.worker.pace())
+			slowest = min(slowest, member.worker.speedFactor())
 		}
 	}
 	return slowest
@@ -45,7 +45,7 @@
 
 // runTime returns how long a task of a stage takes near its data on a worker.
 func (c *Scheduler) runTime(s *stage, w *worker) time.Duration {
-	return time.Duration(float64(c.estimate(s)) / w.pace())
+	return time.Duration(float64(c.estimate(s)) / w.speedFactor())
 }
 
 // remainingTime estimates how long a run still takes; a member of a gang ends with the slowest one.
--- a/internal/chief/fit.go
+++ b/internal/chief/fit.go
@@ -64,7 +64,7 @@
 	if p.heldForOther(s, w) {
 		placementScore += heldPenalty
 	}
-	placementScore += s.haste.Penalty(w.pace())
+	placementScore += s.haste.Penalty(w.speedFactor())
 	return placementScore + p.interference(s, w)
 }
 
@@ -137,7 +137,7 @@
 func slowestOf(places []*worker) float64 {
 	slowest := math.Inf(1)
 	for _, w := range places {
-		slowest = min(slowest, w.pace())
+		slowest = min(slowest, w.speedFactor())
 	}
 	return slowest
 }
@@ -178,7 +178,7 @@
 			count = min(count, 1)
 		}
 		if count > 0 {
-			free := float64(capacityOf(w).GPU) + s.haste.Penalty(w.pace())
+			free := float64(capacityOf(w).GPU) + s.haste.Penalty(w.speedFactor())
 			options = append(options, option{w, count, p.interference(s, w), free})
 			total += count
 		}
--- a/internal/chief/neighbours_internal_test.go
+++ b/internal/chief/neighbours_internal_test.go
@@ -153,9 +153,9 @@
 	load, worst := r.workers[0].worstServing()
 	g.Expect(load).To(Equal(2.0))
 	g.Expect(worst).To(BeIdenticalTo(serving))
-	g.Expect(c.knowsAggressor(r.workers[0], serving)).To(BeTrue())
-	g.Expect(c.slowsDown(aggressor, serving)).To(BeTrue())
-	g.Expect(c.slowsDown(other, serving)).To(BeFalse())
+	g.Expect(c.nextPaces(r.workers[0], load, serving)).To(Equal(map[*run]int{aggressor: paceReduced}))
+	aggressor.pace = paceReduced
+	g.Expect(c.nextPaces(r.workers[0], load, serving)).To(Equal(map[*run]int{aggressor: 0}))
 	aggressor.pace = 0
-	g.Expect(c.knowsAggressor(r.workers[0], serving)).To(BeFalse(), "all others are slowed once that has not helped")
+	g.Expect(c.nextPaces(r.workers[0], load, serving)).To(Equal(map[*run]int{other: paceReduced}), "that has not helped")
 }
--- a/internal/chief/orders.go
+++ b/internal/chief/orders.go
@@ -52,7 +52,7 @@
 	r := &run{
 		key: runKey{t.id(), number}, task: t, worker: w, resources: s.step.Resources(), gang: g,
 		createdAt: now, progressedAt: now, pace: fullPace, checkpoint: t.checkpoint, fromStart: t.checkpoint == "",
-		expectedSpeed: w.pace(),
+		expectedSpeed: w.speedFactor(),
 	}
 	if g != nil {
 		g.add(r)
--- a/internal/chief/pace.go
+++ b/internal/chief/pace.go
@@ -25,16 +25,26 @@
 		return
 	}
 	worst, serving := w.worstServing()
+	for r, percent := range c.nextPaces(w, worst, serving) {
+		w.nextPaceAt = now.Add(paceInterval)
+		c.pace(r, percent, worst)
+	}
+}
+
+// nextPaces returns the filling runs on a worker whose pace is to change, and their new pace in percent. While one that is known to slow
+// down the worst serving run is at work, the others keep their pace.
+func (c *Scheduler) nextPaces(w *worker, worst float64, serving *run) map[*run]int {
 	known := serving != nil && worst >= paceDownAt && c.knowsAggressor(w, serving)
+	paces := map[*run]int{}
 	for _, r := range w.runs {
 		if !r.fills() || known && !c.slowsDown(r, serving) {
 			continue
 		}
 		if percent := nextPace(r.pace, worst); percent != r.pace {
-			w.nextPaceAt = now.Add(paceInterval)
-			c.pace(r, percent, worst)
+			paces[r] = percent
 		}
 	}
+	return paces
 }
 
 // fills reports whether a run works at what other tasks leave idle.
--- a/internal/chief/snapshot.go
+++ b/internal/chief/snapshot.go
@@ -60,7 +60,7 @@
 	s.workerRefs[w] = ref
 	s.workers = append(s.workers, w)
 	seen := view.Worker{
-		ID: w.info.ID, Pool: w.info.Pool, Rack: w.info.Rack(), Capacity: w.info.Capacity, Available: w.available, Speed: w.pace(),
+		ID: w.info.ID, Pool: w.info.Pool, Rack: w.info.Rack(), Capacity: w.info.Capacity, Available: w.available, Speed: w.speedFactor(),
 		Leaves: w.leavesAt != 0, LeavesIn: w.leavesAt.Sub(p.now),
 	}
 	seen.Runs = make([]view.RunRef, 0, len(w.runs))
--- a/internal/chief/speed.go
+++ b/internal/chief/speed.go
@@ -221,7 +221,7 @@
 }
 
 // pace returns the speed of a worker against a usual one; 1 while nothing is known.
-func (w *worker) pace() float64 {
+func (w *worker) speedFactor() float64 {
 	if w.speed == 0 {
 		return 1
 	}
--- a/internal/chief/speed_internal_test.go
+++ b/internal/chief/speed_internal_test.go
@@ -62,9 +62,9 @@
 	g.Expect(slowestOf(p.placeGang(p.stageOf("fast", work.Step{Count: 5, Gang: true})))).To(Equal(1.0))
 	g.Expect(slowestOf(p.placeGang(p.stageOf("fast", work.Step{Count: 2, Gang: true, SameRack: true})))).To(Equal(1.0))
 	patient := p.stageOf("slow", work.Step{Count: 5})
-	g.Expect(p.bestWorker(patient, p.workers, true).pace()).To(Equal(0.5))
+	g.Expect(p.bestWorker(patient, p.workers, true).speedFactor()).To(Equal(0.5))
 	single := p.stageOf("fast", work.Step{Count: 1})
-	g.Expect(p.bestWorker(single, p.workers, true).pace()).To(Equal(1.0))
+	g.Expect(p.bestWorker(single, p.workers, true).speedFactor()).To(Equal(1.0))
 }
 
 // Guards against jobs that stand for fast workers beside free slow ones.
@@ -134,7 +134,7 @@
 	w := p.workers[0]
 	p.c.speeds.Compare(0, []speed.Progress{{Worker: w.info.ID, Born: 1, Rate: 0.1}, {Worker: "other", Rate: 0.2}}, true)
 	p.c.handleRestart(w, 2)
-	g.Expect(w.pace()).To(Equal(1.0))
+	g.Expect(w.speedFactor()).To(Equal(1.0))
 	g.Expect(p.c.speeds.Speed(0, w.info.ID).Runs).To(BeZero())
 }
 
