--- a/internal/chief/speed.go
+++ b/internal/chief/speed.go
@@ -220,7 +220,7 @@
 	return w.speedLogged
 }
 
-// pace returns the speed of a worker against a usual one; 1 while nothing is known.
+// speedFactor returns the speed of a worker against a usual one; 1 while nothing is known.
 func (w *worker) speedFactor() float64 {
 	if w.speed == 0 {
 		return 1
