kv, node: a configuration that is on its way is not asked for again, and is listed after a failed watch

Cause: the configuration had grown by many routes, and machines have links of 10 Mbit/s. A watch whose answer took longer than 1.25 s was sent again, up to three at a time; they shared the link, and none ended within its time.

Change: a follower of large values sends one watch at a time and lists the prefix after a failure. TestLargeValuesAreAskedForOnce fails without it.

--- a/internal/kv/follow.go
+++ b/internal/kv/follow.go
@@ -30,6 +30,9 @@
 	Log    zerolog.Logger
 	// Pause is the delay before the next watch, which batches events; 0 for none.
 	Pause time.Duration
+	// LargeValues is set where a change may take longer to arrive than a watch should: one that is late is not sent again, as the two
+	// would share the link, and after a failure the prefix is listed, which has each value once.
+	LargeValues bool
 	// OnReset gets all items, at the start and after a gap in the history.
 	OnReset func(items []Item)
 	// OnEvents gets later events in order.
@@ -58,6 +61,7 @@
 			loaded = false
 			continue
 		}
+		loaded = loaded && !f.LargeValues
 		if err := clock.Sleep(ctx, retryDelay+rand.N(retryDelay/2)); err != nil {
 			return err
 		}
@@ -88,9 +92,12 @@
 	return nil
 }
 
-// watch waits once for changes. One that is late is sent again, and while the store does not answer, watches are short: the store may drop
+// watch waits once for changes. One that is late is sent again, unless values are large, and while the store does not answer, watches are short: the store may drop
 // a watch without a word, and its return is to be noticed soon.
 func (f *Follower) watch(ctx context.Context, after Revision) (Changes, error) {
+	if f.LargeValues {
+		return f.Store.Watch(ctx, f.Prefix, after, watchWait)
+	}
 	first, failing := watchWait, f.failing
 	if failing {
 		first = 0
--- a/internal/kv/follow_test.go
+++ b/internal/kv/follow_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -79,3 +81,65 @@
 		g.Expect(<-done).To(MatchError(context.Canceled))
 	})
 }
+
+// slowAnswers delays each answer of a store with content, as a narrow link does, and counts the calls of each path.
+type slowAnswers struct {
+	http.Handler
+	delay atomic.Int64 // nanoseconds; of watches
+	calls sync.Map     // *atomic.Int32 by path
+}
+
+func (s *slowAnswers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	count, _ := s.calls.LoadOrStore(r.URL.Path, &atomic.Int32{})
+	count.(*atomic.Int32).Add(1)
+	s.Handler.ServeHTTP(w, r)
+	if r.URL.Path == "/kv-watch" {
+		time.Sleep(time.Duration(s.delay.Load()))
+	}
+}
+
+func (s *slowAnswers) count(path string) int32 {
+	count, _ := s.calls.LoadOrStore(path, &atomic.Int32{})
+	return count.(*atomic.Int32).Load()
+}
+
+// Guards against a configuration that never arrives over a narrow link, since it is asked for again and again while it is on its way.
+func TestLargeValuesAreAskedForOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		store := fakepl.NewStore()
+		answers := &slowAnswers{Handler: store}
+		net := memnet.New()
+		net.SetHandler("store:1", answers)
+		var last atomic.Value
+		last.Store("")
+		record := func(value []byte) { last.Store(string(value)) }
+		follower := &kv.Follower{
+			Store: platform.NewStore(net.Client("a"), "store:1", func(string, string, bool) {}), Prefix: "op/", Log: zerolog.Nop(), LargeValues: true,
+			OnReset: func(items []kv.Item) {
+				for _, item := range items {
+					record(item.Value)
+				}
+			},
+			OnEvents: func(events []kv.Event) {
+				for _, event := range events {
+					record(event.Value)
+				}
+			},
+		}
+		done := make(chan error, 1)
+		go func() { done <- follower.Run(ctx) }()
+		time.Sleep(100 * time.Millisecond)
+		answers.delay.Store(int64(5 * time.Second)) // Longer than a watch may take.
+		watches, lists := answers.count("/kv-watch"), answers.count("/kv-range")
+		store.Put("op/config", []byte("1"))
+		time.Sleep(2500 * time.Millisecond)
+		g.Expect(last.Load()).To(Equal("1"))
+		g.Expect(answers.count("/kv-range")-lists).To(Equal(int32(1)), "it is listed once the watch has failed")
+		g.Expect(answers.count("/kv-watch")-watches).To(BeNumerically("<=", 2), "none beside the one that is late")
+		cancel()
+		g.Expect(<-done).To(MatchError(context.Canceled))
+		time.Sleep(6 * time.Second) // The handlers end.
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -117,7 +117,9 @@
 	for _, s := range servers.all() {
 		group.Go(func() error { return s.Run(runCtx) })
 	}
-	configFollower := &kv.Follower{Store: n.store, Prefix: platform.OperatorKeyPrefix, Log: n.Log, OnReset: n.config.reset, OnEvents: n.config.events}
+	configFollower := &kv.Follower{
+		Store: n.store, Prefix: platform.OperatorKeyPrefix, Log: n.Log, LargeValues: true, OnReset: n.config.reset, OnEvents: n.config.events,
+	}
 	group.Go(func() error { return configFollower.Run(runCtx) })
 	group.Go(func() error { return n.elector.Run(runCtx) })
 	group.Go(func() error { return n.announcer.Run(runCtx) })
