--- a/internal/view/decision.go
+++ b/internal/view/decision.go
@@ -1,14 +1,11 @@
 package view
 
-import "time"
-
 // Reason says in a few words why a decision was made; operators read it in the log.
 type Reason string
 
 // Stop is a run to be stopped. The decision names each member of a gang.
 type Stop struct {
-	Run    RunRef
-	Reason Reason
+	Run RunRef
 }
 
 // Claim holds room on a worker for a number of tasks of a stage.
@@ -20,6 +17,4 @@
 // Refusal says why a stage gets no room now.
 type Refusal struct {
 	Reason Reason
-	// RetryIn is when the same question may have another answer; 0 if that depends on other events.
-	RetryIn time.Duration
 }
