--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -24,6 +24,7 @@
 	cluster *cluster
 	http    *http.Client
 	key     string // API key
+	prefix  string // of the queue
 
 	mu   sync.Mutex // guards the fields below
 	next int
@@ -40,7 +41,7 @@
 }
 
 func newClient(c *cluster) *client {
-	return &client{cluster: c, http: &http.Client{Timeout: callDeadline}, key: fakepl.APIKey}
+	return &client{cluster: c, http: &http.Client{Timeout: callDeadline}, key: fakepl.APIKey, prefix: fakepl.QueuePrefix}
 }
 
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
@@ -55,7 +56,7 @@
 }
 
 func (c *client) callAt(n *node, method, path string, body []byte) (status int, answer []byte, retryAfter time.Duration) {
-	req, err := http.NewRequest(method, "http://"+n.front+fakepl.QueuePrefix+path, bytes.NewReader(body))
+	req, err := http.NewRequest(method, "http://"+n.front+c.prefix+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil, 0
 	}
@@ -80,7 +81,7 @@
 	if err != nil {
 		seconds = 0
 	}
-	c.cluster.record.note("%s %s at %s: %d %s", method, path, n.name, res.StatusCode, answer)
+	c.cluster.record.note("%s %s%s at %s: %d %s", method, c.prefix, path, n.name, res.StatusCode, answer)
 	return res.StatusCode, answer, time.Duration(seconds) * time.Second
 }
 
--- a/review/standin-2/cluster.go
+++ b/review/standin-2/cluster.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -37,6 +38,7 @@
 	fleet   *fleet
 	minions []*minion
 	nodes   []*node
+	late    atomic.Bool // the store loses answers of writes
 	group   sync.WaitGroup
 	closers []func()
 }
@@ -62,7 +64,7 @@
 		if r.URL.Path != "/kv-watch" {
 			time.Sleep(storeAnswer)
 		}
-		c.store.ServeHTTP(w, r)
+		c.serveLate(w, r)
 	})}
 	go func() { _ = server.Serve(listener) }()
 	c.closers = append(c.closers, func() { _ = server.Close() })
--- a/review/standin-2/minion.go
+++ b/review/standin-2/minion.go
@@ -31,12 +31,14 @@
 	runs     map[string][]*run
 	done     map[string]bool      // tasks with an end done
 	lastWork map[string]time.Time // by job: when one of its tasks was last running
+	specs    map[string]int       // starts by spec
 }
 
 func newFleet(r *record) *fleet {
 	return &fleet{
 		record: r, workOf: func(string) time.Duration { return time.Second }, gangOf: func(string) int { return 0 },
 		onStart: func(*minion, string, int64) {}, runs: map[string][]*run{}, done: map[string]bool{}, lastWork: map[string]time.Time{},
+		specs: map[string]int{},
 	}
 }
 
@@ -165,6 +167,7 @@
 	Token uint64 `json:"fencing_token"`
 	Seen  int64  `json:"last_seen"`
 	Wait  int64  `json:"wait_ms"`
+	Spec  string `json:"spec"`
 }
 
 // ServeHTTP serves the orders.
@@ -257,6 +260,7 @@
 	m.runs[o.Task] = r
 	m.fleet.runs[o.Task] = append(m.fleet.runs[o.Task], r)
 	m.fleet.record.note("start %s run %d on %s", o.Task, o.Run, m.id)
+	m.fleet.specs[o.Spec]++
 	m.fleet.onStart(m, o.Task, o.Run)
 	m.fleet.work(r)
 	return http.StatusOK, map[string]any{"clock_ms": m.clock(), "born": m.startedAt.UnixMilli()}
