--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -38,7 +38,10 @@
 	flag.StringVar(&opts.record, "record", "record.txt", "file for the record")
 	flag.BoolVar(&opts.trouble, "trouble", true, "with the disruption")
 	flag.Parse()
-	cases := map[string]runner{"crowd": crowd, "late-cancel": lateCancel, "long-chain": longChain, "new-kind": newKind, "schedule": schedule}
+	cases := map[string]runner{
+		"crowd": crowd, "far-time": farTime, "late-cancel": lateCancel, "long-chain": longChain, "new-kind": newKind, "same-id": sameID,
+		"schedule": schedule,
+	}
 	chosen, found := cases[flag.Arg(0)]
 	if !found {
 		fmt.Fprintln(os.Stderr, "unknown case")
