--- a/review/standin-2/new_kind.go
+++ b/review/standin-2/new_kind.go
@@ -3,17 +3,19 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 )
 
 const (
 	kindMinions = 48
 	kindCrashes = 6 // of kindMinions at once: share 0.125
-	kindRounds  = 2
+	kindRounds  = 4
+	kindPause   = 3 * time.Second // before each crash
 	kindDown    = 3 * time.Second
 	kindWork    = 2 * time.Second
 	kindTasks   = 30 // of a job
-	kindJobs    = 12
+	kindJobs    = 16
 )
 
 // newKind lets some minions crash and start again under their ids, at their addresses and as another kind, while more tasks wait for the
@@ -27,12 +29,16 @@
 	}
 	defer c.close()
 	defer cancel()
-	kind := func(i int) string { return string(rune('a' + i%2)) }
 	for i := range kindMinions {
-		if err := c.addMinion(kind(i), fmt.Sprintf("r%d", i/6)); err != nil {
+		kind := "a"
+		if i%3 == 2 {
+			kind = "b"
+		}
+		if err := c.addMinion(kind, fmt.Sprintf("r%d", i/6)); err != nil {
 			return err
 		}
 	}
+	left := slices.DeleteFunc(slices.Clone(c.minions), func(m *minion) bool { return !m.has("a") })
 	c.fleet.workOf = func(string) time.Duration { return kindWork }
 	c.fleet.onStart = func(m *minion, task string, number int64) {
 		if !m.has("a") {
@@ -47,17 +53,16 @@
 	for range kindJobs {
 		callers.submit(body)
 	}
-	for round := range kindRounds {
-		sleep(ctx, 5*time.Second)
+	for range kindRounds {
+		sleep(ctx, kindPause)
 		if !opts.trouble {
 			continue
 		}
-		var crashed []*minion
-		for i := range kindCrashes {
-			m := c.minions[2*(round*kindCrashes+i)] // Of kind a.
+		crashed := left[:kindCrashes]
+		left = left[kindCrashes:]
+		for _, m := range crashed {
 			r.note("crash of %v", m)
 			m.crash()
-			crashed = append(crashed, m)
 		}
 		sleep(ctx, kindDown)
 		for _, m := range crashed {
