budget: a limit that the settings do not give is found instead of unlimited

What callers saw: where limits.memory_mb or limits.max_fds was missing or 0, or max_fds was 200 or less, the process had no budget of bodies and of jobs, and 4,096 connections. A crowd, or a tenant's ordinary submissions, ended it, or took all descriptors: the leader lost its lease, as it could not connect to the store.

Cause: 0 meant "unknown", and what was unknown was not limited. Settings such as NaN, 1e30 or a size of a few MB were taken as they were.

Change: budget.Machine.Complete fills in what is unknown: the least of GOMEMLIMIT, the control group's limit (automemlimit) and the system's memory, else 256 MB; the process's limit of descriptors, else 4,096. The gateway, which knew GOMEMLIMIT and the system's memory, uses the same function. Values with which nobody could be served, or that are no limit, are an error of the settings. The line "node: started" tells the limits and their sources. Settings that give both, as those of all deployments in force, are taken as before.

--- a/crowd/clients_test.go
+++ b/crowd/clients_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,7 +27,10 @@
 	piecePause       = time.Millisecond
 )
 
-// kind is a way to send a body without its end.
+// crowdJob is the id of the crowd's jobs in the heads of its requests; each request gets its own.
+const crowdJob = "ffffffffffffffff"
+
+// kind is a way to send a request.
 type kind string
 
 const (
@@ -34,14 +38,18 @@
 	kindPieces kind = "in pieces"       // many writes with a content length
 	kindChunks kind = "in chunks"       // chunks of chunkBytes
 	kindSingle kind = "in single bytes" // chunks of one byte
+	// kindComplete is the largest body in one write, and nothing is held back.
+	kindComplete kind = "complete"
 )
 
-// crowd is many clients, each of which sends a request without its end, leaves the connection open, and starts again when it is closed.
+// crowd is many clients, each of which sends a request, without its end for all kinds but kindComplete, leaves the connection open, and
+// starts again when it is closed.
 type crowd struct {
 	address string
 	head    string // request line and headers without the length
 	kind    kind
 
+	requests atomic.Int64
 	sentOnce atomic.Int32 // clients that have sent all they send, or were cut off
 	standing atomic.Int32 // connections on which all but the end is sent
 	closed   atomic.Int32 // connections that the instance closed
@@ -93,9 +101,13 @@
 
 func (c *crowd) write(conn net.Conn) error {
 	body := bytes.Repeat([]byte(" "), bodyBytes-missingBytes)
-	head := c.head + fmt.Sprintf("Content-Length: %d\r\n\r\n", bodyBytes)
-	chunked := c.head + "Transfer-Encoding: chunked\r\n\r\n"
+	start := strings.Replace(c.head, crowdJob, fmt.Sprintf("f%015x", c.requests.Add(1)), 1)
+	head := start + fmt.Sprintf("Content-Length: %d\r\n\r\n", bodyBytes)
+	chunked := start + "Transfer-Encoding: chunked\r\n\r\n"
 	switch c.kind {
+	case kindComplete:
+		_, err := conn.Write(append([]byte(head), largestJob()...))
+		return err
 	case kindWhole:
 		_, err := conn.Write(append([]byte(head), body...))
 		return err
--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -125,13 +125,25 @@
 // platformSite is the stand-in of the platform, with the settings of one instance.
 type platformSite struct {
 	binary   string
+	store    *fakepl.Store
 	settings string // path
 	port     int    // the first of the instance
 	url      string // of the queue
 	header   http.Header
 }
 
+// givenLimits are the lines of the settings that give the limits of the VM.
+func givenLimits() string {
+	return fmt.Sprintf("limits.memory_mb=%d\nlimits.max_fds=%d", memoryMB, maxDescriptors)
+}
+
 func newPlatformSite(t *testing.T, binary string) *platformSite {
+	t.Helper()
+	return newPlatformSiteOf(t, binary, givenLimits())
+}
+
+// newPlatformSiteOf returns a site whose settings have other lines for the limits of the VM.
+func newPlatformSiteOf(t *testing.T, binary, limits string) *platformSite {
 	t.Helper()
 	g := NewWithT(t)
 	store := fakepl.NewStore()
@@ -143,20 +155,21 @@
 	})
 	port := freePorts(g, 4)
 	settings := string(fakepl.Settings("node-1", strings.TrimPrefix(storeServer.URL, "http://"), port))
-	settings = strings.Replace(settings, "limits.memory_mb=284", fmt.Sprintf("limits.memory_mb=%d\nlimits.max_fds=%d", memoryMB, maxDescriptors), 1)
-	g.Expect(settings).To(ContainSubstring("limits.max_fds"))
+	const line = "limits.memory_mb=284"
+	g.Expect(settings).To(ContainSubstring(line))
+	settings = strings.Replace(settings, line, limits, 1)
 	path := filepath.Join(t.TempDir(), "node.conf")
 	g.Expect(os.WriteFile(path, []byte(settings), 0o600)).To(Succeed())
 	return &platformSite{
-		binary: binary, settings: path, port: port, url: fmt.Sprintf("http://127.0.0.1:%d%s", port, fakepl.QueuePrefix),
+		binary: binary, store: store, settings: path, port: port, url: fmt.Sprintf("http://127.0.0.1:%d%s", port, fakepl.QueuePrefix),
 		header: http.Header{"Host": {fakepl.Host}, "Authorization": {"Bearer " + fakepl.APIKey}, "Content-Type": {"application/json"}},
 	}
 }
 
-// start starts the instance.
-func (s *platformSite) start(t *testing.T) *process {
+// start starts the instance, with env besides the path of its settings.
+func (s *platformSite) start(t *testing.T, env ...string) *process {
 	t.Helper()
-	return startProcess(t, []string{platform.SettingsVariable + "=" + s.settings}, s.binary, "-platform")
+	return startProcess(t, append(env, platform.SettingsVariable+"="+s.settings), s.binary, "-platform")
 }
 
 // submit hands in a job and expects it to be accepted.
@@ -168,22 +181,31 @@
 func platformInstance(t *testing.T, binary string) (p *process, callers, peers door) {
 	t.Helper()
 	site := newPlatformSite(t, binary)
-	p = site.start(t)
-	address := fmt.Sprintf("127.0.0.1:%d", site.port)
+	callers, peers = site.doors()
+	return site.start(t), callers, peers
+}
+
+// largestJob returns the largest body of a job.
+func largestJob() []byte {
+	return append(fakepl.Job(1, 0, false, 1000), bytes.Repeat([]byte(" "), bodyBytes)...)[:bodyBytes]
+}
+
+// doors returns the servers of the instance for callers and for other instances.
+func (s *platformSite) doors() (callers, peers door) {
+	address := fmt.Sprintf("127.0.0.1:%d", s.port)
 	jobs := 0
 	submit := func(body []byte) error {
 		jobs++
-		return site.submit(jobs, body)
+		return s.submit(jobs, body)
 	}
-	largest := append(fakepl.Job(1, 0, false, 1000), bytes.Repeat([]byte(" "), bodyBytes)...)[:bodyBytes]
 	callers = door{
 		address: address,
-		head: "POST " + fakepl.QueuePrefix + "ffffffffffffffff HTTP/1.1\r\nHost: " + fakepl.Host + "\r\nAuthorization: Bearer " +
+		head: "POST " + fakepl.QueuePrefix + crowdJob + " HTTP/1.1\r\nHost: " + fakepl.Host + "\r\nAuthorization: Bearer " +
 			fakepl.APIKey + "\r\nContent-Type: application/json\r\nX-Deadline-Ms: 600000\r\n",
 		serve:   func() error { return submit(fakepl.Job(1, 0, false, 1000)) },
-		largest: func() error { return submit(largest) },
+		largest: func() error { return submit(largestJob()) },
 	}
-	peerAddress := fmt.Sprintf("127.0.0.1:%d", site.port+2)
+	peerAddress := fmt.Sprintf("127.0.0.1:%d", s.port+2)
 	peers = door{
 		address: peerAddress,
 		head: "POST /peer/change HTTP/1.1\r\nHost: " + peerAddress + "\r\nContent-Type: application/cbor\r\n" +
@@ -195,7 +217,7 @@
 			return err
 		},
 	}
-	return p, callers, peers
+	return callers, peers
 }
 
 // jobQuery and jobAnswer are the messages with which an instance asks a peer for the state of a job.
--- a/crowd/process_test.go
+++ b/crowd/process_test.go
@@ -190,11 +190,16 @@
 	return fmt.Sprintf("resident %d MB, with unread bytes %d MB, %d descriptors", p.peakResident>>10, p.peakMemory>>10, p.peakDescriptors)
 }
 
-// expectWithinLimits checks the process against the limits of its VM.
+// expectWithinLimits checks that the process lives, and what was measured, against the limits of its VM.
 func (p *process) expectWithinLimits(g Gomega) {
+	g.Expect(p.alive()).To(BeTrue(), "the process lives")
+	p.expectPeaksWithinLimits(g)
+}
+
+// expectPeaksWithinLimits checks what was measured, also of a process that has ended.
+func (p *process) expectPeaksWithinLimits(g Gomega) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	g.Expect(p.alive()).To(BeTrue(), "the process lives")
 	g.Expect(p.peakMemory).To(BeNumerically("<=", memoryMB<<10), "kB of memory, the limit of the VM")
 	g.Expect(p.peakDescriptors).To(BeNumerically("<=", maxDescriptors-fileReserve), "open descriptors, the limit of the VM")
 }
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -232,39 +232,3 @@
 	delete(l.budget.reading, l)
 	l.leavePart()
 }
-
-// Machine are the limits of a VM from which the limits of a process's servers are derived; 0 means unknown.
-type Machine struct {
-	Memory      Bytes
-	Descriptors int // that sockets may use
-}
-
-const (
-	// connShare is the divisor of the memory that the connections of one server may take, and connBytes what each takes: goroutine,
-	// buffers and the largest headers (32 KB), and what the kernel has received and the server has not read (64 KB).
-	connShare       = 2
-	connBytes Bytes = 96 << 10
-	// defaultConns is the limit where the machine is unknown.
-	defaultConns = 4096
-	minConns     = 16
-)
-
-// Bodies returns a budget of one in divisor of the machine's memory for the bodies of a server, or nil if the memory is unknown.
-func (m Machine) Bodies(divisor Bytes) *Budget {
-	if m.Memory <= 0 {
-		return nil
-	}
-	return New(m.Memory / divisor)
-}
-
-// Conns returns the most connections of a server that may use one in divisor of the descriptors.
-func (m Machine) Conns(divisor int) int {
-	limit := defaultConns
-	if m.Descriptors > 0 {
-		limit = m.Descriptors / divisor
-	}
-	if m.Memory > 0 {
-		limit = min(limit, int(m.Memory/connShare/connBytes))
-	}
-	return max(limit, minConns)
-}
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -107,3 +107,17 @@
 	g.Expect(budget.Machine{Descriptors: 400}.Conns(2)).To(Equal(200))
 	g.Expect(budget.Machine{Descriptors: 2}.Conns(2)).To(Equal(16))
 }
+
+// Guards against limits that are unknown and therefore unlimited, and against limits of the settings that are replaced.
+func TestMachineIsCompleted(t *testing.T) {
+	g := NewWithT(t)
+	found := budget.Machine{}.Complete()
+	g.Expect(found.Memory).To(BeNumerically(">", 0))
+	g.Expect(found.MemoryFrom).NotTo(BeEmpty())
+	g.Expect(found.Descriptors).To(BeNumerically(">", 0))
+	g.Expect(found.DescriptorsFrom).NotTo(BeEmpty())
+	given := budget.Machine{Memory: 1 << 20, MemoryFrom: budget.SourceSettings}.WithDescriptors(1000, budget.SourceSettings)
+	g.Expect(given.Complete()).To(Equal(given))
+	g.Expect(given.Descriptors).To(Equal(800), "200 are left for files")
+	g.Expect(budget.Machine{}.WithDescriptors(100, budget.SourceSettings).Descriptors).To(Equal(1), "0 would be unknown")
+}
--- a/internal/daemon/machine.go
+++ b/internal/daemon/machine.go
@@ -1,11 +1,6 @@
 package daemon
 
 import (
-	"math"
-	"runtime/debug"
-
-	"golang.org/x/sys/unix"
-
 	"peridotgw.example/peridotgw/internal/budget"
 )
 
@@ -18,8 +13,6 @@
 	operatorConnShare = 8  // divisor of the descriptors
 	peerConnShare     = 8  // divisor of the descriptors
 	probeConns        = 16 // connections for health and metrics
-	// fileDescriptors are left for files and for what the runtime opens.
-	fileDescriptors = 200
 )
 
 // httpLimit bounds what the clients of an HTTP server can use.
@@ -30,28 +23,6 @@
 
 // newHTTPLimit returns the limit of a server that may use one in connDivisor of the descriptors.
 func newHTTPLimit(connDivisor int) httpLimit {
-	m := machine()
+	m := budget.Machine{}.Complete()
 	return httpLimit{bodies: m.Bodies(bodyShare), conns: m.Conns(connDivisor)}
 }
-
-// machine returns the limits of the VM: GOMEMLIMIT, or else its memory, and the process's limit of descriptors.
-func machine() budget.Machine {
-	m := budget.Machine{Memory: budget.Bytes(debug.SetMemoryLimit(-1))}
-	if m.Memory == math.MaxInt64 {
-		m.Memory = totalMemory()
-	}
-	var limit unix.Rlimit
-	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err == nil && limit.Cur < math.MaxInt32 {
-		m.Descriptors = max(0, int(limit.Cur)-fileDescriptors)
-	}
-	return m
-}
-
-// totalMemory returns the memory of the VM, or 0 if it is unknown.
-func totalMemory() budget.Bytes {
-	var info unix.Sysinfo_t
-	if err := unix.Sysinfo(&info); err != nil {
-		return 0
-	}
-	return budget.Bytes(info.Totalram) * budget.Bytes(info.Unit) //nolint:gosec // It is below 2^63.
-}
--- a/internal/daemon/requests.go
+++ b/internal/daemon/requests.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 
+	"peridotgw.example/peridotgw/internal/budget"
 	"peridotgw.example/peridotgw/internal/claim"
 	"peridotgw.example/peridotgw/internal/front"
 	"peridotgw.example/peridotgw/internal/kernel"
@@ -40,7 +41,7 @@
 		Log: d.Log, Metrics: d.Metrics, ProcessEnded: d.processEnded,
 	}
 	d.Kernel.Add(kernel.Service{Name: ServiceClaims, Needs: []kernel.Name{ServiceStore}, Value: d.Claims, Run: d.Claims.Run})
-	limits := machine()
+	limits := budget.Machine{}.Complete()
 	d.Front = &front.Server{
 		Log: d.Log, Metrics: d.Metrics, Instance: settings.Instance, Current: d.Follower.Current,
 		CheckSend: d.Follower.CheckSend, Queue: d.Queue, Relay: d.Relay, Claim: d.claim, RecordDecision: d.recordDecision,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -81,7 +81,7 @@
 	n.advise = platform.NewAdviceClient(adviceClient, settings.Advice)
 	n.store, n.workers, n.peerCaller = store, platform.NewWorkerClient(workerClient), &wire.Caller{HTTP: peerClient}
 	n.elector = &elect.Elector{
-		Store: store, Self: elect.Node{ID: settings.Node, Address: settings.Peers, Share: settings.CPUShare, Memory: settings.Machine().Memory}, Log: log,
+		Store: store, Self: elect.Node{ID: settings.Node, Address: settings.Peers, Share: settings.CPUShare, Memory: settings.Machine.Memory}, Log: log,
 		Now: n.now, Lead: n.lead, Yield: n.yieldLeadership,
 		Served: n.service.lastServed,
 	}
@@ -133,7 +133,10 @@
 		cancelRun()
 		return nil
 	})
-	n.Log.Info().Str("zone", string(n.Settings.Zone)).Str("callers", n.Settings.Callers).Msg("node: started")
+	machine := n.Settings.Machine
+	n.Log.Info().Str("zone", string(n.Settings.Zone)).Str("callers", n.Settings.Callers).
+		Int64("memory", int64(machine.Memory)).Str("memory-from", string(machine.MemoryFrom)).
+		Int("descriptors", machine.Descriptors).Str("descriptors-from", string(machine.DescriptorsFrom)).Msg("node: started")
 	err = group.Wait()
 	if errors.Is(err, context.Canceled) {
 		err = nil
@@ -217,7 +220,7 @@
 		metrics: n.newServer("metrics", n.Settings.Metrics, metrics),
 	}
 	s.callers.Refuse = platform.RefuseStopping
-	machine := n.Settings.Machine()
+	machine := n.Settings.Machine
 	s.callers.Bodies, s.callers.MaxConns = machine.Bodies(bodyShare), machine.Conns(callerConnShare)
 	s.peers.Bodies, s.peers.MaxConns = machine.Bodies(bodyShare), machine.Conns(peerConnShare)
 	for _, server := range s.all() {
--- a/peridotd/platform.go
+++ b/peridotd/platform.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
 
+	"peridotgw.example/peridotgw/internal/budget"
 	"peridotgw.example/peridotgw/internal/node"
 	"peridotgw.example/peridotgw/platform"
 )
@@ -37,8 +38,9 @@
 	}
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	log, out := newPlatformLog(os.Stdout, string(settings.Node))
-	if settings.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.MemoryMB) * (1 << 20)))
+	settings.Machine = settings.Machine.Complete()
+	if settings.Machine.MemoryFrom != budget.SourceRuntime {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.Machine.Memory)))
 	}
 	debug.SetGCPercent(gcGrowthPercent)
 	code := runNodeUntilSignal(settings, path, log)
