intake: calls that are worked on at a time are bounded

What callers saw: while the store was silent, a crowd of ordinary, complete requests with long deadlines took all connections of the callers' server. Everybody else's connection was closed without an answer, for as long as the outage and the deadlines lasted.

Cause: a request whose write has no answer is tried until its caller's deadline, which the caller chooses. Connections with such requests never give way, and nothing bounded their number below that of the connections. Each of them also opens a connection to the store, and up to two to other instances; a question for an unknown job does the same one after the other. With the settings in force that is up to 1,514 + 1,514 + 3,028 connections of 3,900 (computed).

Change: changes of callers, changes for other instances and questions have places, one in 32 of the descriptors each and 16 at least. A further call waits for 0.2 s and is refused with 503 and a spread time to return; nothing has been sent then. A submission that an earlier call of this instance may have stored stays in doubt. Questions have places of their own, so that changes that stay do not refuse them.

go test -count=1 -parallel 1 -v -run TestCompleteRequestsWhileTheStoreIsSilent ./crowd/

--- a/crowd/clients_test.go
+++ b/crowd/clients_test.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"peridotgw.example/peridotgw/platform/fakepl"
 )
 
 // The crowd. Its size and its bodies were fixed before any limit was built.
@@ -38,7 +40,7 @@
 	kindPieces kind = "in pieces"       // many writes with a content length
 	kindChunks kind = "in chunks"       // chunks of chunkBytes
 	kindSingle kind = "in single bytes" // chunks of one byte
-	// kindComplete is the largest body in one write, and nothing is held back.
+	// kindComplete is an ordinary job in one write, and nothing is held back.
 	kindComplete kind = "complete"
 )
 
@@ -106,7 +108,8 @@
 	chunked := start + "Transfer-Encoding: chunked\r\n\r\n"
 	switch c.kind {
 	case kindComplete:
-		_, err := conn.Write(append([]byte(head), largestJob()...))
+		job := fakepl.Job(1, 0, false, 1000)
+		_, err := fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", start, len(job), job)
 		return err
 	case kindWhole:
 		_, err := conn.Write(append([]byte(head), body...))
--- a/internal/intake/change.go
+++ b/internal/intake/change.go
@@ -60,6 +60,11 @@
 
 // Submit stores a job durably. After a RefusedError or a memory.TooLargeError the job never runs; after any other error it may.
 func (s *Service) Submit(ctx context.Context, job *work.Job) error {
+	leave, err := s.changes.enter(ctx, s.MaxCalls)
+	if err != nil {
+		return s.withEarlierAttempts(Change{Submit: job}, s.refuseBusy("submit"))
+	}
+	defer leave()
 	if err := s.admit(ctx, job); err != nil {
 		if isRefused(err) {
 			err = s.withEarlierAttempts(Change{Submit: job}, err)
@@ -83,6 +88,11 @@
 
 // Cancel stores the cancellation of a job durably. Errors are RefusedError, InDoubtError or UnknownJobError.
 func (s *Service) Cancel(ctx context.Context, id model.JobID) error {
+	leave, err := s.changes.enter(ctx, s.MaxCalls)
+	if err != nil {
+		return s.refuseBusy("cancel")
+	}
+	defer leave()
 	result, err := s.change(ctx, Change{Cancel: id})
 	result.log(s.Log.Info(), id, err).Msg("intake: job cancelled")
 	return err
@@ -262,6 +272,11 @@
 // store when the result is unknown.
 func (s *Service) Apply(ctx context.Context, change Change) error {
 	startedAt := time.Now()
+	leave, err := s.relayed.enter(ctx, s.MaxCalls)
+	if err != nil {
+		return s.withEarlierAttempts(change, s.refuseBusy(change.kind()))
+	}
+	defer leave()
 	if err := s.outageError(); err != nil {
 		return s.withEarlierAttempts(change, &RefusedError{Cause: err, RetryAfter: retryAfter})
 	}
--- a/internal/intake/service.go
+++ b/internal/intake/service.go
@@ -53,6 +53,13 @@
 	// Announce is called with each change that this instance has stored, so that the instance that schedules need not wait for its
 	// watch; nil for none. It must not block.
 	Announce func(Announcement)
+	// MaxCalls bounds the changes of callers, those of other instances, and the look-ups that are worked on at a time, each by itself; 0 for
+	// no limit. Further ones are refused.
+	MaxCalls int
+
+	changes callLimit // of callers
+	relayed callLimit // changes of other instances
+	lookUps callLimit
 
 	gate   outage.Gate // of changes to the store
 	detour outage.Detour
--- a/internal/intake/state.go
+++ b/internal/intake/state.go
@@ -21,7 +21,12 @@
 	}
 	ctx, cancel := reserveReply(ctx)
 	defer cancel()
-	state, err := s.lookUpState(ctx, id)
+	leave, err := s.lookUps.enter(ctx, s.MaxCalls)
+	if err != nil {
+		return "", s.refuseBusy("status")
+	}
+	defer leave()
+	state, err = s.lookUpState(ctx, id)
 	if err == nil && state.Final() {
 		s.cacheFinalState(id, state)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,6 +36,10 @@
 	callerConnShare = 2  // divisor of the descriptors
 	peerConnShare   = 4  // divisor of the descriptors
 	probeConns      = 16 // connections for probes of readiness, and for metrics
+	// callShare is the divisor of the descriptors for the calls of each kind that are worked on at a time: a change takes up to three
+	// connections, to the store and to two other instances.
+	callShare = 32
+	minCalls  = 16
 
 	// shutdownReserve is the part of the grace time that is kept for the two steps after it, and for the end of the process. The steps
 	// shrink in proportion when the grace time is shorter.
@@ -74,6 +78,7 @@
 	peerClient.Timeout = peerTimeout
 	n.jobIntake = &intake.Service{
 		Owner: n.owner(), Log: log, Now: time.Now, Relay: n.relayChange, Refused: n.meters.refused,
+		MaxCalls: max(minCalls, settings.Machine.Descriptors/callShare),
 	}
 	store := n.jobIntake.ObserveStore(platform.NewStore(storeClient, settings.Store, n.storeCalled))
 	n.jobIntake.Store = store
