serve: an answer that is not read does not hold its connection

What callers saw: 16 clients that sent requests to the readiness probe and read no answer kept the platform's probe out for good (EOF for 30 s on end), so that the instance would have got no new connections; as many clients as the callers' server has connections would do the same there.

Cause: the write of an answer had no deadline on the users' platform, nor at the gateway's operators, peers and metrics. A connection that writes counted as serving and never gave way to a new one.

Change: a write ends after 3 s and the time that its bytes take at 8 KB/s, as the read of a body does, or at the deadline of the HTTP server if that is earlier; a connection whose caller has not read for 0.5 s gives way like one that waits for the rest of its request. Ordinary answers have some hundred bytes, which the kernel takes at once.

--- a/internal/serve/conn.go
+++ b/internal/serve/conn.go
@@ -31,6 +31,8 @@
 	evicted      bool       // closed to make room for another connection
 	since        time.Time  // when it began to wait for the current request, or for the rest of it
 	readDeadline time.Time  // that the HTTP server has set
+	writeBefore  time.Time  // deadline of writes that was set; zero for none
+	writing      time.Time  // when the write that is going on began; zero without one
 }
 
 // Read reads from the connection. One that is ending reports a timeout only after it has looked for bytes that have already arrived, and has
@@ -49,6 +51,49 @@
 	return n, err
 }
 
+// Write writes to the connection. It ends with os.ErrDeadlineExceeded if the caller does not read at the least rate, so that no answer holds
+// a connection for good.
+func (c *conn) Write(p []byte) (int, error) {
+	if err := c.beginWrite(len(p)); err != nil {
+		return 0, err
+	}
+	defer c.endWrite()
+	return c.Conn.Write(p)
+}
+
+func (c *conn) beginWrite(size int) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = time.Now()
+	deadline := c.writing.Add(bodyGrace + time.Duration(size)*time.Second/minBodyRate)
+	if !c.writeBefore.IsZero() {
+		deadline = earlier(deadline, c.writeBefore)
+	}
+	return c.Conn.SetWriteDeadline(deadline)
+}
+
+func (c *conn) endWrite() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = time.Time{}
+}
+
+// SetWriteDeadline sets a deadline of writes, which holds besides the least rate.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeBefore = t
+	return c.Conn.SetWriteDeadline(t)
+}
+
+// SetDeadline sets the deadlines of reads and writes.
+func (c *conn) SetDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeBefore = t
+	return c.Conn.SetDeadline(t)
+}
+
 // readArrived reads bytes that have arrived, without waiting for more. It returns io.EOF at the end of the stream, and
 // os.ErrDeadlineExceeded if there is none.
 func readArrived(c net.Conn, p []byte) (int, error) {
--- a/internal/serve/limit.go
+++ b/internal/serve/limit.go
@@ -7,7 +7,8 @@
 )
 
 const (
-	// incompleteTime is how long a connection may wait for a whole request before it gives way to a new one ahead of idle ones.
+	// incompleteTime is how long a connection may wait for a whole request, or for its caller to read, before it gives way to a new one
+	// ahead of idle ones.
 	incompleteTime = 500 * time.Millisecond
 	// maxShedLines bounds the lines on refused bodies and closed connections in shedPeriod; the metrics count all.
 	maxShedLines = 5
@@ -28,8 +29,8 @@
 	return true
 }
 
-// evictOne closes the connection that has waited longest for the rest of its request, or else the one that has been idle longest, or
-// else the one whose request began first. It reports false if all are serving requests; s.mu is held.
+// evictOne closes the connection that has waited longest for the rest of its request or for its caller to read the answer, or else the one
+// that has been idle longest, or else the one whose request began first. It reports false if all are serving requests; s.mu is held.
 func (s *Server) evictOne() bool {
 	var stalled, idle, incomplete *conn
 	before := time.Now().Add(-incompleteTime)
@@ -82,12 +83,17 @@
 	log.Info().Str("server", s.Name).Str("reason", string(reason)).Msg("serve: refused to keep the limits")
 }
 
-// waiting returns since when the connection has waited for its caller, and whether it is idle between two requests. The time is zero
-// while a request is being served, and once it is closed to make room.
+// waiting returns since when the connection has waited for its caller to send or to read, and whether it is idle between two requests. The
+// time is zero while a request is being served, and once it is closed to make room.
 func (c *conn) waiting() (since time.Time, idle bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.serving || c.evicted || c.refusing {
+	switch {
+	case c.evicted, c.refusing:
+		return time.Time{}, false
+	case !c.writing.IsZero() && time.Since(c.writing) > incompleteTime:
+		return c.writing, false
+	case c.serving:
 		return time.Time{}, false
 	}
 	return c.since, c.used && !c.busy
