wire: messages between instances count what they take once decoded

What callers saw: short messages at the port for other instances ended the process, and so all that it did for callers.

Cause: the server's budget counted the bytes of a message twice, for the body and for the copy that its handler reads. The handler also decompressed bodies, up to 16 MB each, and decoded lists of up to 16 million elements, of which each may be one byte in the message and a step of a job, of 200 bytes, in memory.

Evidence, TestMessagesThatGrowWhenDecoded on (50 clients, bound 80 MB): 544 MB with compressed messages of 15 KB; 362 MB with messages of 250 KB whose job has empty steps.

Change: wire.Limited serves messages for both programs. It refuses compressed messages and the other protocols that connect speaks, with 415 and before the body is read: our callers send neither. Of the others it holds, before they are decoded, 512 B for each map and 16 B for each item, as the callers' API does for JSON. Answers are compressed as before, since their callers ask for it.

Measured, the same test: the instance refuses both; 16 MB in the dense case. The peak of the compressed case was not sampled in that run.

go test -count=1 -parallel 1 -v -run TestMessagesThatGrowWhenDecoded ./crowd/

--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -9,7 +9,6 @@
 	"peridotgw.example/peridotgw/internal/kernel"
 	"peridotgw.example/peridotgw/internal/opsapi"
 	"peridotgw.example/peridotgw/internal/route"
-	"peridotgw.example/peridotgw/internal/serve"
 	"peridotgw.example/peridotgw/internal/wire"
 	"peridotgw.example/peridotgw/model"
 )
@@ -26,7 +25,7 @@
 	}
 	d.Kernel.Add(d.newHTTPService(ServiceOps, d.listeners.operators, newHTTPLimit(operatorConnShare), d.Ops.Handler(), ServiceConfig, ServiceSched, ServiceAudit))
 	d.Kernel.Add(d.newHTTPService(ServicePeers, d.listeners.peers, newHTTPLimit(peerConnShare),
-		serve.BufferBodies(wire.MaxMessageBytes, d.listeners.peerMux), ServiceLease))
+		wire.Limited(d.listeners.peerMux), ServiceLease))
 
 	d.Health = &Health{Ready: d.checkReady}
 	d.Kernel.Add(d.newHTTPService(ServiceHealth, d.listeners.metrics, httpLimit{conns: probeConns}, d.newHealthMux()))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -220,7 +220,7 @@
 	metrics.Handle("GET /metrics", n.meters.set.Handler())
 	s := &servers{
 		callers: n.newServer("callers", n.Settings.Callers, jobAPI),
-		peers:   n.newServer("peers", n.Settings.Peers, serve.BufferBodies(wire.MaxMessageBytes, peers)),
+		peers:   n.newServer("peers", n.Settings.Peers, wire.Limited(peers)),
 		ready:   n.newServer("ready", n.Settings.Ready, ready),
 		metrics: n.newServer("metrics", n.Settings.Metrics, metrics),
 	}
--- a/internal/serve/body.go
+++ b/internal/serve/body.go
@@ -276,13 +276,14 @@
 	return &BodyError{Reason: ShedIncomplete, Cause: err}
 }
 
-// BufferBodies reads the bodies of requests within the budget of their Server before it calls next. Refused bodies get the status of
-// their BodyError.
-func BufferBodies(limit int64, next http.Handler) http.Handler {
+// BufferBodies reads the bodies of requests within the budget of their Server before it calls next, with the memory that decoded says they
+// take once they are decoded. Refused bodies get the status of their BodyError.
+func BufferBodies(limit int64, decoded func(content []byte) int, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		content, err := ReadBody(r.Context(), w, r, limit)
 		if err == nil {
-			err = HoldMemory(r.Context(), len(content)) // The handler reads the body into a buffer of its own.
+			// The handler reads the body into a buffer of its own.
+			err = HoldMemory(r.Context(), len(content)+decoded(content))
 		}
 		var refused *BodyError
 		if errors.As(err, &refused) {
