node: requests that a stop has cut do not make it end with an error

Cause: a server whose drain has cut a request reports that again when it is closed, and the instance took the report for a failure of its own. Which requests are cut depends on where in their bodies the clients of a crowd are when the drain ends.

Change: the report is logged by the drain, as before, and is no error of the instance.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -120,7 +120,7 @@
 	}
 	group, runCtx := errgroup.WithContext(runCtx)
 	for _, s := range servers.all() {
-		group.Go(func() error { return s.Run(runCtx) })
+		group.Go(func() error { return runServer(runCtx, s) })
 	}
 	configFollower := &kv.Follower{
 		Store: n.store, Prefix: platform.OperatorKeyPrefix, Log: n.Log, LargeValues: true, OnReset: n.config.reset, OnEvents: n.config.events,
@@ -150,6 +150,16 @@
 	return err
 }
 
+// runServer runs a server. Requests that the stop has cut are no failure of the instance, and drain logs them.
+func runServer(ctx context.Context, server *serve.Server) error {
+	err := server.Run(ctx)
+	var cut *serve.CutError
+	if errors.As(err, &cut) {
+		return nil
+	}
+	return err
+}
+
 // shutDown drains this instance within the platform's grace time. The leadership, unless another instance has taken it before, and the
 // registration end before the listeners close, so that peers no longer call this instance then.
 func (n *Node) shutDown(servers *servers) {
