--- /dev/null
+++ b/review/standin-3/scenes.go
@@ -0,0 +1,207 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"time"
+)
+
+// step returns a step of a job, and its spec, which tells the minions what a task takes and how long it works.
+func step(count, cpu, memMB, gpu, workMs int, lasts bool) (map[string]any, string) {
+	step := map[string]any{"count": count, "cpu": cpu, "mem_mb": memMB, "gpu": gpu, "estimate_ms": workMs}
+	if lasts {
+		step["long_running"] = true
+	}
+	return step, fmt.Sprintf("cpu=%d mem=%d gpu=%d work=%d", cpu, memMB, gpu, workMs)
+}
+
+func job(step map[string]any, spec string) map[string]any {
+	return map[string]any{"spec": spec, "steps": []any{step}}
+}
+
+// startsOf returns how many tasks of a job have begun.
+func (f *fleet) startsOf(id string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	tasks := map[string]bool{}
+	for _, start := range f.starts {
+		if start.task[:len(id)] == id {
+			tasks[start.task] = true
+		}
+	}
+	return len(tasks)
+}
+
+// playLasting: a tenant without a guarantee hands in one large job whose tasks last; then a tenant hands in work within its guarantee.
+func playLasting(s *scene) ([]string, error) {
+	s.fleet.outcome = func(_ string, _ int64, spec string) (time.Duration, string) {
+		return time.Duration(word(spec, "work")) * time.Millisecond, "done"
+	}
+	s.store.put("op/config", []byte(config))
+	if err := s.addMinions(4, 2); err != nil {
+		return nil, err
+	}
+	if err := s.addNodes(3); err != nil {
+		return nil, err
+	}
+	time.Sleep(2 * time.Second)
+	const large, check = "00000000000000a1", "00000000000000b1"
+	if s.trouble {
+		// LASTS=0 compares: the same job with tasks of a minute that end by themselves.
+		task, spec := step(32, 5600, 23000, 1, 0, true)
+		if os.Getenv("LASTS") == "0" {
+			task, spec = step(32, 5600, 23000, 1, 60_000, false)
+		}
+		if !s.caller.submit("/tally/", large, "key-board-1", job(task, spec)) {
+			return nil, fmt.Errorf("the large job was not accepted")
+		}
+		time.Sleep(6 * time.Second)
+		s.rec.add("%d tasks of the large job have begun", s.fleet.startsOf(large))
+	}
+	task, spec := step(8, 7500, 39000, 1, 2500, false)
+	if !s.caller.submit("/check/", check, "key-judges-1", job(task, spec)) {
+		return nil, fmt.Errorf("the check was not accepted")
+	}
+	accepted := time.Now()
+	s.rec.add("the check is accepted: 8 tasks of 1 GPU, of 16 that are guaranteed")
+	time.Sleep(3400 * time.Millisecond)
+	begun := s.fleet.startsOf(check)
+	s.rec.add("3.4 s later %d of 8 tasks of the check have begun", begun)
+	var broken []string
+	if begun < 8 {
+		broken = append(broken, s.rec.add("BROKEN RECLAIM: %d of 8 tasks have begun after 3.4 s", begun))
+	}
+	for time.Since(accepted) < 30*time.Second && s.fleet.startsOf(check) < 8 {
+		time.Sleep(100 * time.Millisecond)
+	}
+	s.rec.add("%.1f s after its acknowledgement %d of 8 tasks of the check have begun; its state is %s", time.Since(accepted).Seconds(),
+		s.fleet.startsOf(check), s.caller.state("/check/", check, "key-judges-1"))
+	if s.trouble {
+		s.caller.try("DELETE", "/tally/"+large, "key-board-1", nil)
+		time.Sleep(2 * time.Second)
+		s.rec.add("2 s after the large job was cancelled %d of 8 tasks of the check have begun", s.fleet.startsOf(check))
+	}
+	return broken, nil
+}
+
+// clockJump is how far the time of day jumps on the machine of a minion.
+const clockJump = 2 * time.Second
+
+// playBorn: a minion goes down and up by turns while the time of day of its machine jumps ahead and back.
+func playBorn(s *scene) ([]string, error) {
+	s.fleet.outcome = func(_ string, _ int64, spec string) (time.Duration, string) {
+		return time.Duration(word(spec, "work")) * time.Millisecond, "done"
+	}
+	s.store.put("op/config", []byte(config))
+	if err := s.addMinions(3, 1); err != nil {
+		return nil, err
+	}
+	if err := s.addNodes(3); err != nil {
+		return nil, err
+	}
+	m := s.fleet.minions[0]
+	time.Sleep(2 * time.Second)
+	began := time.Now()
+	at := func(second float64) { time.Sleep(time.Until(began.Add(time.Duration(second * float64(time.Second))))) }
+	jump := func(by time.Duration) {
+		if !s.trouble {
+			return
+		}
+		s.fleet.mu.Lock()
+		defer s.fleet.mu.Unlock()
+		m.aheadBy = by
+		s.rec.add("the time of day on the machine of %s is %s ahead", m.id, by)
+	}
+	var accepted []string
+	s.group.Go(func() {
+		at(3)
+		jump(clockJump)
+		at(3.2)
+		m.crash()
+		at(3.5)
+		_ = m.start()
+		at(4.7)
+		jump(0)
+		at(5)
+		m.crash()
+		at(5.2)
+		_ = m.start()
+	})
+	task, spec := step(8, 2600, 7500, 1, 600, false)
+	for i := 0; time.Since(began) < 15*time.Second; i++ {
+		id := fmt.Sprintf("%016x", 0xc00+i)
+		if s.caller.submit("/scan/", id, "key-judges-1", job(task, spec)) {
+			accepted = append(accepted, id)
+		}
+		at(float64(i+1) * 0.25)
+	}
+	at(15 + 14)
+	broken := append(s.fleet.brokenNow(), s.fleet.startedAfterDone()...)
+	for _, id := range accepted {
+		if state := s.caller.state("/scan/", id, "key-judges-1"); state != "completed" {
+			broken = append(broken, s.rec.add("BROKEN LOST: job %s is %s 14 s after the end of the traffic", id, state))
+		}
+	}
+	return broken, nil
+}
+
+// brokenNow returns the violations that were seen so far.
+func (f *fleet) brokenNow() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]string(nil), f.broken...)
+}
+
+// playLoop: the tasks of a job that lasts fail soon after each start, while other jobs come.
+func playLoop(s *scene) ([]string, error) {
+	fails := envInt("FAIL_MS", 1000)
+	s.fleet.outcome = func(task string, _ int64, spec string) (time.Duration, string) {
+		if word(spec, "fails") > 0 {
+			if !s.trouble {
+				return 0, ""
+			}
+			return time.Duration(fails) * time.Millisecond, "failed"
+		}
+		return time.Duration(word(spec, "work")) * time.Millisecond, "done"
+	}
+	s.store.put("op/config", []byte(config))
+	if err := s.addMinions(envInt("MINIONS", 4), 2); err != nil {
+		return nil, err
+	}
+	if err := s.addNodes(3); err != nil {
+		return nil, err
+	}
+	watch := &standingJobs{fleet: s.fleet}
+	s.group.Go(func() { watch.run(s.done) })
+	time.Sleep(2 * time.Second)
+	began := time.Now()
+	const service = "00000000000000a1"
+	n := envInt("TASKS", 6)
+	task, spec := step(n, 4000, 8000, 1, 0, true)
+	if !s.caller.submit(os.Getenv("PREFIX")+"/tally/", service, "key-board-1", job(task, spec+" fails=1")) {
+		return nil, fmt.Errorf("the job that lasts was not accepted")
+	}
+	watch.add(service, n, need{4000, 8000, 1}, true)
+	task, spec = step(3, 7500, 39000, 1, 2500, false)
+	for i := 0; time.Since(began) < 40*time.Second; i++ {
+		id := fmt.Sprintf("%016x", 0xc00+i)
+		prefix := []string{"/scan/", "/tally/", "/check/"}[i%3]
+		if s.caller.submit(prefix, id, "key-judges-1", job(task, spec)) {
+			watch.add(id, 3, need{7500, 39000, 1}, false)
+		}
+		time.Sleep(time.Until(began.Add(time.Duration(i+1) * 1500 * time.Millisecond)))
+	}
+	time.Sleep(14 * time.Second)
+	s.rec.add("longest standing beside room: %s", watch.longest)
+	fmt.Println("longest standing", watch.longest)
+	return append(s.fleet.brokenNow(), s.fleet.startedAfterDone()...), nil
+}
+
+func envInt(name string, fallback int) int {
+	value, err := strconv.Atoi(os.Getenv(name))
+	if err != nil {
+		return fallback
+	}
+	return value
+}
