--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -38,6 +38,7 @@
 	fleet   *fleet
 	nodes   []*node
 	caller  *caller
+	extra   []string // further settings of the processes
 	done    chan struct{}
 	group   sync.WaitGroup
 }
@@ -54,7 +55,7 @@
 // play plays a scene and returns the exit code.
 func play(name, recordPath, root, logs string) int {
 	scenes := map[string]func(*scene) ([]string, error){
-		"lasting": playLasting, "born": playBorn, "loop": playLoop,
+		"lasting": playLasting, "born": playBorn, "loop": playLoop, "advice": playAdvice,
 	}
 	play := scenes[name]
 	if play == nil {
@@ -157,7 +158,7 @@
 		cancel()
 	})
 	for i := range count {
-		n, err := newNode(s.dir, s.binary, s.address, fmt.Sprintf("front-courthouse-%d", i+1), nil)
+		n, err := newNode(s.dir, s.binary, s.address, fmt.Sprintf("front-courthouse-%d", i+1), s.extra)
 		if err != nil {
 			return err
 		}
--- a/review/standin-3/minion.go
+++ b/review/standin-3/minion.go
@@ -30,6 +30,8 @@
 	starts  []startEvent
 	dones   []*doneEvent
 	broken  []string // violations that were seen at a start
+	// permits reports whether a minion may start a task with a ticket; nil if the queue has no advice.
+	permits func(step, minion, ticket string) bool
 	// outcome returns how a run ends and after what time; zero for one that does not end by itself.
 	outcome func(task string, run int64, spec string) (after time.Duration, how string)
 }
@@ -201,7 +203,9 @@
 	Until int64  `json:"until_ms"`
 	Token uint64 `json:"fencing_token"`
 	Seen  int64  `json:"last_seen"`
-	Wait  int64  `json:"wait_ms"`
+	// Ticket is that of the advice service.
+	Ticket string `json:"ticket"`
+	Wait   int64  `json:"wait_ms"`
 }
 
 // ServeHTTP serves the orders to the minion.
@@ -287,6 +291,10 @@
 	if m.until <= m.clock() {
 		return m.reject("late")
 	}
+	if step := o.Task[:strings.LastIndex(o.Task, ".")]; f.permits != nil && !f.permits(step, m.id, o.Ticket) {
+		f.rec.add("%s rejects %s run %d: ticket", m.id, o.Task, o.Run)
+		return m.reject("ticket")
+	}
 	f.rec.add("%s starts %s run %d, token %d", m.id, o.Task, o.Run, o.Token)
 	for _, other := range f.minions {
 		for _, run := range other.runs {
--- a/review/standin-3/scenes.go
+++ b/review/standin-3/scenes.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -136,7 +137,7 @@
 		}
 		at(float64(i+1) * 0.25)
 	}
-	at(15 + 14)
+	at(15 + finishTime.Seconds())
 	broken := append(s.fleet.brokenNow(), s.fleet.startedAfterDone()...)
 	for _, id := range accepted {
 		if state := s.caller.state("/scan/", id, "key-judges-1"); state != "completed" {
@@ -192,7 +193,7 @@
 		}
 		time.Sleep(time.Until(began.Add(time.Duration(i+1) * 1500 * time.Millisecond)))
 	}
-	time.Sleep(14 * time.Second)
+	time.Sleep(finishTime)
 	s.rec.add("longest standing beside room: %s", watch.longest)
 	fmt.Println("longest standing", watch.longest)
 	return append(s.fleet.brokenNow(), s.fleet.startedAfterDone()...), nil
@@ -205,3 +206,64 @@
 	}
 	return value
 }
+
+// finishTime is finish_s, after which the jobs of the traffic are asked for.
+const finishTime = 14 * time.Second
+
+// advisedRoute is a route with advice, for a further version of the configuration.
+const advisedRoute = `{"name":"r-audit","host":"nony24.example","prefix":"/audit/","kind":"unsafe","timeout_ms":3000,"target_latency_ms":1000,"priority":1,"service":"festival-score","max_attempts":4,"stretch":3.0,"allow_anonymous":false,"advice":{"decision_ms":%d,"per_worker_ms":%d,"valid_ms":%d}},
+`
+
+// playAdvice: a configuration adds a queue with advice, whose calls take a good part of the time for which their tickets are valid.
+func playAdvice(s *scene) ([]string, error) {
+	decision, perWorker, valid := envInt("DECISION_MS", 400), envInt("PER_WORKER_MS", 75), envInt("VALID_MS", 3000)
+	advice := &advisor{
+		rec: s.rec, decision: time.Duration(decision) * time.Millisecond, perWorker: time.Duration(perWorker) * time.Millisecond,
+		valid: time.Duration(valid) * time.Millisecond, allows: func(string) bool { return true }, tickets: map[string]time.Time{},
+	}
+	address, err := s.serve(advice)
+	if err != nil {
+		return nil, err
+	}
+	s.extra = []string{"advice=" + address}
+	s.fleet.outcome = func(_ string, _ int64, spec string) (time.Duration, string) {
+		return time.Duration(word(spec, "work")) * time.Millisecond, "done"
+	}
+	s.store.put("op/config", []byte(config))
+	if err := s.addMinions(48, 6); err != nil {
+		return nil, err
+	}
+	if err := s.addNodes(3); err != nil {
+		return nil, err
+	}
+	watch := &standingJobs{fleet: s.fleet}
+	time.Sleep(2 * time.Second)
+	prefix := "/scan/"
+	if s.trouble {
+		prefix = "/audit/"
+		s.fleet.mu.Lock()
+		s.fleet.permits = advice.permits
+		s.fleet.mu.Unlock()
+		route := fmt.Sprintf(advisedRoute, decision, perWorker, valid)
+		s.store.put("op/config", []byte(strings.Replace(strings.Replace(config, `"version":7`, `"version":9`, 1), `"routes":[`, `"routes":[`+route, 1)))
+		s.rec.add("version 9 of the configuration adds the queue /audit/ with advice: decision_ms %d, per_worker_ms %d, valid_ms %d", decision, perWorker, valid)
+	}
+	time.Sleep(3 * time.Second)
+	task, spec := step(4, 7500, 39000, 1, 2500, false)
+	var accepted []string
+	for i := range 3 {
+		id := fmt.Sprintf("%016x", 0xc00+i)
+		if s.caller.submit(prefix, id, "key-judges-1", job(task, spec)) {
+			accepted = append(accepted, id)
+			watch.add(id, 4, need{7500, 39000, 1}, false)
+		}
+		time.Sleep(2 * time.Second)
+	}
+	time.Sleep(finishTime) // Time for many calls for advice.
+	s.group.Go(func() { watch.run(s.done) })
+	time.Sleep(standBound + time.Second)
+	for _, id := range accepted {
+		s.rec.add("job %s: %d of 4 tasks have begun, its state is %s", id, s.fleet.startsOf(id), s.caller.state(prefix, id, "key-judges-1"))
+	}
+	return append(s.fleet.brokenNow(), s.fleet.startedAfterDone()...), nil
+}
