--- a/review/standin-3/scenes.go
+++ b/review/standin-3/scenes.go
@@ -48,11 +48,16 @@
 	}
 	time.Sleep(2 * time.Second)
 	const large, check = "00000000000000a1", "00000000000000b1"
+	// SMALL=1 is a variant: one small task that lasts on each minion, and two tasks of 8 GPUs in the check.
+	largeTasks, checkTasks, checkGPUs := 32, 8, 1
+	if os.Getenv("SMALL") == "1" {
+		largeTasks, checkTasks, checkGPUs = 4, 2, 8
+	}
 	if s.trouble {
 		// LASTS=0 compares: the same job with tasks of a minute that end by themselves.
-		task, spec := step(32, 5600, 23000, 1, 0, true)
+		task, spec := step(largeTasks, 5600, 23000, 1, 0, true)
 		if os.Getenv("LASTS") == "0" {
-			task, spec = step(32, 5600, 23000, 1, 60_000, false)
+			task, spec = step(largeTasks, 5600, 23000, 1, 60_000, false)
 		}
 		if !s.caller.submit("/tally/", large, "key-board-1", job(task, spec)) {
 			return nil, fmt.Errorf("the large job was not accepted")
@@ -60,28 +65,28 @@
 		time.Sleep(6 * time.Second)
 		s.rec.add("%d tasks of the large job have begun", s.fleet.startsOf(large))
 	}
-	task, spec := step(8, 7500, 39000, 1, 2500, false)
+	task, spec := step(checkTasks, 7500, 39000, checkGPUs, 2500, false)
 	if !s.caller.submit("/check/", check, "key-judges-1", job(task, spec)) {
 		return nil, fmt.Errorf("the check was not accepted")
 	}
 	accepted := time.Now()
-	s.rec.add("the check is accepted: 8 tasks of 1 GPU, of 16 that are guaranteed")
+	s.rec.add("the check is accepted: %d tasks of %d GPUs, of 16 GPUs that are guaranteed", checkTasks, checkGPUs)
 	time.Sleep(3400 * time.Millisecond)
 	begun := s.fleet.startsOf(check)
-	s.rec.add("3.4 s later %d of 8 tasks of the check have begun", begun)
+	s.rec.add("3.4 s later %d of %d tasks of the check have begun", begun, checkTasks)
 	var broken []string
-	if begun < 8 {
-		broken = append(broken, s.rec.add("BROKEN RECLAIM: %d of 8 tasks have begun after 3.4 s", begun))
+	if begun < checkTasks {
+		broken = append(broken, s.rec.add("BROKEN RECLAIM: %d of %d tasks have begun after 3.4 s", begun, checkTasks))
 	}
-	for time.Since(accepted) < 30*time.Second && s.fleet.startsOf(check) < 8 {
+	for time.Since(accepted) < 30*time.Second && s.fleet.startsOf(check) < checkTasks {
 		time.Sleep(100 * time.Millisecond)
 	}
-	s.rec.add("%.1f s after its acknowledgement %d of 8 tasks of the check have begun; its state is %s", time.Since(accepted).Seconds(),
-		s.fleet.startsOf(check), s.caller.state("/check/", check, "key-judges-1"))
+	s.rec.add("%.1f s after its acknowledgement %d of %d tasks of the check have begun; its state is %s", time.Since(accepted).Seconds(),
+		s.fleet.startsOf(check), checkTasks, s.caller.state("/check/", check, "key-judges-1"))
 	if s.trouble {
 		s.caller.try("DELETE", "/tally/"+large, "key-board-1", nil)
 		time.Sleep(2 * time.Second)
-		s.rec.add("2 s after the large job was cancelled %d of 8 tasks of the check have begun", s.fleet.startsOf(check))
+		s.rec.add("2 s after the large job was cancelled %d of %d tasks of the check have begun", s.fleet.startsOf(check), checkTasks)
 	}
 	return broken, nil
 }
