review: stand-ins take ports below the kernel's own

Ports that the kernel gives to connections were now and then in use when a process or a minion started again, which made a scene unplayable.

--- a/review/standin-3/minion.go
+++ b/review/standin-3/minion.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -111,7 +112,11 @@
 func (m *minion) start() error {
 	address := m.address
 	if address == "" {
-		address = "127.0.0.1:0"
+		port, err := freePorts(1)
+		if err != nil {
+			return err
+		}
+		address = fmt.Sprintf("127.0.0.1:%d", port)
 	}
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
--- a/review/standin-3/nodes.go
+++ b/review/standin-3/nodes.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -44,16 +45,17 @@
 	process *os.Process
 }
 
+// Ports of the processes lie below those that the kernel gives to connections, so that a process finds its own free when it starts again.
+const (
+	lowestPort  = 12_000
+	highestPort = 31_000
+)
+
 // freePorts returns the first of count consecutive free ports.
 func freePorts(count int) (int, error) {
 	for range 200 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return 0, err
-		}
-		first := l.Addr().(*net.TCPAddr).Port
-		_ = l.Close()
-		free := first+count < 65000
+		first := lowestPort + rand.IntN(highestPort-lowestPort)
+		free := true
 		for port := first; free && port < first+count; port++ {
 			probe, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 			if err != nil {
--- a/review/standin-3/scenes.go
+++ b/review/standin-3/scenes.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"strconv"
@@ -120,19 +121,20 @@
 		s.rec.add("the time of day on the machine of %s is %s ahead", m.id, by)
 	}
 	var accepted []string
+	var unable [2]error
 	s.group.Go(func() {
 		at(3)
 		jump(clockJump)
 		at(3.2)
 		m.crash()
 		at(3.5)
-		_ = m.start()
+		unable[0] = m.start()
 		at(4.7)
 		jump(0)
 		at(5)
 		m.crash()
 		at(5.2)
-		_ = m.start()
+		unable[1] = m.start()
 	})
 	task, spec := step(8, 2600, 7500, 1, 600, false)
 	for i := 0; time.Since(began) < 15*time.Second; i++ {
@@ -143,6 +145,9 @@
 		at(float64(i+1) * 0.25)
 	}
 	at(15 + finishTime.Seconds())
+	if err := errors.Join(unable[:]...); err != nil {
+		return nil, err
+	}
 	broken := append(s.fleet.brokenNow(), s.fleet.startedAfterDone()...)
 	for _, id := range accepted {
 		if state := s.caller.state("/scan/", id, "key-judges-1"); state != "completed" {
