--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -55,7 +55,7 @@
 // play plays a scene and returns the exit code.
 func play(name, recordPath, root, logs string) int {
 	scenes := map[string]func(*scene) ([]string, error){
-		"lasting": playLasting, "born": playBorn, "advice": playAdvice, "crash": playCrash,
+		"lasting": playLasting, "born": playBorn, "advice": playAdvice, "crash": playCrash, "long": playLong,
 	}
 	play := scenes[name]
 	if play == nil {
