--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -158,7 +158,7 @@
 		cancel()
 	})
 	for i := range count {
-		n, err := newNode(s.dir, s.binary, s.address, fmt.Sprintf("front-courthouse-%d", i+1), s.extra)
+		n, err := newNode(&s.fleet.ports, s.dir, s.binary, s.address, fmt.Sprintf("front-courthouse-%d", i+1), s.extra)
 		if err != nil {
 			return err
 		}
--- a/review/standin-3/minion.go
+++ b/review/standin-3/minion.go
@@ -27,6 +27,7 @@
 	mu      sync.Mutex
 	rec     *record
 	store   *store
+	ports   portPool
 	minions []*minion
 	starts  []startEvent
 	dones   []*doneEvent
@@ -112,7 +113,7 @@
 func (m *minion) start() error {
 	address := m.address
 	if address == "" {
-		port, err := freePorts(1)
+		port, err := m.fleet.ports.take(1)
 		if err != nil {
 			return err
 		}
--- a/review/standin-3/nodes.go
+++ b/review/standin-3/nodes.go
@@ -45,24 +45,42 @@
 	process *os.Process
 }
 
-// Ports of the processes lie below those that the kernel gives to connections, so that a process finds its own free when it starts again.
+// Ports lie below those that the kernel gives to connections, so that a process or a minion finds its own free when it starts again. They come
+// in blocks, each of which a scene holds by a listener on its last port.
 const (
-	lowestPort  = 12_000
-	highestPort = 31_000
+	lowestPort  = 29_304
+	highestPort = 32_704
+	blockPorts  = 8
 )
 
-// freePorts returns the first of count consecutive free ports.
-func freePorts(count int) (int, error) {
-	for range 200 {
-		first := lowestPort + rand.IntN(highestPort-lowestPort)
-		free := true
+// portPool gives out ports. The zero value is ready.
+type portPool struct {
+	mu          sync.Mutex
+	next, limit int            // of the current block
+	held        []net.Listener // to the end of the process
+}
+
+// take returns the first of count free ports in a row, fewer than blockPorts.
+func (p *portPool) take(count int) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for range 500 {
+		if p.next+count > p.limit {
+			first := lowestPort + rand.IntN((highestPort-lowestPort)/blockPorts)*blockPorts
+			lock, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first+blockPorts-1))
+			if err != nil {
+				continue
+			}
+			p.held = append(p.held, lock)
+			p.next, p.limit = first, first+blockPorts-1
+		}
+		first, free := p.next, true
+		p.next += count
 		for port := first; free && port < first+count; port++ {
 			probe, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-			if err != nil {
-				free = false
-				break
+			if free = err == nil; free {
+				_ = probe.Close()
 			}
-			_ = probe.Close()
 		}
 		if free {
 			return first, nil
@@ -72,8 +90,8 @@
 }
 
 // newNode writes the settings of a process and opens its log.
-func newNode(dir, binary, storeAddress, name string, extra []string) (*node, error) {
-	port, err := freePorts(4)
+func newNode(ports *portPool, dir, binary, storeAddress, name string, extra []string) (*node, error) {
+	port, err := ports.take(4)
 	if err != nil {
 		return nil, err
 	}
