chief, evict: tasks that last make way for work within a guarantee

Cause: the choice of what to stop left out each run of a step that lasts, for any demand. Nothing bounded where tasks start that can't be stopped in time.

Evidence: "chief: no room for urgent work", "no room, whatever is stopped", until the job that lasts was cancelled. On the code before, TestGuaranteedWorkStartsBesideTasksThatLast (both cases), TestTwoTenantsClaimBesideTasksThatLast and TestGuaranteedTasksThatLastStay end with "the guaranteed tasks start: not within 2.7s".

Change: tasks that last make way for work within a guarantee alone, after all other work, and no more of a step than may be away. Room within a tenant's own cap comes from the same list. Tasks that last no longer count as ending in a moment, nor their jobs as hopeless.

TestGangIsNotStoppedForAnUrgentGangThatCannotStart used a task that lasts as room that nothing frees, which it is not any more. It uses work within another tenant's guarantee, and checks the same; it holds on the code before as well.

--- a/internal/chief/plan.go
+++ b/internal/chief/plan.go
@@ -41,6 +41,7 @@
 	adviceRequest  *adviceRequest                          // to be made at the end of the pass; nil for none
 	quota          *quota.Pass
 	capHolds       map[*stage]quota.Request // what stages hold of their tenants' caps
+	pins           *pins                    // nil until it is needed
 	roomShort      bool                     // a task found no room
 	deferred       []*job                   // that their tenant's part of the room kept from starting more
 	beyondParts    bool                     // the tenants' parts of the room limit no start now
@@ -167,6 +168,7 @@
 	p.releaseCap(s)
 	s.haste = p.haste(s)
 	s.ignoresHolds = p.stalledTooLong(s) || p.reservedWorkersFree(s) && s.foundRoomForLong(p.now)
+	p.limitPins(s)
 	runs := s.job.runs
 	p.startStage(s)
 	if s.ignoresHolds && s.job.runs == runs && p.takeIdleReservations(s) {
@@ -265,6 +267,7 @@
 	if w != nil {
 		p.spend(s, 1)
 		p.c.startRun(t, w, nextRunNumber(s.job, t.lastRun), nil)
+		p.notePin(s, w)
 		w.available = w.available.Sub(s.step.Resources())
 		return true
 	}
@@ -329,6 +332,7 @@
 	p.spend(s, len(s.tasks))
 	for index := range s.tasks {
 		p.c.startRun(&s.tasks[index], places[index], g.number, g)
+		p.notePin(s, places[index])
 		places[index].available = places[index].available.Sub(s.step.Resources())
 	}
 	s.waitingSince = 0
--- a/internal/chief/room.go
+++ b/internal/chief/room.go
@@ -12,8 +12,9 @@
 	holdReserved                     // what is reserved for urgent tasks while runs there are being stopped
 	holdQuarantine                   // workers that get no starts for a time
 	holdGang                         // workers that are reserved for a gang that does not fit yet
+	holdGuarantee                    // workers on which nothing runs that can't be stopped in time for work within a guarantee
 
-	allHolds = holdLocality | holdUrgent | holdReserved | holdQuarantine | holdGang
+	allHolds = holdLocality | holdUrgent | holdReserved | holdQuarantine | holdGang | holdGuarantee
 )
 
 // placesNeeded returns how many tasks of a stage must find room at the same time.
@@ -33,7 +34,7 @@
 	for _, h := range []struct {
 		hold holds
 		why  string
-	}{{holdLocality, waitLocality}, {holdUrgent, waitUrgentRoom}, {holdReserved, waitReserved}, {holdQuarantine, waitQuarantine}, {holdGang, waitReservedGang}} {
+	}{{holdLocality, waitLocality}, {holdUrgent, waitUrgentRoom}, {holdReserved, waitReserved}, {holdQuarantine, waitQuarantine}, {holdGang, waitReservedGang}, {holdGuarantee, waitGuarantee}} {
 		if p.roomFor(s, h.hold) >= need {
 			return h.why
 		}
@@ -114,7 +115,7 @@
 		free = p.besideGang(s, w, free)
 	}
 	fits := free.CountFits(resources, maxRoom)
-	if fits == 0 || !p.suits(s, w) || ignoring&holdUrgent == 0 && p.keptIdle[w] && p.yieldsToUrgent(s) {
+	if fits == 0 || !p.suits(s, w) || ignoring&holdGuarantee == 0 && !s.mayPin(w) || ignoring&holdUrgent == 0 && p.keptIdle[w] && p.yieldsToUrgent(s) {
 		return 0
 	}
 	fits = min(fits, p.c.listableRuns(w))
--- a/internal/chief/snapshot.go
+++ b/internal/chief/snapshot.go
@@ -16,6 +16,7 @@
 	stages     []*stage  // by view.StageRef
 	workerRefs map[*worker]view.WorkerRef
 	stageRefs  map[*stage]view.StageRef
+	protected  []bool // by view.StageRef: none of its runs may be stopped now
 }
 
 // newSnapshot returns a snapshot of the workers that may get new runs, with all that runs there. Stages without a run there are added when
@@ -52,9 +53,27 @@
 	for ref, r := range p.seen.runs {
 		p.seen.Runs[ref].Stopping = r.phase == stopping || !r.present()
 	}
+	p.seen.updateProtected()
 	return p.seen
 }
 
+// updateProtected brings up to date which runs may be stopped: each stop leaves fewer of its step.
+func (s *snapshot) updateProtected() {
+	for ref, of := range s.stages {
+		if of.step.Lasts && of.step.MayMiss > 0 {
+			s.protect(view.StageRef(ref), of.mayStop())
+		}
+	}
+	for ref := range s.Runs {
+		s.Runs[ref].Protected = s.protected[s.Runs[ref].Stage]
+	}
+}
+
+// protect sets how many runs of a stage may be stopped, where that is limited.
+func (s *snapshot) protect(ref view.StageRef, most int) {
+	s.Stages[ref].MaxStops, s.protected[ref] = most, most == 0
+}
+
 func (s *snapshot) addWorker(p *planner, w *worker, gangs map[*gang]view.GangRef) {
 	ref := view.WorkerRef(len(s.workers))
 	s.workerRefs[w] = ref
@@ -68,11 +87,12 @@
 		if r.task == nil {
 			continue
 		}
+		stage := s.stage(p, r.task.stage)
 		seen.Runs = append(seen.Runs, view.RunRef(len(s.runs)))
 		s.runs = append(s.runs, r)
 		s.Runs = append(s.Runs, view.Run{
-			Worker: ref, Stage: s.stage(p, r.task.stage), Gang: gangRef(gangs, r.gang), Need: r.resources, Stopping: r.phase == stopping,
-			Protected: r.task.stage.step.Lasts, Done: float64(r.percent) / fullPercent, Age: r.age(p.now), Left: p.timeLeft(r),
+			Worker: ref, Stage: stage, Gang: gangRef(gangs, r.gang), Need: r.resources, Stopping: r.phase == stopping,
+			Protected: s.protected[stage], Done: float64(r.percent) / fullPercent, Age: r.age(p.now), Left: p.timeLeft(r),
 			Lost: p.c.lostByStop(r, p.now), Stops: r.task.preemptions,
 		})
 	}
@@ -101,16 +121,25 @@
 	s.Stages = append(s.Stages, view.Stage{
 		ID: of.id, Tenant: of.job.spec.Tenant, Queue: of.job.spec.Queue, Priority: p.priority(of), Tasks: len(of.tasks),
 		Waiting: of.waitingTasks(), Need: of.step.Resources(), Gang: of.step.Gang, SameRack: of.step.SameRack, Estimate: estimate,
+		Lasts:    of.step.Lasts,
 		Slack:    of.job.deadline.Sub(p.now) - estimate - p.c.chainAfter(of, p.now),
-		Hopeless: of.job.late(p.now), Guaranteed: p.priority(of) == 0 && p.withinGuarantee(of.job),
+		Hopeless: of.job.late(p.now) && !of.step.Lasts, Guaranteed: p.priority(of) == 0 && p.withinGuarantee(of.job),
 	})
+	s.protected = append(s.protected, false)
+	if of.step.Lasts && of.step.MayMiss > 0 {
+		s.protect(ref, of.mayStop())
+	}
 	return ref
 }
 
 // lostByStop returns the time of work that stopping a run now loses.
 func (c *Scheduler) lostByStop(r *run, now clock.Instant) time.Duration {
 	lost := r.age(now)
-	if r.task != nil && r.task.stage.step.Checkpoints {
+	switch {
+	case r.task == nil:
+	case r.task.stage.step.Lasts:
+		return 0 // Nothing of it is done again.
+	case r.task.stage.step.Checkpoints:
 		lost = min(lost, c.Limits.CheckpointInterval+c.Limits.RestoreTime)
 	}
 	return lost
--- a/internal/chief/state.go
+++ b/internal/chief/state.go
@@ -119,9 +119,12 @@
 	ignoresHolds bool
 	// lastAttempt is valid during a planning pass: a failure of the task that is being planned, or of the gang, ends the job.
 	lastAttempt bool
-	roomSince   clock.Instant // since when there is room for it while its job is stalled; 0 while there is not
-	finishedAt  clock.Instant
-	cap         capWait
+	// pinnable is valid during a planning pass: the workers that may take tasks of the stage although they can't be stopped in time for
+	// work within a guarantee; nil for all.
+	pinnable   map[*worker]bool
+	roomSince  clock.Instant // since when there is room for it while its job is stalled; 0 while there is not
+	finishedAt clock.Instant
+	cap        capWait
 	// reserved holds a worker for each waiting task while runs there are being stopped.
 	reserved           []*worker
 	reservedAt         clock.Instant
--- a/internal/chief/wait.go
+++ b/internal/chief/wait.go
@@ -20,6 +20,7 @@
 	waitReserved     = "room reserved for urgent work"
 	waitQuarantine   = "workers in quarantine"
 	waitReservedGang = "room reserved for a gang"
+	waitGuarantee    = "room kept for what tenants are guaranteed"
 	waitHolds        = "room that is kept free for several reasons"
 	waitPause        = "pause before the next attempt"
 	waitAdvice       = "advice"
--- a/internal/evict/cap.go
+++ b/internal/evict/cap.go
@@ -25,6 +25,7 @@
 func (s *search) freeOwn(excess work.Resources) *Choice {
 	units := s.ownUnits()
 	s.sortUnits(units, func(index int) float64 { return s.units[index].cost / s.coveredShare(index, excess) })
+	units = s.allowed(units, nil)
 	var chosen []int
 	for _, index := range units {
 		if covered(excess) {
--- a/internal/evict/choose.go
+++ b/internal/evict/choose.go
@@ -101,6 +101,7 @@
 	demand  *Demand
 	need    work.Resources // of one task
 	units   []unit
+	limited bool             // some stages allow only a number of their runs to be stopped
 	unitsOn [][]int          // indexes of units by view.WorkerRef
 	room    []work.Resources // by view.WorkerRef: free after stops, and after the runs that end by themselves
 	endsIn  []time.Duration  // by view.WorkerRef: when the last of these runs ends
@@ -111,6 +112,8 @@
 // unit is what is stopped together: a gang, or a single run.
 type unit struct {
 	runs  []view.RunRef
+	stage view.StageRef
+	stops int // members, also those on workers that the snapshot does not have
 	frees []freed
 	lost  float64 // core-seconds
 	cost  float64 // core-seconds
@@ -157,6 +160,9 @@
 			continue
 		}
 		ends := max(r.Left, left[r.Gang])
+		if s.Stages[r.Stage].Lasts {
+			ends = math.MaxInt64
+		}
 		if ends <= s.demand.Patience {
 			s.room[r.Worker] = s.room[r.Worker].Add(r.Need)
 			s.endsIn[r.Worker] = max(s.endsIn[r.Worker], r.Left)
@@ -169,6 +175,7 @@
 		if r.Gang == 0 || !found {
 			index = len(s.units)
 			u := s.newUnit(r, ends)
+			s.limited = s.limited || s.Stages[r.Stage].MaxStops > 0
 			u.runs, u.frees = refs[ref:ref:ref+1], frees[ref:ref:ref+1]
 			s.units = append(s.units, u)
 		}
@@ -204,15 +211,20 @@
 	s.unitsOn[r.Worker] = append(s.unitsOn[r.Worker], index)
 }
 
-// mayStop reports whether a run may be stopped for the demand.
+// mayStop reports whether a run may be stopped for the demand. Tasks that last make way only for work within a guarantee.
 func (s *search) mayStop(r *view.Run) bool {
 	own, other := &s.Stages[s.demand.Stage], &s.Stages[r.Stage]
+	if other.Lasts && !own.Guaranteed {
+		return false
+	}
 	return other.Priority > own.Priority || own.Priority == 0 && other.Priority == 0 && own.Guaranteed && !other.Guaranteed
 }
 
 const (
 	// stopOverhead is added to the lost time of each run: a stop and a new start take time of a worker by themselves.
 	stopOverhead = 500 * time.Millisecond
+	// lastingLoss is the work that the stop of a task that lasts counts as losing: until it is at work elsewhere, its users are not served.
+	lastingLoss = time.Minute
 	// urgentFactor makes urgent work the last to be stopped.
 	urgentFactor = 8
 	// hopelessFactor is the part of its cost that work counts whose end has no value to its caller any more.
@@ -227,10 +239,14 @@
 	stage := &s.Stages[r.Stage]
 	members := 1
 	if r.Gang != 0 {
-		members = stage.Tasks // Also those on workers that the snapshot does not have.
+		members = stage.Tasks
+	}
+	cores := float64(members) * stage.Need.Cores()
+	lost := cores * r.Lost.Seconds()
+	cost := lost + cores*stopOverhead.Seconds()
+	if stage.Lasts {
+		cost += cores * lastingLoss.Seconds()
 	}
-	lost := float64(members) * stage.Need.Cores() * r.Lost.Seconds()
-	cost := lost + float64(members)*stage.Need.Cores()*stopOverhead.Seconds()
 	cost *= float64(1+r.Stops) * s.shortGain(ends)
 	if s.becomesLate(r) {
 		cost += stage.CoreSeconds()
@@ -244,7 +260,7 @@
 	if stage.Priority == 0 {
 		cost *= urgentFactor
 	}
-	return unit{lost: lost, cost: cost}
+	return unit{stage: r.Stage, stops: members, lost: lost, cost: cost}
 }
 
 const (
--- a/internal/evict/plan.go
+++ b/internal/evict/plan.go
@@ -22,6 +22,7 @@
 	stopped []bool           // by index of the unit
 	touched []int            // units that have been stopped, also those that are kept again
 	cost    float64          // of the units that are stopped
+	stops   stopCounts       // of the runs that are stopped
 }
 
 // option is a set of units with runs on one worker, whose stop makes room for at least one more task there.
@@ -36,6 +37,7 @@
 	return &plan{
 		search: s, inArea: make([]bool, len(s.Workers)), room: make([]work.Resources, len(s.Workers)),
 		places: make([]int, len(s.Workers)), stopped: make([]bool, len(s.units)), options: make([]option, len(s.Workers)),
+		stops: stopCounts{},
 	}
 }
 
@@ -48,6 +50,7 @@
 		p.stopped[index] = false
 	}
 	p.touched = p.touched[:0]
+	clear(p.stops)
 	p.area, p.limit, p.total, p.cost = area, limit, 0, 0
 	for _, w := range area {
 		p.inArea[w] = true
@@ -103,6 +106,7 @@
 	p.stopped[index] = true
 	p.touched = append(p.touched, index)
 	p.cost += p.units[index].cost
+	p.countStops(index, 1)
 	for _, f := range p.units[index].frees {
 		if p.inArea[f.worker] {
 			p.room[f.worker] = p.room[f.worker].Add(f.room)
@@ -116,6 +120,7 @@
 func (p *plan) keep(index int) {
 	p.stopped[index] = false
 	p.cost -= p.units[index].cost
+	p.countStops(index, -1)
 	for _, f := range p.units[index].frees {
 		if p.inArea[f.worker] {
 			p.room[f.worker] = p.room[f.worker].Sub(f.room)
@@ -152,14 +157,14 @@
 	units := p.stoppableOn(w)
 	target := p.oneMore(w)
 	p.sortUnits(units, func(index int) float64 { return p.units[index].cost / p.usefulness(w, index, target) })
-	return p.optionFrom(w, units, p.demand.Places[w])
+	return p.optionFrom(w, p.allowed(units, p.stops), p.demand.Places[w])
 }
 
 // byCost returns the cheapest units on a worker that make room for one more task there. What finds room elsewhere doesn't count.
 func (p *plan) byCost(w view.WorkerRef) option {
 	units := p.stoppableOn(w)
 	p.sortUnits(units, func(index int) float64 { return p.units[index].cost })
-	o := p.optionFrom(w, units, p.places[w]+1)
+	o := p.optionFrom(w, p.allowed(units, p.stops), p.places[w]+1)
 	o.gain = min(o.gain, 1)
 	return o
 }
--- a/internal/view/snapshot.go
+++ b/internal/view/snapshot.go
@@ -50,7 +50,7 @@
 	Gang      GangRef
 	Need      work.Resources
 	Stopping  bool // its room is part of Worker.Available already
-	Protected bool // may not be stopped to make room
+	Protected bool // may not be stopped to make room: its step allows none of its tasks to be away, or none more
 	// Done is the part of its work that is done, from 0 to 1.
 	Done float64
 	Age  time.Duration
@@ -75,6 +75,10 @@
 	Estimate time.Duration // run time of one task near its data on a usual worker
 	// Slack is the time until the target of its job, less what the job still takes; negative if the target can't be met.
 	Slack time.Duration
+	// Lasts reports whether its tasks run until the job is cancelled.
+	Lasts bool
+	// MaxStops is how many of its runs may be stopped at the same time; 0 for no limit.
+	MaxStops int
 	// Hopeless reports whether the end of the job has no value to its caller any more.
 	Hopeless bool
 	// Guaranteed reports whether it is urgent work within its tenant's guarantee.
--- a/internal/work/job.go
+++ b/internal/work/job.go
@@ -78,6 +78,7 @@
 	PerWorker   int           `cbor:",omitempty"` // most tasks of the step on one worker; 0 for no limit
 	Checkpoints bool          `cbor:",omitempty"` // tasks save their progress and can continue from it
 	Lasts       bool          `cbor:",omitempty"` // runs until the job is cancelled
+	MayMiss     int           `cbor:",omitempty"` // tasks of a step that lasts that may be away at a time through stops; 0 for any number
 	TailTarget  time.Duration `cbor:",omitempty"` // tail latency target of a task that serves users; 0 for none
 	Fills       bool          `cbor:",omitempty"` // uses only processor time that other tasks leave idle
 	Image       Image         `cbor:",omitempty"` // what the tasks run; empty if the caller does not say
@@ -180,7 +181,7 @@
 	if s.Count < 1 {
 		return errors.New("a step needs at least one task")
 	}
-	if s.Need.CPU < 0 || s.Need.Memory < 0 || s.Need.GPU < 0 || s.PerWorker < 0 {
+	if s.Need.CPU < 0 || s.Need.Memory < 0 || s.Need.GPU < 0 || s.PerWorker < 0 || s.MayMiss < 0 {
 		return errors.New("an amount is negative")
 	}
 	for _, before := range s.After {
