advice, chief: tickets count from their decision, and calls name what a step needs

Cause: the validity of tickets was counted from the sending of the call, less 0.5 s. Where a call takes the validity less 0.5 s or longer, its tickets had expired when they arrived, and the same pass asked anew, without a pause, a count or a line that says so. The timings in the configuration were not read, and each call named 30 workers.

Change: a package of its own keeps what the service has said about a step. Tickets are valid from the earliest moment of the decision that the stated time allows, each by itself and for one life of its worker. A call names the workers that hold the step's tasks twice over, and more while that is cheap. A ticket is checked again when its start is sent. Calls of no use double the pause before the next one, with a line and a count.

--- a/internal/chief/advise.go
+++ b/internal/chief/advise.go
@@ -2,30 +2,35 @@
 
 import (
 	"context"
+	"errors"
 	"sort"
 	"time"
 
+	"peridotgw.example/peridotgw/internal/advice"
 	"peridotgw.example/peridotgw/internal/clock"
 	"peridotgw.example/peridotgw/internal/work"
 	"peridotgw.example/peridotgw/model"
 )
 
 const (
-	// adviceBatch is the maximum number of workers in one call: the call takes longer with each of them.
-	adviceBatch      = 30
-	adviceTimeout    = 5 * time.Second
-	adviceRetryPause = 300 * time.Millisecond
-	// ticketReserve is subtracted from a ticket's validity, so that it is still valid when the start arrives.
-	ticketReserve = 500 * time.Millisecond
+	// noCandidatesPause is the least time between two looks for workers to ask for, for a stage that found none.
+	noCandidatesPause = 300 * time.Millisecond
+	// spareTickets is how many times the waiting tasks of a stage fit on the workers with tickets before no more are asked for: these workers may
+	// be full when others have room.
+	spareTickets = 2
 )
 
+// life returns the life of a worker for which a ticket holds.
+func (w *worker) life() advice.Worker { return advice.Worker{ID: w.info.ID, Born: w.born} }
+
 // needsAdvice reports whether the advice service decides which workers may run a stage.
 func (p *planner) needsAdvice(s *stage) bool {
-	if p.c.Advise == nil {
-		return false
-	}
-	queue := p.config.Queue(s.job.spec.Queue)
-	return queue != nil && queue.Advised
+	return p.c.Advise != nil && p.config.Advised(s.job.spec.Queue)
+}
+
+// needsAdvice reports whether the advice service decides which workers may run a stage.
+func (c *Scheduler) needsAdvice(s *stage) bool {
+	return c.Advise != nil && c.Config().Advised(s.job.spec.Queue)
 }
 
 // hasTicket reports whether a worker has a valid ticket for a stage, or the stage needs none.
@@ -33,29 +38,26 @@
 	if !p.needsAdvice(s) {
 		return true
 	}
-	_, found := s.advice.tickets[w.info.ID]
-	return found && p.now < s.advice.expiresAt
+	_, valid := s.advice.Ticket(w.life(), p.now)
+	return valid
 }
 
-// ensureAdvice requests advice while fewer workers that may get runs have a ticket for a stage than it has tasks: a ticket for a
-// worker that has left, drains or does not answer is of no use. It requests more while the waiting tasks do not fit on these workers,
-// and others have room. It reports whether the stage may be planned.
+// ensureAdvice requests advice while the waiting tasks of a stage do not fit spareTickets times on the workers that have a ticket for it and may
+// get runs: a ticket for a worker that has left, drains or does not answer is of no use. It requests more while the tasks find no room there
+// now, and others have room. It reports whether the stage may be planned.
 func (p *planner) ensureAdvice(s *stage) bool {
 	if !p.needsAdvice(s) {
 		return true
 	}
-	if p.now >= s.advice.expiresAt && s.advice.expiresAt != 0 {
-		s.advice = advice{}
-	}
 	waiting := s.waitingTasks()
-	ticketed, room := p.ticketedWorkers(s, waiting)
+	capacity, room := p.ticketedRoom(s, waiting)
 	switch {
-	case ticketed < len(s.tasks):
+	case capacity < spareTickets*waiting:
 		p.requestAdvice(s, func(*worker) bool { return true })
 	case room < waiting:
 		p.requestAdvice(s, func(w *worker) bool { return availableNow(w).CountFits(s.step.Resources(), 1) > 0 })
 	}
-	return ticketed > 0
+	return capacity > 0
 }
 
 // mayFit reports whether a stage could start if it had tickets for all workers.
@@ -69,17 +71,24 @@
 	return room >= s.placesNeeded()
 }
 
-// ticketedWorkers returns how many of the workers that may get runs have a ticket for a stage, and how many of its waiting tasks fit
-// there now.
-func (p *planner) ticketedWorkers(s *stage, waiting int) (count, room int) {
-	resources := s.step.Resources()
+// ticketedRoom returns how many tasks of a stage fit on the workers that may get runs and have a ticket for it, if nothing else ran there,
+// and how many fit there now; at most limit for each worker.
+func (p *planner) ticketedRoom(s *stage, limit int) (capacity, room int) {
 	for _, w := range p.candidates() {
-		if _, found := s.advice.tickets[w.info.ID]; found {
-			count++
-			room += availableNow(w).CountFits(resources, waiting)
+		if p.hasTicket(s, w) {
+			capacity += s.placesIn(w.info.Capacity, limit)
+			room += s.placesIn(availableNow(w), limit)
 		}
 	}
-	return count, room
+	return capacity, room
+}
+
+// placesIn returns how many tasks of a stage fit into an amount on one worker, at most limit.
+func (s *stage) placesIn(room work.Resources, limit int) int {
+	if s.step.PerWorker > 0 {
+		limit = min(limit, s.step.PerWorker)
+	}
+	return room.CountFits(s.step.Resources(), limit)
 }
 
 // waitingTasks returns the number of tasks that are neither done nor running.
@@ -96,7 +105,7 @@
 // adviceRequest is a call to the advice service that a pass may make.
 type adviceRequest struct {
 	stage   *stage
-	workers []model.WorkerID
+	workers []advice.Worker
 	rank    adviceRank
 }
 
@@ -113,7 +122,7 @@
 // one machine in sequence. Of the stages of the same rank, the one whose last call was longest ago is served first: tickets expire, and
 // jobs behind many others would never get theirs if these asked again before.
 func (p *planner) requestAdvice(s *stage, wanted func(*worker) bool) {
-	if p.c.adviceInFlight || p.now < s.advice.retryAt {
+	if p.c.adviceInFlight || s.advice.Paused(p.now) {
 		return
 	}
 	rank := adviseOthers
@@ -128,7 +137,7 @@
 	}
 	workers := p.adviceCandidates(s, wanted)
 	if len(workers) == 0 {
-		s.advice.retryAt = p.now.Add(adviceRetryPause)
+		s.advice.Pause(p.now.Add(noCandidatesPause))
 		return
 	}
 	p.adviceRequest = &adviceRequest{s, workers, rank}
@@ -139,60 +148,93 @@
 	if p.adviceRequest == nil {
 		return
 	}
-	s, workers := p.adviceRequest.stage, p.adviceRequest.workers
+	s := p.adviceRequest.stage
 	s.advisedAt = p.now
 	p.c.adviceInFlight = true
+	call := &advice.Call{Workers: p.adviceRequest.workers, Timing: p.config.Queue(s.job.spec.Queue).Advice}
+	ids := make([]model.WorkerID, 0, len(call.Workers))
+	for _, w := range call.Workers {
+		ids = append(ids, w.ID)
+	}
 	c, step := p.c, s.id
 	go func() {
-		ctx, cancel := context.WithTimeout(c.ctx, adviceTimeout)
+		ctx, cancel := context.WithTimeout(c.ctx, advice.Timeout(call.Timing, len(ids)))
 		defer cancel()
-		sent := c.Now()
-		tickets, valid, err := c.Advise(ctx, step, workers)
-		c.post(func() { c.handleAdvice(s, workers, tickets, sent.Add(valid-ticketReserve), err) })
+		call.Sent = c.Now()
+		tickets, valid, err := c.Advise(ctx, step, ids)
+		answered := c.Now()
+		c.post(func() { c.handleAdvice(s, call, adviceAnswer{tickets, valid, answered}, err) })
 	}()
 }
 
-// adviceCandidates returns the wanted workers that no advice was requested for yet, those with the most available cores first.
-func (p *planner) adviceCandidates(s *stage, wanted func(*worker) bool) []model.WorkerID {
+// adviceCandidates returns the wanted workers that a call for a stage names. Those that are known to be allowed come first, and of them and
+// the others those with the most available cores.
+func (p *planner) adviceCandidates(s *stage, wanted func(*worker) bool) []advice.Worker {
 	var options []*worker
 	for _, w := range p.candidates() {
-		if w.info.Pool == s.job.spec.Pool && w.info.Has(s.step.Label) && !s.advice.asked[w.info.ID] && wanted(w) {
+		if w.info.Pool == s.job.spec.Pool && w.info.Has(s.step.Label) && s.advice.Asks(w.life(), p.now) && wanted(w) {
 			options = append(options, w)
 		}
 	}
-	sort.SliceStable(options, func(i, j int) bool { return options[i].available.Cores() > options[j].available.Cores() })
-	var ids []model.WorkerID
-	for _, w := range options[:min(len(options), adviceBatch)] {
-		ids = append(ids, w.info.ID)
+	sort.SliceStable(options, func(i, j int) bool {
+		a, b := options[i], options[j]
+		if allowed := s.advice.Allowed(a.life()); allowed != s.advice.Allowed(b.life()) {
+			return allowed
+		}
+		return a.available.Cores() > b.available.Cores()
+	})
+	waiting := s.waitingTasks()
+	places := make([]int, len(options))
+	for i, w := range options {
+		places[i] = s.placesIn(availableNow(w), waiting)
+	}
+	var named []advice.Worker
+	for _, w := range options[:advice.CallSize(p.config.Queue(s.job.spec.Queue).Advice, places, waiting)] {
+		named = append(named, w.life())
 	}
-	return ids
+	return named
+}
+
+// adviceAnswer is the answer to a call for advice.
+type adviceAnswer struct {
+	tickets  map[model.WorkerID]string
+	valid    time.Duration
+	answered clock.Instant
 }
 
-// handleAdvice adds the tickets of a call to a stage's advice, or delays the next call after an error.
-func (c *Scheduler) handleAdvice(
-	s *stage, asked []model.WorkerID, tickets map[model.WorkerID]string, expiresAt clock.Instant, err error,
-) {
+// handleAdvice records the tickets of a call, or delays the next call after an error.
+func (c *Scheduler) handleAdvice(s *stage, call *advice.Call, answer adviceAnswer, err error) {
 	c.adviceInFlight = false
 	c.dirty = true
+	valid := answer.valid
+	if valid <= 0 {
+		valid = call.Timing.Valid
+	}
+	if err == nil && valid <= 0 {
+		err = errNoValidity
+	}
 	c.Observe.CallResult("advice", resultOf(err))
-	c.Log.Info().Err(err).Str("step", s.id.String()).Int("asked", len(asked)).Int("allowed", len(tickets)).Msg("chief: advice")
+	c.Log.Info().Err(err).Str("step", s.id.String()).Int("asked", len(call.Workers)).Int("allowed", len(answer.tickets)).
+		Dur("took", answer.answered.Sub(call.Sent)).Dur("valid", valid).Msg("chief: advice")
 	if err != nil {
-		s.advice.retryAt = c.Now().Add(adviceRetryPause)
+		c.adviceMissed(s, err.Error())
 		return
 	}
-	current := &s.advice
-	if current.tickets == nil {
-		*current = advice{tickets: map[model.WorkerID]string{}, asked: map[model.WorkerID]bool{}, expiresAt: expiresAt}
-	}
-	current.expiresAt = min(current.expiresAt, expiresAt)
-	for _, id := range asked {
-		current.asked[id] = true
-	}
-	for id, ticket := range tickets {
-		current.tickets[id] = ticket
+	if s.advice.Answered(call, answer.tickets, valid, answer.answered) {
+		c.Observe.CallResult("advice", "late")
 	}
 }
 
+var errNoValidity = errors.New("its tickets are valid for no time") //nolint:gochecknoglobals // a constant error
+
+// adviceMissed delays the next call for a stage: its last one was of no use.
+func (c *Scheduler) adviceMissed(s *stage, why string) {
+	pause := s.advice.Missed(c.Now())
+	c.Observe.CallResult("advice", "of-no-use")
+	c.Log.Warn().Str("step", s.id.String()).Str("why", why).Dur("next-call-in", pause).Msg("chief: advice of no use")
+	c.postAfter(pause, func() { c.dirty = true })
+}
+
 // Adviser calls the advice service for a step. It returns a ticket for each of the workers that may run it, and how long the
 // tickets are valid.
 type Adviser func(ctx context.Context, step work.StepID, workers []model.WorkerID) (map[model.WorkerID]string, time.Duration, error)
--- a/internal/chief/dispatch.go
+++ b/internal/chief/dispatch.go
@@ -61,18 +61,29 @@
 		reason = "its worker does not answer"
 	}
 	if reason != "" {
-		c.Observe.CallResult("start", "dropped")
-		r.reason = "start dropped: " + reason
-		c.endRun(r, work.EndedStopped, "")
+		c.dropStart(r, reason)
+		return
+	}
+	ticket, valid := r.task.stage.advice.Ticket(r.worker.life(), c.Now())
+	if !valid && c.needsAdvice(r.task.stage) {
+		c.dropStart(r, "its ticket has expired")
+		c.adviceMissed(r.task.stage, "its ticket expired before the start was sent")
 		return
 	}
 	r.ordered = true
 	c.sendStart(r, agent.StartOrder{
 		Task: r.key.task, Run: r.key.number, Payload: r.task.stage.job.spec.Payload, Until: c.lease(r.worker, c.Now(), startLease),
-		Token: c.Term.Token, Saved: r.checkpoint, Ticket: r.task.stage.advice.tickets[r.worker.info.ID],
+		Token: c.Term.Token, Saved: r.checkpoint, Ticket: ticket,
 	})
 }
 
+// dropStart ends a run whose order was not sent.
+func (c *Scheduler) dropStart(r *run, reason string) {
+	c.Observe.CallResult("start", "dropped")
+	r.reason = "start dropped: " + reason
+	c.endRun(r, work.EndedStopped, "")
+}
+
 // whyNotStart returns why a run that was planned may not start any more; an empty text if it may.
 func (c *Scheduler) whyNotStart(r *run) string {
 	if r.phase != starting {
--- a/internal/chief/orders.go
+++ b/internal/chief/orders.go
@@ -94,6 +94,7 @@
 		if r.phase == starting {
 			r.phase, r.ackedAt, r.startedAt, r.progressedAt = running, now, now, now
 			r.task.stage.job.ranAt = now
+			r.task.stage.advice.Used()
 		}
 		r.task.stage.job.markStarted(c)
 		c.pollIfDue(w)
@@ -176,7 +177,8 @@
 	case agent.ReasonStaleRun:
 		r.task.lastRun += runNumberGap
 	case agent.ReasonTicket:
-		r.task.stage.advice = advice{}
+		r.task.stage.advice.Expire(w.life())
+		c.adviceMissed(r.task.stage, "a worker rejected its ticket")
 	case agent.ReasonNoCapacity:
 		c.quarantine(w, rejectedQuarantine, "its free capacity is not as recorded")
 	}
--- a/internal/chief/rack.go
+++ b/internal/chief/rack.go
@@ -102,7 +102,7 @@
 	capacity := 0
 	for _, m := range members {
 		w := m.worker
-		if w.info.Pool != s.job.spec.Pool || !w.info.Has(s.step.Label) || p.c.listableRuns(w) == 0 || s.advice.asked[w.info.ID] && !p.hasTicket(s, w) {
+		if w.info.Pool != s.job.spec.Pool || !w.info.Has(s.step.Label) || p.c.listableRuns(w) == 0 || s.advice.Denied(w.life(), p.now) {
 			continue
 		}
 		fits := m.capacity.CountFits(s.step.Resources(), maxRoom)
--- a/internal/chief/state.go
+++ b/internal/chief/state.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"peridotgw.example/peridotgw/internal/advice"
 	"peridotgw.example/peridotgw/internal/agent"
 	"peridotgw.example/peridotgw/internal/clock"
 	"peridotgw.example/peridotgw/internal/kv"
@@ -133,7 +134,7 @@
 	noCapacityLoggedAt clock.Instant
 	runsOn             map[*worker]int // number of runs by worker
 	haste              speed.Haste     // valid during a planning pass
-	advice             advice
+	advice             advice.Book
 	// gangReservation is that of a gang that does not fit; nil for none. There is no new one before noReservationUntil.
 	gangReservation    *gangReservation
 	noReservationUntil clock.Instant
@@ -227,11 +228,3 @@
 func (w *worker) target() agent.Target { return agent.Target{ID: w.info.ID, Address: w.info.Address} }
 
 func (w *worker) free() work.Resources { return w.info.Capacity.Sub(w.used) }
-
-// advice holds the answers of the advice service for a stage.
-type advice struct {
-	tickets   map[model.WorkerID]string // of the workers that may run the step
-	asked     map[model.WorkerID]bool   // workers that advice was requested for
-	expiresAt clock.Instant             // of the earliest ticket
-	retryAt   clock.Instant             // earliest next request after a failure
-}
--- a/internal/lint/diff.go
+++ b/internal/lint/diff.go
@@ -63,6 +63,9 @@
 			{"target", q.Latency.String()},
 			{"calls without a key", fmt.Sprint(q.Anonymous)},
 			{"advice", fmt.Sprint(q.Advised)},
+			{"time of a call for advice", q.Advice.Decision.String()},
+			{"time of a call for advice for each worker", q.Advice.PerWorker.String()},
+			{"validity of advice", q.Advice.Valid.String()},
 		}
 	}
 	return entries
--- a/internal/work/config.go
+++ b/internal/work/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"peridotgw.example/peridotgw/model"
 )
@@ -18,6 +19,14 @@
 	Terms
 	Anonymous bool // calls need no key
 	Advised   bool // the advice service decides which workers may run a step
+	Advice    AdviceTiming
+}
+
+// AdviceTiming is what operators say of the calls to the advice service for a queue; a part that is 0 is not known.
+type AdviceTiming struct {
+	Decision  time.Duration // of a call
+	PerWorker time.Duration // of a call, for each worker that it names
+	Valid     time.Duration // how long tickets are valid
 }
 
 // Tenant is a customer with its API keys, its guaranteed capacity and its limits.
@@ -58,6 +67,15 @@
 // Queue returns the queue with a name, or nil.
 func (c *Config) Queue(name QueueName) *Queue { return c.queuesByName[name] }
 
+// Advised reports whether the advice service decides which workers may run the jobs of a queue; c may be nil.
+func (c *Config) Advised(name QueueName) bool {
+	if c == nil {
+		return false
+	}
+	queue := c.queuesByName[name]
+	return queue != nil && queue.Advised
+}
+
 // Terms returns the terms that apply to a job: those of its queue, or those at its acceptance when the queue is not known, such
 // as before the first configuration is read. c may be nil.
 func (c *Config) Terms(j *Job) Terms {
