chief: a long task is not a stuck one, and one job's runs close no worker for others

Cause: a run counted as stuck after 2 s without a new percent, or 12% of its estimate. Percents are whole, and an estimate may be missing or wrong. Each such run closed its worker for 6 s to all jobs.

Evidence: "chief: stop ordered", "no progress", for all runs at 2 s. On the code before, all twelve rows of TestLongTasksKeepNoGuaranteeWaiting fail (473 to 497 starts of 32 tasks, or "the guaranteed gang starts: not within 2.7s"), as do TestLongTaskWithoutAnEstimateEnds and TestWorkerIsClosedWhenTwoJobsMakeNoProgressThere ("one job shows nothing for others").

Change: the patience with a task follows its estimate or what one percent took in its step; it is 10 s where nothing tells, and doubles with each run that was stopped. A run without progress keeps its job from the worker; all jobs are kept from it when another job has shown the same, of at most a quarter of a pool's workers at a time.

--- a/internal/chief/fit.go
+++ b/internal/chief/fit.go
@@ -16,7 +16,7 @@
 // eligible reports whether a worker may run one more task of a stage, regardless of its free capacity.
 func (p *planner) eligible(s *stage, w *worker) bool {
 	kept := p.keptIdle[w] && p.yieldsToUrgent(s)
-	return !kept && s.mayPin(w) && w.takes(s, p.now) && p.suits(s, w)
+	return !kept && s.mayPin(w) && (s.ignoresHolds || !s.job.avoidsWorker(w, p.now)) && w.takes(s, p.now) && p.suits(s, w)
 }
 
 // suits reports whether a worker can run one more task of a stage, regardless of its free capacity and of what is kept for other work.
--- a/internal/chief/health.go
+++ b/internal/chief/health.go
@@ -12,10 +12,6 @@
 	failuresToQuarantine   = 2
 	failureQuarantine      = 3 * time.Second
 	maxQuarantineDoublings = 3
-	// stuckAfter is how long a task may show no progress, or stuckEstimatePercent of its estimate if that is longer.
-	stuckAfter           = 2 * time.Second
-	stuckEstimatePercent = 12
-	stuckQuarantine      = 6 * time.Second
 	// gangEndGrace is how long the members of a gang may take to end after the first is done.
 	gangEndGrace = time.Second
 	fullPercent  = 100
@@ -25,7 +21,7 @@
 func (c *Scheduler) recordOutcome(w *worker, r *run, how work.How) {
 	switch how {
 	case work.EndedDone:
-		w.failures, w.quarantines, w.lastDoneAt = 0, 0, c.Now()
+		w.failures, w.quarantines, w.lastDoneAt, w.progressedAt = 0, 0, c.Now(), c.Now()
 		if r.probe {
 			c.readmit(w)
 		}
@@ -71,18 +67,9 @@
 			r.task.stage.step.Lasts || !r.gangRunning() {
 			continue
 		}
-		// One percent of the work takes a hundredth of the estimate, and several times that on a remote or slow worker.
-		limit := max(stuckAfter, stuckEstimatePercent*c.estimate(r.task.stage)/100)
 		// Time without a report that lists the run does not count: its worker is silent, or its end is among those not yet listed.
-		if r.listedAt.Sub(max(r.progressedAt, r.createdAt)) < limit {
-			continue
-		}
-		if r.createdAt >= w.quarantinedAt || now >= w.quarantinedUntil {
-			c.quarantine(w, stuckQuarantine, "its tasks make no progress")
-		}
-		c.stopRun(r, "no progress")
-		if r.gang != nil {
-			c.stopGang(r.gang, "member makes no progress")
+		if r.listedAt.Sub(max(r.progressedAt, r.createdAt)) >= c.patience(r) {
+			c.stopStuckRun(r, now)
 		}
 	}
 }
--- a/internal/chief/poll.go
+++ b/internal/chief/poll.go
@@ -309,6 +309,7 @@
 		r.task.stage.job.ranAt = now
 	}
 	if item.Percent != r.percent {
+		c.noteProgress(r, item.Percent, now)
 		r.percent, r.progressedAt = item.Percent, now
 	}
 	r.checkpoint, r.tailLatency = item.Saved, item.Load
--- a/internal/chief/room.go
+++ b/internal/chief/room.go
@@ -115,7 +115,7 @@
 		free = p.besideGang(s, w, free)
 	}
 	fits := free.CountFits(resources, maxRoom)
-	if fits == 0 || !p.suits(s, w) || ignoring&holdGuarantee == 0 && !s.mayPin(w) || ignoring&holdUrgent == 0 && p.keptIdle[w] && p.yieldsToUrgent(s) {
+	if fits == 0 || !p.suits(s, w) || ignoring&holdQuarantine == 0 && s.job.avoidsWorker(w, p.now) || ignoring&holdGuarantee == 0 && !s.mayPin(w) || ignoring&holdUrgent == 0 && p.keptIdle[w] && p.yieldsToUrgent(s) {
 		return 0
 	}
 	fits = min(fits, p.c.listableRuns(w))
--- a/internal/chief/state.go
+++ b/internal/chief/state.go
@@ -97,6 +97,7 @@
 	preemptions int           // at most maxPreemptedPauses
 	failedOn    model.WorkerID
 	failedRuns  []work.RunNumber // that count as attempts
+	stuckStops  int              // runs that were stopped without progress in this term; of a gang, see stage
 	lostOn      *worker          // where the lease of a run expired without a report of its end
 }
 
@@ -135,6 +136,9 @@
 	runsOn             map[*worker]int // number of runs by worker
 	haste              speed.Haste     // valid during a planning pass
 	advice             advice.Book
+	// percentTime is the longest time that one percent of a task's work took, and stuckStops how often its gang was stopped without progress.
+	percentTime time.Duration
+	stuckStops  int
 	// gangReservation is that of a gang that does not fit; nil for none. There is no new one before noReservationUntil.
 	gangReservation    *gangReservation
 	noReservationUntil clock.Instant
@@ -171,8 +175,9 @@
 	hasFailed    bool          // a run of it failed in this term
 	ranAt        clock.Instant // when one of its runs was last known to run; 0 if none was in this term
 	stall        stall
-	inherited    bool // may have runs of an earlier term on workers that were not polled yet
-	beyondRate   bool // handed in beyond its tenant's rate
+	avoids       map[*worker]clock.Instant // workers on which it made no progress, and until when it gets no starts there
+	inherited    bool                      // may have runs of an earlier term on workers that were not polled yet
+	beyondRate   bool                      // handed in beyond its tenant's rate
 	knownAt      clock.Instant
 	finishedAt   clock.Instant
 }
@@ -216,10 +221,12 @@
 	failures         int              // consecutive failed runs
 	lastDoneAt       clock.Instant    // when it last completed a task
 	quarantines      int              // consecutive, for failed tasks
-	slowRounds       int              // consecutive comparisons that found it slow
-	speed            float64          // against a usual worker; 0 while nothing is known
-	speedLogged      float64          // as last logged; 0 before
-	removed          bool             // from Scheduler.workers
+	progressedAt     clock.Instant    // when one of its runs last got on
+	stuck            stuckWorker
+	slowRounds       int     // consecutive comparisons that found it slow
+	speed            float64 // against a usual worker; 0 while nothing is known
+	speedLogged      float64 // as last logged; 0 before
+	removed          bool    // from Scheduler.workers
 	// available is valid during a planning pass: what is free once all stops are done, less reservations and new starts.
 	available work.Resources
 	held      *heldPlace // valid during a planning pass: the part of a gang's reservation; nil for none
