chief: how many tasks of a stage a worker may take is decided in one place

The limit of a step's tasks on one worker, and of the runs that a worker can list, stood in four functions.

--- a/internal/chief/advise.go
+++ b/internal/chief/advise.go
@@ -83,14 +83,6 @@
 	return capacity, room
 }
 
-// placesIn returns how many tasks of a stage fit into an amount on one worker, at most limit.
-func (s *stage) placesIn(room work.Resources, limit int) int {
-	if s.step.PerWorker > 0 {
-		limit = min(limit, s.step.PerWorker)
-	}
-	return room.CountFits(s.step.Resources(), limit)
-}
-
 // waitingTasks returns the number of tasks that are neither done nor running.
 func (s *stage) waitingTasks() int {
 	waiting := 0
--- a/internal/chief/backfill.go
+++ b/internal/chief/backfill.go
@@ -358,11 +358,7 @@
 	places = map[*worker]int{}
 	total := 0
 	addPlaces := func(w *worker) {
-		count := min(free[w].CountFits(resources, need), p.c.listableRuns(w))
-		if s.step.PerWorker > 0 {
-			count = min(count, s.step.PerWorker-s.runsOn[w])
-		}
-		count = min(count, places[w]+need-total)
+		count := min(p.atMostOn(s, w, free[w].CountFits(resources, need)), places[w]+need-total)
 		if count > places[w] {
 			total += count - places[w]
 			places[w] = count
--- a/internal/chief/fit.go
+++ b/internal/chief/fit.go
@@ -25,6 +25,23 @@
 		p.c.listableRuns(w) > 0 && p.hasTicket(s, w)
 }
 
+// atMostOn returns how many more tasks of a stage a worker may take, regardless of its free capacity; at most limit.
+func (p *planner) atMostOn(s *stage, w *worker, limit int) int {
+	limit = min(limit, p.c.listableRuns(w))
+	if s.step.PerWorker > 0 {
+		limit = min(limit, s.step.PerWorker-s.runsOn[w])
+	}
+	return limit
+}
+
+// placesIn returns how many tasks of a stage fit into an amount on one worker, at most limit.
+func (s *stage) placesIn(room work.Resources, limit int) int {
+	if s.step.PerWorker > 0 {
+		limit = min(limit, s.step.PerWorker)
+	}
+	return room.CountFits(s.step.Resources(), limit)
+}
+
 // bestWorker returns the worker with the tightest fit, in the rack of the data if possible, or nil.
 func (p *planner) bestWorker(s *stage, among []*worker, remote bool) *worker {
 	resources := s.step.Resources()
@@ -170,10 +187,7 @@
 		if !p.eligible(s, w) {
 			continue
 		}
-		count := min(p.besideGang(s, w, capacityOf(w)).CountFits(resources, need), p.c.listableRuns(w))
-		if s.step.PerWorker > 0 {
-			count = min(count, s.step.PerWorker-s.runsOn[w])
-		}
+		count := p.atMostOn(s, w, p.besideGang(s, w, capacityOf(w)).CountFits(resources, need))
 		if w.needsProbe(p.now) && !p.mayProbeWithGang(s, w) {
 			count = min(count, 1)
 		}
--- a/internal/chief/preempt.go
+++ b/internal/chief/preempt.go
@@ -69,11 +69,7 @@
 	if !p.eligible(s, w) {
 		return 0
 	}
-	limit = min(limit, p.c.listableRuns(w))
-	if s.step.PerWorker > 0 {
-		limit = min(limit, s.step.PerWorker-s.runsOn[w])
-	}
-	return limit
+	return p.atMostOn(s, w, limit)
 }
 
 // patience is how long a stage that may stop other work waits for runs that end by themselves: as long as a stop takes, and only once. Where
--- a/internal/chief/rack.go
+++ b/internal/chief/rack.go
@@ -105,11 +105,7 @@
 		if w.info.Pool != s.job.spec.Pool || !w.info.Has(s.step.Label) || p.c.listableRuns(w) == 0 || s.advice.Denied(w.life(), p.now) {
 			continue
 		}
-		fits := m.capacity.CountFits(s.step.Resources(), maxRoom)
-		if s.step.PerWorker > 0 {
-			fits = min(fits, s.step.PerWorker)
-		}
-		capacity += fits
+		capacity += s.placesIn(m.capacity, maxRoom)
 	}
 	return capacity
 }
--- a/internal/chief/room.go
+++ b/internal/chief/room.go
@@ -118,11 +118,7 @@
 	if fits == 0 || !p.suits(s, w) || ignoring&holdQuarantine == 0 && s.job.avoidsWorker(w, p.now) || ignoring&holdGuarantee == 0 && !s.mayPin(w) || ignoring&holdUrgent == 0 && p.keptIdle[w] && p.yieldsToUrgent(s) {
 		return 0
 	}
-	fits = min(fits, p.c.listableRuns(w))
-	if s.step.PerWorker > 0 {
-		fits = min(fits, s.step.PerWorker-s.runsOn[w])
-	}
-	return fits
+	return p.atMostOn(s, w, fits)
 }
 
 // maxRoom limits the count of tasks that fit on one worker: a task may need nothing.
