advice: a call names no workers without room, beyond the cheap ones

A call named up to 100 workers where none had room for a task, which takes the longest where a guarantee is claimed on a full pool. Workers without places come last now and count only while they make the call no more than twice as long as its decision; for urgent work the capacity of a worker counts, since it may stop what runs there. TestGuaranteedWorkGetsItsTicketsOnAFullPool and two rows of TestCallSize show it.

--- a/internal/advice/advice_test.go
+++ b/internal/advice/advice_test.go
@@ -42,6 +42,8 @@
 		{"a wide step", work.AdviceTiming{Decision: ms(400), PerWorker: ms(75)}, places(48, 1), 40, 48},
 		{"more than a call may name", work.AdviceTiming{}, places(200, 1), 90, 100},
 		{"few workers", work.AdviceTiming{}, places(3, 0), 4, 3},
+		{"no room", work.AdviceTiming{Decision: ms(400), PerWorker: ms(75)}, places(48, 0), 4, 5},
+		{"no room and no decision", work.AdviceTiming{PerWorker: ms(75)}, places(48, 0), 4, 0},
 		{"no workers", work.AdviceTiming{}, nil, 4, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/advice/timing.go
+++ b/internal/advice/timing.go
@@ -30,16 +30,19 @@
 // Timeout returns how long the answer to a call that names so many workers is waited for.
 func Timeout(t work.AdviceTiming, workers int) time.Duration { return 2*Takes(t, workers) + slowCall }
 
-// CallSize returns how many workers a call names, of those with the given places for a step's tasks, the best first. They hold the tasks with
-// some to spare. Beyond that, more are named while they do not make the call longer than a decision takes.
+// CallSize returns how many workers a call names, of those with the given places for a step's tasks; those without any come last. They hold the
+// tasks with some to spare. Beyond that, more are named while they do not make the call more than twice as long as its decision.
 func CallSize(t work.AdviceTiming, places []int, tasks int) int {
 	cheap := usualWorkers
 	if t.PerWorker > 0 {
 		cheap = min(cheap, int(t.Decision/t.PerWorker))
 	}
 	named, room := 0, 0
-	for named < min(len(places), maxWorkers) && (room < roomFactor*tasks || named < cheap) {
-		room += places[named]
+	for _, here := range places[:min(len(places), maxWorkers)] {
+		if named >= cheap && (here == 0 || room >= roomFactor*tasks) {
+			break
+		}
+		room += here
 		named++
 	}
 	return named
--- a/internal/chief/advise.go
+++ b/internal/chief/advise.go
@@ -159,34 +159,50 @@
 	}()
 }
 
-// adviceCandidates returns the wanted workers that a call for a stage names. Those that are known to be allowed come first, and of them and
-// the others those with the most available cores.
+// adviceCandidates returns the wanted workers that a call for a stage names. Those with places for its tasks come first, of them those that are
+// known to be allowed, and then those with the most available cores.
 func (p *planner) adviceCandidates(s *stage, wanted func(*worker) bool) []advice.Worker {
-	var options []*worker
+	type option struct {
+		worker  *worker
+		places  int
+		allowed bool
+	}
+	var options []option
+	waiting := s.waitingTasks()
 	for _, w := range p.candidates() {
 		if w.info.Pool == s.job.spec.Pool && w.info.Has(s.step.Label) && s.advice.Asks(w.life(), p.now) && wanted(w) {
-			options = append(options, w)
+			options = append(options, option{w, s.placesIn(p.adviceRoom(s, w), waiting), s.advice.Allowed(w.life())})
 		}
 	}
 	sort.SliceStable(options, func(i, j int) bool {
 		a, b := options[i], options[j]
-		if allowed := s.advice.Allowed(a.life()); allowed != s.advice.Allowed(b.life()) {
-			return allowed
+		switch {
+		case (a.places > 0) != (b.places > 0):
+			return a.places > 0
+		case a.allowed != b.allowed:
+			return a.allowed
 		}
-		return a.available.Cores() > b.available.Cores()
+		return a.worker.available.Cores() > b.worker.available.Cores()
 	})
-	waiting := s.waitingTasks()
 	places := make([]int, len(options))
-	for i, w := range options {
-		places[i] = s.placesIn(availableNow(w), waiting)
+	for i, o := range options {
+		places[i] = o.places
 	}
 	var named []advice.Worker
-	for _, w := range options[:advice.CallSize(p.config.Queue(s.job.spec.Queue).Advice, places, waiting)] {
-		named = append(named, w.life())
+	for _, o := range options[:advice.CallSize(p.config.Queue(s.job.spec.Queue).Advice, places, waiting)] {
+		named = append(named, o.worker.life())
 	}
 	return named
 }
 
+// adviceRoom returns the room on a worker for which a ticket is of use to a stage: urgent work may stop what runs there.
+func (p *planner) adviceRoom(s *stage, w *worker) work.Resources {
+	if p.priority(s) == 0 {
+		return w.info.Capacity
+	}
+	return availableNow(w)
+}
+
 // adviceAnswer is the answer to a call for advice.
 type adviceAnswer struct {
 	tickets  map[model.WorkerID]string
--- a/internal/chief/advise_time_test.go
+++ b/internal/chief/advise_time_test.go
@@ -160,6 +160,29 @@
 	})
 }
 
+// Pattern: a guarantee is claimed on a queue with advice while all workers are full. Guards against calls that name all workers since none has room.
+func TestGuaranteedWorkGetsItsTicketsOnAFullPool(t *testing.T) {
+	withTestEnv(t, 48, func(env *testEnv) {
+		timing := work.AdviceTiming{Decision: ms(400), PerWorker: ms(75), Valid: ms(3000)}
+		service := &adviceService{timing: timing}
+		env.advised(service, timing)
+		for i := range env.config.Queues {
+			urgent := env.config.Queues[i].Name == "check"
+			env.config.Queues[i].Advised = urgent
+			if urgent {
+				env.config.Queues[i].Advice = timing
+			}
+		}
+		env.fleet.Outcome = runsOf(time.Second)
+		env.start("a", nil)
+		env.sleep(3 * time.Second)
+		env.submit(newJob("f000000000000001", "tally", 48, 8))
+		env.await(2*time.Second, "the pool is full", func() bool { return env.atWork("f000000000000001", 48) == 48 })
+		env.submit(newJob("00000000000000c0", "check", 16, 1))
+		env.await(reclaimBound, "the guaranteed tasks start", func() bool { return env.begun("00000000000000c0", 16) })
+	})
+}
+
 // Guards against a gang that is wider than a usual call, whose first tickets expire before the last ones arrive.
 func TestWideGangGetsItsTicketsTogether(t *testing.T) {
 	withTestEnv(t, 48, func(env *testEnv) {
