--- a/internal/chief/pins.go
+++ b/internal/chief/pins.go
@@ -14,19 +14,22 @@
 	workers map[*worker]bool
 	whole   map[work.PoolName]model.Accelerators // of usable workers that are not pinned
 	owed    model.Accelerators                   // guaranteed, without what tasks that pin their worker use of it
-	used    map[work.PoolName]float64            // cores of all workers
+	used    map[work.PoolName]float64            // cores in use on all workers
 	total   map[work.PoolName]float64            // cores of all workers
 }
 
+// limitsStops reports whether only some tasks of a stage may be away at a time.
+func (s *stage) limitsStops() bool { return s.step.Lasts && s.step.MayMiss > 0 }
+
 // pinsWorkers reports whether the tasks of a stage can't be stopped all at once.
 func (s *stage) pinsWorkers() bool {
-	return s.step.Lasts && s.step.MayMiss > 0 && s.step.MayMiss < len(s.tasks)
+	return s.limitsStops() && s.step.MayMiss < len(s.tasks)
 }
 
 // mayPin reports whether a worker may take tasks of a stage, as far as guarantees are concerned.
 func (s *stage) mayPin(w *worker) bool { return s.pinnable == nil || s.pinnable[w] }
 
-// mayStop returns how many runs of a stage that lasts may be stopped now, where that is limited. A task counts as away unless it is known to be
+// mayStop returns how many runs of a stage that limits its stops may be stopped now. A task counts as away unless it is known to be
 // at work on a worker that stays.
 func (s *stage) mayStop() int {
 	left := s.step.MayMiss
--- a/internal/chief/room.go
+++ b/internal/chief/room.go
@@ -115,11 +115,18 @@
 		free = p.besideGang(s, w, free)
 	}
 	fits := free.CountFits(resources, maxRoom)
-	if fits == 0 || !p.suits(s, w) || ignoring&holdQuarantine == 0 && s.job.avoidsWorker(w, p.now) || ignoring&holdGuarantee == 0 && !s.mayPin(w) || ignoring&holdUrgent == 0 && p.keptIdle[w] && p.yieldsToUrgent(s) {
+	if fits == 0 || !p.suits(s, w) || p.keptFrom(s, w, ignoring) {
 		return 0
 	}
 	return p.atMostOn(s, w, fits)
 }
 
+// keptFrom reports whether a worker is kept from a stage as a whole, ignoring some holds.
+func (p *planner) keptFrom(s *stage, w *worker, ignoring holds) bool {
+	return ignoring&holdQuarantine == 0 && s.job.avoidsWorker(w, p.now) ||
+		ignoring&holdGuarantee == 0 && !s.mayPin(w) ||
+		ignoring&holdUrgent == 0 && p.keptIdle[w] && p.yieldsToUrgent(s)
+}
+
 // maxRoom limits the count of tasks that fit on one worker: a task may need nothing.
 const maxRoom = 1 << 10
--- a/internal/chief/snapshot.go
+++ b/internal/chief/snapshot.go
@@ -60,7 +60,7 @@
 // updateProtected brings up to date which runs may be stopped: each stop leaves fewer of its step.
 func (s *snapshot) updateProtected() {
 	for ref, of := range s.stages {
-		if of.step.Lasts && of.step.MayMiss > 0 {
+		if of.limitsStops() {
 			s.protect(view.StageRef(ref), of.mayStop())
 		}
 	}
@@ -126,7 +126,7 @@
 		Hopeless: of.job.late(p.now) && !of.step.Lasts, Guaranteed: p.priority(of) == 0 && p.withinGuarantee(of.job),
 	})
 	s.protected = append(s.protected, false)
-	if of.step.Lasts && of.step.MayMiss > 0 {
+	if of.limitsStops() {
 		s.protect(ref, of.mayStop())
 	}
 	return ref
--- a/internal/chief/stuck.go
+++ b/internal/chief/stuck.go
@@ -81,10 +81,10 @@
 	if r.task.stuckStops+s.stuckStops > 0 || !known || now.Sub(w.progressedAt) < stuckAfter {
 		return
 	}
-	before := w.stuck
+	closed := now < w.stuck.until
+	confirms := w.stuck.at != 0 && now.Sub(w.stuck.at) < stuckQuarantine && w.stuck.job != s.job.spec.ID
 	w.stuck.job, w.stuck.at = s.job.spec.ID, now
-	confirmed := before.at != 0 && now.Sub(before.at) < stuckQuarantine && before.job != s.job.spec.ID
-	if !confirmed && now >= before.until || !c.mayCloseStuck(w, now) {
+	if !closed && !confirms || !c.mayCloseStuck(w, now) {
 		return
 	}
 	w.stuck.until = now.Add(stuckQuarantine)
